Lay out the project: checks, shared types and the protocols at the edges

Cause: nothing stood yet. The shared types are fixed first so that the parts can be written side by side.

--- /dev/null
+++ b/src/admission/admission_request.ts
@@ -0,0 +1,9 @@
+import type { CallPriority } from "../configuration/call_priority.ts";
+
+/** A call that asks for a slot of the local backend server. */
+export interface AdmissionRequest {
+  readonly callIdentifier: string;
+  readonly priority: CallPriority;
+  /** In milliseconds since the Unix epoch. */
+  readonly deadline: number;
+}
--- /dev/null
+++ b/src/configuration/snapshot.ts
@@ -0,0 +1,20 @@
+import type { AvailabilityZone } from "./availability_zone.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { Route } from "./route.ts";
+import type { Service } from "./service.ts";
+import type { Version } from "./version.ts";
+
+/**
+ * A compiled configuration. Immutable, and consistent by construction: every
+ * route names a service of the snapshot that has at least one backend server,
+ * and every backend server names a zone of the snapshot.
+ */
+export interface Snapshot {
+  readonly version: Version;
+  readonly zones: ReadonlyMap<string, AvailabilityZone>;
+  readonly services: ReadonlyMap<string, Service>;
+  readonly backendServers: ReadonlyMap<string, BackendServer>;
+  readonly routes: readonly Route[];
+  /** How many tries beyond the first the nodes may make, per hundred calls. */
+  readonly retryBudgetPercent: number;
+}
--- /dev/null
+++ b/src/diagnostics/diagnostic_category.ts
@@ -0,0 +1,5 @@
+/** How serious a diagnostic is. */
+export enum DiagnosticCategory {
+  Error = "error",
+  Warning = "warning",
+}
--- /dev/null
+++ b/src/diagnostics/diagnostic_code.ts
@@ -0,0 +1,30 @@
+/**
+ * The number of every diagnostic. Ranges: 1000 settings, 2000 configuration,
+ * 3000 distribution, 4000 calls, 5000 admission and health, 6000 platform,
+ * 7000 command line.
+ */
+export enum DiagnosticCode {
+  SettingsUnreadable = 1001,
+  SettingsNotJson = 1002,
+  SettingsFieldInvalid = 1003,
+  SettingsFieldUnknown = 1004,
+
+  ConfigurationNotJson = 2001,
+  ConfigurationFieldInvalid = 2002,
+  ConfigurationFieldUnknown = 2003,
+  ConfigurationTooLarge = 2004,
+
+  ControlMessageInvalid = 3001,
+
+  CallHeaderInvalid = 4001,
+
+  BackendServerUnreachable = 5001,
+
+  PlatformUnreachable = 6001,
+  PlatformAnswerInvalid = 6002,
+
+  UsageInvalid = 7001,
+  FileUnreadable = 7002,
+  NodeUnreachable = 7003,
+  ListenerUnavailable = 7004,
+}
--- /dev/null
+++ b/src/diagnostics/diagnostic_table.ts
@@ -0,0 +1,87 @@
+import { DiagnosticCategory } from "./diagnostic_category.ts";
+import { DiagnosticCode } from "./diagnostic_code.ts";
+import type { DiagnosticDefinition } from "./diagnostic_definition.ts";
+
+/** Every diagnostic that the system reports. */
+export const diagnosticTable: Readonly<
+  Record<DiagnosticCode, DiagnosticDefinition>
+> = {
+  [DiagnosticCode.SettingsUnreadable]: {
+    category: DiagnosticCategory.Error,
+    template: 'Cannot read the settings file "{path}": {found}',
+  },
+  [DiagnosticCode.SettingsNotJson]: {
+    category: DiagnosticCategory.Error,
+    template: 'The settings file "{path}" is not JSON: {found}',
+  },
+  [DiagnosticCode.SettingsFieldInvalid]: {
+    category: DiagnosticCategory.Error,
+    template: 'Settings field "{path}" is {found}, but must be {allowed}',
+  },
+  [DiagnosticCode.SettingsFieldUnknown]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Settings field "{path}" is unknown; the allowed fields are {allowed}',
+  },
+
+  [DiagnosticCode.ConfigurationNotJson]: {
+    category: DiagnosticCategory.Error,
+    template: "The configuration is not JSON: {found}",
+  },
+  [DiagnosticCode.ConfigurationFieldInvalid]: {
+    category: DiagnosticCategory.Error,
+    template: 'Configuration field "{path}" is {found}, but must be {allowed}',
+  },
+  [DiagnosticCode.ConfigurationFieldUnknown]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is unknown; the allowed fields are {allowed}',
+  },
+  [DiagnosticCode.ConfigurationTooLarge]: {
+    category: DiagnosticCategory.Error,
+    template: "The configuration has {found} bytes, but must have {allowed}",
+  },
+
+  [DiagnosticCode.ControlMessageInvalid]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Control message field "{path}" is {found}, but must be {allowed}',
+  },
+
+  [DiagnosticCode.CallHeaderInvalid]: {
+    category: DiagnosticCategory.Error,
+    template: 'Header "{path}" is {found}, but must be {allowed}',
+  },
+
+  [DiagnosticCode.BackendServerUnreachable]: {
+    category: DiagnosticCategory.Error,
+    template: 'Backend server "{path}" is unreachable: {found}',
+  },
+
+  [DiagnosticCode.PlatformUnreachable]: {
+    category: DiagnosticCategory.Error,
+    template: 'The platform at "{path}" is unreachable: {found}',
+  },
+  [DiagnosticCode.PlatformAnswerInvalid]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The platform answered "{path}" with {found}, but must answer with {allowed}',
+  },
+
+  [DiagnosticCode.UsageInvalid]: {
+    category: DiagnosticCategory.Error,
+    template: 'Argument "{path}" is {found}; allowed: {allowed}',
+  },
+  [DiagnosticCode.FileUnreadable]: {
+    category: DiagnosticCategory.Error,
+    template: 'Cannot read the file "{path}": {found}',
+  },
+  [DiagnosticCode.NodeUnreachable]: {
+    category: DiagnosticCategory.Error,
+    template: 'Cannot reach the node at "{path}": {found}',
+  },
+  [DiagnosticCode.ListenerUnavailable]: {
+    category: DiagnosticCategory.Error,
+    template: 'Cannot listen on "{path}": {found}',
+  },
+};
--- /dev/null
+++ b/src/telemetry/log.ts
@@ -0,0 +1,7 @@
+/** A structured log, as `pino` provides it. */
+export interface Log {
+  debug(fields: object, message: string): void;
+  info(fields: object, message: string): void;
+  warn(fields: object, message: string): void;
+  error(fields: object, message: string): void;
+}
