--- /dev/null
+++ b/src/configuration/backend_server_entry.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { backendServerEntrySchema } from "./backend_server_entry_schema.ts";
+
+/** A backend server as published. */
+export type BackendServerEntry = z.infer<typeof backendServerEntrySchema>;
--- /dev/null
+++ b/src/configuration/backend_server_entry_schema.ts
@@ -0,0 +1,18 @@
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+import { configurationLimits } from "./configuration_limits.ts";
+import { createWholeNumberSchema } from "./create_whole_number_schema.ts";
+import { nameSchema } from "./field_schemas.ts";
+import { networkAddressSchema } from "./network_address_schema.ts";
+
+/** A backend server as published. */
+export const backendServerEntrySchema = createStrictObject({
+  name: nameSchema,
+  service: nameSchema,
+  zone: nameSchema,
+  vm: nameSchema,
+  address: networkAddressSchema,
+  nodeAddress: networkAddressSchema,
+  slots: createWholeNumberSchema(1, configurationLimits.maxSlots),
+  coldSlots: createWholeNumberSchema(1, configurationLimits.maxSlots),
+  connections: createWholeNumberSchema(1, configurationLimits.maxConnections),
+});
--- /dev/null
+++ b/src/configuration/compile_service.ts
@@ -0,0 +1,36 @@
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import { parseNetworkAddress } from "../runtime/parse_network_address.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { BackendServerEntry } from "./backend_server_entry.ts";
+import type { Service } from "./service.ts";
+import type { ServicePart } from "./service_part.ts";
+
+/** Compiles the part of one service; `leaving` holds the names of the backend servers that leave. */
+export function compileService(
+  part: ServicePart,
+  leaving: ReadonlySet<string>,
+): Service {
+  return {
+    name: part.service,
+    backendServers: part.backendServers.map((entry) =>
+      compileBackendServer(entry, leaving.has(entry.name))
+    ),
+  };
+}
+
+function compileBackendServer(
+  entry: BackendServerEntry,
+  leaving: boolean,
+): BackendServer {
+  return {
+    ...entry,
+    address: parseCheckedAddress(entry.address),
+    nodeAddress: parseCheckedAddress(entry.nodeAddress),
+    leaving,
+  };
+}
+
+/** The schema has checked the text, so the fallback is never taken. */
+function parseCheckedAddress(text: string): NetworkAddress {
+  return parseNetworkAddress(text) ?? { host: text, port: 0 };
+}
--- /dev/null
+++ b/src/configuration/compile_snapshot.ts
@@ -0,0 +1,95 @@
+import { Result } from "true-myth";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import type { BasePart } from "./base_part.ts";
+import { compileService } from "./compile_service.ts";
+import type { CompiledConfiguration } from "./compiled_configuration.ts";
+import type { ConfigurationSet } from "./configuration_set.ts";
+import { findParts } from "./find_parts.ts";
+import type { FoundParts } from "./found_parts.ts";
+import { getServicePartName } from "./get_service_part_name.ts";
+import type { Manifest } from "./manifest.ts";
+import type { Service } from "./service.ts";
+import type { ServicePart } from "./service_part.ts";
+import type { Snapshot } from "./snapshot.ts";
+import { validateConfigurationSet } from "./validate_configuration_set.ts";
+import { ZoneState } from "./zone_state.ts";
+
+/**
+ * Compiles a whole version, or names everything that makes it unusable. A
+ * service whose part and leaving backend servers are those of `previous` is
+ * taken over as it is.
+ */
+export function compileSnapshot(
+  set: ConfigurationSet,
+  previous?: CompiledConfiguration,
+): Result<Snapshot, readonly Diagnostic[]> {
+  return findParts(set).andThen((found) => {
+    const reasons = validateConfigurationSet(
+      found.base,
+      found.services.flatMap(({ backendServers }) => backendServers),
+    );
+    return reasons.length > 0
+      ? Result.err(reasons)
+      : Result.ok(createSnapshot(set, { found, previous }));
+  });
+}
+
+function createSnapshot(
+  set: ConfigurationSet,
+  options: {
+    readonly found: FoundParts;
+    readonly previous: CompiledConfiguration | undefined;
+  },
+): Snapshot {
+  const { found: { base, services: parts }, previous } = options;
+  const leaving = new Set(base.rules.backendServersLeaving);
+  const takenOut = new Set(base.rules.zonesTakenOut);
+  const services = parts.map((part) =>
+    findUnchangedService(part, { set, leaving, previous }) ??
+      compileService(part, leaving)
+  );
+  return {
+    version: set.version,
+    zones: new Map(base.zones.map(({ name, region }) => [name, {
+      name,
+      region,
+      state: takenOut.has(name) ? ZoneState.TakenOut : ZoneState.InService,
+    }])),
+    services: new Map(services.map((service) => [service.name, service])),
+    backendServers: new Map(
+      services.flatMap(({ backendServers }) =>
+        backendServers.map((server) => [server.name, server] as const)
+      ),
+    ),
+    routes: createRoutes(base),
+    retryBudgetPercent: base.rules.retryBudgetPercent,
+  };
+}
+
+function createRoutes({ rules }: BasePart): Snapshot["routes"] {
+  return rules.routes.map((route) => ({ ...route, host: route.host }));
+}
+
+function findUnchangedService(
+  part: ServicePart,
+  options: {
+    readonly set: ConfigurationSet;
+    readonly leaving: ReadonlySet<string>;
+    readonly previous: CompiledConfiguration | undefined;
+  },
+): Service | undefined {
+  const { set, leaving, previous } = options;
+  const name = getServicePartName(part.service);
+  const former = previous?.snapshot.services.get(part.service);
+  const samePart = previous !== undefined &&
+    getPartDigest(previous.set.manifest, name) ===
+      getPartDigest(set.manifest, name);
+  const sameLeaving = former?.backendServers.every((server) =>
+    server.leaving === leaving.has(server.name)
+  );
+  return samePart && sameLeaving ? former : undefined;
+}
+
+function getPartDigest(manifest: Manifest, name: string): string | undefined {
+  return manifest.parts.find((part) => part.name === name)?.digest;
+}
--- /dev/null
+++ b/src/configuration/configuration_format.ts
@@ -0,0 +1,2 @@
+/** The only format of a configuration document that this program reads. */
+export const configurationFormat = 1;
--- /dev/null
+++ b/src/configuration/configuration_limits.ts
@@ -0,0 +1,10 @@
+/** Bounds of the fields of a published configuration. */
+export const configurationLimits = {
+  maxBytes: 1_048_576,
+  maxNameCharacters: 64,
+  maxPathPrefixCharacters: 1024,
+  maxDeadlineMilliseconds: 600_000,
+  maxSlots: 100_000,
+  maxConnections: 1_000_000,
+  maxRetryBudgetPercent: 100,
+} as const;
--- /dev/null
+++ b/src/configuration/network_address_schema.ts
@@ -0,0 +1,18 @@
+import { isIP } from "node:net";
+import { z } from "zod";
+import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { parseNetworkAddress } from "../runtime/parse_network_address.ts";
+
+/** Checks the published form of an address: an IP number and a port. The form is kept as text in the document. */
+export const networkAddressSchema = z.string({ error: describeAllowed }).refine(
+  (text) => {
+    const address = parseNetworkAddress(text);
+    return address !== undefined && isIP(address.host) !== 0 &&
+      formatNetworkAddress(address) === text;
+  },
+  { error: describeAllowed },
+);
+
+function describeAllowed(): string {
+  return 'an IP number and a port from 1 to 65535, for example "127.0.0.1:9001"';
+}
--- /dev/null
+++ b/src/configuration/parsed_configuration_schema.ts
@@ -0,0 +1,34 @@
+import { z } from "zod";
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+import { backendServerEntrySchema } from "./backend_server_entry_schema.ts";
+import { configurationFormat } from "./configuration_format.ts";
+import { configurationLimits } from "./configuration_limits.ts";
+import { createListSchema } from "./create_list_schema.ts";
+import { createWholeNumberSchema } from "./create_whole_number_schema.ts";
+import { digestSchema } from "./digest_schema.ts";
+import { nameSchema } from "./field_schemas.ts";
+import { routeEntrySchema } from "./route_entry_schema.ts";
+import { zoneEntrySchema } from "./zone_entry_schema.ts";
+
+/** The shape of a configuration document; what its names refer to is checked by `compileSnapshot`. */
+export const parsedConfigurationSchema = createStrictObject({
+  format: z.literal(configurationFormat, {
+    error: String(configurationFormat),
+  }),
+  number: createWholeNumberSchema(1, Number.MAX_SAFE_INTEGER),
+  digest: digestSchema.optional(),
+  register: createStrictObject({
+    zones: createListSchema(zoneEntrySchema),
+    services: createListSchema(createStrictObject({ name: nameSchema })),
+    backendServers: createListSchema(backendServerEntrySchema),
+  }),
+  rules: createStrictObject({
+    routes: createListSchema(routeEntrySchema),
+    zonesTakenOut: createListSchema(nameSchema),
+    backendServersLeaving: createListSchema(nameSchema),
+    retryBudgetPercent: createWholeNumberSchema(
+      0,
+      configurationLimits.maxRetryBudgetPercent,
+    ),
+  }),
+});
--- /dev/null
+++ b/src/configuration/service_part.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { servicePartSchema } from "./service_part_schema.ts";
+
+/** The backend servers of one service, in the order of the register. */
+export type ServicePart = z.infer<typeof servicePartSchema>;
--- a/src/diagnostics/diagnostic_code.ts
+++ b/src/diagnostics/diagnostic_code.ts
@@ -13,6 +13,11 @@
   ConfigurationFieldInvalid = 2002,
   ConfigurationFieldUnknown = 2003,
   ConfigurationTooLarge = 2004,
+  ConfigurationNameUnknown = 2005,
+  ConfigurationNameRepeated = 2006,
+  ConfigurationDigestMismatch = 2007,
+  ConfigurationPartMissing = 2008,
+  ConfigurationServiceEmpty = 2009,
 
   ControlMessageInvalid = 3001,
 
--- a/src/diagnostics/diagnostic_table.ts
+++ b/src/diagnostics/diagnostic_table.ts
@@ -41,6 +41,30 @@
     category: DiagnosticCategory.Error,
     template: "The configuration has {found} bytes, but must have {allowed}",
   },
+  [DiagnosticCode.ConfigurationNameUnknown]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" names "{found}", which is not in {allowed}',
+  },
+  [DiagnosticCode.ConfigurationNameRepeated]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is "{found}", but another entry has the same value, and each must have {allowed}',
+  },
+  [DiagnosticCode.ConfigurationDigestMismatch]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is "{found}", but the content has the digest "{allowed}"',
+  },
+  [DiagnosticCode.ConfigurationPartMissing]: {
+    category: DiagnosticCategory.Error,
+    template: 'The part "{path}" of the configuration is missing',
+  },
+  [DiagnosticCode.ConfigurationServiceEmpty]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" names the service "{found}", which has no backend server',
+  },
 
   [DiagnosticCode.ControlMessageInvalid]: {
     category: DiagnosticCategory.Error,
--- /dev/null
+++ b/src/diagnostics/schema_diagnostic_codes.ts
@@ -0,0 +1,7 @@
+import type { DiagnosticCode } from "./diagnostic_code.ts";
+
+/** The diagnostics that a schema's issues become. */
+export interface SchemaDiagnosticCodes {
+  readonly fieldInvalid: DiagnosticCode;
+  readonly fieldUnknown: DiagnosticCode;
+}
--- /dev/null
+++ b/src/peers/note_peer_answered.ts
@@ -0,0 +1,26 @@
+import type { Version } from "../configuration/version.ts";
+import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import type { PeersState } from "./peers_state.ts";
+import { upsertKnownPeer } from "./upsert_known_peer.ts";
+
+/** Notes that the node at an address is there, and the version that it says it holds. */
+export function notePeerAnswered(
+  state: PeersState,
+  address: NetworkAddress,
+  heard: { readonly at: number; readonly heldVersion: Version | undefined },
+): PeersState {
+  return formatNetworkAddress(address) ===
+      formatNetworkAddress(state.own.nodeAddress)
+    ? state
+    : {
+      ...state,
+      known: upsertKnownPeer(state.known, {
+        address,
+        failures: 0,
+        avoidUntil: 0,
+        heardAt: heard.at,
+        heldVersion: heard.heldVersion,
+      }),
+    };
+}
--- /dev/null
+++ b/src/peers/take_listed_vms.ts
@@ -0,0 +1,58 @@
+import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import type { VmEntry } from "../platform/vm_entry.ts";
+import type { KnownPeer } from "./known_peer.ts";
+import { mergeSightings } from "./merge_sightings.ts";
+import type { PeersState } from "./peers_state.ts";
+import { upsertKnownPeer } from "./upsert_known_peer.ts";
+
+const forgetSilentPeerMilliseconds = 600_000;
+
+/** Takes over the platform's list of VMs as read at the instant `now`. */
+export function takeListedVms(
+  state: PeersState,
+  vms: readonly VmEntry[],
+  { now }: { readonly now: number },
+): PeersState {
+  const listed = new Map(vms.map((entry) => [entry.vm, entry]));
+  const gone = [...(state.listedVms?.keys() ?? [])]
+    .filter((vm) => !listed.has(vm))
+    .map((vm) => ({ vm, listed: false, at: now }));
+  const returned = [...state.sightings.values()]
+    .filter((sighting) => !sighting.listed && listed.has(sighting.vm))
+    .map(({ vm }) => ({ vm, listed: true, at: now }));
+  return mergeSightings(
+    { ...state, listedVms: listed, known: updateKnown(state, { vms, now }) },
+    [...gone, ...returned],
+  );
+}
+
+function updateKnown(
+  state: PeersState,
+  options: { readonly vms: readonly VmEntry[]; readonly now: number },
+): ReadonlyMap<string, KnownPeer> {
+  const ownAddress = formatNetworkAddress(state.own.nodeAddress);
+  const others = options.vms.filter(({ vm, nodeAddress }) =>
+    vm !== state.own.vm && formatNetworkAddress(nodeAddress) !== ownAddress
+  );
+  const listedKeys = new Set(
+    others.map(({ nodeAddress }) => formatNetworkAddress(nodeAddress)),
+  );
+  const kept = [...state.known]
+    .map(([key, peer]) =>
+      [key, { ...peer, isListed: listedKeys.has(key) }] as const
+    )
+    .filter(([, peer]) =>
+      peer.isSeed || peer.isListed || peer.isRegistered ||
+      peer.heardAt + forgetSilentPeerMilliseconds > options.now
+    );
+  return others.reduce<ReadonlyMap<string, KnownPeer>>(
+    (known, { vm, zone, nodeAddress }) =>
+      upsertKnownPeer(known, {
+        vm,
+        zone,
+        address: nodeAddress,
+        isListed: true,
+      }),
+    new Map(kept),
+  );
+}
--- /dev/null
+++ b/src/testing/sample_configuration_options.ts
@@ -0,0 +1,11 @@
+/** What `createSampleConfiguration` may vary. */
+export interface SampleConfigurationOptions {
+  readonly number: number;
+  readonly zones: number;
+  readonly services: number;
+  /** Backend servers of each service in each zone; 1 where absent. */
+  readonly serversPerZone?: number;
+  readonly zonesTakenOut?: readonly string[];
+  readonly backendServersLeaving?: readonly string[];
+  readonly retryBudgetPercent?: number;
+}
