--- /dev/null
+++ b/src/diagnostics/create_schema_diagnostics.ts
@@ -0,0 +1,39 @@
+import type { z } from "zod";
+import { createDiagnostic } from "./create_diagnostic.ts";
+import { describeFound } from "./describe_found.ts";
+import type { Diagnostic } from "./diagnostic.ts";
+import type { DiagnosticCode } from "./diagnostic_code.ts";
+import { formatPath } from "./format_path.ts";
+import { getValueAt } from "./get_value_at.ts";
+
+/**
+ * Turns the issues of a schema into diagnostics. The schema's own messages say
+ * what is allowed; the input says what was found.
+ */
+export function createSchemaDiagnostics(
+  error: z.ZodError,
+  options: {
+    readonly input: unknown;
+    readonly invalidField: DiagnosticCode;
+    readonly unknownField: DiagnosticCode;
+  },
+): readonly Diagnostic[] {
+  return error.issues.flatMap((issue) => {
+    if (issue.code === "unrecognized_keys") {
+      return issue.keys.map((key) =>
+        createDiagnostic(options.unknownField, {
+          path: formatPath([...issue.path, key]),
+          found: describeFound(getValueAt(options.input, [...issue.path, key])),
+          allowed: issue.message,
+        })
+      );
+    }
+    return [
+      createDiagnostic(options.invalidField, {
+        path: formatPath(issue.path),
+        found: describeFound(getValueAt(options.input, issue.path)),
+        allowed: issue.message,
+      }),
+    ];
+  });
+}
--- /dev/null
+++ b/src/diagnostics/get_value_at.ts
@@ -0,0 +1,13 @@
+/** Returns the value at a path in parsed JSON, or undefined where the path leaves it. */
+export function getValueAt(
+  value: unknown,
+  path: readonly PropertyKey[],
+): unknown {
+  return path.reduce<unknown>(
+    (parent, key) =>
+      typeof parent === "object" && parent !== null
+        ? (parent as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    value,
+  );
+}
--- /dev/null
+++ b/src/runtime/system_clock.ts
@@ -0,0 +1,4 @@
+import type { Clock } from "./clock.ts";
+
+/** The clock of the operating system. */
+export const systemClock: Clock = { now: () => Date.now() };
--- /dev/null
+++ b/src/telemetry/create_node_metrics.ts
@@ -0,0 +1,125 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import type { LatencySummary } from "./latency_summary.ts";
+import type { NodeGauges } from "./node_gauges.ts";
+import type { NodeMetrics } from "./node_metrics.ts";
+
+const microsecondsPerMillisecond = 1_000;
+const answeredResult = "answered";
+/** Longest time that the histograms tell apart, in microseconds. */
+const longestMicroseconds = 3_600_000_000;
+const quantiles = [50, 90, 99, 99.9] as const;
+const percent = 100;
+
+const gaugeTexts: Readonly<
+  Record<keyof NodeGauges, readonly [string, string]>
+> = {
+  versionNumber: [
+    "catkinquay_version_number",
+    "Number of the version in force; 0 for none",
+  ],
+  ready: ["catkinquay_ready", "1 while the node takes calls"],
+  peers: ["catkinquay_peers", "Peers with a known record"],
+  limit: ["catkinquay_backend_server_limit", "Calls admitted at once"],
+  running: ["catkinquay_backend_server_running", "Calls that hold a slot"],
+  queued: ["catkinquay_backend_server_queued", "Calls that wait for a slot"],
+  platformReads: [
+    "catkinquay_platform_reads",
+    "Reads and watches sent to the platform",
+  ],
+  controlBytesSent: ["catkinquay_control_bytes_sent", "Control bytes sent"],
+  controlBytesReceived: [
+    "catkinquay_control_bytes_received",
+    "Control bytes received",
+  ],
+  controlMessagesSent: [
+    "catkinquay_control_messages_sent",
+    "Control messages sent",
+  ],
+  controlMessagesReceived: [
+    "catkinquay_control_messages_received",
+    "Control messages received",
+  ],
+};
+
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: longestMicroseconds,
+    numberOfSignificantValueDigits: 2,
+    autoResize: true,
+  });
+}
+
+function getSummary(service: string, histogram: Histogram): LatencySummary {
+  return {
+    service,
+    count: histogram.totalCount,
+    p50Milliseconds: histogram.getValueAtPercentile(50) /
+      microsecondsPerMillisecond,
+    p99Milliseconds: histogram.getValueAtPercentile(99) /
+      microsecondsPerMillisecond,
+    maximumMilliseconds: histogram.maxValue / microsecondsPerMillisecond,
+  };
+}
+
+/** Creates the metrics of one node; `readGauges` is called at each rendering. */
+export function createNodeMetrics(readGauges: () => NodeGauges): NodeMetrics {
+  const registry = new Registry();
+  const calls = new Counter({
+    name: "catkinquay_calls_total",
+    help: "Calls from callers that ended, by service, priority and result",
+    labelNames: ["service", "priority", "result"],
+    registers: [registry],
+  });
+  const latency = new Gauge({
+    name: "catkinquay_call_milliseconds",
+    help: "Time of answered calls since the start, by service and quantile",
+    labelNames: ["service", "quantile"],
+    registers: [registry],
+  });
+  const gauges = Object.entries(gaugeTexts).map(([field, [name, help]]) => ({
+    field: field as keyof NodeGauges,
+    gauge: new Gauge({ name, help, registers: [registry] }),
+  }));
+  const histograms = new Map<string, Histogram>();
+
+  return {
+    observe: (observation) => {
+      calls.inc({
+        service: observation.service,
+        priority: observation.priority,
+        result: observation.result,
+      });
+      if (observation.result !== answeredResult) {
+        return;
+      }
+      const histogram = histograms.get(observation.service) ??
+        createHistogram();
+      histograms.set(observation.service, histogram);
+      histogram.recordValue(
+        Math.round(
+          observation.elapsedMilliseconds * microsecondsPerMillisecond,
+        ),
+      );
+    },
+    render: () => {
+      const values = readGauges();
+      gauges.forEach(({ field, gauge }) => gauge.set(Number(values[field])));
+      histograms.forEach((histogram, service) =>
+        quantiles.forEach((quantile) =>
+          latency.set(
+            { service, quantile: String(quantile / percent) },
+            histogram.getValueAtPercentile(quantile) /
+              microsecondsPerMillisecond,
+          )
+        )
+      );
+      return registry.metrics();
+    },
+    getLatencies: () =>
+      [...histograms].map(([service, histogram]) =>
+        getSummary(service, histogram)
+      ),
+  };
+}
