--- a/src/configuration/compile_service.ts
+++ b/src/configuration/compile_service.ts
@@ -1,5 +1,5 @@
 import type { NetworkAddress } from "../runtime/network_address.ts";
-import { parseNetworkAddress } from "../runtime/parse_network_address.ts";
+import { tryParseAddress } from "../runtime/try_parse_address.ts";
 import type { BackendServer } from "./backend_server.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
 import type { Service } from "./service.ts";
@@ -32,5 +32,5 @@
 
 /** The schema has checked the text, so the fallback is never taken. */
 function parseCheckedAddress(text: string): NetworkAddress {
-  return parseNetworkAddress(text) ?? { host: text, port: 0 };
+  return tryParseAddress(text) ?? { host: text, port: 0 };
 }
--- a/src/configuration/configuration_limits.ts
+++ b/src/configuration/configuration_limits.ts
@@ -1,7 +1,7 @@
 /** Bounds of the fields of a published configuration. */
 export const configurationLimits = {
   maxBytes: 1_048_576,
-  maxNameCharacters: 64,
+  maxNameCharacters: 100,
   maxPathPrefixCharacters: 1024,
   maxDeadlineMilliseconds: 600_000,
   maxSlots: 100_000,
--- a/src/configuration/manifest_schema.ts
+++ b/src/configuration/manifest_schema.ts
@@ -5,7 +5,7 @@
 import { createWholeNumberSchema } from "./create_whole_number_schema.ts";
 import { digestSchema } from "./digest_schema.ts";
 
-const maxPartNameCharacters = 128;
+const maxPartNameCharacters = 120;
 const partNameText =
   `the name of a part, of at most ${maxPartNameCharacters} characters`;
 
--- a/src/configuration/network_address_schema.ts
+++ b/src/configuration/network_address_schema.ts
@@ -1,14 +1,14 @@
 import { isIP } from "node:net";
 import { z } from "zod";
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
-import { parseNetworkAddress } from "../runtime/parse_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
+import { tryParseAddress } from "../runtime/try_parse_address.ts";
 
 /** Checks the published form of an address: an IP number and a port. The form is kept as text in the document. */
 export const networkAddressSchema = z.string({ error: describeAllowed }).refine(
   (text) => {
-    const address = parseNetworkAddress(text);
+    const address = tryParseAddress(text);
     return address !== undefined && isIP(address.host) !== 0 &&
-      formatNetworkAddress(address) === text;
+      formatAddress(address) === text;
   },
   { error: describeAllowed },
 );
--- a/src/configuration/parse_configuration.ts
+++ b/src/configuration/parse_configuration.ts
@@ -51,9 +51,7 @@
     ? Result.ok(checked.data)
     : Result.err(createSchemaDiagnostics(checked.error, {
       input,
-      codes: {
-        fieldInvalid: DiagnosticCode.ConfigurationFieldInvalid,
-        fieldUnknown: DiagnosticCode.ConfigurationFieldUnknown,
-      },
+      invalidField: DiagnosticCode.ConfigurationFieldInvalid,
+      unknownField: DiagnosticCode.ConfigurationFieldUnknown,
     }));
 }
--- a/src/diagnostics/create_schema_diagnostics.ts
+++ b/src/diagnostics/create_schema_diagnostics.ts
@@ -1,51 +1,39 @@
 import type { z } from "zod";
 import { createDiagnostic } from "./create_diagnostic.ts";
-import { describeValue } from "./describe_value.ts";
+import { describeFound } from "./describe_found.ts";
 import type { Diagnostic } from "./diagnostic.ts";
-import type { SchemaDiagnosticCodes } from "./schema_diagnostic_codes.ts";
+import type { DiagnosticCode } from "./diagnostic_code.ts";
+import { formatPath } from "./format_path.ts";
+import { getValueAt } from "./get_value_at.ts";
 
 /**
- * Returns a diagnostic for each issue that a schema found in `input`. The
- * message of an issue must say what is allowed at its path.
+ * Turns the issues of a schema into diagnostics. The schema's own messages say
+ * what is allowed; the input says what was found.
  */
 export function createSchemaDiagnostics(
   error: z.ZodError,
-  options: { readonly input: unknown; readonly codes: SchemaDiagnosticCodes },
+  options: {
+    readonly input: unknown;
+    readonly invalidField: DiagnosticCode;
+    readonly unknownField: DiagnosticCode;
+  },
 ): readonly Diagnostic[] {
-  return error.issues.flatMap((issue) =>
-    issue.code === "unrecognized_keys"
-      ? issue.keys.map((key) =>
-        createDiagnostic(options.codes.fieldUnknown, {
+  return error.issues.flatMap((issue) => {
+    if (issue.code === "unrecognized_keys") {
+      return issue.keys.map((key) =>
+        createDiagnostic(options.unknownField, {
           path: formatPath([...issue.path, key]),
+          found: describeFound(getValueAt(options.input, [...issue.path, key])),
           allowed: issue.message,
         })
-      )
-      : [createDiagnostic(options.codes.fieldInvalid, {
+      );
+    }
+    return [
+      createDiagnostic(options.invalidField, {
         path: formatPath(issue.path),
-        found: describeValue(getValueAt(options.input, issue.path)),
+        found: describeFound(getValueAt(options.input, issue.path)),
         allowed: issue.message,
-      })]
-  );
-}
-
-function formatPath(path: readonly PropertyKey[]): string {
-  return path.reduce<string>(
-    (text, key) =>
-      typeof key === "number"
-        ? `${text}[${key}]`
-        : text === ""
-        ? String(key)
-        : `${text}.${String(key)}`,
-    "",
-  );
-}
-
-function getValueAt(input: unknown, path: readonly PropertyKey[]): unknown {
-  return path.reduce<unknown>(
-    (value, key) =>
-      typeof value === "object" && value !== null
-        ? (value as Record<PropertyKey, unknown>)[key]
-        : undefined,
-    input,
-  );
+      }),
+    ];
+  });
 }
--- a/src/peers/merge_records.ts
+++ b/src/peers/merge_records.ts
@@ -1,4 +1,4 @@
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import { isNewerRecord } from "./is_newer_record.ts";
 import type { PeerRecord } from "./peer_record.ts";
 import type { PeersState } from "./peers_state.ts";
@@ -35,6 +35,6 @@
 }
 
 function isOwnAddress(state: PeersState, record: PeerRecord): boolean {
-  return formatNetworkAddress(record.nodeAddress) ===
-    formatNetworkAddress(state.own.nodeAddress);
+  return formatAddress(record.nodeAddress) ===
+    formatAddress(state.own.nodeAddress);
 }
--- a/src/peers/note_peer_answered.ts
+++ b/src/peers/note_peer_answered.ts
@@ -1,5 +1,5 @@
 import type { Version } from "../configuration/version.ts";
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { PeersState } from "./peers_state.ts";
 import { upsertKnownPeer } from "./upsert_known_peer.ts";
@@ -10,8 +10,8 @@
   address: NetworkAddress,
   heard: { readonly at: number; readonly heldVersion: Version | undefined },
 ): PeersState {
-  return formatNetworkAddress(address) ===
-      formatNetworkAddress(state.own.nodeAddress)
+  return formatAddress(address) ===
+      formatAddress(state.own.nodeAddress)
     ? state
     : {
       ...state,
--- a/src/peers/note_peer_failed.ts
+++ b/src/peers/note_peer_failed.ts
@@ -1,4 +1,4 @@
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { RandomSource } from "../runtime/random_source.ts";
 import type { PeersState } from "./peers_state.ts";
@@ -13,7 +13,7 @@
   address: NetworkAddress,
   context: { readonly now: number; readonly random: RandomSource },
 ): PeersState {
-  const former = state.known.get(formatNetworkAddress(address));
+  const former = state.known.get(formatAddress(address));
   if (former === undefined) {
     return state;
   }
--- a/src/peers/take_listed_vms.ts
+++ b/src/peers/take_listed_vms.ts
@@ -1,4 +1,4 @@
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { VmEntry } from "../platform/vm_entry.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import { mergeSightings } from "./merge_sightings.ts";
@@ -30,12 +30,12 @@
   state: PeersState,
   options: { readonly vms: readonly VmEntry[]; readonly now: number },
 ): ReadonlyMap<string, KnownPeer> {
-  const ownAddress = formatNetworkAddress(state.own.nodeAddress);
+  const ownAddress = formatAddress(state.own.nodeAddress);
   const others = options.vms.filter(({ vm, nodeAddress }) =>
-    vm !== state.own.vm && formatNetworkAddress(nodeAddress) !== ownAddress
+    vm !== state.own.vm && formatAddress(nodeAddress) !== ownAddress
   );
   const listedKeys = new Set(
-    others.map(({ nodeAddress }) => formatNetworkAddress(nodeAddress)),
+    others.map(({ nodeAddress }) => formatAddress(nodeAddress)),
   );
   const kept = [...state.known]
     .map(([key, peer]) =>
--- a/src/peers/take_registered_servers.ts
+++ b/src/peers/take_registered_servers.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from "../configuration/backend_server.ts";
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import type { PeersState } from "./peers_state.ts";
 import { upsertKnownPeer } from "./upsert_known_peer.ts";
@@ -9,12 +9,12 @@
   state: PeersState,
   servers: Iterable<BackendServer>,
 ): PeersState {
-  const ownAddress = formatNetworkAddress(state.own.nodeAddress);
+  const ownAddress = formatAddress(state.own.nodeAddress);
   const others = [...servers].filter(({ vm, nodeAddress }) =>
-    vm !== state.own.vm && formatNetworkAddress(nodeAddress) !== ownAddress
+    vm !== state.own.vm && formatAddress(nodeAddress) !== ownAddress
   );
   const registered = new Set(
-    others.map(({ nodeAddress }) => formatNetworkAddress(nodeAddress)),
+    others.map(({ nodeAddress }) => formatAddress(nodeAddress)),
   );
   const former = new Map(
     [...state.known].map(([key, peer]) => [key, {
--- a/src/peers/upsert_known_peer.ts
+++ b/src/peers/upsert_known_peer.ts
@@ -1,4 +1,4 @@
-import { formatNetworkAddress } from "../runtime/format_network_address.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { KnownPeer } from "./known_peer.ts";
 
 /** Adds or changes the peer at an address; fields that `change` leaves out stay. */
@@ -6,7 +6,7 @@
   known: ReadonlyMap<string, KnownPeer>,
   change: Pick<KnownPeer, "address"> & Partial<KnownPeer>,
 ): ReadonlyMap<string, KnownPeer> {
-  const key = formatNetworkAddress(change.address);
+  const key = formatAddress(change.address);
   const former = known.get(key) ?? createKnownPeer(change.address);
   const isChanged = !known.has(key) ||
     (Object.keys(change) as (keyof KnownPeer)[]).some((field) =>
