Distribute configurations: pure core, runtime, clients of peers and platform

Cause: a node must get each version from the platform or its peers, never go back, never apply a part, and the lead needs something to wire. Change: stepDistribution with phases as modules (startup question, pulls by digest, replication before a reader applies, exchanges, readers by rendezvous, confirmation after a pause), createDistributionRuntime around it, undici clients, and an in-memory fleet in virtual time for its tests. Seen failing first: the counting connector threw on a refused connection, since undici then calls back with one argument only.

--- a/src/configuration/network_address_schema.ts
+++ b/src/configuration/network_address_schema.ts
@@ -1,4 +1,3 @@
-import { isIP } from "node:net";
 import { z } from "zod";
 import { formatAddress } from "../runtime/format_address.ts";
 import { tryParseAddress } from "../runtime/try_parse_address.ts";
@@ -7,7 +6,7 @@
 export const networkAddressSchema = z.string({ error: describeAllowed }).refine(
   (text) => {
     const address = tryParseAddress(text);
-    return address !== undefined && isIP(address.host) !== 0 &&
+    return address !== undefined && address.port > 0 &&
       formatAddress(address) === text;
   },
   { error: describeAllowed },
--- /dev/null
+++ b/src/daemon/create_control_client_test.ts
@@ -0,0 +1,111 @@
+import { Buffer } from "node:buffer";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import test from "ava";
+import { ControlFailureKind } from "../peers/control_failure_kind.ts";
+import { systemClock } from "../runtime/system_clock.ts";
+import { createControlClient } from "./create_control_client.ts";
+
+const host = "127.0.0.1";
+const patience = 20_000;
+
+function listen(server: Server): Promise<number> {
+  return new Promise((resolve) =>
+    server.listen(
+      0,
+      host,
+      () => resolve((server.address() as AddressInfo).port),
+    )
+  );
+}
+
+function createCall(port: number, details: object = {}) {
+  return {
+    address: { host, port },
+    method: "echo",
+    parameters: { text: "grüße" },
+    deadline: Date.now() + patience,
+    freshConnection: false,
+    ...details,
+  };
+}
+
+/** Answers method `echo` with its parameters, `fail` with an error and `rubbish` with no JSON-RPC. */
+function createEchoServer(): Server {
+  return createServer(async (request, response) => {
+    const chunks = await request.toArray();
+    const { id, method, params } = JSON.parse(
+      new TextDecoder().decode(Buffer.concat(chunks)),
+    );
+    const answers: Record<string, string> = {
+      echo: JSON.stringify({ jsonrpc: "2.0", id, result: params }),
+      fail: JSON.stringify({
+        jsonrpc: "2.0",
+        id,
+        error: { code: -32602, message: "Refused" },
+      }),
+      rubbish: "<html>",
+      crossed: JSON.stringify({ jsonrpc: "2.0", id: id + 1, result: 1 }),
+    };
+    response.end(answers[method]);
+  });
+}
+
+test("createControlClient() returns the result, and tells a refusal and rubbish apart from it", async (t) => {
+  const server = createEchoServer();
+  const port = await listen(server);
+  const client = createControlClient({ clock: systemClock });
+  const answer = await client.call(createCall(port));
+  t.deepEqual(answer.unwrapOr(undefined), { text: "grüße" });
+  const failed = await Promise.all(
+    ["fail", "rubbish", "crossed"].map((method) =>
+      client.call(createCall(port, { method }))
+    ),
+  );
+  failed.forEach((result) =>
+    t.is(result.isErr && result.error.kind, ControlFailureKind.Rejected)
+  );
+  const { bytesSent, bytesReceived, messagesSent, messagesReceived } = client
+    .getTraffic();
+  t.true(bytesSent > 100 && bytesReceived > 100);
+  t.is(messagesSent, 4);
+  t.is(messagesReceived, 4);
+  await client.close();
+  server.close();
+});
+
+test("createControlClient() knows that a refused connection carried nothing", async (t) => {
+  const server = createEchoServer();
+  const port = await listen(server);
+  await new Promise((resolve) => server.close(resolve));
+  const client = createControlClient({ clock: systemClock });
+  const result = await client.call(createCall(port));
+  t.is(result.isErr && result.error.kind, ControlFailureKind.ConnectionFailed);
+  await client.close();
+});
+
+test("createControlClient() gives up at the deadline, and a fresh connection gets past one that went silent", async (t) => {
+  const sockets: Socket[] = [];
+  const server = createServer((request, response) => {
+    if (request.socket !== sockets[0]) {
+      request.toArray().then((chunks) => {
+        const { id } = JSON.parse(Buffer.concat(chunks).toString());
+        response.end(JSON.stringify({ jsonrpc: "2.0", id, result: "fresh" }));
+      });
+    }
+  });
+  server.on("connection", (socket) => sockets.push(socket));
+  const port = await listen(server);
+  const client = createControlClient({ clock: systemClock });
+  const silent = await client.call(
+    createCall(port, { deadline: Date.now() + 200 }),
+  );
+  t.is(silent.isErr && silent.error.kind, ControlFailureKind.NoAnswer);
+  const fresh = await client.call(
+    createCall(port, { freshConnection: true }),
+  );
+  t.is(fresh.unwrapOr(undefined), "fresh");
+  await client.close();
+  server.closeAllConnections();
+  server.close();
+});
--- /dev/null
+++ b/src/distribution/advance_candidate.ts
@@ -0,0 +1,95 @@
+import { match } from "ts-pattern";
+import { isNewerVersion } from "../configuration/is_newer_version.ts";
+import { applyCandidate } from "./apply_candidate.ts";
+import type { Candidate } from "./candidate.ts";
+import { CandidateStage } from "./candidate_stage.ts";
+import { chainSteps } from "./chain_steps.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import { isReplicated } from "./is_replicated.ts";
+import { replicateCandidate } from "./replicate_candidate.ts";
+import { stay } from "./stay.ts";
+import type { Transition } from "./transition.ts";
+
+/** Moves the candidate to its next stage once what it waited for is there or its time is up. */
+export function advanceCandidate(
+  state: DistributionState,
+  context: DistributionContext,
+): Transition {
+  const { candidate } = state.versions;
+  if (candidate === undefined || state.stopping) {
+    return stay(state);
+  }
+  return match(candidate.stage)
+    .with(
+      CandidateStage.AwaitingStartup,
+      () => leaveStartup(state, candidate, context),
+    )
+    .with(
+      CandidateStage.Replicating,
+      () =>
+        isReplicated(state, candidate) || candidate.deadline <= context.now
+          ? prepareCandidate(state, candidate, context)
+          : replicateCandidate(state, candidate, context),
+    )
+    .with(
+      CandidateStage.Preparing,
+      () =>
+        candidate.deadline <= context.now
+          ? applyCandidate(state, candidate, context)
+          : stay(state),
+    )
+    .exhaustive();
+}
+
+/** A first version below one that a peer holds would be a step back for a node that has restarted. */
+function leaveStartup(
+  state: DistributionState,
+  candidate: Candidate,
+  context: DistributionContext,
+): Transition {
+  const isBelowFloor = state.versions.inForce === undefined &&
+    isNewerVersion(state.startup.floor, candidate.compiled.set.version);
+  if (!state.startup.decided || isBelowFloor) {
+    return stay(state);
+  }
+  return candidate.fromPlatform
+    ? chainSteps(
+      setStage(state, candidate, {
+        stage: CandidateStage.Replicating,
+        deadline: context.now + distributionLimits.replicationMilliseconds,
+      }),
+      [(current) => advanceCandidate(current, context)],
+    )
+    : prepareCandidate(state, candidate, context);
+}
+
+function prepareCandidate(
+  state: DistributionState,
+  candidate: Candidate,
+  { now }: DistributionContext,
+): Transition {
+  return {
+    state: setStage(state, candidate, {
+      stage: CandidateStage.Preparing,
+      deadline: now + distributionLimits.prepareMilliseconds,
+    }),
+    effects: [{
+      kind: DistributionEffectKind.PrepareSnapshot,
+      snapshot: candidate.compiled.snapshot,
+    }],
+  };
+}
+
+function setStage(
+  state: DistributionState,
+  candidate: Candidate,
+  change: Pick<Candidate, "stage" | "deadline">,
+): DistributionState {
+  return {
+    ...state,
+    versions: { ...state.versions, candidate: { ...candidate, ...change } },
+  };
+}
--- /dev/null
+++ b/src/distribution/answer_reconcile.ts
@@ -0,0 +1,27 @@
+import type { z } from "zod";
+import { getAllRecords } from "../peers/get_all_records.ts";
+import { groupRecords } from "../peers/group_records.ts";
+import { hashRecords } from "../peers/hash_records.ts";
+import { hashSightings } from "../peers/hash_sightings.ts";
+import type { PeersState } from "../peers/peers_state.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { reconcileAnswerSchema } from "./reconcile_answer_schema.ts";
+import type { reconcileRequestSchema } from "./reconcile_request_schema.ts";
+
+/** Answers a comparison with the records of the buckets that differ. */
+export function answerReconcile(
+  peers: PeersState,
+  request: z.infer<typeof reconcileRequestSchema>,
+): z.infer<typeof reconcileAnswerSchema> {
+  const differing = groupRecords(getAllRecords(peers), request.buckets.length)
+    .filter((records, index) => hashRecords(records) !== request.buckets[index])
+    .flat();
+  const sightings = [...peers.sightings.values()];
+  return {
+    records: differing.slice(0, distributionLimits.recordsPerReconcile),
+    sightings: hashSightings(sightings) === request.sightingsHash
+      ? []
+      : sightings,
+    hasMore: differing.length > distributionLimits.recordsPerReconcile,
+  };
+}
--- /dev/null
+++ b/src/distribution/answer_request.ts
@@ -0,0 +1,102 @@
+import { match } from "ts-pattern";
+import { answerReconcile } from "./answer_reconcile.ts";
+import { createExchangeMessage } from "./create_exchange_message.ts";
+import type { DistributionAnswer } from "./distribution_answer.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
+import { DistributionMethod } from "./distribution_method.ts";
+import type { DistributionRequest } from "./distribution_request.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import { stay } from "./stay.ts";
+import { takeExchangeMessage } from "./take_exchange_message.ts";
+import { takeStoreRequest } from "./take_store_request.ts";
+import type { Transition } from "./transition.ts";
+
+interface AnsweredRequest extends Transition {
+  readonly answer: DistributionAnswer;
+}
+
+/** Answers a request of another node. */
+export function answerRequest(
+  state: DistributionState,
+  request: DistributionRequest,
+  options: {
+    readonly requestIdentifier: number;
+    readonly context: DistributionContext;
+  },
+): Transition {
+  const { requestIdentifier, context } = options;
+  const answered = createAnswer(state, request, context);
+  return {
+    state: answered.state,
+    effects: [...answered.effects, {
+      kind: DistributionEffectKind.Reply,
+      requestIdentifier,
+      answer: answered.answer,
+    }],
+  };
+}
+
+function createAnswer(
+  state: DistributionState,
+  request: DistributionRequest,
+  context: DistributionContext,
+): AnsweredRequest {
+  const { versions } = state;
+  return match(request)
+    .returnType<AnsweredRequest>()
+    .with({ method: DistributionMethod.Exchange }, ({ method, parameters }) => {
+      const taken = takeExchangeMessage(state, parameters, context);
+      const spoken = createExchangeMessage(taken.state, {
+        answerTo: parameters,
+      });
+      return {
+        state: spoken.state,
+        effects: taken.effects,
+        answer: { method, result: spoken.message },
+      };
+    })
+    .with(
+      { method: DistributionMethod.Reconcile },
+      ({ method, parameters }) => ({
+        ...stay(state),
+        answer: { method, result: answerReconcile(state.peers, parameters) },
+      }),
+    )
+    .with({ method: DistributionMethod.ReadManifest }, ({ method }) => ({
+      ...stay(state),
+      answer: {
+        method,
+        result: {
+          manifest: (versions.candidate?.compiled ?? versions.inForce)?.set
+            .manifest,
+        },
+      },
+    }))
+    .with(
+      { method: DistributionMethod.ReadParts },
+      ({ method, parameters }) => ({
+        ...stay(state),
+        answer: {
+          method,
+          result: {
+            parts: parameters.digests.flatMap((digest) =>
+              versions.parts.get(digest) ?? []
+            ),
+          },
+        },
+      }),
+    )
+    .with(
+      { method: DistributionMethod.StoreVersion },
+      ({ method, parameters }) => {
+        const { answer, ...transition } = takeStoreRequest(
+          state,
+          parameters,
+          context,
+        );
+        return { ...transition, answer: { method, result: answer } };
+      },
+    )
+    .exhaustive();
+}
--- /dev/null
+++ b/src/distribution/create_audit_effect.ts
@@ -0,0 +1,10 @@
+import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import type { DistributionEffect } from "./distribution_effect.ts";
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
+
+/** Returns the effect that records an entry of the audit trail. */
+export function createAuditEffect(
+  entry: Omit<AuditEntry, "at" | "vm">,
+): DistributionEffect {
+  return { kind: DistributionEffectKind.RecordAudit, entry };
+}
--- /dev/null
+++ b/src/distribution/create_call_effect.ts
@@ -0,0 +1,41 @@
+import { match } from "ts-pattern";
+import type { KnownPeer } from "../peers/known_peer.ts";
+import { CallPurpose } from "./call_purpose.ts";
+import type { DistributionEffect } from "./distribution_effect.ts";
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { PeerCall } from "./peer_call.ts";
+
+/**
+ * Returns the effect that calls a peer. After a failure the call opens a
+ * connection of its own, since the former one may have gone silent.
+ */
+export function createCallEffect(
+  peer: Pick<KnownPeer, "address" | "failures">,
+  call: Omit<PeerCall, "address"> & { readonly now: number },
+): DistributionEffect {
+  const { now, purpose, request } = call;
+  return {
+    kind: DistributionEffectKind.CallPeer,
+    call: { address: peer.address, purpose, request },
+    deadline: now + getCallMilliseconds(purpose),
+    freshConnection: peer.failures > 0,
+  };
+}
+
+function getCallMilliseconds(purpose: CallPurpose): number {
+  return match(purpose)
+    .with(
+      CallPurpose.Pull,
+      CallPurpose.Replication,
+      () => distributionLimits.pullCallMilliseconds,
+    )
+    .with(
+      CallPurpose.StartupQuestion,
+      CallPurpose.Confirmation,
+      CallPurpose.AntiEntropy,
+      CallPurpose.Push,
+      () => distributionLimits.controlCallMilliseconds,
+    )
+    .exhaustive();
+}
--- /dev/null
+++ b/src/distribution/create_distribution_state.ts
@@ -0,0 +1,97 @@
+import type { OwnState } from "../peers/own_state.ts";
+import { formatAddress } from "../runtime/format_address.ts";
+import { upsertKnownPeer } from "../peers/upsert_known_peer.ts";
+import type { KnownPeer } from "../peers/known_peer.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { DistributionState } from "./distribution_state.ts";
+
+const startJitterMilliseconds = 200;
+
+/**
+ * Creates the state of a node that starts now. Every first attempt has full
+ * jitter, since many nodes may start at the same instant: peers are asked
+ * first, and the platform's list only after them where there are seed peers.
+ */
+export function createDistributionState(
+  ownState: OwnState,
+  context: DistributionContext,
+): DistributionState {
+  const { now, random, settings } = context;
+  const { exchangeIntervalMilliseconds, startupQuestionMilliseconds } =
+    settings.timing;
+  const known = createSeedPeers(settings);
+  const listSpan = known.size === 0
+    ? startJitterMilliseconds
+    : startupQuestionMilliseconds / 2;
+  return {
+    peers: {
+      own: {
+        vm: settings.vm,
+        zone: settings.zone,
+        nodeAddress: settings.listeners.nodes,
+        incarnation: now,
+        sequence: 1,
+        ...ownState,
+        version: undefined,
+      },
+      nextRefreshAt: Infinity,
+      records: new Map(),
+      known,
+      listedVms: undefined,
+      sightings: new Map(),
+      recordSends: new Map(),
+      sightingSends: new Map(),
+    },
+    versions: {
+      inForce: undefined,
+      appliedAt: undefined,
+      candidate: undefined,
+      parts: new Map(),
+      refusedDigests: [],
+      refusal: undefined,
+      refusalSends: 0,
+      conflict: undefined,
+    },
+    startup: {
+      decided: false,
+      nextWaveAt: now + random.next() * startJitterMilliseconds,
+      settleAt: now + startupQuestionMilliseconds,
+      answers: new Map(),
+      floor: undefined,
+    },
+    platform: {
+      isReader: false,
+      nextReadAt: now + distributionLimits.platformSilenceMilliseconds *
+          (1 + random.next()),
+      isReading: false,
+      readStartedAt: 0,
+      revision: undefined,
+      reachable: undefined,
+      failures: 0,
+      heardAt: 0,
+      nextListAt: now + random.next() * listSpan,
+      isListing: false,
+      ignoredOlder: undefined,
+    },
+    exchange: {
+      nextExchangeAt: now + random.next() * exchangeIntervalMilliseconds,
+      nextReconcileAt: now,
+    },
+    pull: undefined,
+    confirmation: undefined,
+    stopping: false,
+  };
+}
+
+function createSeedPeers(
+  settings: DistributionContext["settings"],
+): ReadonlyMap<string, KnownPeer> {
+  const ownAddress = formatAddress(settings.listeners.nodes);
+  return settings.seedPeers
+    .filter((address) => formatAddress(address) !== ownAddress)
+    .reduce<ReadonlyMap<string, KnownPeer>>(
+      (known, address) => upsertKnownPeer(known, { address, isSeed: true }),
+      new Map(),
+    );
+}
--- /dev/null
+++ b/src/distribution/create_store_call.ts
@@ -0,0 +1,32 @@
+import type { ConfigurationPart } from "../configuration/configuration_part.ts";
+import type { KnownPeer } from "../peers/known_peer.ts";
+import { CallPurpose } from "./call_purpose.ts";
+import type { Candidate } from "./candidate.ts";
+import { createCallEffect } from "./create_call_effect.ts";
+import type { DistributionEffect } from "./distribution_effect.ts";
+import { DistributionMethod } from "./distribution_method.ts";
+import type { DistributionState } from "./distribution_state.ts";
+
+/** Returns the effect that asks a peer to hold the candidate. */
+export function createStoreCall(
+  state: DistributionState,
+  call: {
+    readonly peer: Pick<KnownPeer, "address" | "failures">;
+    readonly candidate: Candidate;
+    readonly parts: readonly ConfigurationPart[];
+    readonly now: number;
+  },
+): DistributionEffect {
+  return createCallEffect(call.peer, {
+    purpose: CallPurpose.Replication,
+    request: {
+      method: DistributionMethod.StoreVersion,
+      parameters: {
+        vm: state.peers.own.vm,
+        manifest: call.candidate.compiled.set.manifest,
+        parts: call.parts,
+      },
+    },
+    now: call.now,
+  });
+}
--- /dev/null
+++ b/src/distribution/distribution_effect.ts
@@ -0,0 +1,50 @@
+import type { Snapshot } from "../configuration/snapshot.ts";
+import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import type { DistributionAnswer } from "./distribution_answer.ts";
+import type { DistributionEffectKind } from "./distribution_effect_kind.ts";
+import type { PeerCall } from "./peer_call.ts";
+
+/** What the distribution of a node does to the outside. Deadlines are in milliseconds since the Unix epoch. */
+export type DistributionEffect =
+  | {
+    readonly kind: DistributionEffectKind.CallPeer;
+    readonly call: PeerCall;
+    readonly deadline: number;
+    readonly freshConnection: boolean;
+  }
+  | {
+    readonly kind: DistributionEffectKind.Reply;
+    readonly requestIdentifier: number;
+    readonly answer: DistributionAnswer;
+  }
+  | {
+    readonly kind: DistributionEffectKind.ReadPlatform;
+    readonly deadline: number;
+  }
+  | {
+    readonly kind: DistributionEffectKind.WatchPlatform;
+    readonly revision: number;
+    readonly deadline: number;
+  }
+  | {
+    readonly kind: DistributionEffectKind.ListVms;
+    readonly deadline: number;
+  }
+  | {
+    readonly kind: DistributionEffectKind.PrepareSnapshot;
+    readonly snapshot: Snapshot;
+  }
+  | {
+    readonly kind: DistributionEffectKind.ApplySnapshot;
+    readonly snapshot: Snapshot;
+  }
+  | { readonly kind: DistributionEffectKind.ConfirmView }
+  | {
+    readonly kind: DistributionEffectKind.RecordAudit;
+    readonly entry: Omit<AuditEntry, "at" | "vm">;
+  }
+  | {
+    readonly kind: DistributionEffectKind.LogWarning;
+    readonly fields: object;
+    readonly message: string;
+  };
--- /dev/null
+++ b/src/distribution/distribution_event.ts
@@ -0,0 +1,57 @@
+import type { Version } from "../configuration/version.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import type { ControlFailure } from "../peers/control_failure.ts";
+import type { OwnState } from "../peers/own_state.ts";
+import type { PlatformValue } from "../platform/platform_value.ts";
+import type { VmEntry } from "../platform/vm_entry.ts";
+import type { DistributionEventKind } from "./distribution_event_kind.ts";
+import type { DistributionRequest } from "./distribution_request.ts";
+import type { PeerCall } from "./peer_call.ts";
+
+/** What the distribution of a node reacts to. */
+export type DistributionEvent =
+  | { readonly kind: DistributionEventKind.Started }
+  | { readonly kind: DistributionEventKind.DeadlineReached }
+  | {
+    readonly kind: DistributionEventKind.OwnStateChanged;
+    readonly ownState: OwnState;
+  }
+  | {
+    readonly kind: DistributionEventKind.RequestReceived;
+    readonly requestIdentifier: number;
+    readonly request: DistributionRequest;
+  }
+  | {
+    readonly kind: DistributionEventKind.CallAnswered;
+    readonly call: PeerCall;
+    /** As it came from the network. */
+    readonly answer: unknown;
+  }
+  | {
+    readonly kind: DistributionEventKind.CallFailed;
+    readonly call: PeerCall;
+    readonly failure: ControlFailure;
+  }
+  | {
+    readonly kind: DistributionEventKind.PlatformAnswered;
+    /** Undefined where nothing is published, or nothing changed while the node watched. */
+    readonly value: PlatformValue | undefined;
+  }
+  | {
+    readonly kind: DistributionEventKind.PlatformFailed;
+    readonly reason: Diagnostic;
+  }
+  | {
+    readonly kind: DistributionEventKind.VmsListed;
+    readonly vms: readonly VmEntry[];
+  }
+  | {
+    readonly kind: DistributionEventKind.VmListFailed;
+    readonly reason: Diagnostic;
+  }
+  | {
+    readonly kind: DistributionEventKind.SnapshotPrepared;
+    readonly version: Version;
+  }
+  | { readonly kind: DistributionEventKind.ViewConfirmationRequested }
+  | { readonly kind: DistributionEventKind.StopRequested };
--- /dev/null
+++ b/src/distribution/distribution_event_kind.ts
@@ -0,0 +1,16 @@
+/** What happened to the distribution of a node. */
+export enum DistributionEventKind {
+  Started = "started",
+  DeadlineReached = "deadline-reached",
+  OwnStateChanged = "own-state-changed",
+  RequestReceived = "request-received",
+  CallAnswered = "call-answered",
+  CallFailed = "call-failed",
+  PlatformAnswered = "platform-answered",
+  PlatformFailed = "platform-failed",
+  VmsListed = "vms-listed",
+  VmListFailed = "vm-list-failed",
+  SnapshotPrepared = "snapshot-prepared",
+  ViewConfirmationRequested = "view-confirmation-requested",
+  StopRequested = "stop-requested",
+}
--- /dev/null
+++ b/src/distribution/distribution_limits.ts
@@ -0,0 +1,42 @@
+/** Spans, counts and shares that the distribution keeps to. */
+export const distributionLimits = {
+  /** Peers told at once of news, in the own zone and elsewhere. */
+  pushOwnZone: 2,
+  pushOtherZones: 1,
+  /** Peers asked at a time by a node that starts or was paused. */
+  questionOwnZone: 3,
+  questionOtherZones: 2,
+  /** Peers that hold a version before a reader of the platform puts it in force. */
+  replicas: 2,
+  replicationMilliseconds: 2_000,
+  prepareMilliseconds: 2_000,
+  controlCallMilliseconds: 1_500,
+  /** For the content of a version, which may have a megabyte. */
+  pullCallMilliseconds: 5_000,
+  readersPerZone: 2,
+  platformReadMilliseconds: 2_000,
+  platformWatchMilliseconds: 10_000,
+  /** Without an answer of the platform to any node for so long, other nodes than the readers read too. */
+  platformSilenceMilliseconds: 16_000,
+  platformRetryMilliseconds: 500,
+  maxPlatformRetryMilliseconds: 30_000,
+  /** What other nodes than the readers may take together of the platform's 2,000 reads a second. */
+  platformReadsPerSecond: 100,
+  /** The interval of reading the VM list: a floor, and a span for each VM listed. */
+  readerListMilliseconds: 2_000,
+  readerListMillisecondsPerVm: 50,
+  listMilliseconds: 10_000,
+  listMillisecondsPerVm: 1_000,
+  /** Changes of a record that can wait are spread over this span for each node known. */
+  refreshMillisecondsPerPeer: 500,
+  recordsPerMessage: 32,
+  recordsPerReconcile: 64,
+  reconcileBuckets: 128,
+  reconcileMilliseconds: 10_000,
+  reconcileMoreMilliseconds: 200,
+  refusedDigestsKept: 16,
+  refusalReasonsKept: 20,
+  /** How long a confirmation waits for further answers once one has come. */
+  confirmationSettleMilliseconds: 250,
+  confirmationRetryMilliseconds: 500,
+} as const;
--- a/src/distribution/distribution_runtime.ts
+++ b/src/distribution/distribution_runtime.ts
@@ -1,3 +1,4 @@
+import type { ParsedConfiguration } from "../configuration/parsed_configuration.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
 import type { PeerRecord } from "../peers/peer_record.ts";
 import type { DistributionStatus } from "./distribution_status.ts";
@@ -9,6 +10,8 @@
   /** Answers the control methods of the distribution; parameters come unchecked from the network. */
   handleControlMethod(method: string, parameters: unknown): Promise<unknown>;
   getSnapshot(): Snapshot | undefined;
+  /** Returns the document in force with its digest, in a form that can be published again. */
+  getDocument(): ParsedConfiguration | undefined;
   /** Returns the latest record known of each peer, by VM, without the node itself. */
   getPeers(): ReadonlyMap<string, PeerRecord>;
   /** VMs that the platform listed once and lists no longer, with the instant at which that was seen. */
--- /dev/null
+++ b/src/distribution/distribution_state.ts
@@ -0,0 +1,21 @@
+import type { PeersState } from "../peers/peers_state.ts";
+import type { ConfirmationState } from "./confirmation_state.ts";
+import type { ExchangeState } from "./exchange_state.ts";
+import type { PlatformState } from "./platform_state.ts";
+import type { PullState } from "./pull_state.ts";
+import type { StartupState } from "./startup_state.ts";
+import type { VersionsState } from "./versions_state.ts";
+
+/** Everything that the distribution on one node holds. Immutable. */
+export interface DistributionState {
+  readonly peers: PeersState;
+  readonly versions: VersionsState;
+  readonly startup: StartupState;
+  readonly platform: PlatformState;
+  readonly exchange: ExchangeState;
+  /** The one outstanding pull. */
+  readonly pull: PullState | undefined;
+  /** The question after a pause, while it is open. */
+  readonly confirmation: ConfirmationState | undefined;
+  readonly stopping: boolean;
+}
--- a/src/distribution/distribution_status.ts
+++ b/src/distribution/distribution_status.ts
@@ -15,6 +15,8 @@
       readonly reasons: readonly Diagnostic[];
     }
     | undefined;
+  /** Another content published under the number in force; undefined where none was seen. */
+  readonly conflict?: Version | undefined;
   readonly platformReachable: boolean | undefined;
   /** Reads and watches sent to the platform since the start. */
   readonly platformReads: number;
--- /dev/null
+++ b/src/distribution/exchange_message.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { exchangeMessageSchema } from "./exchange_message_schema.ts";
+
+/** What two nodes tell each other in an exchange, in both directions. */
+export type ExchangeMessage = z.infer<typeof exchangeMessageSchema>;
--- /dev/null
+++ b/src/distribution/exchange_message_schema.ts
@@ -0,0 +1,29 @@
+import { createListSchema } from "../configuration/create_list_schema.ts";
+import { createWholeNumberSchema } from "../configuration/create_whole_number_schema.ts";
+import { digestSchema } from "../configuration/digest_schema.ts";
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+import { instantSchema } from "./instant_schema.ts";
+import { peerRecordSchema } from "./peer_record_schema.ts";
+import { refusalNoticeSchema } from "./refusal_notice_schema.ts";
+import { versionSchema } from "./version_schema.ts";
+import { vmSightingSchema } from "./vm_sighting_schema.ts";
+
+const maxHash = 0xffff_ffff;
+
+/** The shape of both directions of an exchange. */
+export const exchangeMessageSchema = createStrictObject({
+  /** The sender's own record. */
+  record: peerRecordSchema,
+  /** The highest version that the sender holds whole; absent where it holds none. */
+  heldVersion: versionSchema.optional(),
+  /** Over the record of every node that the sender knows, its own with them. */
+  recordsHash: createWholeNumberSchema(0, maxHash),
+  /** Records that have changed lately. */
+  records: createListSchema(peerRecordSchema),
+  sightings: createListSchema(vmSightingSchema),
+  /** The latest instant at which any node known to the sender heard from the platform. */
+  platformHeardAt: instantSchema,
+  /** The content that the sender's notice of a refusal is about, so that the other side can send its own. */
+  refusedContent: digestSchema.optional(),
+  refusal: refusalNoticeSchema.optional(),
+});
--- /dev/null
+++ b/src/distribution/exchange_state.ts
@@ -0,0 +1,6 @@
+/** When the node next speaks to a peer of its own accord. */
+export interface ExchangeState {
+  readonly nextExchangeAt: number;
+  /** The earliest instant of the next comparison of all records with a peer. */
+  readonly nextReconcileAt: number;
+}
--- /dev/null
+++ b/src/distribution/exchange_with_peers.ts
@@ -0,0 +1,29 @@
+import type { KnownPeer } from "../peers/known_peer.ts";
+import type { CallPurpose } from "./call_purpose.ts";
+import { chainSteps } from "./chain_steps.ts";
+import { createCallEffect } from "./create_call_effect.ts";
+import { createExchangeMessage } from "./create_exchange_message.ts";
+import { DistributionMethod } from "./distribution_method.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import type { Transition } from "./transition.ts";
+
+/** Begins an exchange with each of the peers. */
+export function exchangeWithPeers(
+  state: DistributionState,
+  peers: readonly KnownPeer[],
+  options: { readonly purpose: CallPurpose; readonly now: number },
+): Transition {
+  return chainSteps(
+    state,
+    peers.map((peer) => (current) => {
+      const { message, state: after } = createExchangeMessage(current);
+      return {
+        state: after,
+        effects: [createCallEffect(peer, {
+          ...options,
+          request: { method: DistributionMethod.Exchange, parameters: message },
+        })],
+      };
+    }),
+  );
+}
--- /dev/null
+++ b/src/distribution/push_news.ts
@@ -0,0 +1,21 @@
+import { choosePeers } from "../peers/choose_peers.ts";
+import { CallPurpose } from "./call_purpose.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import { exchangeWithPeers } from "./exchange_with_peers.ts";
+import type { Transition } from "./transition.ts";
+
+/** Tells a few peers, at least one of them in another zone, without waiting for the next exchange. */
+export function pushNews(
+  state: DistributionState,
+  { now, random }: DistributionContext,
+): Transition {
+  const peers = choosePeers(state.peers, {
+    ownZone: distributionLimits.pushOwnZone,
+    otherZones: distributionLimits.pushOtherZones,
+    now,
+    random,
+  });
+  return exchangeWithPeers(state, peers, { purpose: CallPurpose.Push, now });
+}
--- /dev/null
+++ b/src/distribution/read_platform.ts
@@ -0,0 +1,37 @@
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import type { DistributionEffect } from "./distribution_effect.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import type { Transition } from "./transition.ts";
+
+/** Reads the platform's value; a reader that has read it watches for the next one. */
+export function readPlatform(
+  state: DistributionState,
+  { now }: DistributionContext,
+): Transition {
+  const { platform } = state;
+  const effect: DistributionEffect =
+    platform.isReader && platform.revision !== undefined
+      ? {
+        kind: DistributionEffectKind.WatchPlatform,
+        revision: platform.revision,
+        deadline: now + distributionLimits.platformWatchMilliseconds,
+      }
+      : {
+        kind: DistributionEffectKind.ReadPlatform,
+        deadline: now + distributionLimits.platformReadMilliseconds,
+      };
+  return {
+    state: {
+      ...state,
+      platform: {
+        ...platform,
+        isReading: true,
+        readStartedAt: now,
+        nextReadAt: Infinity,
+      },
+    },
+    effects: [effect],
+  };
+}
--- /dev/null
+++ b/src/distribution/reconcile_request_schema.ts
@@ -0,0 +1,13 @@
+import { createListSchema } from "../configuration/create_list_schema.ts";
+import { createWholeNumberSchema } from "../configuration/create_whole_number_schema.ts";
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+
+const hashSchema = createWholeNumberSchema(0, 0xffff_ffff);
+
+/** The shape of a request to compare all records. */
+export const reconcileRequestSchema = createStrictObject({
+  /** A hash over the records of each bucket; a VM's bucket follows from its name. */
+  buckets: createListSchema(hashSchema),
+  /** A hash over all sightings of VMs. */
+  sightingsHash: hashSchema,
+});
--- /dev/null
+++ b/src/distribution/refresh_record.ts
@@ -0,0 +1,14 @@
+import type { DistributionState } from "./distribution_state.ts";
+
+/** Raises the sequence of the own record, so that a change that waited is told. */
+export function refreshRecord(state: DistributionState): DistributionState {
+  const { own } = state.peers;
+  return {
+    ...state,
+    peers: {
+      ...state.peers,
+      own: { ...own, sequence: own.sequence + 1 },
+      nextRefreshAt: Infinity,
+    },
+  };
+}
--- /dev/null
+++ b/src/distribution/start_reconcile.ts
@@ -0,0 +1,57 @@
+import { getAllRecords } from "../peers/get_all_records.ts";
+import { groupRecords } from "../peers/group_records.ts";
+import { hashRecords } from "../peers/hash_records.ts";
+import { hashSightings } from "../peers/hash_sightings.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import { CallPurpose } from "./call_purpose.ts";
+import { createCallEffect } from "./create_call_effect.ts";
+import type { DistributionContext } from "./distribution_context.ts";
+import { distributionLimits } from "./distribution_limits.ts";
+import { DistributionMethod } from "./distribution_method.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import { stay } from "./stay.ts";
+import type { Transition } from "./transition.ts";
+
+/**
+ * Compares all records with a peer whose hash over them differs, unless that
+ * was done a short while ago: changes that are still being passed on make
+ * hashes differ too.
+ */
+export function startReconcile(
+  state: DistributionState,
+  peer: {
+    readonly address: NetworkAddress;
+    readonly recordsHash: number;
+  },
+  { now, random }: DistributionContext,
+): Transition {
+  const { peers, exchange } = state;
+  const records = getAllRecords(peers);
+  if (
+    now < exchange.nextReconcileAt || hashRecords(records) === peer.recordsHash
+  ) {
+    return stay(state);
+  }
+  return {
+    state: {
+      ...state,
+      exchange: {
+        ...exchange,
+        nextReconcileAt: now +
+          distributionLimits.reconcileMilliseconds * (0.5 + random.next()),
+      },
+    },
+    effects: [createCallEffect({ address: peer.address, failures: 0 }, {
+      purpose: CallPurpose.AntiEntropy,
+      request: {
+        method: DistributionMethod.Reconcile,
+        parameters: {
+          buckets: groupRecords(records, distributionLimits.reconcileBuckets)
+            .map(hashRecords),
+          sightingsHash: hashSightings([...peers.sightings.values()]),
+        },
+      },
+      now,
+    })],
+  };
+}
--- /dev/null
+++ b/src/distribution/store_version_request_schema.ts
@@ -0,0 +1,14 @@
+import { configurationPartSchema } from "../configuration/configuration_part_schema.ts";
+import { createListSchema } from "../configuration/create_list_schema.ts";
+import { manifestSchema } from "../configuration/manifest_schema.ts";
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+import { nameSchema } from "../configuration/field_schemas.ts";
+
+/** The shape of a request to hold a version. */
+export const storeVersionRequestSchema = createStrictObject({
+  /** The VM of the node that asks. */
+  vm: nameSchema,
+  manifest: manifestSchema,
+  /** The parts that the sender expects the receiver to lack. */
+  parts: createListSchema(configurationPartSchema),
+});
--- /dev/null
+++ b/src/distribution/take_store_answer.ts
@@ -0,0 +1,58 @@
+import { isSameVersion } from "../configuration/is_same_version.ts";
+import { getManifestVersion } from "../configuration/get_manifest_version.ts";
+import type { Manifest } from "../configuration/manifest.ts";
+import { formatAddress } from "../runtime/format_address.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import { CandidateStage } from "./candidate_stage.ts";
+import { createStoreCall } from "./create_store_call.ts";
+import type { DistributionState } from "./distribution_state.ts";
+import { stay } from "./stay.ts";
+import type { Transition } from "./transition.ts";
+
+/** Takes a peer's answer to the request to hold the candidate, and sends the parts that it lacks. */
+export function takeStoreAnswer(
+  state: DistributionState,
+  answer: {
+    readonly address: NetworkAddress;
+    readonly manifest: Manifest;
+    readonly missing: readonly string[];
+    readonly now: number;
+  },
+): Transition {
+  const { versions } = state;
+  const { candidate } = versions;
+  const { address, missing, now } = answer;
+  if (
+    candidate?.stage !== CandidateStage.Replicating ||
+    !isSameVersion(
+      getManifestVersion(answer.manifest),
+      candidate.compiled.set.version,
+    )
+  ) {
+    return stay(state);
+  }
+  if (missing.length > 0) {
+    const parts = missing.flatMap((digest) =>
+      candidate.compiled.set.parts.get(digest) ?? []
+    );
+    const peer = { address, failures: 0 };
+    return {
+      state,
+      effects: [createStoreCall(state, { peer, candidate, parts, now })],
+    };
+  }
+  const { replication } = candidate;
+  return stay({
+    ...state,
+    versions: {
+      ...versions,
+      candidate: {
+        ...candidate,
+        replication: {
+          ...replication,
+          stored: new Set([...replication.stored, formatAddress(address)]),
+        },
+      },
+    },
+  });
+}
--- /dev/null
+++ b/src/distribution/vm_sighting_schema.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+import { nameSchema } from "../configuration/field_schemas.ts";
+import { createStrictObject } from "../diagnostics/create_strict_object.ts";
+import { instantSchema } from "./instant_schema.ts";
+
+/** The shape of a sighting of a VM between nodes. */
+export const vmSightingSchema = createStrictObject({
+  vm: nameSchema,
+  listed: z.boolean({ error: "true or false" }),
+  at: instantSchema,
+});
--- /dev/null
+++ b/src/peers/get_all_records.ts
@@ -0,0 +1,7 @@
+import type { PeerRecord } from "./peer_record.ts";
+import type { PeersState } from "./peers_state.ts";
+
+/** Returns the records of every node known, the own one with them. */
+export function getAllRecords(state: PeersState): readonly PeerRecord[] {
+  return [state.own, ...state.records.values()];
+}
--- /dev/null
+++ b/src/peers/group_records.ts
@@ -0,0 +1,12 @@
+import { groupBy } from "../collections/group_by.ts";
+import { hashText } from "../hashing/hash_text.ts";
+import type { PeerRecord } from "./peer_record.ts";
+
+/** Sorts records into `count` buckets by VM; the same VM has the same bucket on every node. */
+export function groupRecords(
+  records: readonly PeerRecord[],
+  count: number,
+): readonly (readonly PeerRecord[])[] {
+  const groups = groupBy(records, ({ vm }) => hashText(vm) % count);
+  return Array.from({ length: count }, (_, index) => groups.get(index) ?? []);
+}
--- /dev/null
+++ b/src/testing/create_control_network.ts
@@ -0,0 +1,105 @@
+import { Result } from "true-myth";
+import type { ControlCall } from "../peers/control_call.ts";
+import type { ControlFailure } from "../peers/control_failure.ts";
+import { ControlFailureKind } from "../peers/control_failure_kind.ts";
+import { formatAddress } from "../runtime/format_address.ts";
+import type { ControlDelivery } from "./control_delivery.ts";
+import type { ControlHandler } from "./control_handler.ts";
+import type { ControlMessage } from "./control_message.ts";
+import type { ControlNetwork } from "./control_network.ts";
+import type { VirtualTime } from "./virtual_time.ts";
+
+const usualDelivery: ControlDelivery = {
+  isLost: false,
+  delayMilliseconds: 1,
+  copies: 1,
+};
+
+type Answer = Result<unknown, ControlFailure>;
+
+/** Creates a network whose messages travel in virtual time, each 1 ms unless the script says otherwise. */
+export function createControlNetwork(
+  { clock, timers }: Pick<VirtualTime, "clock" | "timers">,
+): ControlNetwork {
+  const handlers = new Map<string, ControlHandler>();
+  const sent: ControlMessage[] = [];
+  let script: (message: ControlMessage) => Partial<ControlDelivery> =
+    () => ({});
+  let groups: readonly ReadonlySet<string>[] = [];
+
+  function isCut(from: string, to: string): boolean {
+    return groups.some((group) => group.has(from) !== group.has(to));
+  }
+
+  /** Copies the content as the wire would, and runs `deliver` for each copy that arrives. */
+  function send(
+    message: ControlMessage,
+    deliver: (content: unknown) => void,
+  ): void {
+    const wire = JSON.stringify(message.content ?? null);
+    sent.push(message);
+    const delivery = { ...usualDelivery, ...script(message) };
+    if (delivery.isLost || isCut(message.from, message.to)) {
+      return;
+    }
+    Array.from({ length: delivery.copies }).forEach(() =>
+      timers.at(
+        clock.now() + delivery.delayMilliseconds,
+        () => deliver(JSON.parse(wire)),
+      )
+    );
+  }
+
+  function request(
+    from: string,
+    call: ControlCall,
+    resolve: (answer: Answer) => void,
+  ): void {
+    const to = formatAddress(call.address);
+    const { method } = call;
+    const fail = (kind: ControlFailureKind, detail: string) =>
+      resolve(Result.err({ kind, detail }));
+    timers.at(
+      call.deadline,
+      () => fail(ControlFailureKind.NoAnswer, "The deadline passed"),
+    );
+    send(
+      { from, to, method, isAnswer: false, content: call.parameters },
+      (parameters) => {
+        const handler = handlers.get(to);
+        if (handler === undefined) {
+          fail(ControlFailureKind.ConnectionFailed, "Connection refused");
+          return;
+        }
+        handler(method, parameters).then(
+          (content) =>
+            send(
+              { from: to, to: from, method, isAnswer: true, content },
+              (result) => resolve(Result.ok(result)),
+            ),
+          (error: unknown) => fail(ControlFailureKind.Rejected, String(error)),
+        );
+      },
+    );
+  }
+
+  return {
+    listen: (address, handler) =>
+      void handlers.set(formatAddress(address), handler),
+    close: (address) => void handlers.delete(formatAddress(address)),
+    createClient: (address) => ({
+      call: (call) =>
+        new Promise((resolve) =>
+          request(formatAddress(address), call, resolve)
+        ),
+      close: () => Promise.resolve(),
+    }),
+    setScript(next) {
+      script = next;
+    },
+    partition(next) {
+      groups = next.map((group) => new Set(group.map(formatAddress)));
+    },
+    getSent: () => sent,
+  };
+}
