Take an answer that is not JSON as a refusal of the control call

Cause: isJSONRPCResponse throws on undefined, so rubbish counted as no answer. Seen failing first: the test of rubbish answers in create_control_client_test. The tests now close their servers and clients also when they fail; before, a failing one kept the run open until its time-out.

--- a/src/daemon/create_control_client.ts
+++ b/src/daemon/create_control_client.ts
@@ -122,7 +122,10 @@
   expected: { readonly identifier: number; readonly status: number },
 ): ControlResult {
   const answer = tryParseJson(text);
-  if (!isJSONRPCResponse(answer) || answer.id !== expected.identifier) {
+  if (
+    typeof answer !== "object" || answer === null ||
+    !isJSONRPCResponse(answer) || answer.id !== expected.identifier
+  ) {
     return fail(
       ControlFailureKind.Rejected,
       `Status ${expected.status} without a JSON-RPC answer to the request`,
--- a/src/daemon/create_control_client_test.ts
+++ b/src/daemon/create_control_client_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { ControlFailureKind } from "../peers/control_failure_kind.ts";
 import { systemClock } from "../runtime/system_clock.ts";
 import { createControlClient } from "./create_control_client.ts";
@@ -9,7 +9,11 @@
 const host = "127.0.0.1";
 const patience = 20_000;
 
-function listen(server: Server): Promise<number> {
+function listen(t: ExecutionContext, server: Server): Promise<number> {
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
   return new Promise((resolve) =>
     server.listen(
       0,
@@ -53,8 +57,9 @@
 
 test("createControlClient() returns the result, and tells a refusal and rubbish apart from it", async (t) => {
   const server = createEchoServer();
-  const port = await listen(server);
+  const port = await listen(t, server);
   const client = createControlClient({ clock: systemClock });
+  t.teardown(() => client.close());
   const answer = await client.call(createCall(port));
   t.deepEqual(answer.unwrapOr(undefined), { text: "grüße" });
   const failed = await Promise.all(
@@ -70,18 +75,16 @@
   t.true(bytesSent > 100 && bytesReceived > 100);
   t.is(messagesSent, 4);
   t.is(messagesReceived, 4);
-  await client.close();
-  server.close();
 });
 
 test("createControlClient() knows that a refused connection carried nothing", async (t) => {
   const server = createEchoServer();
-  const port = await listen(server);
+  const port = await listen(t, server);
   await new Promise((resolve) => server.close(resolve));
   const client = createControlClient({ clock: systemClock });
+  t.teardown(() => client.close());
   const result = await client.call(createCall(port));
   t.is(result.isErr && result.error.kind, ControlFailureKind.ConnectionFailed);
-  await client.close();
 });
 
 test("createControlClient() gives up at the deadline, and a fresh connection gets past one that went silent", async (t) => {
@@ -95,8 +98,9 @@
     }
   });
   server.on("connection", (socket) => sockets.push(socket));
-  const port = await listen(server);
+  const port = await listen(t, server);
   const client = createControlClient({ clock: systemClock });
+  t.teardown(() => client.close());
   const silent = await client.call(
     createCall(port, { deadline: Date.now() + 200 }),
   );
@@ -105,7 +109,4 @@
     createCall(port, { freshConnection: true }),
   );
   t.is(fresh.unwrapOr(undefined), "fresh");
-  await client.close();
-  server.closeAllConnections();
-  server.close();
 });
--- a/src/daemon/create_platform_client_test.ts
+++ b/src/daemon/create_platform_client_test.ts
@@ -32,10 +32,12 @@
     address: { host, port },
     clock: systemClock,
   });
-  const answer = await use(client);
-  await client.close();
-  server.close();
-  return answer;
+  try {
+    return await use(client);
+  } finally {
+    await client.close();
+    server.close();
+  }
 }
 
 test("createPlatformClient() reads, watches and lists, and counts each as one read", async (t) => {
