Add the commands check and routes

Cause: operators check a document before publishing, and against the version in force, since a node cannot tell two racing operators from intention. Outputs are recorded baselines. Ruled out: a threshold on how many servers may vanish, since one is enough to lose an order; a server goes without complaint once it was marked as leaving.

--- /dev/null
+++ b/src/command_line/check_command.ts
@@ -0,0 +1,159 @@
+import type { Result } from "true-myth";
+import { compareConfigurations } from "../configuration/compare_configurations.ts";
+import type { CompiledConfiguration } from "../configuration/compiled_configuration.ts";
+import type { Snapshot } from "../configuration/snapshot.ts";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import { tryParseAddress } from "../runtime/try_parse_address.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { fetchConfiguration } from "./fetch_configuration.ts";
+import { loadConfiguration } from "./load_configuration.ts";
+import type { Output } from "./output.ts";
+import { tryParseArguments } from "./try_parse_arguments.ts";
+import { writeDiagnostics } from "./write_diagnostics.ts";
+
+const help = `Usage: catkinquay check FILE… [options]
+
+Checks configuration documents as every node does, before they are published.
+
+Options:
+  --against FILE|HOST:PORT  also compare with the version in force, from a file
+                            or from the operator address of a node: the number
+                            must be higher, and nothing may return or vanish
+  --expect NAME             accept that this zone, service, backend server or
+                            route returns or vanishes; may be given repeatedly
+  --json                    write one JSON object for each file
+  --help                    show this text
+
+Exit status: 0 where every document may be published, 1 where one may not,
+2 for bad usage.
+`;
+
+interface CheckOptions {
+  readonly inForce: Snapshot | undefined;
+  readonly expected: ReadonlySet<string>;
+  readonly json: boolean;
+}
+
+/** Runs `catkinquay check`; `parameters` are the arguments after the name of the command. */
+export async function runCheckCommand(
+  parameters: readonly string[],
+  output: Output,
+): Promise<ExitStatus> {
+  const parsed = tryParseArguments({
+    args: [...parameters],
+    allowPositionals: true,
+    options: {
+      against: { type: "string" },
+      expect: { type: "string", multiple: true },
+      json: { type: "boolean" },
+      help: { type: "boolean" },
+    },
+  });
+  if (parsed.isErr) {
+    output.write(`${formatDiagnostic(parsed.error)}\n`);
+    return ExitStatus.Usage;
+  }
+  const { values, positionals } = parsed.value;
+  if (values.help) {
+    output.write(help);
+    return ExitStatus.Success;
+  }
+  if (positionals.length === 0) {
+    output.write(`${formatDiagnostic(createUsageDiagnostic())}\n`);
+    return ExitStatus.Usage;
+  }
+  const against = values.against === undefined
+    ? undefined
+    : await loadVersionInForce(values.against);
+  if (against?.isErr) {
+    writeDiagnostics(output, against.error, {
+      subject: values.against ?? "",
+    });
+    return ExitStatus.Failure;
+  }
+  return checkFiles(positionals, output, {
+    inForce: against?.value.snapshot,
+    expected: new Set(values.expect),
+    json: values.json ?? false,
+  });
+}
+
+function createUsageDiagnostic(): Diagnostic {
+  return createDiagnostic(DiagnosticCode.UsageInvalid, {
+    path: "FILE",
+    found: "missing",
+    allowed: "one or more files, see --help",
+  });
+}
+
+function loadVersionInForce(
+  against: string,
+): Promise<Result<CompiledConfiguration, readonly Diagnostic[]>> {
+  return tryParseAddress(against) === undefined
+    ? loadConfiguration(against)
+    : fetchConfiguration(against);
+}
+
+async function checkFiles(
+  paths: readonly string[],
+  output: Output,
+  options: CheckOptions,
+): Promise<ExitStatus> {
+  const loaded = await Promise.all(paths.map(loadConfiguration));
+  const passed = loaded.map((configuration, index) =>
+    report(configuration, output, { ...options, path: paths[index] ?? "" })
+  );
+  return passed.every(Boolean) ? ExitStatus.Success : ExitStatus.Failure;
+}
+
+/** Writes what was found in one file; returns whether it may be published. */
+function report(
+  loaded: Result<CompiledConfiguration, readonly Diagnostic[]>,
+  output: Output,
+  options: CheckOptions & { readonly path: string },
+): boolean {
+  const { path, inForce, expected } = options;
+  const snapshot = loaded.isOk ? loaded.value.snapshot : undefined;
+  const diagnostics = loaded.match({
+    Ok: (next) =>
+      inForce === undefined
+        ? []
+        : compareConfigurations(inForce, next.snapshot).filter((diagnostic) =>
+          !expected.has(diagnostic.path)
+        ),
+    Err: (reasons) => reasons,
+  });
+  if (options.json) {
+    output.write(
+      `${
+        JSON.stringify({
+          file: path,
+          version: snapshot?.version ?? null,
+          diagnostics: diagnostics.map((diagnostic) => ({
+            ...diagnostic,
+            message: formatDiagnostic(diagnostic),
+          })),
+        })
+      }\n`,
+    );
+  } else if (diagnostics.length > 0 || snapshot === undefined) {
+    writeDiagnostics(output, diagnostics, { subject: path });
+  } else {
+    output.write(`${path}: ${describeSnapshot(snapshot)}\n`);
+  }
+  return diagnostics.length === 0;
+}
+
+function describeSnapshot(snapshot: Snapshot): string {
+  const { version, zones, services, backendServers, routes } = snapshot;
+  return [
+    `version ${version.number}, digest ${version.digest}`,
+    `${zones.size} zones`,
+    `${services.size} services`,
+    `${backendServers.size} backend servers`,
+    `${routes.length} routes`,
+  ].join(", ");
+}
--- /dev/null
+++ b/src/command_line/commands_test.ts
@@ -0,0 +1,140 @@
+import { createServer } from "node:http";
+import { readFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { readBaseline } from "../testing/read_baseline.ts";
+import { runCheckCommand } from "./check_command.ts";
+import type { ExitStatus } from "./exit_status.ts";
+import type { Output } from "./output.ts";
+import { runRoutesCommand } from "./routes_command.ts";
+
+const directory = "src/command_line/baselines";
+
+type Command = (
+  parameters: readonly string[],
+  output: Output,
+) => Promise<ExitStatus>;
+
+async function run(command: Command, parameters: readonly string[]) {
+  const written: string[] = [];
+  const status = await command(parameters, {
+    write: (text) => void written.push(text),
+  });
+  return { status, text: written.join("") };
+}
+
+const file = (name: string) => `${directory}/${name}.json`;
+
+const cases: readonly {
+  readonly name: string;
+  readonly command: Command;
+  readonly parameters: readonly string[];
+}[] = [
+  { name: "check_help", command: runCheckCommand, parameters: ["--help"] },
+  { name: "check_no_file", command: runCheckCommand, parameters: [] },
+  {
+    name: "check_unknown_option",
+    command: runCheckCommand,
+    parameters: ["--fast"],
+  },
+  {
+    name: "check_valid",
+    command: runCheckCommand,
+    parameters: [file("valid")],
+  },
+  {
+    name: "check_valid_json",
+    command: runCheckCommand,
+    parameters: [file("valid"), "--json"],
+  },
+  {
+    name: "check_several",
+    command: runCheckCommand,
+    parameters: [file("valid"), `${directory}/half.part`, file("absent")],
+  },
+  {
+    name: "check_wrong_types",
+    command: runCheckCommand,
+    parameters: [file("wrong_types")],
+  },
+  {
+    name: "check_unknown_names",
+    command: runCheckCommand,
+    parameters: [file("unknown_names")],
+  },
+  {
+    name: "check_wrong_digest",
+    command: runCheckCommand,
+    parameters: [file("wrong_digest")],
+  },
+  {
+    name: "check_undoing",
+    command: runCheckCommand,
+    parameters: [file("undoing"), "--against", file("valid")],
+  },
+  {
+    name: "check_undoing_partly_expected",
+    command: runCheckCommand,
+    parameters: [
+      file("undoing"),
+      "--against",
+      file("valid"),
+      "--expect",
+      "sul-b",
+      "--expect",
+      "vitrine-1",
+    ],
+  },
+  { name: "routes_help", command: runRoutesCommand, parameters: ["--help"] },
+  { name: "routes_no_file", command: runRoutesCommand, parameters: [] },
+  {
+    name: "routes_valid",
+    command: runRoutesCommand,
+    parameters: [file("valid")],
+  },
+  {
+    name: "routes_valid_json",
+    command: runRoutesCommand,
+    parameters: [file("valid"), "--json"],
+  },
+  {
+    name: "routes_unknown_names",
+    command: runRoutesCommand,
+    parameters: [file("unknown_names")],
+  },
+];
+
+cases.forEach(({ name, command, parameters }) =>
+  test(`the output of ${name} is as recorded`, async (t) => {
+    const { status, text } = await run(command, parameters);
+    const actual = `${text}exit status ${status}\n`;
+    t.is(actual, readBaseline(`${directory}/${name}.txt`, actual));
+  })
+);
+
+test("check --against asks a node for the version in force", async (t) => {
+  const server = createServer((request, response) => {
+    response.statusCode = request.url === "/configuration" ? 200 : 404;
+    response.end(readFileSync(file("valid")));
+  });
+  t.teardown(() => server.close());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const { status, text } = await run(runCheckCommand, [
+    file("valid"),
+    "--against",
+    `127.0.0.1:${port}`,
+  ]);
+  t.is(status, 1);
+  t.regex(text, /"number" is 18, but must be above 18/);
+});
+
+test("check --against fails where the node does not answer", async (t) => {
+  const { status, text } = await run(runCheckCommand, [
+    file("valid"),
+    "--against",
+    "127.0.0.1:1",
+  ]);
+  t.is(status, 1);
+  t.regex(text, /CQ7003: Cannot reach the node at "127.0.0.1:1"/);
+});
--- /dev/null
+++ b/src/command_line/routes_command.ts
@@ -0,0 +1,127 @@
+import Table from "cli-table3";
+import type { Route } from "../configuration/route.ts";
+import type { Snapshot } from "../configuration/snapshot.ts";
+import { formatVersion } from "../configuration/format_version.ts";
+import { ZoneState } from "../configuration/zone_state.ts";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { loadConfiguration } from "./load_configuration.ts";
+import type { Output } from "./output.ts";
+import { tryParseArguments } from "./try_parse_arguments.ts";
+import { writeDiagnostics } from "./write_diagnostics.ts";
+
+const help = `Usage: catkinquay routes FILE [options]
+
+Shows what a configuration document compiles to: the routes in the order in
+which they are tried, and how many backend servers of each may take new work.
+
+Options:
+  --json  write one JSON object
+  --help  show this text
+
+Exit status: 0 where the document is valid, 1 where it is not, 2 for bad usage.
+`;
+
+/** Runs `catkinquay routes`; `parameters` are the arguments after the name of the command. */
+export async function runRoutesCommand(
+  parameters: readonly string[],
+  output: Output,
+): Promise<ExitStatus> {
+  const parsed = tryParseArguments({
+    args: [...parameters],
+    allowPositionals: true,
+    options: { json: { type: "boolean" }, help: { type: "boolean" } },
+  });
+  if (parsed.isErr) {
+    output.write(`${formatDiagnostic(parsed.error)}\n`);
+    return ExitStatus.Usage;
+  }
+  const { values, positionals: [path, ...others] } = parsed.value;
+  if (values.help) {
+    output.write(help);
+    return ExitStatus.Success;
+  }
+  if (path === undefined || others.length > 0) {
+    const diagnostic = createDiagnostic(DiagnosticCode.UsageInvalid, {
+      path: "FILE",
+      found: path === undefined ? "missing" : "given more than once",
+      allowed: "one file, see --help",
+    });
+    output.write(`${formatDiagnostic(diagnostic)}\n`);
+    return ExitStatus.Usage;
+  }
+  const loaded = await loadConfiguration(path);
+  return loaded.match({
+    Ok: ({ snapshot }) => {
+      output.write(values.json ? formatJson(snapshot) : formatTable(snapshot));
+      return ExitStatus.Success;
+    },
+    Err: (reasons) => {
+      writeDiagnostics(output, reasons, { subject: path });
+      return ExitStatus.Failure;
+    },
+  });
+}
+
+function formatTable(snapshot: Snapshot): string {
+  const table = new Table({
+    head: [
+      "Host",
+      "Path prefix",
+      "Service",
+      "Priority",
+      "Deadline",
+      "Idempotent methods",
+      "Key",
+      "Backend servers",
+    ],
+    style: { head: [], border: [] },
+  });
+  table.push(...snapshot.routes.map((route) => formatRow(snapshot, route)));
+  const takenOut = [...snapshot.zones.values()]
+    .filter(({ state }) => state === ZoneState.TakenOut)
+    .map(({ name }) => name);
+  return [
+    `Version ${formatVersion(snapshot.version)}`,
+    table.toString(),
+    ...takenOut.length > 0 ? [`Zones taken out: ${takenOut.join(", ")}`] : [],
+    "",
+  ].join("\n");
+}
+
+function formatRow(snapshot: Snapshot, route: Route): string[] {
+  const servers = snapshot.services.get(route.service)?.backendServers ?? [];
+  const taking = countTakingWork(snapshot, route);
+  return [
+    route.host ?? "any",
+    route.pathPrefix,
+    route.service,
+    route.priority,
+    `${route.deadlineMilliseconds} ms`,
+    route.idempotentMethods.join(" "),
+    route.requireIdempotencyKey ? "required" : "optional",
+    `${taking} of ${servers.length}`,
+  ];
+}
+
+function formatJson(snapshot: Snapshot): string {
+  return `${
+    JSON.stringify({
+      version: snapshot.version,
+      routes: snapshot.routes.map((route) => ({
+        ...route,
+        backendServersTakingWork: countTakingWork(snapshot, route),
+      })),
+    })
+  }\n`;
+}
+
+function countTakingWork(snapshot: Snapshot, { service }: Route): number {
+  return (snapshot.services.get(service)?.backendServers ?? [])
+    .filter(({ leaving, zone }) =>
+      !leaving && snapshot.zones.get(zone)?.state === ZoneState.InService
+    )
+    .length;
+}
--- a/src/diagnostics/diagnostic_code.ts
+++ b/src/diagnostics/diagnostic_code.ts
@@ -18,6 +18,13 @@
   ConfigurationDigestMismatch = 2007,
   ConfigurationPartMissing = 2008,
   ConfigurationServiceEmpty = 2009,
+  ConfigurationNumberNotHigher = 2010,
+  ConfigurationZoneReturned = 2011,
+  ConfigurationZoneRemoved = 2012,
+  ConfigurationBackendServerRemoved = 2013,
+  ConfigurationBackendServerReturned = 2014,
+  ConfigurationServiceRemoved = 2015,
+  ConfigurationRouteRemoved = 2016,
 
   ControlMessageInvalid = 3001,
 
@@ -32,4 +39,6 @@
   FileUnreadable = 7002,
   NodeUnreachable = 7003,
   ListenerUnavailable = 7004,
+
+  NodeAnswerInvalid = 7101,
 }
--- a/src/diagnostics/diagnostic_table.ts
+++ b/src/diagnostics/diagnostic_table.ts
@@ -65,6 +65,40 @@
     template:
       'Configuration field "{path}" names the service "{found}", which has no backend server',
   },
+  [DiagnosticCode.ConfigurationNumberNotHigher]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is {found}, but must be above {allowed}, the number in force',
+  },
+  [DiagnosticCode.ConfigurationZoneReturned]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The zone "{path}" is taken out in the version in force and would return',
+  },
+  [DiagnosticCode.ConfigurationZoneRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The zone "{path}" is in service in the version in force and would be removed',
+  },
+  [DiagnosticCode.ConfigurationBackendServerRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The backend server "{path}" would be removed without having been marked as leaving',
+  },
+  [DiagnosticCode.ConfigurationBackendServerReturned]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The backend server "{path}" is leaving in the version in force and would return',
+  },
+  [DiagnosticCode.ConfigurationServiceRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The service "{path}" would be removed; {found} in the version in force lead to it',
+  },
+  [DiagnosticCode.ConfigurationRouteRemoved]: {
+    category: DiagnosticCategory.Error,
+    template: 'The route "{path}" to the service "{found}" would be removed',
+  },
 
   [DiagnosticCode.ControlMessageInvalid]: {
     category: DiagnosticCategory.Error,
@@ -108,4 +142,10 @@
     category: DiagnosticCategory.Error,
     template: 'Cannot listen on "{path}": {found}',
   },
+
+  [DiagnosticCode.NodeAnswerInvalid]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The node at "{path}" answered with {found}, but must answer with {allowed}',
+  },
 };
