Prove the distribution by properties and the confirmation after a pause

Cause: no version may fall, none may be applied in part, and all nodes must end on one version, whatever befalls them; a node that slept must not serve an old view. Change: a property over publications (good, bad, older, conflicting), restarts, partitions, platform outages and lossy networks; tests of confirmView. The question after a pause reads the platform beside an open watch, whose answer may be older than the pause. Seen failing first: the platform's word came only after the open watch ended.

--- a/src/distribution/ask_confirmation.ts
+++ b/src/distribution/ask_confirmation.ts
@@ -1,6 +1,9 @@
 import { choosePeers } from "../peers/choose_peers.ts";
 import { CallPurpose } from "./call_purpose.ts";
+import { chainSteps } from "./chain_steps.ts";
 import type { DistributionContext } from "./distribution_context.ts";
+import type { DistributionEffect } from "./distribution_effect.ts";
+import { DistributionEffectKind } from "./distribution_effect_kind.ts";
 import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
 import { exchangeWithPeers } from "./exchange_with_peers.ts";
@@ -8,7 +11,7 @@
 
 /**
  * Asks peers, in the own zone and elsewhere, for the highest version that they
- * hold. The platform is read too where no peer is known.
+ * hold. The platform is read too where no peer is known or none has answered.
  */
 export function askConfirmation(
   state: DistributionState,
@@ -20,25 +23,39 @@
     now,
     random,
   });
-  const { confirmation, platform } = state;
-  const isRepeated = confirmation !== undefined;
-  const readsPlatform = !platform.isReading &&
-    (peers.length === 0 || isRepeated);
-  return exchangeWithPeers(
-    {
-      ...state,
-      platform: readsPlatform ? { ...platform, nextReadAt: now } : platform,
-      confirmation: {
-        askedAt: confirmation?.askedAt ?? now,
-        pending: peers.length,
-        answered: confirmation?.answered ?? false,
-        answeredByUnsure: confirmation?.answeredByUnsure ?? false,
-        floor: confirmation?.floor,
-        deadline: now + distributionLimits.controlCallMilliseconds +
-          distributionLimits.confirmationRetryMilliseconds * random.next(),
-      },
+  const { confirmation } = state;
+  const readsPlatform = peers.length === 0 || confirmation !== undefined;
+  const asked: DistributionState = {
+    ...state,
+    confirmation: {
+      askedAt: confirmation?.askedAt ?? now,
+      pending: peers.length,
+      answered: false,
+      platformFailed: false,
+      answeredByUnsure: false,
+      floor: undefined,
+      deadline: now + distributionLimits.controlCallMilliseconds +
+        distributionLimits.confirmationRetryMilliseconds * random.next(),
     },
-    peers,
-    { purpose: CallPurpose.Confirmation, now },
-  );
+  };
+  return chainSteps(asked, [
+    (current) =>
+      exchangeWithPeers(current, peers, {
+        purpose: CallPurpose.Confirmation,
+        now,
+      }),
+    (current) => ({
+      state: current,
+      effects: readsPlatform ? [createPlatformQuestion(now)] : [],
+    }),
+  ]);
+}
+
+/** A read beside the watch that may be open: what answers that one may be older than the pause. */
+function createPlatformQuestion(now: number): DistributionEffect {
+  return {
+    kind: DistributionEffectKind.ReadPlatform,
+    deadline: now + distributionLimits.controlCallMilliseconds,
+    forConfirmation: true,
+  };
 }
--- a/src/distribution/confirmation_state.ts
+++ b/src/distribution/confirmation_state.ts
@@ -7,6 +7,8 @@
   readonly pending: number;
   /** Whether a peer with a view of its own, or the platform, has answered. */
   readonly answered: boolean;
+  /** Whether the read of the platform that goes with the question failed. */
+  readonly platformFailed: boolean;
   /** Whether a peer has answered that is confirming its own view too. */
   readonly answeredByUnsure: boolean;
   /** The highest version heard; it has to be in force before the view is confirmed. */
--- a/src/distribution/create_distribution_runtime.ts
+++ b/src/distribution/create_distribution_runtime.ts
@@ -145,9 +145,14 @@
   }
 
   function readPlatform(
-    { deadline }: EffectOf<DistributionEffectKind.ReadPlatform>,
+    { deadline, forConfirmation }: EffectOf<
+      DistributionEffectKind.ReadPlatform
+    >,
   ): void {
-    takePlatformAnswer(platformClient.readConfiguration({ deadline }));
+    takePlatformAnswer(
+      platformClient.readConfiguration({ deadline }),
+      forConfirmation,
+    );
   }
 
   function watchPlatform(
@@ -155,11 +160,13 @@
   ): void {
     takePlatformAnswer(
       platformClient.watchConfiguration(revision, { deadline }),
+      false,
     );
   }
 
   function takePlatformAnswer(
     answer: ReturnType<typeof platformClient.readConfiguration>,
+    forConfirmation: boolean,
   ): void {
     platformReads += 1;
     answer.then((result) =>
@@ -167,10 +174,12 @@
         Ok: (value) => ({
           kind: DistributionEventKind.PlatformAnswered,
           value,
+          forConfirmation,
         }),
         Err: (reason) => ({
           kind: DistributionEventKind.PlatformFailed,
           reason,
+          forConfirmation,
         }),
       }))
     );
--- a/src/distribution/create_distribution_state.ts
+++ b/src/distribution/create_distribution_state.ts
@@ -65,7 +65,6 @@
       nextReadAt: now + distributionLimits.platformSilenceMilliseconds *
           (1 + random.next()),
       isReading: false,
-      readStartedAt: 0,
       revision: undefined,
       reachable: undefined,
       failures: 0,
--- a/src/distribution/distribution_effect.ts
+++ b/src/distribution/distribution_effect.ts
@@ -20,6 +20,8 @@
   | {
     readonly kind: DistributionEffectKind.ReadPlatform;
     readonly deadline: number;
+    /** Whether the read answers the question after a pause, beside a watch that may be open. */
+    readonly forConfirmation: boolean;
   }
   | {
     readonly kind: DistributionEffectKind.WatchPlatform;
--- a/src/distribution/distribution_event.ts
+++ b/src/distribution/distribution_event.ts
@@ -36,10 +36,13 @@
     readonly kind: DistributionEventKind.PlatformAnswered;
     /** Undefined where nothing is published, or nothing changed while the node watched. */
     readonly value: PlatformValue | undefined;
+    /** Whether this was the read that confirms the view after a pause. */
+    readonly forConfirmation: boolean;
   }
   | {
     readonly kind: DistributionEventKind.PlatformFailed;
     readonly reason: Diagnostic;
+    readonly forConfirmation: boolean;
   }
   | {
     readonly kind: DistributionEventKind.VmsListed;
--- a/src/distribution/note_confirmation_failure.ts
+++ b/src/distribution/note_confirmation_failure.ts
@@ -1,15 +1,27 @@
+import type { DistributionContext } from "./distribution_context.ts";
+import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
 
-/** Notes that a peer did not answer the question after a pause. */
+/** Notes that a peer did not answer the question after a pause; the next peers are asked soon after the last failure. */
 export function noteConfirmationFailure(
   state: DistributionState,
+  { now, random }: DistributionContext,
 ): DistributionState {
   const { confirmation } = state;
-  return confirmation === undefined ? state : {
+  if (confirmation === undefined) {
+    return state;
+  }
+  const pending = Math.max(0, confirmation.pending - 1);
+  const retryAt = now +
+    distributionLimits.confirmationRetryMilliseconds * random.next();
+  return {
     ...state,
     confirmation: {
       ...confirmation,
-      pending: Math.max(0, confirmation.pending - 1),
+      pending,
+      deadline: pending === 0
+        ? Math.min(confirmation.deadline, retryAt)
+        : confirmation.deadline,
     },
   };
 }
--- a/src/distribution/note_platform_confirmation.ts
+++ b/src/distribution/note_platform_confirmation.ts
@@ -1,21 +1,20 @@
 import type { DistributionContext } from "./distribution_context.ts";
 import type { DistributionState } from "./distribution_state.ts";
 
-/**
- * Notes that the platform answered while this node confirms its view after a
- * pause. An answer to an older request may have waited in a socket's buffer
- * while the process was paused, and counts for nothing.
- */
+/** Notes that the platform answered, or failed to answer, the question of this node after a pause. */
 export function notePlatformConfirmation(
   state: DistributionState,
+  outcome: { readonly isAnswered: boolean },
   { now }: DistributionContext,
 ): DistributionState {
-  const { confirmation, platform } = state;
-  return confirmation === undefined ||
-      platform.readStartedAt < confirmation.askedAt
-    ? state
-    : {
-      ...state,
-      confirmation: { ...confirmation, answered: true, deadline: now },
-    };
+  const { confirmation } = state;
+  if (confirmation === undefined) {
+    return state;
+  }
+  return {
+    ...state,
+    confirmation: outcome.isAnswered
+      ? { ...confirmation, answered: true, deadline: now }
+      : { ...confirmation, platformFailed: true },
+  };
 }
--- a/src/distribution/platform_state.ts
+++ b/src/distribution/platform_state.ts
@@ -6,8 +6,6 @@
   /** When the node reads or watches next; Infinity where it has no need to. */
   readonly nextReadAt: number;
   readonly isReading: boolean;
-  /** When the last read or watch was sent. */
-  readonly readStartedAt: number;
   /** The revision of the value last read here. */
   readonly revision: number | undefined;
   /** Undefined until the first answer or failure. */
--- a/src/distribution/read_platform.ts
+++ b/src/distribution/read_platform.ts
@@ -21,16 +21,12 @@
       : {
         kind: DistributionEffectKind.ReadPlatform,
         deadline: now + distributionLimits.platformReadMilliseconds,
+        forConfirmation: false,
       };
   return {
     state: {
       ...state,
-      platform: {
-        ...platform,
-        isReading: true,
-        readStartedAt: now,
-        nextReadAt: Infinity,
-      },
+      platform: { ...platform, isReading: true, nextReadAt: Infinity },
     },
     effects: [effect],
   };
--- a/src/distribution/settle_confirmation.ts
+++ b/src/distribution/settle_confirmation.ts
@@ -46,7 +46,7 @@
 }
 
 function isConfirmed(
-  { versions, peers, platform }: DistributionState,
+  { versions, peers }: DistributionState,
   confirmation: ConfirmationState,
   { now, settings }: DistributionContext,
 ): boolean {
@@ -57,7 +57,7 @@
   // When every node was paused at once, nobody is sure of anything but what all of them hold.
   const isOnlyUnsure = answeredByUnsure &&
     now >= askedAt + settings.timing.startupQuestionMilliseconds;
-  const isAlone = peers.known.size === 0 && platform.reachable === false;
+  const isAlone = peers.known.size === 0 && confirmation.platformFailed;
   return !isBehind && versions.candidate === undefined && isSettled &&
     (answered || isOnlyUnsure || isAlone);
 }
--- a/src/distribution/step_distribution.ts
+++ b/src/distribution/step_distribution.ts
@@ -13,6 +13,7 @@
 import { DistributionEventKind } from "./distribution_event_kind.ts";
 import type { DistributionState } from "./distribution_state.ts";
 import { noteRecordChange } from "./note_record_change.ts";
+import { notePlatformConfirmation } from "./note_platform_confirmation.ts";
 import { pushNews } from "./push_news.ts";
 import { runDueWork } from "./run_due_work.ts";
 import { settleConfirmation } from "./settle_confirmation.ts";
@@ -75,11 +76,16 @@
     )
     .with(
       { kind: DistributionEventKind.PlatformAnswered },
-      ({ value }) => takePlatformAnswer(state, value, context),
+      (answer) => takePlatformAnswer(state, answer, context),
     )
     .with(
       { kind: DistributionEventKind.PlatformFailed },
-      ({ reason }) => takePlatformFailure(state, reason, context),
+      ({ reason, forConfirmation }) =>
+        forConfirmation
+          ? stay(
+            notePlatformConfirmation(state, { isAnswered: false }, context),
+          )
+          : takePlatformFailure(state, reason, context),
     )
     .with(
       { kind: DistributionEventKind.VmsListed },
--- a/src/distribution/take_call_failure.ts
+++ b/src/distribution/take_call_failure.ts
@@ -28,7 +28,7 @@
     )
     .with(
       CallPurpose.Confirmation,
-      () => stay(noteConfirmationFailure(noted)),
+      () => stay(noteConfirmationFailure(noted, context)),
     )
     .with(
       CallPurpose.AntiEntropy,
--- a/src/distribution/take_platform_answer.ts
+++ b/src/distribution/take_platform_answer.ts
@@ -16,10 +16,14 @@
 /** Takes the answer to a read or watch; `value` is undefined where there is nothing new. */
 export function takePlatformAnswer(
   state: DistributionState,
-  value: PlatformValue | undefined,
+  answer: {
+    readonly value: PlatformValue | undefined;
+    readonly forConfirmation: boolean;
+  },
   context: DistributionContext,
 ): Transition {
   const { platform } = state;
+  const { value, forConfirmation } = answer;
   const regained = platform.reachable === false
     ? [createAuditEffect({
       kind: AuditEntryKind.PlatformRegained,
@@ -32,19 +36,26 @@
     ...state,
     platform: {
       ...platform,
-      isReading: false,
       reachable: true,
-      failures: 0,
       revision: value?.revision ?? platform.revision,
-      nextReadAt: getNextReadAt(state, value, context),
+      ...forConfirmation ? {} : {
+        isReading: false,
+        failures: 0,
+        nextReadAt: getNextReadAt(state, value, context),
+      },
     },
   };
   return chainSteps(answered, [
     (current) => ({ state: current, effects: regained }),
     (current) => stay(notePlatformHeard(current, { at: context.now, context })),
-    (current) => stay(notePlatformConfirmation(current, context)),
     (current) =>
       isNew ? takePlatformValue(current, value, context) : stay(current),
+    (current) =>
+      stay(
+        forConfirmation
+          ? notePlatformConfirmation(current, { isAnswered: true }, context)
+          : current,
+      ),
   ]);
 }
 
--- a/src/testing/create_control_network.ts
+++ b/src/testing/create_control_network.ts
@@ -58,12 +58,16 @@
   ): void {
     const to = formatAddress(call.address);
     const { method } = call;
-    const fail = (kind: ControlFailureKind, detail: string) =>
-      resolve(Result.err({ kind, detail }));
-    timers.at(
+    const deadline = timers.at(
       call.deadline,
       () => fail(ControlFailureKind.NoAnswer, "The deadline passed"),
     );
+    const settle = (answer: Answer) => {
+      deadline.cancel();
+      resolve(answer);
+    };
+    const fail = (kind: ControlFailureKind, detail: string) =>
+      settle(Result.err({ kind, detail }));
     send(
       { from, to, method, isAnswer: false, content: call.parameters },
       (parameters) => {
@@ -76,7 +80,7 @@
           (content) =>
             send(
               { from: to, to: from, method, isAnswer: true, content },
-              (result) => resolve(Result.ok(result)),
+              (result) => settle(Result.ok(result)),
             ),
           (error: unknown) => fail(ControlFailureKind.Rejected, String(error)),
         );
--- a/src/testing/create_distribution_fleet.ts
+++ b/src/testing/create_distribution_fleet.ts
@@ -37,6 +37,7 @@
     { length: options.vms },
     (_, index) => createVmEntry(index, options.zones),
   );
+  const states = new Map<string, NodeState>();
   let starts = 0;
   platform.setVms(entries);
 
@@ -85,7 +86,8 @@
       controlClient: network.createClient(entry.nodeAddress),
       platformClient: platform.createClient(entry.vm),
       getOwnState: () => ({
-        state: applied.length > 0 ? NodeState.Serving : NodeState.Starting,
+        state: states.get(entry.vm) ??
+          (applied.length > 0 ? NodeState.Serving : NodeState.Starting),
         backendServerState: BackendServerState.Ready,
         freeSlots: 1,
       }),
@@ -108,6 +110,8 @@
     platform,
     start,
     kill,
+    setState: (vm, state) =>
+      state === undefined ? void states.delete(vm) : void states.set(vm, state),
     getNode: (vm) => nodes.get(vm),
     getNodes: () => [...nodes.values()],
     getVms: () => entries,
--- a/src/testing/distribution_fleet.ts
+++ b/src/testing/distribution_fleet.ts
@@ -1,3 +1,4 @@
+import type { NodeState } from "../peers/node_state.ts";
 import type { VmEntry } from "../platform/vm_entry.ts";
 import type { ControlNetwork } from "./control_network.ts";
 import type { FleetNode } from "./fleet_node.ts";
@@ -13,6 +14,8 @@
   start(vm: string): FleetNode;
   /** Ends the node of a VM without a word. */
   kill(vm: string): void;
+  /** Sets what a node says of itself; undefined for starting or serving, as it is. */
+  setState(vm: string, state: NodeState | undefined): void;
   getNode(vm: string): FleetNode | undefined;
   /** Returns the nodes that run. */
   getNodes(): readonly FleetNode[];
