--- a/src/distribution/confirm_view_test.ts
+++ b/src/distribution/confirm_view_test.ts
@@ -7,15 +7,19 @@
 const shape = { vms: 6, zones: 3 };
 const sleeper = "vm-4";
 
-/** Lets a node say that it was paused and ask its peers; returns whether it has been answered. */
-function confirm(fleet: DistributionFleet, vm: string): () => boolean {
-  let isConfirmed = false;
+/** Lets a node say that it was paused and ask its peers; returns the version in force when it was answered. */
+function confirm(
+  fleet: DistributionFleet,
+  vm: string,
+): () => number | undefined {
+  const runtime = fleet.getNode(vm)?.runtime;
+  let confirmedNumber: number | undefined;
   fleet.setState(vm, NodeState.ConfirmingView);
-  fleet.getNode(vm)?.runtime.confirmView().then(() => {
-    isConfirmed = true;
+  runtime?.confirmView().then(() => {
+    confirmedNumber = runtime.getSnapshot()?.version.number;
     fleet.setState(vm, undefined);
   });
-  return () => isConfirmed;
+  return () => confirmedNumber;
 }
 
 /** Cuts a node off from its peers and from the platform, as sleep does. */
@@ -27,9 +31,9 @@
 
 test("confirmView() resolves as soon as peers answer", async (t) => {
   const fleet = await startDistributionFleet({ ...shape, seed: 21 });
-  const isConfirmed = confirm(fleet, sleeper);
+  const getConfirmed = confirm(fleet, sleeper);
   await fleet.advanceBy(20);
-  t.true(isConfirmed());
+  t.is(getConfirmed(), 1);
 });
 
 test("confirmView() resolves only once the newer version of the peers is in force", async (t) => {
@@ -40,32 +44,31 @@
   await fleet.advanceBy(5_000);
   t.is(node?.applied.length, 1);
   fleet.network.partition([]);
-  const isConfirmed = confirm(fleet, sleeper);
-  t.false(isConfirmed());
+  const getConfirmed = confirm(fleet, sleeper);
+  t.is(getConfirmed(), undefined);
   await fleet.advanceBy(300);
-  t.true(isConfirmed());
-  t.is(node?.runtime.getSnapshot()?.version.number, 2);
+  t.is(getConfirmed(), 2);
 });
 
 test("confirmView() waits while neither a peer nor the platform answers", async (t) => {
   const fleet = await startDistributionFleet({ ...shape, seed: 23 });
   cutOff(fleet, sleeper);
-  const isConfirmed = confirm(fleet, sleeper);
+  const getConfirmed = confirm(fleet, sleeper);
   await fleet.advanceBy(120_000);
-  t.false(isConfirmed());
+  t.is(getConfirmed(), undefined);
   fleet.network.partition([]);
   await fleet.advanceBy(5_000);
-  t.true(isConfirmed());
+  t.is(getConfirmed(), 1);
 });
 
 test("confirmView() takes the platform's word where no peer answers", async (t) => {
   const fleet = await startDistributionFleet({ ...shape, seed: 24 });
   cutOff(fleet, sleeper);
-  const isConfirmed = confirm(fleet, sleeper);
+  const getConfirmed = confirm(fleet, sleeper);
   await fleet.advanceBy(5_000);
   fleet.platform.setCutOff([]);
   await fleet.advanceBy(10_000);
-  t.true(isConfirmed());
+  t.is(getConfirmed(), 1);
 });
 
 test("confirmView() does not trust peers that were paused too while others may answer", async (t) => {
@@ -73,20 +76,22 @@
   fleet.platform.setDown(true);
   const confirmations = fleet.getNodes().map(({ vm }) => confirm(fleet, vm));
   await fleet.advanceBy(1_000);
-  t.false(confirmations.some((isConfirmed) => isConfirmed()));
+  t.true(
+    confirmations.every((getConfirmed) => getConfirmed() === undefined),
+  );
   await fleet.advanceBy(10_000);
-  t.true(confirmations.every((isConfirmed) => isConfirmed()));
+  t.true(confirmations.every((getConfirmed) => getConfirmed() === 1));
 });
 
 test("confirmView() resolves on a node that is alone, the platform down or not", async (t) => {
   const fleet = await startDistributionFleet({ vms: 1, zones: 1, seed: 26 });
   publishSample(fleet, { number: 2, zones: 1, services: 1 });
   await fleet.advanceBy(5_000);
-  const isConfirmed = confirm(fleet, "vm-1");
+  const getConfirmed = confirm(fleet, "vm-1");
   await fleet.advanceBy(15_000);
-  t.true(isConfirmed());
+  t.is(getConfirmed(), 2);
   fleet.platform.setDown(true);
-  const isConfirmedAgain = confirm(fleet, "vm-1");
+  const getConfirmedAgain = confirm(fleet, "vm-1");
   await fleet.advanceBy(15_000);
-  t.true(isConfirmedAgain());
+  t.is(getConfirmedAgain(), 2);
 });
