--- /dev/null
+++ b/src/command_line/format_audit_entry.ts
@@ -0,0 +1,35 @@
+import { formatVersion } from "../configuration/format_version.ts";
+import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import { formatInstant } from "./format_instant.ts";
+
+function getChange(
+  from: string | undefined,
+  to: string | undefined,
+): readonly string[] {
+  if (from === undefined && to === undefined) {
+    return [];
+  }
+  return [`${from ?? "none"} to ${to ?? "none"}`];
+}
+
+/** Returns an audit entry as text for people: a line, and one for each reason. */
+export function formatAuditEntry(entry: AuditEntry): string {
+  const parts = [
+    formatInstant(entry.at),
+    entry.vm,
+    entry.kind,
+    ...(entry.subject === undefined ? [] : [entry.subject]),
+    ...getChange(
+      entry.fromVersion && formatVersion(entry.fromVersion),
+      entry.toVersion && formatVersion(entry.toVersion),
+    ),
+    ...getChange(entry.fromState, entry.toState),
+    `from ${entry.source}`,
+  ];
+  return [
+    parts.join("  "),
+    ...entry.reasons.map((reason) => `  ${formatDiagnostic(reason)}`),
+    "",
+  ].join("\n");
+}
--- /dev/null
+++ b/src/command_line/get_failure_status.ts
@@ -0,0 +1,10 @@
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { ExitStatus } from "./exit_status.ts";
+
+/** Returns the exit status for a diagnostic that ended a command. */
+export function getFailureStatus(diagnostic: Diagnostic): ExitStatus {
+  return diagnostic.code === DiagnosticCode.UsageInvalid
+    ? ExitStatus.Usage
+    : ExitStatus.Failure;
+}
--- /dev/null
+++ b/src/command_line/parse_command_line.ts
@@ -0,0 +1,70 @@
+import { parseArgs, type ParseArgsConfig } from "node:util";
+import { Result } from "true-myth";
+import { tryOrElse } from "true-myth/result";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
+
+/** The options and the number of operands that a command takes. */
+interface CommandLineShape {
+  readonly options: NonNullable<ParseArgsConfig["options"]>;
+  readonly operandsMinimum: number;
+  readonly operandsMaximum: number;
+  /** What the usage diagnostic says is allowed. */
+  readonly usage: string;
+}
+
+function findOperandFault(
+  operands: readonly string[],
+  shape: CommandLineShape,
+): Diagnostic | undefined {
+  if (operands.length < shape.operandsMinimum) {
+    return createDiagnostic(DiagnosticCode.UsageInvalid, {
+      path: "operands",
+      found: "missing",
+      allowed: shape.usage,
+    });
+  }
+  if (operands.length > shape.operandsMaximum) {
+    return createDiagnostic(DiagnosticCode.UsageInvalid, {
+      path: operands[shape.operandsMaximum] ?? "",
+      found: "one too many",
+      allowed: shape.usage,
+    });
+  }
+  return undefined;
+}
+
+/** Parses the arguments of a command; the operands are not counted where `--help` is given. */
+export function parseCommandLine(
+  parameters: readonly string[],
+  shape: CommandLineShape,
+): Result<ParsedCommandLine, Diagnostic> {
+  const parsed = tryOrElse(
+    (error) =>
+      createDiagnostic(DiagnosticCode.UsageInvalid, {
+        path: parameters.join(" "),
+        found: error instanceof Error ? error.message : String(error),
+        allowed: shape.usage,
+      }),
+    () =>
+      parseArgs({
+        args: [...parameters],
+        options: { ...shape.options, help: { type: "boolean", short: "h" } },
+        allowPositionals: true,
+        strict: true,
+      }),
+  );
+  return parsed.andThen(({ values, positionals }) => {
+    const fault = values["help"] === true
+      ? undefined
+      : findOperandFault(positionals, shape);
+    return fault === undefined
+      ? Result.ok<ParsedCommandLine, Diagnostic>({
+        values,
+        operands: positionals,
+      })
+      : Result.err<ParsedCommandLine, Diagnostic>(fault);
+  });
+}
--- /dev/null
+++ b/src/command_line/report_diagnostics.ts
@@ -0,0 +1,13 @@
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import type { CommandOutput } from "./command_output.ts";
+
+/** Writes each diagnostic on a line of its own to standard error. */
+export function reportDiagnostics(
+  diagnostics: readonly Diagnostic[],
+  output: CommandOutput,
+): void {
+  diagnostics.forEach((diagnostic) =>
+    output.writeError(`${formatDiagnostic(diagnostic)}\n`)
+  );
+}
--- /dev/null
+++ b/src/command_line/request_operator_page.ts
@@ -0,0 +1,44 @@
+import { type Dispatcher, request } from "undici";
+import { Result } from "true-myth";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { tryParseAddress } from "../runtime/try_parse_address.ts";
+
+const connectMilliseconds = 3_000;
+const okStatus = 200;
+
+/** Requests a page of a node's operators' listener; `address` is `HOST:PORT`. */
+export async function requestOperatorPage(
+  address: string,
+  path: string,
+): Promise<Result<Dispatcher.ResponseData, Diagnostic>> {
+  if (tryParseAddress(address) === undefined) {
+    return Result.err(createDiagnostic(DiagnosticCode.UsageInvalid, {
+      path: address,
+      found: "no address",
+      allowed: 'the operators\' listener of a node, such as "127.0.0.1:6001"',
+    }));
+  }
+  try {
+    const response = await request(`http://${address}${path}`, {
+      headersTimeout: connectMilliseconds,
+      bodyTimeout: 0,
+    });
+    if (response.statusCode === okStatus) {
+      return Result.ok(response);
+    }
+    await response.body.dump();
+    return Result.err(createDiagnostic(DiagnosticCode.NodeUnreachable, {
+      path: address,
+      found: `HTTP status ${response.statusCode} for "${path}"`,
+    }));
+  } catch (error) {
+    return Result.err(createDiagnostic(DiagnosticCode.NodeUnreachable, {
+      path: address,
+      found: error instanceof Error && error.message !== ""
+        ? error.message
+        : String((error as NodeJS.ErrnoException).code ?? error),
+    }));
+  }
+}
--- /dev/null
+++ b/src/command_line/trail_command.ts
@@ -0,0 +1,64 @@
+import { createInterface } from "node:readline";
+import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import type { CommandOutput } from "./command_output.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { formatAuditEntry } from "./format_audit_entry.ts";
+import { getFailureStatus } from "./get_failure_status.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
+import { requestOperatorPage } from "./request_operator_page.ts";
+
+const usage = "catkinquay trail ADDRESS [--once] [--json]";
+
+const help = `Usage: ${usage}
+
+Follows the audit trail of changes of a node until interrupted: what changed,
+from which version to which, from whom it came, and why it was refused. ADDRESS
+is the node's operators' listener, such as 127.0.0.1:6001.
+
+  --once       show the entries so far and end
+  --json       one JSON object a line for programs
+  -h, --help   show this text
+`;
+
+/** Runs `catkinquay trail`. */
+export async function trailCommand(
+  parameters: readonly string[],
+  output: CommandOutput,
+): Promise<ExitStatus> {
+  const commandLine = parseCommandLine(parameters, {
+    options: { once: { type: "boolean" }, json: { type: "boolean" } },
+    operandsMinimum: 1,
+    operandsMaximum: 1,
+    usage,
+  });
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
+    return ExitStatus.Usage;
+  }
+  const { values, operands } = commandLine.value;
+  if (values["help"] === true) {
+    output.write(help);
+    return ExitStatus.Success;
+  }
+  const path = values["once"] === true ? "/trail" : "/trail?follow";
+  const page = await requestOperatorPage(operands[0] ?? "", path);
+  if (page.isErr) {
+    reportDiagnostics([page.error], output);
+    return getFailureStatus(page.error);
+  }
+  const lines = createInterface({
+    input: page.value.body,
+    crlfDelay: Infinity,
+  });
+  lines.on("line", (line) =>
+    output.write(
+      values["json"] === true
+        ? `${line}\n`
+        : formatAuditEntry(JSON.parse(line) as AuditEntry),
+    ));
+  return await new Promise((resolve) => {
+    page.value.body.once("error", () => resolve(ExitStatus.Failure));
+    lines.once("close", () => resolve(ExitStatus.Success));
+  });
+}
--- /dev/null
+++ b/src/daemon/create_control_listener.ts
@@ -0,0 +1,108 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { text } from "node:stream/consumers";
+import {
+  createJSONRPCErrorResponse,
+  isJSONRPCRequest,
+  JSONRPCErrorCode,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+  JSONRPCServer,
+} from "json-rpc-2.0";
+import { tryOrElse } from "true-myth/result";
+import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
+import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { ControlHandler } from "./control_handler.ts";
+
+/** The control methods that the calls answer; all others belong to the distribution. */
+const callMethods: readonly string[] = ["settleCall", "settleKey"];
+const okStatus = 200;
+const payloadTooLargeStatus = 413;
+
+/** Serves `POST /control`: one JSON-RPC 2.0 request, one answer. */
+export function createControlListener(
+  options: {
+    readonly calls: ControlHandler;
+    readonly distribution: ControlHandler;
+    readonly log: Log;
+    /** Requests with a longer body are refused unread. */
+    readonly bodyBytesMaximum: number;
+  },
+): (request: IncomingMessage, response: ServerResponse) => void {
+  const server = new JSONRPCServer({
+    errorListener: (message, data) => options.log.debug({ data }, message),
+  });
+  server.mapErrorToJSONRPCErrorResponse = (identifier, error) =>
+    createJSONRPCErrorResponse(
+      identifier,
+      error instanceof DiagnosticFailure
+        ? JSONRPCErrorCode.InvalidParams
+        : JSONRPCErrorCode.InternalError,
+      error instanceof DiagnosticFailure
+        ? formatDiagnostic(error.diagnostic)
+        : "The node failed to answer",
+    );
+
+  function answerRequest(
+    request: JSONRPCRequest,
+  ): Promise<JSONRPCResponse | null> {
+    if (!server.hasMethod(request.method)) {
+      const handler = callMethods.includes(request.method)
+        ? options.calls
+        : options.distribution;
+      server.addMethod(
+        request.method,
+        (parameters: unknown) => handler(request.method, parameters),
+      );
+    }
+    return Promise.resolve(server.receive(request));
+  }
+
+  function answerText(body: string): Promise<JSONRPCResponse | null> {
+    const parsed = tryOrElse(
+      () => undefined,
+      () => JSON.parse(body) as unknown,
+    );
+    if (parsed.isErr) {
+      return Promise.resolve(
+        createJSONRPCErrorResponse(
+          null,
+          JSONRPCErrorCode.ParseError,
+          "The body is not JSON",
+        ),
+      );
+    }
+    if (!isJSONRPCRequest(parsed.value)) {
+      return Promise.resolve(
+        createJSONRPCErrorResponse(
+          null,
+          JSONRPCErrorCode.InvalidRequest,
+          "The body is not a JSON-RPC 2.0 request",
+        ),
+      );
+    }
+    return answerRequest(parsed.value);
+  }
+
+  return (request, response) => {
+    if (
+      Number(request.headers["content-length"] ?? 0) > options.bodyBytesMaximum
+    ) {
+      response.writeHead(payloadTooLargeStatus, { connection: "close" }).end();
+      return;
+    }
+    text(request)
+      .then(answerText)
+      .then((answer) => {
+        const body = JSON.stringify(answer);
+        response.writeHead(okStatus, {
+          "content-type": "application/json",
+          "content-length": Buffer.byteLength(body),
+        }).end(body);
+      })
+      .catch((error: unknown) => {
+        options.log.debug({ error }, "Control request ended early");
+        response.destroy();
+      });
+  };
+}
--- /dev/null
+++ b/src/daemon/create_node_daemon.ts
@@ -0,0 +1,150 @@
+import { getRequestListener } from "@hono/node-server";
+import { Result } from "true-myth";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { createPauseWatch } from "../health/create_pause_watch.ts";
+import { NodeEventKind } from "../lifecycle/node_event_kind.ts";
+import { NodeState } from "../peers/node_state.ts";
+import { AuditEntryKind } from "../telemetry/audit_entry_kind.ts";
+import { createNodeMetrics } from "../telemetry/create_node_metrics.ts";
+import { createControlListener } from "./create_control_listener.ts";
+import { createNodeLifecycle } from "./create_node_lifecycle.ts";
+import { createNodeRuntimes } from "./create_node_runtimes.ts";
+import { createOperatorApplication } from "./create_operator_application.ts";
+import { createReporting } from "./create_reporting.ts";
+import { getNodeGauges } from "./get_node_gauges.ts";
+import { getNodeStatus } from "./get_node_status.ts";
+import type { NodeDaemon } from "./node_daemon.ts";
+import type { NodeSettings } from "./node_settings.ts";
+import type { NodeStatus } from "./node_status.ts";
+import { openNodeListeners } from "./open_node_listeners.ts";
+import { shutDown } from "./shut_down.ts";
+
+const callPath = "/call";
+
+/** A control request may carry every part of a configuration and its JSON escapes. */
+const controlBytesPerConfigurationByte = 2;
+
+/** Starts a node in this process; fails where a listener cannot be bound. */
+export async function createNodeDaemon(
+  settings: NodeSettings,
+): Promise<Result<NodeDaemon, Diagnostic>> {
+  const reporting = createReporting(
+    settings,
+    () => runtimes.distribution.getSnapshot()?.version,
+  );
+  const { environment, auditTrail } = reporting;
+  const startedAt = environment.clock.now();
+  const metrics = createNodeMetrics(() =>
+    getNodeGauges(getStatus(), isReady())
+  );
+  const runtimes = createNodeRuntimes(settings, {
+    environment,
+    getState: () => lifecycle.getState(),
+    onSnapshot: () => lifecycle.notify(NodeEventKind.ConfigurationInForce),
+    observe: metrics.observe,
+  });
+  const lifecycle = createNodeLifecycle({
+    auditTrail,
+    onChange: (state) =>
+      runtimes.calls.setConfirmingView(state === NodeState.ConfirmingView),
+  });
+  const pauseWatch = createPauseWatch({
+    environment,
+    settings,
+    onPause: () => {
+      lifecycle.notify(NodeEventKind.PauseNoticed);
+      runtimes.distribution.confirmView().then(() => {
+        auditTrail.record({
+          kind: AuditEntryKind.ViewConfirmed,
+          source: "self",
+          reasons: [],
+        });
+        lifecycle.notify(NodeEventKind.ViewConfirmed);
+      });
+    },
+  });
+
+  function isReady(): boolean {
+    return lifecycle.getState() === NodeState.Serving;
+  }
+
+  function getStatus(): NodeStatus {
+    return getNodeStatus(runtimes, {
+      settings,
+      startedAt,
+      at: environment.clock.now(),
+      state: lifecycle.getState(),
+      latencies: metrics.getLatencies(),
+    });
+  }
+
+  const operators = createOperatorApplication({
+    isReady,
+    getStatus,
+    renderMetrics: metrics.render,
+    getDocument: () => runtimes.distribution.getDocument(),
+    auditTrail,
+  });
+  const handleControl = createControlListener({
+    calls: runtimes.calls.handleControlMethod,
+    distribution: runtimes.distribution.handleControlMethod,
+    log: environment.log,
+    bodyBytesMaximum: settings.limits.configurationBytes *
+      controlBytesPerConfigurationByte,
+  });
+  const opened = await openNodeListeners(settings, {
+    callers: runtimes.calls.handleCallerRequest,
+    nodes: (request, response) =>
+      request.url === callPath
+        ? runtimes.calls.handleForwardedCall(request, response)
+        : handleControl(request, response),
+    operators: getRequestListener(operators.fetch),
+  });
+  if (opened.isErr) {
+    await runtimes.closeClients();
+    return Result.err(opened.error);
+  }
+  const listeners = opened.value;
+  runtimes.admission.start();
+  runtimes.distribution.start();
+
+  let abort = () => {};
+  const aborted = new Promise<void>((resolve) => {
+    abort = resolve;
+  });
+  let stopping: Promise<number> | undefined;
+
+  function stop(): Promise<number> {
+    stopping ??= stopOnce();
+    return stopping;
+  }
+
+  async function stopOnce(): Promise<number> {
+    lifecycle.notify(NodeEventKind.StopRequested);
+    pauseWatch.stop();
+    const cut = await shutDown({
+      runtimes,
+      listeners,
+      environment,
+      aborted,
+      deadline: environment.clock.now() + settings.timing.drainMilliseconds,
+    });
+    auditTrail.record({
+      kind: AuditEntryKind.NodeStopped,
+      source: "self",
+      subject: `${cut} calls cut`,
+      reasons: [],
+    });
+    return cut;
+  }
+
+  return Result.ok({
+    addresses: {
+      callers: listeners.callers.address,
+      nodes: listeners.nodes.address,
+      operators: listeners.operators.address,
+    },
+    stop,
+    abort,
+  });
+}
--- /dev/null
+++ b/src/daemon/create_node_runtimes.ts
@@ -0,0 +1,73 @@
+import { createAdmissionRuntime } from "../admission/create_admission_runtime.ts";
+import type { Snapshot } from "../configuration/snapshot.ts";
+import { createDistributionRuntime } from "../distribution/create_distribution_runtime.ts";
+import type { NodeState } from "../peers/node_state.ts";
+import type { NodeEnvironment } from "../runtime/node_environment.ts";
+import type { CallObservation } from "../telemetry/call_observation.ts";
+import { createCallsRuntime } from "./calls/create_calls_runtime.ts";
+import { createBackendServerProber } from "./create_backend_server_prober.ts";
+import { createControlClient } from "./create_control_client.ts";
+import { createPlatformClient } from "./create_platform_client.ts";
+import type { NodeRuntimes } from "./node_runtimes.ts";
+import type { NodeSettings } from "./node_settings.ts";
+
+/** Creates the decision loops of a node and the clients that carry out their effects. */
+export function createNodeRuntimes(
+  settings: NodeSettings,
+  options: {
+    readonly environment: NodeEnvironment;
+    readonly getState: () => NodeState;
+    /** Called after a snapshot was put in force. */
+    readonly onSnapshot: (snapshot: Snapshot) => void;
+    readonly observe: (observation: CallObservation) => void;
+  },
+): NodeRuntimes {
+  const environment = options.environment;
+  const controlClient = createControlClient(environment);
+  const platformClient = createPlatformClient(settings.platform, environment);
+  const prober = settings.backendServer === null
+    ? undefined
+    : createBackendServerProber(settings.backendServer, environment);
+  const admission = createAdmissionRuntime({ settings, environment, prober });
+  const distribution = createDistributionRuntime({
+    settings,
+    environment,
+    controlClient,
+    platformClient,
+    getOwnState: () => {
+      const status = admission.getStatus();
+      return {
+        state: options.getState(),
+        backendServerState: status.backendServerState,
+        freeSlots: status.freeSlots,
+      };
+    },
+    prepareSnapshot: (snapshot) => calls.prepareSnapshot(snapshot),
+    applySnapshot: (snapshot) => {
+      calls.applySnapshot(snapshot);
+      admission.applySnapshot(snapshot);
+      options.onSnapshot(snapshot);
+    },
+  });
+  const calls = createCallsRuntime({
+    settings,
+    environment,
+    admission,
+    controlClient,
+    getPeers: () => distribution.getPeers(),
+    getGoneVms: () => distribution.getGoneVms(),
+    observe: options.observe,
+  });
+  return {
+    admission,
+    calls,
+    distribution,
+    closeClients: async () => {
+      await Promise.all([
+        controlClient.close(),
+        platformClient.close(),
+        prober?.close(),
+      ]);
+    },
+  };
+}
--- /dev/null
+++ b/src/daemon/node_status.ts
@@ -0,0 +1,26 @@
+import type { AdmissionStatus } from "../admission/admission_status.ts";
+import type { CallsStatus } from "../calls/calls_status.ts";
+import type { Version } from "../configuration/version.ts";
+import type { DistributionStatus } from "../distribution/distribution_status.ts";
+import type { NodeState } from "../peers/node_state.ts";
+import type { PeerRecord } from "../peers/peer_record.ts";
+import type { LatencySummary } from "../telemetry/latency_summary.ts";
+
+/** What the operators' listener answers at `/status`. */
+export interface NodeStatus {
+  readonly vm: string;
+  readonly zone: string;
+  readonly state: NodeState;
+  /** When the process started, in milliseconds since the Unix epoch. */
+  readonly startedAt: number;
+  /** When the status was made, in milliseconds since the Unix epoch. */
+  readonly at: number;
+  readonly version: Version | null;
+  /** Zones that the configuration in force takes out. */
+  readonly zonesTakenOut: readonly string[];
+  readonly backendServer: ({ readonly name: string } & AdmissionStatus) | null;
+  readonly distribution: DistributionStatus;
+  readonly peers: readonly PeerRecord[];
+  readonly calls: CallsStatus;
+  readonly latencies: readonly LatencySummary[];
+}
--- /dev/null
+++ b/src/daemon/open_listener.ts
@@ -0,0 +1,74 @@
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { Result } from "true-myth";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { formatAddress } from "../runtime/format_address.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import type { Listener } from "./listener.ts";
+
+/** How long an idle connection is kept for the next request. */
+const keepAliveMilliseconds = 30_000;
+const sweepMilliseconds = 50;
+
+/** What `openListener` binds and how it answers. */
+interface ListenerOptions {
+  readonly address: NetworkAddress;
+  readonly requestHeaderBytes: number;
+  readonly onRequest: RequestListener;
+  /** Answers a request that is not HTTP or whose header is too large. */
+  readonly onBrokenRequest: (
+    error: NodeJS.ErrnoException,
+    socket: Duplex,
+  ) => void;
+}
+
+/** Binds an HTTP listener; fails with ListenerUnavailable where the address cannot be bound. */
+export function openListener(
+  options: ListenerOptions,
+): Promise<Result<Listener, Diagnostic>> {
+  const server = createServer({
+    maxHeaderSize: options.requestHeaderBytes,
+    keepAliveTimeout: keepAliveMilliseconds,
+    noDelay: true,
+  }, options.onRequest);
+  server.on("clientError", options.onBrokenRequest);
+
+  function close(): Promise<void> {
+    return new Promise((resolve) => {
+      // A connection becomes idle only after its last answer, so idle ones are closed again and again until all are gone.
+      const sweep = setInterval(
+        () => server.closeIdleConnections(),
+        sweepMilliseconds,
+      );
+      server.close(() => {
+        clearInterval(sweep);
+        resolve();
+      });
+      server.closeIdleConnections();
+    });
+  }
+
+  return new Promise((resolve) => {
+    server.once("error", (error) =>
+      resolve(Result.err(
+        createDiagnostic(DiagnosticCode.ListenerUnavailable, {
+          path: formatAddress(options.address),
+          found: error.message,
+        }),
+      )));
+    server.listen(options.address.port, options.address.host, () => {
+      const bound = server.address() as AddressInfo;
+      resolve(Result.ok({
+        address: { host: options.address.host, port: bound.port },
+        close,
+        destroy: () => {
+          server.close();
+          server.closeAllConnections();
+        },
+      }));
+    });
+  });
+}
--- /dev/null
+++ b/src/daemon/open_node_listeners.ts
@@ -0,0 +1,45 @@
+import type { RequestListener } from "node:http";
+import { Result } from "true-myth";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import type { Listener } from "./listener.ts";
+import type { NodeListeners } from "./node_listeners.ts";
+import type { NodeSettings } from "./node_settings.ts";
+import { openListener } from "./open_listener.ts";
+import { refuseBrokenRequest } from "./refuse_broken_request.ts";
+
+/** Binds the three listeners of a node; where one fails, the others are closed again. */
+export async function openNodeListeners(
+  settings: NodeSettings,
+  handlers: Readonly<Record<keyof NodeListeners, RequestListener>>,
+): Promise<Result<NodeListeners, Diagnostic>> {
+  function open(
+    address: NetworkAddress,
+    onRequest: RequestListener,
+  ): Promise<Result<Listener, Diagnostic>> {
+    return openListener({
+      address,
+      onRequest,
+      onBrokenRequest: refuseBrokenRequest,
+      requestHeaderBytes: settings.limits.requestHeaderBytes,
+    });
+  }
+  const opened = await Promise.all([
+    open(settings.listeners.callers, handlers.callers),
+    open(settings.listeners.nodes, handlers.nodes),
+    open(settings.listeners.operators, handlers.operators),
+  ]);
+  const [callers, nodes, operators] = opened;
+  if (callers.isOk && nodes.isOk && operators.isOk) {
+    return Result.ok({
+      callers: callers.value,
+      nodes: nodes.value,
+      operators: operators.value,
+    });
+  }
+  opened
+    .filter((result) => result.isOk)
+    .forEach((result) => result.value.destroy());
+  const failed = opened.find((result) => result.isErr);
+  return Result.err((failed as { readonly error: Diagnostic }).error);
+}
--- /dev/null
+++ b/src/lifecycle/get_next_node_state_test.ts
@@ -0,0 +1,20 @@
+import test from "ava";
+import { NodeState } from "../peers/node_state.ts";
+import { getNextNodeState } from "./get_next_node_state.ts";
+import { NodeEventKind } from "./node_event_kind.ts";
+
+test("getNextNodeState() follows the recorded table", (t) => {
+  const states = Object.values(NodeState);
+  const events = Object.values(NodeEventKind);
+  const table = states.map((state) =>
+    `${state}: ${
+      events.map((event) => getNextNodeState(state, event)).join(", ")
+    }`
+  );
+  t.deepEqual(table, [
+    "starting: serving, starting, starting, draining",
+    "serving: serving, confirming-view, serving, draining",
+    "confirming-view: confirming-view, confirming-view, serving, draining",
+    "draining: draining, draining, draining, draining",
+  ]);
+});
