Answer a control body of null with an error

Cause: a test showed that a JSON-RPC body of null made the library's check fail and the connection end without an answer. Ruled out: the JSON parser. Change: null is refused before the check.

--- a/src/daemon/create_control_listener.ts
+++ b/src/daemon/create_control_listener.ts
@@ -72,7 +72,8 @@
         ),
       );
     }
-    if (!isJSONRPCRequest(parsed.value)) {
+    // The library's check reads fields at once and would fail on null.
+    if (parsed.value === null || !isJSONRPCRequest(parsed.value)) {
       return Promise.resolve(
         createJSONRPCErrorResponse(
           null,
