--- /dev/null
+++ b/src/admission/admission_effect.ts
@@ -0,0 +1,20 @@
+import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import type { AdmissionDecision } from "./admission_decision.ts";
+import type { AdmissionEffectKind } from "./admission_effect_kind.ts";
+
+/** Something that the admission wants done. */
+export type AdmissionEffect =
+  | {
+    readonly kind: AdmissionEffectKind.Decide;
+    readonly callIdentifier: string;
+    readonly decision: AdmissionDecision;
+  }
+  | {
+    readonly kind: AdmissionEffectKind.Probe;
+    /** In milliseconds since the Unix epoch. */
+    readonly deadline: number;
+  }
+  | {
+    readonly kind: AdmissionEffectKind.RecordAuditEntry;
+    readonly entry: Omit<AuditEntry, "at" | "vm">;
+  };
--- /dev/null
+++ b/src/admission/admission_policy.ts
@@ -0,0 +1,34 @@
+/** The figures that the admission decides by. Spans become deadlines where they are used. */
+export interface AdmissionPolicy {
+  readonly queuedCalls: number;
+  readonly probeIntervalMilliseconds: number;
+  readonly probeTimeoutMilliseconds: number;
+  /** The least time between two probes while given-up calls hold slots that others wait for. */
+  readonly lingeringProbeIntervalMilliseconds: number;
+  /** How long a given-up call may hold its slot without proof that it has ended. */
+  readonly lingeringMilliseconds: number;
+  /** What the limit is multiplied by when the backend server sheds or breaks a call. */
+  readonly decreaseFactor: number;
+  /** The least time between two steps of the cold-start ramp. */
+  readonly rampStepMilliseconds: number;
+  /**
+   * As `rampStepMilliseconds`, while the calls do not fill the limit, the
+   * backend server says that it is cold, or it is slower than usual.
+   */
+  readonly cautiousStepMilliseconds: number;
+  /** How many times the usual service time makes the ramp cautious. */
+  readonly cautiousSlowdown: number;
+  /** How many sheds in a row, at or below the limit, count as a relapse into cold start. */
+  readonly relapseSheds: number;
+  /** How many times the usual service time counts as a relapse into cold start. */
+  readonly relapseSlowdown: number;
+  /** How many answered calls make a usual service time. */
+  readonly usualSamples: number;
+  /** How many probes in a row must fail before the backend server counts as down. */
+  readonly downProbeFailures: number;
+  readonly initialBackoffMilliseconds: number;
+  readonly maximumBackoffMilliseconds: number;
+  /** When to come back where no service rate says so. */
+  readonly defaultRetryMilliseconds: number;
+  readonly maximumRetryMilliseconds: number;
+}
--- /dev/null
+++ b/src/admission/book_return.ts
@@ -0,0 +1,52 @@
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import { getEffectiveLimit } from "./get_effective_limit.ts";
+import { getOccupiedSlots } from "./get_occupied_slots.ts";
+import type { ReturnBooking } from "./return_booking.ts";
+
+/**
+ * Chooses when a refused caller is to come back. Where the observed service
+ * rate is known, every refusal takes the next place behind those that were
+ * asked to return before it, so that callers return at the rate at which they
+ * can be served. Jitter of half the span keeps them from returning together.
+ */
+export function bookReturn(
+  state: AdmissionState,
+  reason: RefusalReason,
+  context: AdmissionContext,
+): ReturnBooking {
+  const { now, policy } = context;
+  const isCapacity = reason === RefusalReason.Full ||
+    reason === RefusalReason.ColdStart;
+  if (!isCapacity || state.serviceTime.samples === 0) {
+    const earliest = reason === RefusalReason.BackendServerDown
+      ? Math.max(now, state.contact.trialAt)
+      : now;
+    return {
+      state,
+      retryAt: jitter(earliest, policy.defaultRetryMilliseconds, context),
+    };
+  }
+  const millisecondsPerCall = state.serviceTime.recentMilliseconds /
+    Math.max(1, getEffectiveLimit(state));
+  const backlog = getOccupiedSlots(state) + state.queue.length;
+  const bookedUntil = Math.min(
+    now + policy.maximumRetryMilliseconds,
+    Math.max(state.returnsBookedUntil, now + backlog * millisecondsPerCall) +
+      millisecondsPerCall,
+  );
+  return {
+    state: { ...state, returnsBookedUntil: bookedUntil },
+    retryAt: jitter(now, bookedUntil - now, context),
+  };
+}
+
+function jitter(
+  earliest: number,
+  spanMilliseconds: number,
+  context: AdmissionContext,
+): number {
+  const factor = 0.75 + 0.5 * context.random.next();
+  return Math.ceil(earliest + Math.max(1, spanMilliseconds * factor));
+}
--- /dev/null
+++ b/src/admission/create_admission_policy.ts
@@ -0,0 +1,26 @@
+import type { NodeSettings } from "../daemon/node_settings.ts";
+import type { AdmissionPolicy } from "./admission_policy.ts";
+
+/** Creates the policy that a node with these settings uses. */
+export function createAdmissionPolicy(settings: NodeSettings): AdmissionPolicy {
+  const probeIntervalMilliseconds = settings.timing.probeIntervalMilliseconds;
+  return {
+    queuedCalls: settings.limits.queuedCalls,
+    probeIntervalMilliseconds,
+    probeTimeoutMilliseconds: Math.min(1_000, probeIntervalMilliseconds),
+    lingeringProbeIntervalMilliseconds: 20,
+    lingeringMilliseconds: 5_000,
+    decreaseFactor: 0.7,
+    rampStepMilliseconds: 250,
+    cautiousStepMilliseconds: 2_000,
+    cautiousSlowdown: 1.5,
+    relapseSheds: 3,
+    relapseSlowdown: 3,
+    usualSamples: 20,
+    downProbeFailures: 3,
+    initialBackoffMilliseconds: 100,
+    maximumBackoffMilliseconds: 5_000,
+    defaultRetryMilliseconds: 1_000,
+    maximumRetryMilliseconds: 10_000,
+  };
+}
--- /dev/null
+++ b/src/admission/create_admission_runtime.ts
@@ -0,0 +1,148 @@
+import { match } from "ts-pattern";
+import type { TimerHandle } from "../runtime/timer_handle.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import type { AdmissionDecision } from "./admission_decision.ts";
+import { AdmissionDecisionKind } from "./admission_decision_kind.ts";
+import type { AdmissionEffect } from "./admission_effect.ts";
+import { AdmissionEffectKind } from "./admission_effect_kind.ts";
+import type { AdmissionEvent } from "./admission_event.ts";
+import { AdmissionEventKind } from "./admission_event_kind.ts";
+import type { AdmissionRuntime } from "./admission_runtime.ts";
+import type { AdmissionRuntimeOptions } from "./admission_runtime_options.ts";
+import { createAdmissionPolicy } from "./create_admission_policy.ts";
+import { createAdmissionState } from "./create_admission_state.ts";
+import { getAdmissionStatus } from "./get_admission_status.ts";
+import { getNextInstant } from "./get_next_instant.ts";
+import { stepAdmission } from "./step_admission.ts";
+
+/** Creates the loop that holds the admission's state and carries out its effects. */
+export function createAdmissionRuntime(
+  options: AdmissionRuntimeOptions,
+): AdmissionRuntime {
+  const { environment, prober, settings } = options;
+  const { clock, timers, random, auditTrail } = environment;
+  const policy = options.policy ?? createAdmissionPolicy(settings);
+  const undecided = new Map<string, (decision: AdmissionDecision) => void>();
+  const events: AdmissionEvent[] = [];
+  const drainWaiters: (() => void)[] = [];
+  let state = createAdmissionState(settings);
+  let isStepping = false;
+  let isStopped = false;
+  let timer: { readonly instant: number; readonly handle: TimerHandle } | null =
+    null;
+
+  /** Handles one event after the other, so that a callback may send another. */
+  function send(event: AdmissionEvent): void {
+    events.push(event);
+    if (isStepping) return;
+    isStepping = true;
+    try {
+      // The list grows while it is worked off, which no array method allows for.
+      for (
+        let next = events.shift();
+        next !== undefined;
+        next = events.shift()
+      ) {
+        const step = stepAdmission(state, next, {
+          now: clock.now(),
+          random,
+          policy,
+        });
+        state = step.state;
+        step.effects.forEach(carryOut);
+      }
+    } finally {
+      isStepping = false;
+    }
+    setTimer();
+    resolveDrain();
+  }
+
+  function carryOut(effect: AdmissionEffect): void {
+    match(effect)
+      .with({ kind: AdmissionEffectKind.Decide }, (decide) => {
+        const callback = undecided.get(decide.callIdentifier);
+        undecided.delete(decide.callIdentifier);
+        if (callback !== undefined) return callback(decide.decision);
+        // Its caller left between the decision and this effect.
+        send({
+          kind: AdmissionEventKind.Unclaimed,
+          callIdentifier: decide.callIdentifier,
+        });
+      })
+      .with({ kind: AdmissionEffectKind.Probe }, (probe) => {
+        void prober?.probe({ deadline: probe.deadline }).then((result) => {
+          if (isStopped) return;
+          send(
+            result.isOk
+              ? { kind: AdmissionEventKind.ProbeAnswered, probe: result.value }
+              : { kind: AdmissionEventKind.ProbeFailed },
+          );
+        });
+      })
+      .with(
+        { kind: AdmissionEffectKind.RecordAuditEntry },
+        ({ entry }) => auditTrail.record(entry),
+      )
+      .exhaustive();
+  }
+
+  /** Leaves a timer alone that runs early enough: it is set anew when it has run. */
+  function setTimer(): void {
+    const instant = isStopped
+      ? Number.POSITIVE_INFINITY
+      : getNextInstant(state, { policy });
+    if (timer !== null && timer.instant <= instant) return;
+    timer?.handle.cancel();
+    timer = null;
+    if (instant === Number.POSITIVE_INFINITY) return;
+    const handle = timers.at(instant, () => {
+      timer = null;
+      send({ kind: AdmissionEventKind.InstantReached });
+    });
+    timer = { instant, handle };
+  }
+
+  function resolveDrain(): void {
+    if (!state.nodeDraining || state.running.length > 0) return;
+    drainWaiters.splice(0).forEach((resolve) => resolve());
+  }
+
+  return {
+    start: () => send({ kind: AdmissionEventKind.Started }),
+    request(request, decide) {
+      if (undecided.has(request.callIdentifier)) {
+        decide({
+          kind: AdmissionDecisionKind.Refused,
+          reason: RefusalReason.RequestInvalid,
+          retryAt: clock.now() + policy.defaultRetryMilliseconds,
+        });
+        return;
+      }
+      undecided.set(request.callIdentifier, decide);
+      send({ kind: AdmissionEventKind.Requested, request });
+    },
+    withdraw(callIdentifier) {
+      undecided.delete(callIdentifier);
+      send({ kind: AdmissionEventKind.Withdrawn, callIdentifier });
+    },
+    report: (report) => send({ kind: AdmissionEventKind.Reported, report }),
+    applySnapshot: (snapshot) =>
+      send({ kind: AdmissionEventKind.SnapshotApplied, snapshot }),
+    drain() {
+      const drained = new Promise<void>((resolve) =>
+        drainWaiters.push(resolve)
+      );
+      send({ kind: AdmissionEventKind.DrainRequested });
+      return drained;
+    },
+    stop() {
+      // The queue is refused, since nothing will decide it later.
+      send({ kind: AdmissionEventKind.DrainRequested });
+      isStopped = true;
+      timer?.handle.cancel();
+      timer = null;
+    },
+    getStatus: () => getAdmissionStatus(state, clock.now()),
+  };
+}
--- /dev/null
+++ b/src/admission/create_admission_runtime_test.ts
@@ -0,0 +1,150 @@
+import test from "ava";
+import { Result } from "true-myth";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { CallPriority } from "../configuration/call_priority.ts";
+import { ZoneState } from "../configuration/zone_state.ts";
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionDecision } from "./admission_decision.ts";
+import { AdmissionDecisionKind } from "./admission_decision_kind.ts";
+import type { AdmissionRuntime } from "./admission_runtime.ts";
+import { createAdmissionRuntime } from "./create_admission_runtime.ts";
+import { DispatchResult } from "./dispatch_result.ts";
+import { createTestEnvironment } from "./testing/create_test_environment.ts";
+import { createTestSettings } from "./testing/create_test_settings.ts";
+import { createTestSnapshot } from "./testing/create_test_snapshot.ts";
+
+function createFixture() {
+  const environment = createTestEnvironment();
+  const runtime = createAdmissionRuntime({
+    settings: createTestSettings(),
+    environment,
+    prober: {
+      probe: () =>
+        Promise.resolve(
+          Result.ok({
+            reportedState: "ready",
+            running: 0,
+            sentAt: environment.clock.now(),
+          }),
+        ),
+      close: () => Promise.resolve(),
+    },
+  });
+  const decisions = new Map<string, AdmissionDecision>();
+  return { environment, runtime, decisions };
+}
+
+function ask(
+  fixture: ReturnType<typeof createFixture>,
+  callIdentifier: string,
+): void {
+  fixture.runtime.request({
+    callIdentifier,
+    priority: CallPriority.Normal,
+    deadline: fixture.environment.clock.now() + 1_000,
+  }, (decision) => fixture.decisions.set(callIdentifier, decision));
+}
+
+function finish(
+  runtime: AdmissionRuntime,
+  callIdentifier: string,
+  dispatchedAt: number,
+): void {
+  runtime.report({
+    callIdentifier,
+    dispatchedAt,
+    result: DispatchResult.Answered,
+  });
+}
+
+test("a request is refused before the first snapshot", (t) => {
+  const fixture = createFixture();
+  ask(fixture, "one");
+  t.like(fixture.decisions.get("one"), {
+    kind: AdmissionDecisionKind.Refused,
+    reason: RefusalReason.NodeStarting,
+  });
+});
+
+test("no more calls than the cold slots are admitted at the start", (t) => {
+  const fixture = createFixture();
+  fixture.runtime.applySnapshot(createTestSnapshot());
+  ["one", "two", "three"].forEach((name) => ask(fixture, name));
+  t.is(
+    fixture.decisions.get("one")?.kind,
+    AdmissionDecisionKind.Admitted,
+  );
+  t.is(
+    fixture.decisions.get("two")?.kind,
+    AdmissionDecisionKind.Admitted,
+  );
+  t.false(fixture.decisions.has("three"));
+  finish(fixture.runtime, "one", fixture.environment.clock.now());
+  t.is(
+    fixture.decisions.get("three")?.kind,
+    AdmissionDecisionKind.Admitted,
+  );
+});
+
+test("a zone taken out refuses its queue and every later request", (t) => {
+  const fixture = createFixture();
+  fixture.runtime.applySnapshot(createTestSnapshot());
+  ["one", "two", "three"].forEach((name) => ask(fixture, name));
+  fixture.runtime.applySnapshot(
+    createTestSnapshot({ zoneState: ZoneState.TakenOut }),
+  );
+  ask(fixture, "four");
+  ["three", "four"].forEach((name) =>
+    t.like(fixture.decisions.get(name), {
+      kind: AdmissionDecisionKind.Refused,
+      reason: RefusalReason.ZoneTakenOut,
+    })
+  );
+});
+
+test("drain() resolves once the admitted calls are reported", async (t) => {
+  const fixture = createFixture();
+  fixture.runtime.applySnapshot(createTestSnapshot());
+  ["one", "two", "three"].forEach((name) => ask(fixture, name));
+  let drained = false;
+  const draining = fixture.runtime.drain().then(() => {
+    drained = true;
+  });
+  t.like(fixture.decisions.get("three"), {
+    reason: RefusalReason.NodeDraining,
+  });
+  finish(fixture.runtime, "one", fixture.environment.clock.now());
+  await Promise.resolve();
+  t.false(drained);
+  finish(fixture.runtime, "two", fixture.environment.clock.now());
+  await draining;
+  t.true(drained);
+});
+
+test("a call that a decision callback withdraws leaves its slot", (t) => {
+  const fixture = createFixture();
+  const { runtime } = fixture;
+  runtime.applySnapshot(createTestSnapshot());
+  ["one", "two"].forEach((name) => ask(fixture, name));
+  const deadline = fixture.environment.clock.now() + 1_000;
+  runtime.request(
+    { callIdentifier: "three", priority: CallPriority.High, deadline },
+    () => runtime.withdraw("four"),
+  );
+  ask(fixture, "four");
+  finish(runtime, "one", fixture.environment.clock.now());
+  finish(runtime, "two", fixture.environment.clock.now());
+  t.false(fixture.decisions.has("four"));
+  t.is(runtime.getStatus().running, 1);
+});
+
+test("probes go on at the interval and end with stop()", async (t) => {
+  const { environment, runtime } = createFixture();
+  runtime.applySnapshot(createTestSnapshot());
+  runtime.start();
+  await environment.settle();
+  t.is(runtime.getStatus().backendServerState, BackendServerState.Cold);
+  t.is(environment.pendingTimers(), 1);
+  runtime.stop();
+  t.is(environment.pendingTimers(), 0);
+});
--- /dev/null
+++ b/src/admission/create_admission_state.ts
@@ -0,0 +1,42 @@
+import type { NodeSettings } from "../daemon/node_settings.ts";
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionState } from "./admission_state.ts";
+
+/** Creates the state of an admission that has heard of nothing yet. */
+export function createAdmissionState(settings: NodeSettings): AdmissionState {
+  return {
+    backendServerName: settings.backendServer?.name,
+    zone: settings.zone,
+    version: undefined,
+    backendServer: undefined,
+    backendServerState: BackendServerState.Unknown,
+    nodeDraining: false,
+    limit: {
+      current: 1,
+      changedAt: 0,
+      answered: 0,
+      answeredWhenFull: 0,
+      shedInARow: 0,
+    },
+    running: [],
+    lingering: [],
+    queue: [],
+    nextSequence: 0,
+    serviceTime: { samples: 0, recentMilliseconds: 0, usualMilliseconds: 0 },
+    probing: {
+      underWay: false,
+      sentAt: 0,
+      nextAt: Number.POSITIVE_INFINITY,
+      failuresInARow: 0,
+      failingSince: 0,
+      reportedState: undefined,
+    },
+    contact: {
+      answeredDispatchAt: 0,
+      downSince: 0,
+      trialAt: 0,
+      backoffMilliseconds: 0,
+    },
+    returnsBookedUntil: 0,
+  };
+}
--- /dev/null
+++ b/src/admission/dispatch_queue.ts
@@ -0,0 +1,35 @@
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import type { AdmissionStep } from "./admission_step.ts";
+import { createAdmitEffect } from "./create_admit_effect.ts";
+import { enterDown } from "./enter_down.ts";
+import { getFreeSlots } from "./get_free_slots.ts";
+import { getOccupiedSlots } from "./get_occupied_slots.ts";
+
+/** Admits as many calls from the head of the queue as there are free slots. */
+export function dispatchQueue(
+  state: AdmissionState,
+  context: AdmissionContext,
+): AdmissionStep {
+  const admitted = state.queue.slice(0, getFreeSlots(state, context.now));
+  if (admitted.length === 0) return { state, effects: [] };
+  const occupied = getOccupiedSlots(state);
+  const running = admitted.map(({ request }, position) => ({
+    callIdentifier: request.callIdentifier,
+    admittedAt: context.now,
+    occupiedSlots: occupied + position + 1,
+  }));
+  const dispatched = {
+    ...state,
+    queue: state.queue.slice(admitted.length),
+    running: [...state.running, ...running],
+  };
+  return {
+    // A trial call puts off the next one, for as long as it may take to fail.
+    state: state.backendServerState === BackendServerState.Down
+      ? enterDown(dispatched, context)
+      : dispatched,
+    effects: running.map((call) => createAdmitEffect(call.callIdentifier)),
+  };
+}
--- /dev/null
+++ b/src/admission/expire_lingering.ts
@@ -0,0 +1,12 @@
+import type { AdmissionState } from "./admission_state.ts";
+
+/** Frees the slots of given-up calls whose deadline has passed without proof. */
+export function expireLingering(
+  state: AdmissionState,
+  now: number,
+): AdmissionState {
+  return {
+    ...state,
+    lingering: state.lingering.filter((slot) => slot.until > now),
+  };
+}
--- /dev/null
+++ b/src/admission/get_effective_limit.ts
@@ -0,0 +1,20 @@
+import { match } from "ts-pattern";
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionState } from "./admission_state.ts";
+
+/** Returns how many calls may be at the backend server at once, from 0 to its registered slots. */
+export function getEffectiveLimit(state: AdmissionState): number {
+  const server = state.backendServer;
+  if (server === undefined) return 0;
+  const current = Math.max(
+    1,
+    Math.floor(Math.min(state.limit.current, server.slots)),
+  );
+  return match(state.backendServerState)
+    .with(BackendServerState.Unknown, () => Math.min(current, server.coldSlots))
+    .with(BackendServerState.Cold, BackendServerState.Ready, () => current)
+    .with(BackendServerState.Draining, () => 0)
+    // The one call that tries whether it is back.
+    .with(BackendServerState.Down, () => 1)
+    .exhaustive();
+}
--- /dev/null
+++ b/src/admission/get_next_probe_instant.ts
@@ -0,0 +1,20 @@
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import { isLingeringProbeWanted } from "./is_lingering_probe_wanted.ts";
+
+/** Returns when the next probe is due, in milliseconds since the Unix epoch; infinite while one is under way. */
+export function getNextProbeInstant(
+  state: AdmissionState,
+  context: Pick<AdmissionContext, "policy">,
+): number {
+  const { underWay, sentAt, nextAt } = state.probing;
+  if (underWay || state.backendServerName === undefined) {
+    return Number.POSITIVE_INFINITY;
+  }
+  return isLingeringProbeWanted(state)
+    ? Math.min(
+      nextAt,
+      sentAt + context.policy.lingeringProbeIntervalMilliseconds,
+    )
+    : nextAt;
+}
--- /dev/null
+++ b/src/admission/handle_report.ts
@@ -0,0 +1,63 @@
+import { match } from "ts-pattern";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import type { DispatchReport } from "./dispatch_report.ts";
+import { DispatchResult } from "./dispatch_result.ts";
+import { learnFromAnswer } from "./learn_from_answer.ts";
+import { learnFromRefusedConnection } from "./learn_from_refused_connection.ts";
+import { learnFromOverload } from "./learn_from_overload.ts";
+import { observeServiceTime } from "./observe_service_time.ts";
+
+/** Frees or holds the slot of a call that has ended, and learns from how it ended. */
+export function handleReport(
+  state: AdmissionState,
+  report: DispatchReport,
+  context: AdmissionContext,
+): AdmissionState {
+  const call = state.running.find((running) =>
+    running.callIdentifier === report.callIdentifier
+  );
+  if (call === undefined) return state;
+  const released = releaseSlot(state, report, context);
+  const observed = observeServiceTime(released, {
+    report,
+    now: context.now,
+  });
+  return match(report.result)
+    .with(
+      DispatchResult.Answered,
+      () => learnFromAnswer(observed, { report, call, context }),
+    )
+    .with(
+      DispatchResult.Shed,
+      DispatchResult.Broken,
+      () => learnFromOverload(observed, { report, context }),
+    )
+    .with(
+      DispatchResult.ConnectionRefused,
+      () => learnFromRefusedConnection(observed, { report, context }),
+    )
+    .with(DispatchResult.Cancelled, () => observed)
+    .exhaustive();
+}
+
+function releaseSlot(
+  state: AdmissionState,
+  report: DispatchReport,
+  context: AdmissionContext,
+): AdmissionState {
+  const running = state.running.filter((call) =>
+    call.callIdentifier !== report.callIdentifier
+  );
+  const mayStillRun = report.result === DispatchResult.Cancelled ||
+    report.result === DispatchResult.Broken;
+  if (!mayStillRun) return { ...state, running };
+  return {
+    ...state,
+    running,
+    lingering: [...state.lingering, {
+      since: context.now,
+      until: context.now + context.policy.lingeringMilliseconds,
+    }],
+  };
+}
--- /dev/null
+++ b/src/admission/handle_request.ts
@@ -0,0 +1,36 @@
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionRequest } from "./admission_request.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import type { AdmissionStep } from "./admission_step.ts";
+import { compareQueuedCalls } from "./compare_queued_calls.ts";
+import { refuseCalls } from "./refuse_calls.ts";
+
+/** Puts a call in its place in the queue; the later phases admit it, refuse it or let it wait. */
+export function handleRequest(
+  state: AdmissionState,
+  request: AdmissionRequest,
+  context: AdmissionContext,
+): AdmissionStep {
+  const isKnown =
+    state.running.some((call) =>
+      call.callIdentifier === request.callIdentifier
+    ) ||
+    state.queue.some((call) =>
+      call.request.callIdentifier === request.callIdentifier
+    );
+  if (isKnown) {
+    return refuseCalls(state, [request.callIdentifier], {
+      reason: RefusalReason.RequestInvalid,
+      context,
+    });
+  }
+  const queue = [
+    ...state.queue,
+    { request, sequence: state.nextSequence },
+  ].sort(compareQueuedCalls);
+  return {
+    state: { ...state, queue, nextSequence: state.nextSequence + 1 },
+    effects: [],
+  };
+}
--- /dev/null
+++ b/src/admission/handle_snapshot.ts
@@ -0,0 +1,61 @@
+import type { Snapshot } from "../configuration/snapshot.ts";
+import { ZoneState } from "../configuration/zone_state.ts";
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import { enterColdStart } from "./enter_cold_start.ts";
+import type { LocalBackendServer } from "./local_backend_server.ts";
+
+/** Connections kept free for the probes of the health and load endpoints. */
+const probeConnections = 2;
+
+/** Takes over what a new snapshot says of the local backend server. */
+export function handleSnapshot(
+  state: AdmissionState,
+  snapshot: Snapshot,
+  now: number,
+): AdmissionState {
+  const backendServer = getLocalBackendServer(state, snapshot);
+  const next = { ...state, version: snapshot.version, backendServer };
+  if (backendServer === undefined) return next;
+  const isNew = state.backendServer === undefined;
+  const returns = isClosed(state.backendServer) && !isClosed(backendServer);
+  if (!isNew && !returns) return next;
+  // The whole zone comes back at once, so that the load on one backend server
+  // cannot be told beforehand.
+  const isServing = state.backendServerState === BackendServerState.Cold ||
+    state.backendServerState === BackendServerState.Ready;
+  if (isServing) return enterColdStart(next, now);
+  return {
+    ...next,
+    limit: { ...next.limit, current: backendServer.coldSlots },
+  };
+}
+
+function isClosed(backendServer: LocalBackendServer | undefined): boolean {
+  return backendServer !== undefined &&
+    (backendServer.leaving || backendServer.zoneState === ZoneState.TakenOut);
+}
+
+function getLocalBackendServer(
+  state: AdmissionState,
+  snapshot: Snapshot,
+): LocalBackendServer | undefined {
+  const server = state.backendServerName === undefined
+    ? undefined
+    : snapshot.backendServers.get(state.backendServerName);
+  if (server === undefined) return undefined;
+  const isTakenOut = [server.zone, state.zone].some((zone) =>
+    snapshot.zones.get(zone)?.state === ZoneState.TakenOut
+  );
+  const slots = Math.max(
+    1,
+    Math.min(server.slots, server.connections - probeConnections),
+  );
+  return {
+    zone: server.zone,
+    zoneState: isTakenOut ? ZoneState.TakenOut : ZoneState.InService,
+    leaving: server.leaving,
+    slots,
+    coldSlots: Math.max(1, Math.min(server.coldSlots, slots)),
+  };
+}
--- /dev/null
+++ b/src/admission/is_lingering_probe_wanted.ts
@@ -0,0 +1,9 @@
+import type { AdmissionState } from "./admission_state.ts";
+import { getEffectiveLimit } from "./get_effective_limit.ts";
+import { getOccupiedSlots } from "./get_occupied_slots.ts";
+
+/** Tells whether a given-up call holds a slot that the next call would need. */
+export function isLingeringProbeWanted(state: AdmissionState): boolean {
+  return state.lingering.length > 0 &&
+    getOccupiedSlots(state) >= getEffectiveLimit(state);
+}
--- /dev/null
+++ b/src/admission/refuse_calls.ts
@@ -0,0 +1,33 @@
+import type { RefusalReason } from "../calls/refusal_reason.ts";
+import { AdmissionDecisionKind } from "./admission_decision_kind.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import { AdmissionEffectKind } from "./admission_effect_kind.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import type { AdmissionStep } from "./admission_step.ts";
+import { bookReturn } from "./book_return.ts";
+
+/** Refuses calls that the state no longer holds, each with an instant to come back of its own. */
+export function refuseCalls(
+  state: AdmissionState,
+  callIdentifiers: readonly string[],
+  options: {
+    readonly reason: RefusalReason;
+    readonly context: AdmissionContext;
+  },
+): AdmissionStep {
+  return callIdentifiers.reduce<AdmissionStep>((step, callIdentifier) => {
+    const booking = bookReturn(step.state, options.reason, options.context);
+    return {
+      state: booking.state,
+      effects: [...step.effects, {
+        kind: AdmissionEffectKind.Decide,
+        callIdentifier,
+        decision: {
+          kind: AdmissionDecisionKind.Refused,
+          reason: options.reason,
+          retryAt: booking.retryAt,
+        },
+      }],
+    };
+  }, { state, effects: [] });
+}
--- /dev/null
+++ b/src/admission/schedule_probe.ts
@@ -0,0 +1,29 @@
+import type { AdmissionContext } from "./admission_context.ts";
+import { AdmissionEffectKind } from "./admission_effect_kind.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import type { AdmissionStep } from "./admission_step.ts";
+import { getNextProbeInstant } from "./get_next_probe_instant.ts";
+
+/** Sends the probe that is due. */
+export function scheduleProbe(
+  state: AdmissionState,
+  context: AdmissionContext,
+): AdmissionStep {
+  const { now, policy } = context;
+  if (now < getNextProbeInstant(state, context)) return { state, effects: [] };
+  return {
+    state: {
+      ...state,
+      probing: {
+        ...state.probing,
+        underWay: true,
+        sentAt: now,
+        nextAt: now + policy.probeIntervalMilliseconds,
+      },
+    },
+    effects: [{
+      kind: AdmissionEffectKind.Probe,
+      deadline: now + policy.probeTimeoutMilliseconds,
+    }],
+  };
+}
