--- a/src/admission/create_admission_runtime_test.ts
+++ b/src/admission/create_admission_runtime_test.ts
@@ -14,7 +14,7 @@
 import { createTestSnapshot } from "./testing/create_test_snapshot.ts";
 
 function createFixture() {
-  const environment = createTestEnvironment();
+  const environment = createTestEnvironment(1);
   const runtime = createAdmissionRuntime({
     settings: createTestSettings(),
     environment,
@@ -142,9 +142,9 @@
   const { environment, runtime } = createFixture();
   runtime.applySnapshot(createTestSnapshot());
   runtime.start();
-  await environment.settle();
+  await environment.advanceTo(environment.clock.now());
   t.is(runtime.getStatus().backendServerState, BackendServerState.Cold);
-  t.is(environment.pendingTimers(), 1);
+  t.is(environment.countTimers(), 1);
   runtime.stop();
-  t.is(environment.pendingTimers(), 0);
+  t.is(environment.countTimers(), 0);
 });
--- a/src/daemon/create_backend_server_prober.ts
+++ b/src/daemon/create_backend_server_prober.ts
@@ -5,6 +5,7 @@
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import type { BackendServerProber } from "../health/backend_server_prober.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 
 const maximumAnswerBytes = 4_096;
@@ -23,7 +24,7 @@
   options: { readonly clock: Clock },
 ): BackendServerProber {
   const { clock } = options;
-  const origin = `http://${address.host}:${address.port}`;
+  const origin = `http://${formatAddress(address)}`;
   const agent = new Agent({
     connections,
     pipelining: 1,
@@ -59,7 +60,7 @@
       } catch (error) {
         return Result.err(
           createDiagnostic(DiagnosticCode.BackendServerUnreachable, {
-            path: `${address.host}:${address.port}`,
+            path: formatAddress(address),
             found: error instanceof Error ? error.message : String(error),
           }),
         );
