Look at the clock before each request and record each change of state once

Cause: a process that wakes up may be handed a request before its timers run. Change: the pause watch looks at the clock before a call or a control request is taken; the lifecycle leaves the entry of a pause to the watch.

--- a/src/daemon/create_node_daemon.ts
+++ b/src/daemon/create_node_daemon.ts
@@ -53,14 +53,8 @@
     settings,
     onPause: () => {
       lifecycle.notify(NodeEventKind.PauseNoticed);
-      runtimes.distribution.confirmView().then(() => {
-        auditTrail.record({
-          kind: AuditEntryKind.ViewConfirmed,
-          source: "self",
-          reasons: [],
-        });
-        lifecycle.notify(NodeEventKind.ViewConfirmed);
-      });
+      runtimes.distribution.confirmView()
+        .then(() => lifecycle.notify(NodeEventKind.ViewConfirmed));
     },
   });
 
@@ -93,11 +87,19 @@
       controlBytesPerConfigurationByte,
   });
   const opened = await openNodeListeners(settings, {
-    callers: runtimes.calls.handleCallerRequest,
-    nodes: (request, response) =>
-      request.url === callPath
-        ? runtimes.calls.handleForwardedCall(request, response)
-        : handleControl(request, response),
+    callers: (request, response) => {
+      // A process that wakes may find requests before its timers have run.
+      pauseWatch.check();
+      runtimes.calls.handleCallerRequest(request, response);
+    },
+    nodes: (request, response) => {
+      pauseWatch.check();
+      if (request.url === callPath) {
+        runtimes.calls.handleForwardedCall(request, response);
+        return;
+      }
+      handleControl(request, response);
+    },
     operators: getRequestListener(operators.fetch),
   });
   if (opened.isErr) {
@@ -105,6 +107,7 @@
     return Result.err(opened.error);
   }
   const listeners = opened.value;
+  pauseWatch.start();
   runtimes.admission.start();
   runtimes.distribution.start();
 
--- a/src/daemon/create_node_lifecycle.ts
+++ b/src/daemon/create_node_lifecycle.ts
@@ -1,15 +1,18 @@
 import { getNextNodeState } from "../lifecycle/get_next_node_state.ts";
+import { NodeEventKind } from "../lifecycle/node_event_kind.ts";
 import { NodeState } from "../peers/node_state.ts";
 import { AuditEntryKind } from "../telemetry/audit_entry_kind.ts";
 import type { AuditTrail } from "../telemetry/audit_trail.ts";
 import type { NodeLifecycle } from "./node_lifecycle.ts";
 
-const entryKinds: Readonly<Record<NodeState, AuditEntryKind>> = {
-  [NodeState.Starting]: AuditEntryKind.NodeStarted,
-  [NodeState.Serving]: AuditEntryKind.NodeReady,
-  [NodeState.ConfirmingView]: AuditEntryKind.ProcessPaused,
-  [NodeState.Draining]: AuditEntryKind.NodeStopping,
-};
+/** The entry for each change of state; the pause watch records a pause itself, with its length. */
+const entryKinds: Readonly<Record<NodeEventKind, AuditEntryKind | undefined>> =
+  {
+    [NodeEventKind.ConfigurationInForce]: AuditEntryKind.NodeReady,
+    [NodeEventKind.PauseNoticed]: undefined,
+    [NodeEventKind.ViewConfirmed]: AuditEntryKind.ViewConfirmed,
+    [NodeEventKind.StopRequested]: AuditEntryKind.NodeStopping,
+  };
 
 /** Creates the state of a node that starts; each change goes to the audit trail and to `onChange`. */
 export function createNodeLifecycle(
@@ -18,28 +21,32 @@
     readonly onChange: (state: NodeState) => void;
   },
 ): NodeLifecycle {
+  const auditTrail = options.auditTrail;
   let state = NodeState.Starting;
-  options.auditTrail.record({
-    kind: entryKinds[state],
+  auditTrail.record({
+    kind: AuditEntryKind.NodeStarted,
     source: "self",
     reasons: [],
   });
   return {
     getState: () => state,
     notify: (event) => {
-      const next = getNextNodeState(state, event);
-      if (next === state) {
+      const previous = state;
+      state = getNextNodeState(previous, event);
+      if (state === previous) {
         return;
       }
-      options.auditTrail.record({
-        kind: entryKinds[next],
-        source: "self",
-        fromState: state,
-        toState: next,
-        reasons: [],
-      });
-      state = next;
-      options.onChange(next);
+      const kind = entryKinds[event];
+      if (kind !== undefined) {
+        auditTrail.record({
+          kind,
+          source: "self",
+          fromState: previous,
+          toState: state,
+          reasons: [],
+        });
+      }
+      options.onChange(state);
     },
   };
 }
--- a/src/daemon/create_node_runtimes.ts
+++ b/src/daemon/create_node_runtimes.ts
@@ -27,7 +27,7 @@
   const platformClient = createPlatformClient(settings.platform, environment);
   const prober = settings.backendServer === null
     ? undefined
-    : createBackendServerProber(settings.backendServer, environment);
+    : createBackendServerProber(settings.backendServer.address, environment);
   const admission = createAdmissionRuntime({ settings, environment, prober });
   const distribution = createDistributionRuntime({
     settings,
