Route, forward, settle and answer calls

Cause: nothing of the calls stood behind the declared CallsRuntime.

Change: createCallsRuntime() serves callers and forwarded calls. The decisions are pure steps: stepCall on the node that took the call (tries, settlement, deadline), stepDispatch on the node beside the backend server (ledger, slot, dispatch, cancellation), stepLedger for each key, stepBackendServerView and chooseBackendServer for the choice. The daemon layer holds their state and speaks HTTP through undici.

Ruled out: a Response object or a proxied body per hop; both sides hold short answers until they are whole instead, so that a break becomes a refusal.

Not shown yet: properties of the ledger, silent connections, owner changes.

--- /dev/null
+++ b/src/calls/calls_control_method.ts
@@ -0,0 +1,5 @@
+/** The control methods that a node answers for calls. */
+export enum CallsControlMethod {
+  SettleCall = "settleCall",
+  SettleKey = "settleKey",
+}
--- /dev/null
+++ b/src/calls/choose_key_owner.ts
@@ -0,0 +1,28 @@
+import type { BackendServer } from "../configuration/backend_server.ts";
+import type { BackendServerView } from "./backend_server_view.ts";
+import { isAvoided } from "./is_avoided.ts";
+import { orderByRank } from "./order_by_rank.ts";
+
+/**
+ * Returns the server that a call with a key goes to: the highest in rendezvous
+ * order that has not refused it. Where a higher one cannot be reached, no other
+ * one is chosen: it would have to settle the key with the one that cannot be
+ * reached, and the refusal could not say "not run".
+ */
+export function chooseKeyOwner(
+  eligible: readonly BackendServer[],
+  key: string,
+  options: {
+    readonly now: number;
+    readonly excluded: readonly string[];
+    readonly getView: (server: BackendServer) => BackendServerView;
+  },
+): BackendServer | undefined {
+  const { now, excluded, getView } = options;
+  const found = orderByRank(eligible, key).find((server) =>
+    isAvoided(getView(server), now) || !excluded.includes(server.name)
+  );
+  return found === undefined || isAvoided(getView(found), now)
+    ? undefined
+    : found;
+}
--- /dev/null
+++ b/src/calls/create_backend_server_view.ts
@@ -0,0 +1,13 @@
+import type { BackendServerView } from "./backend_server_view.ts";
+
+/** Returns the view of a backend server that nothing is known of: all its slots count as free. */
+export function createBackendServerView(slots: number): BackendServerView {
+  return {
+    freeSlots: slots,
+    reportedAt: 0,
+    record: undefined,
+    avoidedUntil: 0,
+    failures: 0,
+    probingUntil: 0,
+  };
+}
--- /dev/null
+++ b/src/calls/decode_key_settlement.ts
@@ -0,0 +1,22 @@
+import { decodeStoredAnswer } from "./decode_stored_answer.ts";
+import type { KeySettlement } from "./key_settlement.ts";
+import { keySettlementSchema } from "./key_settlement_schema.ts";
+import { SettlementKind } from "./settlement_kind.ts";
+
+/** Reads the result of `settleKey`; undefined where it is no valid one. */
+export function decodeKeySettlement(
+  message: unknown,
+): KeySettlement | undefined {
+  const { success, data } = keySettlementSchema.safeParse(message);
+  if (!success) {
+    return undefined;
+  }
+  return data.kind === SettlementKind.Finished
+    ? {
+      ...data,
+      answer: data.answer === undefined
+        ? undefined
+        : decodeStoredAnswer(data.answer),
+    }
+    : data;
+}
--- /dev/null
+++ b/src/calls/decode_stored_answer.ts
@@ -0,0 +1,14 @@
+import type { z } from "zod";
+import type { StoredAnswer } from "./stored_answer.ts";
+import type { storedAnswerSchema } from "./stored_answer_schema.ts";
+
+/** Turns a kept answer of a control message back. */
+export function decodeStoredAnswer(
+  message: z.infer<typeof storedAnswerSchema>,
+): StoredAnswer {
+  const { status, headers, declaredLength } = message;
+  return {
+    head: { status, headers, declaredLength },
+    body: Buffer.from(message.body, "base64"),
+  };
+}
--- /dev/null
+++ b/src/calls/dispatch_event.ts
@@ -0,0 +1,49 @@
+import type { DispatchEventKind } from "./dispatch_event_kind.ts";
+import type { RefusalReason } from "./refusal_reason.ts";
+import type { StoredAnswer } from "./stored_answer.ts";
+
+/** What can happen to a try on the node beside its backend server, with the details. */
+export type DispatchEvent =
+  | {
+    readonly kind: DispatchEventKind.Arrived;
+    /** Why the node cannot take it, whatever its key and the free slots. */
+    readonly obstacle: RefusalReason | undefined;
+  }
+  | {
+    readonly kind: DispatchEventKind.KeyAnswered;
+    readonly answer: StoredAnswer;
+  }
+  | {
+    readonly kind: DispatchEventKind.KeyRefused;
+    readonly reason: RefusalReason;
+  }
+  | {
+    readonly kind: DispatchEventKind.AdmissionRefused;
+    readonly reason: RefusalReason;
+    /** In milliseconds since the Unix epoch. */
+    readonly retryAt: number;
+  }
+  | {
+    readonly kind: DispatchEventKind.AnswerWhole;
+    /** Whether the status says that the backend server is overloaded. */
+    readonly overloaded: boolean;
+  }
+  | {
+    readonly kind: DispatchEventKind.Shed;
+    /** In milliseconds since the Unix epoch. */
+    readonly retryAt: number;
+  }
+  | {
+    readonly kind:
+      | DispatchEventKind.KeyAllowed
+      | DispatchEventKind.Admitted
+      | DispatchEventKind.AnswerStreams
+      | DispatchEventKind.StreamEnded
+      | DispatchEventKind.NotConnected
+      | DispatchEventKind.Broken
+      | DispatchEventKind.ContactLost
+      | DispatchEventKind.CallerLeft
+      | DispatchEventKind.Asked
+      | DispatchEventKind.Woke
+      | DispatchEventKind.Stopped;
+  };
--- /dev/null
+++ b/src/calls/encode_forwarded_call.ts
@@ -0,0 +1,41 @@
+import type { ForwardedCall } from "./forwarded_call.ts";
+import { ForwardedHeader } from "./forwarded_header.ts";
+
+/** Returns the headers, as names and values in turn, of the request that hands a call over. */
+export function encodeForwardedCall(call: ForwardedCall): string[] {
+  const passed = call.headers.map((text, index) =>
+    index % 2 === 0 && text.toLowerCase() === "host"
+      ? ForwardedHeader.Host
+      : text
+  );
+  const { key } = call;
+  return [
+    ...passed,
+    ForwardedHeader.CallIdentifier,
+    call.callIdentifier,
+    ForwardedHeader.Attempt,
+    String(call.attempt),
+    ForwardedHeader.BackendServer,
+    call.backendServer,
+    ForwardedHeader.Method,
+    call.method,
+    ForwardedHeader.Path,
+    call.path,
+    ForwardedHeader.Deadline,
+    String(call.deadline),
+    ForwardedHeader.Priority,
+    call.priority,
+    ForwardedHeader.Idempotent,
+    String(call.idempotent),
+    ...encodeOptional(ForwardedHeader.Key, key?.value),
+    ...encodeOptional(ForwardedHeader.CallerAttempt, key?.callerAttempt),
+    ...encodeOptional(ForwardedHeader.FirstAttempt, key?.firstAttemptAt),
+  ];
+}
+
+function encodeOptional(
+  name: ForwardedHeader,
+  value: string | number | undefined,
+): string[] {
+  return value === undefined ? [] : [name, String(value)];
+}
--- /dev/null
+++ b/src/calls/encode_key_settlement.ts
@@ -0,0 +1,21 @@
+import type { z } from "zod";
+import { encodeStoredAnswer } from "./encode_stored_answer.ts";
+import type { KeySettlement } from "./key_settlement.ts";
+import type { keySettlementSchema } from "./key_settlement_schema.ts";
+import { SettlementKind } from "./settlement_kind.ts";
+
+/** Turns what a ledger knows of a key into the result of `settleKey`. */
+export function encodeKeySettlement(
+  settlement: KeySettlement,
+): z.infer<typeof keySettlementSchema> {
+  if (settlement.kind === SettlementKind.NotRun) {
+    return { ...settlement, fencers: [...settlement.fencers] };
+  }
+  if (settlement.kind !== SettlementKind.Finished) {
+    return settlement;
+  }
+  const { kind, fingerprint, answer } = settlement;
+  return answer === undefined
+    ? { kind, fingerprint }
+    : { kind, fingerprint, answer: encodeStoredAnswer(answer) };
+}
--- /dev/null
+++ b/src/calls/encode_stored_answer.ts
@@ -0,0 +1,16 @@
+import type { z } from "zod";
+import type { StoredAnswer } from "./stored_answer.ts";
+import type { storedAnswerSchema } from "./stored_answer_schema.ts";
+
+/** Turns a kept answer into its form in control messages. */
+export function encodeStoredAnswer(
+  answer: StoredAnswer,
+): z.infer<typeof storedAnswerSchema> {
+  const { status, headers, declaredLength } = answer.head;
+  return {
+    status,
+    headers: [...headers],
+    ...(declaredLength === undefined ? {} : { declaredLength }),
+    body: Buffer.from(answer.body).toString("base64"),
+  };
+}
--- /dev/null
+++ b/src/calls/get_dispatch_obstacle.ts
@@ -0,0 +1,32 @@
+import { RefusalReason } from "./refusal_reason.ts";
+import type { Settlement } from "./settlement.ts";
+
+/** Returns why a node cannot take a try, whatever its key and the free slots; undefined where it can. */
+export function getDispatchObstacle(
+  node: {
+    readonly hasSnapshot: boolean;
+    readonly confirmingView: boolean;
+    readonly draining: boolean;
+    /** Name of the backend server beside the node. */
+    readonly ownBackendServer: string | undefined;
+  },
+  call: {
+    readonly backendServer: string;
+    /** What is already known of the try. */
+    readonly settlement: Settlement | undefined;
+  },
+): RefusalReason | undefined {
+  if (!node.hasSnapshot) {
+    return RefusalReason.NodeStarting;
+  }
+  if (node.confirmingView) {
+    return RefusalReason.ConfirmingView;
+  }
+  if (node.draining) {
+    return RefusalReason.NodeDraining;
+  }
+  if (call.backendServer !== node.ownBackendServer) {
+    return RefusalReason.BackendServerUnknown;
+  }
+  return call.settlement === undefined ? undefined : RefusalReason.Fenced;
+}
--- /dev/null
+++ b/src/calls/get_request_fingerprint.ts
@@ -0,0 +1,15 @@
+import { createHash } from "node:crypto";
+
+/** Returns a digest by which a repeated request is told from another one with the same key. */
+export function getRequestFingerprint(
+  request: {
+    readonly method: string;
+    readonly path: string;
+    readonly body: Uint8Array | undefined;
+  },
+): string {
+  return createHash("sha256")
+    .update(`${request.method}\n${request.path}\n`)
+    .update(request.body ?? "")
+    .digest("base64url");
+}
--- /dev/null
+++ b/src/calls/get_retry_after_seconds.ts
@@ -0,0 +1,6 @@
+const millisecondsPerSecond = 1000;
+
+/** Returns the value of `Retry-After` for an instant: whole seconds, rounded up. */
+export function getRetryAfterSeconds(retryAt: number, now: number): number {
+  return Math.max(0, Math.ceil((retryAt - now) / millisecondsPerSecond));
+}
--- /dev/null
+++ b/src/calls/ledger_effect.ts
@@ -0,0 +1,27 @@
+import type { KeySettlement } from "./key_settlement.ts";
+import type { LedgerEffectKind } from "./ledger_effect_kind.ts";
+import type { LedgerServer } from "./ledger_server.ts";
+import type { RefusalReason } from "./refusal_reason.ts";
+import type { StoredAnswer } from "./stored_answer.ts";
+
+/** What the keeper of a ledger has to do next, with the details. */
+export type LedgerEffect =
+  | { readonly kind: LedgerEffectKind.Ask; readonly server: LedgerServer }
+  | {
+    readonly kind: LedgerEffectKind.Allow;
+    readonly attemptIdentifier: string;
+  }
+  | {
+    readonly kind: LedgerEffectKind.AnswerWith;
+    readonly attemptIdentifier: string;
+    readonly answer: StoredAnswer;
+  }
+  | {
+    readonly kind: LedgerEffectKind.Refuse;
+    readonly attemptIdentifier: string;
+    readonly reason: RefusalReason;
+  }
+  | {
+    readonly kind: LedgerEffectKind.Reply;
+    readonly settlement: KeySettlement;
+  };
--- /dev/null
+++ b/src/calls/settle_key_schema.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+import { ledgerServerSchema } from "./ledger_server_schema.ts";
+
+/** The parameters of the control method `settleKey`. */
+export const settleKeySchema = z.object({
+  service: z.string().min(1),
+  key: z.string().min(1),
+  /** The backend server whose ledger is asked. */
+  backendServer: z.string().min(1),
+  /** The owner that asks, for which the key is fenced. */
+  by: ledgerServerSchema,
+});
--- /dev/null
+++ b/src/calls/step_ledger.ts
@@ -0,0 +1,342 @@
+import { match, P } from "ts-pattern";
+import { isKeyWithinLedger } from "./is_key_within_ledger.ts";
+import type { KeySettlement } from "./key_settlement.ts";
+import type { LedgerContext } from "./ledger_context.ts";
+import { LedgerEffectKind } from "./ledger_effect_kind.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
+import { LedgerEntryKind } from "./ledger_entry_kind.ts";
+import type { LedgerEvent } from "./ledger_event.ts";
+import { LedgerEventKind } from "./ledger_event_kind.ts";
+import type { LedgerServer } from "./ledger_server.ts";
+import type { LedgerStep } from "./ledger_step.ts";
+import { RefusalReason } from "./refusal_reason.ts";
+import { SettlementKind } from "./settlement_kind.ts";
+
+type Requested = Extract<LedgerEvent, { kind: LedgerEventKind.Requested }>;
+type Answered = Extract<LedgerEvent, { kind: LedgerEventKind.Answered }>;
+type Unanswered = Extract<LedgerEvent, { kind: LedgerEventKind.Unanswered }>;
+type Concluded = Extract<LedgerEvent, { kind: LedgerEventKind.Concluded }>;
+type Settling = Extract<LedgerEntry, { kind: LedgerEntryKind.Settling }>;
+
+/**
+ * Advances one key of a ledger.
+ *
+ * Invariant over all ledgers of a service: before a ledger lets a key run, it
+ * has a true "not run" from, and a fence in, every ledger that may have run it
+ * before; a fenced ledger asks whoever fenced it before it runs the key itself.
+ * So of two ledgers that both want to run a key, at least one learns of the
+ * other. While a key settles here, other ledgers are told that it is running.
+ */
+export function stepLedger(
+  entry: LedgerEntry | undefined,
+  event: LedgerEvent,
+  context: LedgerContext,
+): LedgerStep {
+  return match(event)
+    .with(
+      { kind: LedgerEventKind.Requested },
+      (requested) => request(entry, requested, context),
+    )
+    .with(
+      { kind: LedgerEventKind.Answered },
+      (answered) => answer(entry, answered, context),
+    )
+    .with(
+      { kind: LedgerEventKind.Unanswered },
+      (unanswered) => miss(entry, unanswered, context),
+    )
+    .with(
+      { kind: LedgerEventKind.Asked },
+      ({ by }) => reply(entry, by, context),
+    )
+    .with(
+      { kind: LedgerEventKind.Concluded },
+      (concluded) => conclude(entry, concluded),
+    )
+    .exhaustive();
+}
+
+function request(
+  entry: LedgerEntry | undefined,
+  event: Requested,
+  context: LedgerContext,
+): LedgerStep {
+  return match(entry)
+    .with(
+      P.union(undefined, { kind: LedgerEntryKind.Fenced }),
+      (fenced) => requestUnseen(fenced?.fencers ?? [], event, context),
+    )
+    .with(
+      {
+        kind: P.union(LedgerEntryKind.Settling, LedgerEntryKind.Running),
+      },
+      (seen) => refuseSeen(seen, event, RefusalReason.KeyRunning),
+    )
+    .with(
+      { kind: LedgerEntryKind.Unknown },
+      (seen) => refuseSeen(seen, event, RefusalReason.KeyUnsettled),
+    )
+    .with(
+      { kind: LedgerEntryKind.Finished },
+      (seen) =>
+        seen.answer === undefined || seen.fingerprint !== event.fingerprint
+          ? refuseSeen(seen, event, RefusalReason.KeyUnsettled)
+          : {
+            entry: seen,
+            effects: [
+              {
+                kind: LedgerEffectKind.AnswerWith,
+                attemptIdentifier: event.attemptIdentifier,
+                answer: seen.answer,
+              } as const,
+            ],
+          },
+    )
+    .exhaustive();
+}
+
+function refuseSeen(
+  entry: LedgerEntry & { readonly fingerprint: string },
+  event: Requested,
+  reason: RefusalReason,
+): LedgerStep {
+  return refuse(entry, event, {
+    reason: entry.fingerprint === event.fingerprint
+      ? reason
+      : RefusalReason.KeyMismatch,
+  });
+}
+
+function refuse(
+  entry: LedgerEntry | undefined,
+  event: { readonly attemptIdentifier: string },
+  options: { readonly reason: RefusalReason },
+): LedgerStep {
+  const { attemptIdentifier } = event;
+  return {
+    entry,
+    effects: [{
+      kind: LedgerEffectKind.Refuse,
+      attemptIdentifier,
+      reason: options.reason,
+    }],
+  };
+}
+
+function requestUnseen(
+  fencers: readonly LedgerServer[],
+  event: Requested,
+  context: LedgerContext,
+): LedgerStep {
+  const { fingerprint, attemptIdentifier, firstAttemptAt } = event;
+  if (!isKeyWithinLedger(firstAttemptAt, context)) {
+    return refuse(createFence(fencers), event, {
+      reason: RefusalReason.KeyUnsettled,
+    });
+  }
+  const asked = addServers(event.predecessors, fencers);
+  if (asked.length === 0) {
+    return run(event);
+  }
+  return {
+    entry: {
+      kind: LedgerEntryKind.Settling,
+      fingerprint,
+      attemptIdentifier,
+      firstAttemptAt,
+      fencers,
+      asked,
+      pending: asked.map(({ name }) => name),
+    },
+    effects: asked.map((server) => ({ kind: LedgerEffectKind.Ask, server })),
+  };
+}
+
+function createFence(
+  fencers: readonly LedgerServer[],
+): LedgerEntry | undefined {
+  return fencers.length === 0
+    ? undefined
+    : { kind: LedgerEntryKind.Fenced, fencers };
+}
+
+function addServers(
+  servers: readonly LedgerServer[],
+  added: readonly LedgerServer[],
+): readonly LedgerServer[] {
+  return [
+    ...servers,
+    ...added.filter((server) =>
+      !servers.some(({ name }) => name === server.name)
+    ),
+  ];
+}
+
+function run(
+  call: { readonly fingerprint: string; readonly attemptIdentifier: string },
+): LedgerStep {
+  const { fingerprint, attemptIdentifier } = call;
+  return {
+    entry: { kind: LedgerEntryKind.Running, fingerprint, attemptIdentifier },
+    effects: [{ kind: LedgerEffectKind.Allow, attemptIdentifier }],
+  };
+}
+
+function isSettlingFor(
+  entry: LedgerEntry | undefined,
+  event: { readonly attemptIdentifier: string; readonly from: string },
+): entry is Settling {
+  return entry?.kind === LedgerEntryKind.Settling &&
+    entry.attemptIdentifier === event.attemptIdentifier &&
+    entry.pending.includes(event.from);
+}
+
+function answer(
+  entry: LedgerEntry | undefined,
+  event: Answered,
+  context: LedgerContext,
+): LedgerStep {
+  if (!isSettlingFor(entry, event)) {
+    return { entry, effects: [] };
+  }
+  return match<KeySettlement, LedgerStep>(event.settlement)
+    .with({ kind: SettlementKind.Finished }, (settlement) =>
+      request(
+        { ...settlement, kind: LedgerEntryKind.Finished },
+        { ...entry, kind: LedgerEventKind.Requested, predecessors: [] },
+        context,
+      ))
+    .with(
+      { kind: SettlementKind.Running },
+      () => giveUp(entry, RefusalReason.KeyRunning),
+    )
+    .with(
+      { kind: SettlementKind.Unknown },
+      () => giveUp(entry, RefusalReason.KeyUnsettled),
+    )
+    .with(
+      { kind: SettlementKind.NotRun },
+      ({ ledgerSince, fencers }) =>
+        isKeyWithinLedger(entry.firstAttemptAt, { ...context, ledgerSince })
+          ? cross(entry, event.from, fencers)
+          : giveUp(entry, RefusalReason.KeyUnsettled),
+    )
+    .exhaustive();
+}
+
+/** Stops settling; the key stays as open as it was. */
+function giveUp(entry: Settling, reason: RefusalReason): LedgerStep {
+  return refuse(createFence(entry.fencers), entry, { reason });
+}
+
+/** Takes one server off the list of pending ones and adds those it names. */
+function cross(
+  entry: Settling,
+  from: string,
+  named: readonly LedgerServer[],
+): LedgerStep {
+  const asked = addServers(entry.asked, named);
+  const added = asked.slice(entry.asked.length);
+  const pending = [
+    ...entry.pending.filter((name) => name !== from),
+    ...added.map(({ name }) => name),
+  ];
+  return pending.length === 0 ? run(entry) : {
+    entry: { ...entry, asked, pending },
+    effects: added.map((server) => ({ kind: LedgerEffectKind.Ask, server })),
+  };
+}
+
+/**
+ * A server that does not answer may have run the key, unless its VM was gone
+ * before the first attempt.
+ */
+function miss(
+  entry: LedgerEntry | undefined,
+  event: Unanswered,
+  context: LedgerContext,
+): LedgerStep {
+  if (!isSettlingFor(entry, event)) {
+    return { entry, effects: [] };
+  }
+  const goneBefore = event.goneAt !== undefined &&
+    entry.firstAttemptAt !== undefined &&
+    entry.firstAttemptAt > event.goneAt + context.clockSkewMilliseconds;
+  return goneBefore
+    ? cross(entry, event.from, [])
+    : giveUp(entry, RefusalReason.KeyUnsettled);
+}
+
+function reply(
+  entry: LedgerEntry | undefined,
+  by: LedgerServer,
+  context: LedgerContext,
+): LedgerStep {
+  const createReply = (
+    next: LedgerEntry | undefined,
+    settlement: KeySettlement,
+  ): LedgerStep => ({
+    entry: next,
+    effects: [{ kind: LedgerEffectKind.Reply, settlement }],
+  });
+  return match(entry)
+    .with(P.union(undefined, { kind: LedgerEntryKind.Fenced }), (fenced) => {
+      const fencers = fenced?.fencers ?? [];
+      return createReply(createFence(addServers(fencers, [by])), {
+        kind: SettlementKind.NotRun,
+        ledgerSince: context.ledgerSince,
+        fencers: fencers.filter(({ name }) => name !== by.name),
+      });
+    })
+    .with(
+      { kind: P.union(LedgerEntryKind.Settling, LedgerEntryKind.Running) },
+      (seen) => createReply(seen, { kind: SettlementKind.Running }),
+    )
+    .with(
+      { kind: LedgerEntryKind.Unknown },
+      (seen) => createReply(seen, { kind: SettlementKind.Unknown }),
+    )
+    .with({ kind: LedgerEntryKind.Finished }, (seen) =>
+      createReply(seen, {
+        kind: SettlementKind.Finished,
+        fingerprint: seen.fingerprint,
+        answer: seen.answer,
+      }))
+    .exhaustive();
+}
+
+function conclude(
+  entry: LedgerEntry | undefined,
+  event: Concluded,
+): LedgerStep {
+  if (
+    (entry?.kind !== LedgerEntryKind.Running &&
+      entry?.kind !== LedgerEntryKind.Settling) ||
+    entry.attemptIdentifier !== event.attemptIdentifier
+  ) {
+    return { entry, effects: [] };
+  }
+  const { fingerprint } = entry;
+  const next = match(event.outcome)
+    .with(
+      SettlementKind.Finished,
+      () => ({
+        kind: LedgerEntryKind.Finished as const,
+        fingerprint,
+        answer: event.answer,
+      }),
+    )
+    .with(SettlementKind.Unknown, () => ({
+      kind: LedgerEntryKind.Unknown as const,
+      fingerprint,
+    }))
+    .with(
+      SettlementKind.NotRun,
+      () =>
+        entry.kind === LedgerEntryKind.Settling
+          ? createFence(entry.fencers)
+          : undefined,
+    )
+    .exhaustive();
+  return { entry: next, effects: [] };
+}
--- /dev/null
+++ b/src/calls/view_event_kind.ts
@@ -0,0 +1,12 @@
+/** What a node learns of a backend server that it sends calls to. */
+export enum ViewEventKind {
+  CallSent = "call-sent",
+  CallEnded = "call-ended",
+  /** An answer carried the number of free slots. */
+  LoadReported = "load-reported",
+  RecordReceived = "record-received",
+  /** The node beside it gave a sign of life. */
+  ContactMade = "contact-made",
+  /** No connection could be opened, or one went silent. */
+  ContactFailed = "contact-failed",
+}
--- /dev/null
+++ b/src/daemon/calls/call_ledger.ts
@@ -0,0 +1,33 @@
+import type { ForwardedCall } from "../../calls/forwarded_call.ts";
+import type { KeySettlement } from "../../calls/key_settlement.ts";
+import type { LedgerServer } from "../../calls/ledger_server.ts";
+import type { RefusalReason } from "../../calls/refusal_reason.ts";
+import type { SettlementKind } from "../../calls/settlement_kind.ts";
+import type { StoredAnswer } from "../../calls/stored_answer.ts";
+import type { Snapshot } from "../../configuration/snapshot.ts";
+
+/** Keeps the keys that the backend server beside this node owns. */
+export interface CallLedger {
+  /** Asks whether a call with a key may run; exactly one of the callbacks is called, at once or later. */
+  request(
+    call: ForwardedCall,
+    callbacks: {
+      readonly onAllowed: () => void;
+      readonly onAnswered: (answer: StoredAnswer) => void;
+      readonly onRefused: (reason: RefusalReason) => void;
+    },
+  ): void;
+  /** Reports how a call that was allowed, or gave up waiting, has ended. */
+  conclude(
+    call: ForwardedCall,
+    outcome:
+      | SettlementKind.Finished
+      | SettlementKind.NotRun
+      | SettlementKind.Unknown,
+    answer: StoredAnswer | undefined,
+  ): void;
+  /** Answers another owner and fences the key for it. */
+  settle(key: string, by: LedgerServer): KeySettlement;
+  /** Learns which servers the register has. */
+  applySnapshot(snapshot: Snapshot): void;
+}
--- /dev/null
+++ b/src/daemon/calls/call_pools.ts
@@ -0,0 +1,11 @@
+import type { Pool } from "undici";
+import type { NetworkAddress } from "../../runtime/network_address.ts";
+
+/** Connection pools to other nodes, by address. */
+export interface CallPools {
+  get(address: NetworkAddress): Pool;
+  /** Creates the pools of these nodes, and ends all others once their last call has ended. */
+  keepOnly(addresses: readonly NetworkAddress[]): void;
+  /** Closes every connection at once. */
+  destroy(): Promise<void>;
+}
--- /dev/null
+++ b/src/daemon/calls/create_calls_runtime_test.ts
@@ -0,0 +1,271 @@
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import { DispatchResult } from "../../admission/dispatch_result.ts";
+import type { BenchNode } from "../../testing/calls/bench_node.ts";
+import { startCallsBench } from "../../testing/calls/start_calls_bench.ts";
+
+interface Answer {
+  readonly status: number;
+  readonly headers: Record<string, string | string[] | undefined>;
+  readonly body: string;
+}
+
+async function call(
+  node: BenchNode,
+  path: string,
+  options: {
+    readonly method?: "GET" | "POST" | "HEAD";
+    readonly headers?: Record<string, string>;
+    readonly body?: string;
+    readonly signal?: AbortSignal;
+  } = {},
+): Promise<Answer> {
+  const { host, port } = node.callers;
+  const answer = await request(`http://${host}:${port}${path}`, {
+    method: options.method ?? "GET",
+    headers: options.headers ?? {},
+    body: options.body ?? null,
+    ...(options.signal === undefined ? {} : { signal: options.signal }),
+  });
+  return {
+    status: answer.statusCode,
+    headers: answer.headers,
+    body: await answer.body.text(),
+  };
+}
+
+async function start(
+  t: ExecutionContext,
+  count: number,
+  options: Parameters<typeof startCallsBench>[1] = {},
+) {
+  const bench = await startCallsBench(count, options);
+  t.teardown(bench.close);
+  return bench;
+}
+
+function countRuns(nodes: readonly BenchNode[]): number {
+  return nodes.reduce((sum, node) => sum + node.backendServer.runs.length, 0);
+}
+
+function getRefusal(answer: Answer) {
+  const { outcome, reason, status } = JSON.parse(answer.body);
+  return { outcome, reason, status };
+}
+
+test("a call reaches a backend server, in process and through another node, and its answer comes back", async (t) => {
+  const bench = await start(t, 2);
+  const answers = await Promise.all(
+    Array.from(
+      { length: 20 },
+      (_, index) =>
+        call(bench.nodes[0]!, `/encomendas/pedido?n=${index}`, {
+          method: "POST",
+          body: `bolo ${index}`,
+          headers: { "catkinquay-outcome": "forged" },
+        }),
+    ),
+  );
+  answers.forEach((answer, index) => {
+    t.is(answer.status, 200);
+    t.is(answer.body, `POST bolo ${index}`);
+    t.is(answer.headers["x-seen-path"], `/encomendas/pedido?n=${index}`);
+    t.deepEqual(answer.headers["set-cookie"], ["a=1", "b=2"]);
+    t.is(answer.headers["catkinquay-outcome"], undefined);
+  });
+  t.true(bench.nodes.every((node) => node.backendServer.runs.length > 0));
+  t.is(countRuns(bench.nodes), 20);
+  t.is(bench.nodes[0]!.runtime.getStatus().answeredWhole, 20);
+  bench.nodes.forEach((node) => {
+    t.is(node.admission.getRunning(), 0);
+    t.true(
+      node.admission.reports.every(({ result }) =>
+        result === DispatchResult.Answered
+      ),
+    );
+    node.backendServer.runs.forEach((run) => {
+      t.truthy(run.headers["catkinquay-call-identifier"]);
+      t.true(Number(run.headers["catkinquay-deadline"]) > Date.now());
+    });
+  });
+});
+
+test("HEAD keeps the length that the backend server declares", async (t) => {
+  const bench = await start(t, 2);
+  const answers = await Promise.all(
+    Array.from(
+      { length: 6 },
+      () => call(bench.nodes[0]!, "/encomendas/pedido", { method: "HEAD" }),
+    ),
+  );
+  answers.forEach((answer) => t.is(answer.status, 200));
+  t.is(countRuns(bench.nodes), 6);
+});
+
+test("a cut, malformed, unframed or crossed answer becomes a refusal whose outcome is unknown", async (t) => {
+  const bench = await start(t, 2);
+  const names = ["cut", "rubbish", "unframed", "crossed"];
+  const answers = await Promise.all(
+    names.map((name) =>
+      call(bench.nodes[0]!, `/encomendas/${name}`, { method: "POST" })
+    ),
+  );
+  answers.forEach((answer) =>
+    t.deepEqual(getRefusal(answer), {
+      outcome: "unknown",
+      reason: "answer-broken",
+      status: 502,
+    })
+  );
+  t.is(countRuns(bench.nodes), names.length);
+});
+
+test("a shed call is refused as not run after the other backend servers were tried", async (t) => {
+  const bench = await start(t, 3);
+  const answer = await call(bench.nodes[0]!, "/encomendas/shed", {
+    method: "POST",
+  });
+  t.deepEqual(getRefusal(answer), {
+    outcome: "not-run",
+    reason: "full",
+    status: 503,
+  });
+  t.is(answer.headers["catkinquay-outcome"], "not-run");
+  t.truthy(answer.headers["retry-after"]);
+  t.is(countRuns(bench.nodes), 0);
+  t.deepEqual(
+    bench.nodes.map((node) => node.admission.reports.length),
+    [1, 1, 1],
+  );
+});
+
+test("a caller that leaves cancels the run at the backend server", async (t) => {
+  const bench = await start(t, 2);
+  const calls = Array.from(
+    { length: 6 },
+    () =>
+      call(bench.nodes[0]!, "/encomendas/silence", {
+        signal: AbortSignal.timeout(150),
+      }),
+  );
+  await Promise.allSettled(calls);
+  await delay(150);
+  t.is(countRuns(bench.nodes), 6);
+  const cancelled = bench.nodes.map((node) =>
+    node.backendServer.getCancelled()
+  );
+  t.is(cancelled[0]! + cancelled[1]!, 6);
+  t.true(cancelled.every((count) => count > 0));
+  bench.nodes.forEach((node) => t.is(node.admission.getRunning(), 0));
+  t.is(bench.nodes[0]!.runtime.getStatus().abandoned, 6);
+});
+
+test("a call that gets no answer is refused at its deadline", async (t) => {
+  const bench = await start(t, 2, { deadlineMilliseconds: 300 });
+  const answer = await call(bench.nodes[0]!, "/encomendas/silence", {
+    method: "POST",
+  });
+  t.deepEqual(getRefusal(answer), {
+    outcome: "unknown",
+    reason: "deadline-passed",
+    status: 504,
+  });
+  t.is(countRuns(bench.nodes), 1);
+});
+
+test("a long answer streams, and a break in it breaks the caller's connection", async (t) => {
+  const bench = await start(t, 2);
+  const answers = await Promise.all(
+    Array.from(
+      { length: 4 },
+      () => call(bench.nodes[0]!, "/encomendas/long"),
+    ),
+  );
+  answers.forEach((answer) => t.is(answer.body.length, 2 * 64 * 1024));
+  const cut = await Promise.allSettled(
+    Array.from(
+      { length: 4 },
+      () => call(bench.nodes[0]!, "/encomendas/long-cut"),
+    ),
+  );
+  cut.forEach(({ status }) => t.is(status, "rejected"));
+});
+
+test("a key runs once, whichever node is asked", async (t) => {
+  const bench = await start(t, 3);
+  const askWith = (index: number, headers: Record<string, string>) =>
+    call(bench.nodes[index]!, "/encomendas/checkout", {
+      method: "POST",
+      body: "one cake",
+      headers: { "idempotency-key": "order-7", ...headers },
+    });
+  const first = String(Date.now());
+  const answers = [
+    await askWith(0, { "idempotency-attempt": "1" }),
+    await askWith(1, {
+      "idempotency-attempt": "2",
+      "idempotency-first-attempt": first,
+    }),
+    await askWith(2, { "idempotency-first-attempt": first }),
+  ];
+  answers.forEach((answer) => t.is(answer.body, "POST one cake"));
+  t.is(countRuns(bench.nodes), 1);
+
+  const other = await call(bench.nodes[1]!, "/encomendas/checkout", {
+    method: "POST",
+    body: "two cakes",
+    headers: { "idempotency-key": "order-7" },
+  });
+  t.is(getRefusal(other).reason, "key-mismatch");
+  t.is(countRuns(bench.nodes), 1);
+});
+
+test("a request that breaks a rule is refused as not run", async (t) => {
+  const bench = await start(t, 1);
+  const node = bench.nodes[0]!;
+  const past = { "request-deadline": String(Date.now() - 1) };
+  const cases = [
+    [await call(node, "/unknown"), 404, "no-route"],
+    [
+      await call(node, "/encomendas/x", { headers: past }),
+      504,
+      "deadline-passed",
+    ],
+    [
+      await call(node, "/encomendas/x", {
+        headers: { "request-deadline": "soon" },
+      }),
+      400,
+      "request-invalid",
+    ],
+    [
+      await call(node, "/encomendas/x", {
+        method: "POST",
+        body: "x".repeat(10_001),
+      }),
+      413,
+      "request-too-large",
+    ],
+  ] as const;
+  cases.forEach(([answer, status, reason]) => {
+    t.is(answer.status, status);
+    t.deepEqual(getRefusal(answer), { outcome: "not-run", reason, status });
+  });
+  t.is(countRuns(bench.nodes), 0);
+});
+
+test("drain() lets running calls finish and refuses new ones; stop() counts what it cuts", async (t) => {
+  const bench = await start(t, 1);
+  const node = bench.nodes[0]!;
+  const running = call(node, "/encomendas/slow");
+  await delay(50);
+  const drained = node.runtime.drain();
+  const refused = await call(node, "/encomendas/x");
+  t.is(getRefusal(refused).reason, "node-draining");
+  t.is(refused.headers["connection"], "close");
+  t.is((await running).body, "slow answer");
+  await drained;
+  t.is(await node.runtime.stop(), 0);
+});
--- /dev/null
+++ b/src/daemon/calls/dispatch_control.ts
@@ -0,0 +1,13 @@
+/** A try under way on the node beside its backend server. */
+export interface DispatchControl {
+  /** The connection over which the call came has closed. */
+  contactLost(): void;
+  /** The caller is known to have left. */
+  callerLeft(): void;
+  /** Another node asks for the outcome. */
+  asked(): void;
+  /** Lets a paused answer go on. */
+  resume(): void;
+  /** Cuts the try because the node ends. */
+  stop(): void;
+}
--- /dev/null
+++ b/src/daemon/calls/get_answer_headers.ts
@@ -0,0 +1,12 @@
+import type { AnswerHead } from "../../calls/answer_head.ts";
+
+/** Returns the headers of an answer with its length, as names and values in turn. */
+export function getAnswerHeaders(
+  head: AnswerHead,
+  length: number | undefined,
+  added: readonly string[],
+): string[] {
+  return length === undefined
+    ? [...head.headers, ...added]
+    : [...head.headers, ...added, "content-length", String(length)];
+}
--- /dev/null
+++ b/src/daemon/calls/handle_calls_control_method.ts
@@ -0,0 +1,54 @@
+import { CallsControlMethod } from "../../calls/calls_control_method.ts";
+import { encodeKeySettlement } from "../../calls/encode_key_settlement.ts";
+import { encodeSettlement } from "../../calls/encode_settlement.ts";
+import type { Settlement } from "../../calls/settlement.ts";
+import { settleCallSchema } from "../../calls/settle_call_schema.ts";
+import { SettlementKind } from "../../calls/settlement_kind.ts";
+import { settleKeySchema } from "../../calls/settle_key_schema.ts";
+import type { CallsNode } from "./calls_node.ts";
+
+/** Answers the control methods of calls; throws what the schema or the method's name does not allow. */
+export function handleCallsControlMethod(
+  node: CallsNode,
+  method: string,
+  parameters: unknown,
+): unknown {
+  if (method === CallsControlMethod.SettleCall) {
+    const { attemptIdentifier, deadline } = settleCallSchema.parse(parameters);
+    return encodeSettlement(settleCall(node, attemptIdentifier, { deadline }));
+  }
+  const { key, backendServer, by } = settleKeySchema.parse(parameters);
+  return encodeKeySettlement(
+    backendServer === node.options.settings.backendServer?.name
+      ? node.ledger.settle(key, by)
+      : { kind: SettlementKind.Unknown },
+  );
+}
+
+/** Tells the outcome of a try; one that was never seen is fenced until its deadline. */
+function settleCall(
+  node: CallsNode,
+  attemptIdentifier: string,
+  options: { readonly deadline: number },
+): Settlement {
+  const { clock } = node.options.environment;
+  const now = clock.now();
+  const dispatch = node.dispatches.get(attemptIdentifier);
+  if (dispatch !== undefined) {
+    dispatch.asked();
+    return { kind: SettlementKind.Running };
+  }
+  const known = node.records.get(attemptIdentifier, now);
+  if (known !== undefined) {
+    return known;
+  }
+  const fence: Settlement = { kind: SettlementKind.NotRun };
+  node.records.sweep(now);
+  node.records.set(
+    attemptIdentifier,
+    fence,
+    options.deadline +
+      node.options.settings.timing.clockSkewMilliseconds,
+  );
+  return fence;
+}
--- /dev/null
+++ b/src/daemon/calls/serve_caller_request.ts
@@ -0,0 +1,82 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createRefusal } from "../../calls/create_refusal.ts";
+import { Outcome } from "../../calls/outcome.ts";
+import { parseCallerCall } from "../../calls/parse_caller_call.ts";
+import type { Refusal } from "../../calls/refusal.ts";
+import { RefusalReason } from "../../calls/refusal_reason.ts";
+import { CallPriority } from "../../configuration/call_priority.ts";
+import type { CallsNode } from "./calls_node.ts";
+import { refuseCallerCall } from "./refuse_caller_call.ts";
+import { readBody } from "./read_body.ts";
+import { runCallerCall } from "./run_caller_call.ts";
+
+/** Serves one request of the callers' listener. */
+export function serveCallerRequest(
+  node: CallsNode,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const { clock } = node.options.environment;
+  const { limits, timing } = node.options.settings;
+  const receivedAt = clock.now();
+  node.counters.received += 1;
+  let ended = false;
+  const refuse = (refusal: Refusal) => {
+    ended = true;
+    refuseCallerCall(node, response, {
+      service: "",
+      priority: CallPriority.Normal,
+      receivedAt,
+      refusal,
+    });
+  };
+  const refuseFor = (reason: RefusalReason) =>
+    refuse(createRefusal(reason, Outcome.NotRun, { now: clock.now() }));
+  const cut = () => response.destroy();
+  node.callerCalls.add(cut);
+  response.on("error", () => undefined);
+  response.on("close", () => {
+    node.callerCalls.delete(cut);
+    if (!ended) {
+      node.counters.abandoned += 1;
+    }
+    node.onEnded();
+  });
+
+  const obstacle = getObstacle(node);
+  if (obstacle !== undefined || node.snapshot === undefined) {
+    refuseFor(obstacle ?? RefusalReason.NodeStarting);
+    return;
+  }
+  const { method = "", url: target = "", headers, rawHeaders } = request;
+  const parsed = parseCallerCall(
+    { method, target, headers, rawHeaders },
+    node.snapshot,
+    {
+      now: receivedAt,
+      clockSkewMilliseconds: timing.clockSkewMilliseconds,
+    },
+  );
+  if (parsed.isErr) {
+    refuse(parsed.error);
+    return;
+  }
+  readBody(request, {
+    maximumBytes: limits.requestBodyBytes,
+    onTooLarge: () => refuseFor(RefusalReason.RequestTooLarge),
+    onWhole: (body) => {
+      ended = true;
+      runCallerCall(node, parsed.value, { body, receivedAt, response });
+    },
+  });
+}
+
+function getObstacle(node: CallsNode): RefusalReason | undefined {
+  if (node.draining) {
+    return RefusalReason.NodeDraining;
+  }
+  if (node.snapshot === undefined) {
+    return RefusalReason.NodeStarting;
+  }
+  return node.confirmingView ? RefusalReason.ConfirmingView : undefined;
+}
--- /dev/null
+++ b/src/daemon/calls/serve_forwarded_call.ts
@@ -0,0 +1,52 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { decodeForwardedCall } from "../../calls/decode_forwarded_call.ts";
+import { formatDiagnostic } from "../../diagnostics/format_diagnostic.ts";
+import type { CallsNode } from "./calls_node.ts";
+import { createResponseReceiver } from "./create_response_receiver.ts";
+import { readBody } from "./read_body.ts";
+import { runForwardedCall } from "./run_forwarded_call.ts";
+
+const statusBadRequest = 400;
+const statusContentTooLarge = 413;
+
+/** Serves one call that another node hands over. */
+export function serveForwardedCall(
+  node: CallsNode,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.on("error", () => undefined);
+  readBody(request, {
+    maximumBytes: node.options.settings.limits.requestBodyBytes,
+    onTooLarge: () => endWith(response, statusContentTooLarge),
+    onWhole: (body) => {
+      const { headers, rawHeaders } = request;
+      decodeForwardedCall({ headers, rawHeaders, body }).match({
+        Ok: (call) => {
+          const control = runForwardedCall(node, call, {
+            receiver: createResponseReceiver(response, call),
+            remote: true,
+          });
+          response.on("drain", () => control.resume());
+          response.on("close", () => {
+            if (!response.writableFinished) {
+              control.contactLost();
+            }
+          });
+        },
+        Err: (diagnostic) => {
+          node.options.environment.log.warn(
+            { diagnostic },
+            formatDiagnostic(diagnostic),
+          );
+          endWith(response, statusBadRequest);
+        },
+      });
+    },
+  });
+}
+
+function endWith(response: ServerResponse, status: number): void {
+  response.writeHead(status, { connection: "close", "content-length": "0" });
+  response.end();
+}
--- /dev/null
+++ b/src/testing/calls/bench_node.ts
@@ -0,0 +1,19 @@
+import type { CallsRuntime } from "../../calls/calls_runtime.ts";
+import type { NetworkAddress } from "../../runtime/network_address.ts";
+import type { CallObservation } from "../../telemetry/call_observation.ts";
+import type { createSlotCounter } from "./create_slot_counter.ts";
+import type { ScriptedBackendServer } from "./scripted_backend_server.ts";
+
+/** One node of a bench, with its backend server. */
+export interface BenchNode {
+  readonly name: string;
+  readonly runtime: CallsRuntime;
+  readonly admission: ReturnType<typeof createSlotCounter>;
+  readonly backendServer: ScriptedBackendServer;
+  /** Where callers connect. */
+  readonly callers: NetworkAddress;
+  readonly nodes: NetworkAddress;
+  readonly observations: CallObservation[];
+  /** Closes the nodes' listener: other nodes then reach nothing there. */
+  closeNodesListener(): Promise<void>;
+}
--- /dev/null
+++ b/src/testing/calls/create_slot_counter.ts
@@ -0,0 +1,46 @@
+import { AdmissionDecisionKind } from "../../admission/admission_decision_kind.ts";
+import type { AdmissionRuntime } from "../../admission/admission_runtime.ts";
+import type { DispatchReport } from "../../admission/dispatch_report.ts";
+import { RefusalReason } from "../../calls/refusal_reason.ts";
+import { BackendServerState } from "../../health/backend_server_state.ts";
+
+/** An admission for tests: a fixed number of slots, no queue; `reports` lists what was reported. */
+export function createSlotCounter(slots: number): AdmissionRuntime & {
+  readonly reports: DispatchReport[];
+  readonly getRunning: () => number;
+} {
+  const running = new Set<string>();
+  const reports: DispatchReport[] = [];
+  return {
+    reports,
+    getRunning: () => running.size,
+    start: () => undefined,
+    request: (request, decide) => {
+      if (running.size >= slots) {
+        decide({
+          kind: AdmissionDecisionKind.Refused,
+          reason: RefusalReason.Full,
+          retryAt: request.deadline,
+        });
+        return;
+      }
+      running.add(request.callIdentifier);
+      decide({ kind: AdmissionDecisionKind.Admitted });
+    },
+    withdraw: () => undefined,
+    report: (report) => {
+      reports.push(report);
+      running.delete(report.callIdentifier);
+    },
+    applySnapshot: () => undefined,
+    drain: () => Promise.resolve(),
+    stop: () => undefined,
+    getStatus: () => ({
+      backendServerState: BackendServerState.Ready,
+      limit: slots,
+      running: running.size,
+      queued: 0,
+      freeSlots: slots - running.size,
+    }),
+  };
+}
--- /dev/null
+++ b/src/testing/calls/start_scripted_backend_server.ts
@@ -0,0 +1,86 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { listenOnLoopback } from "./listen_on_loopback.ts";
+import type { ScriptedBackendServer } from "./scripted_backend_server.ts";
+
+type Script = (request: IncomingMessage, response: ServerResponse) => void;
+
+const slowMilliseconds = 700;
+const longPieceBytes = 64 * 1024;
+
+/** What the last segment of a call's path makes the backend server do. */
+const scripts: Readonly<Record<string, Script>> = {
+  cut: (_, response) => {
+    response.writeHead(200, { "content-length": "100" });
+    response.write("only a part", () => response.destroy());
+  },
+  rubbish: (request) => {
+    request.socket.end("This is not HTTP\r\n\r\n");
+  },
+  unframed: (request) => {
+    request.socket.end("HTTP/1.1 200 OK\r\n\r\ncannot be known to be whole");
+  },
+  silence: () => undefined,
+  slow: (_, response) => {
+    setTimeout(() => response.end("slow answer"), slowMilliseconds);
+  },
+  shed: (_, response) => {
+    response.writeHead(503, { "catkinquay-not-run": "true" });
+    response.end();
+  },
+  crossed: (_, response) => {
+    response.writeHead(200, { "catkinquay-call-identifier": "another-call" });
+    response.end("answer of another call");
+  },
+  long: (_, response) => {
+    response.write(Buffer.alloc(longPieceBytes, "a"));
+    response.end(Buffer.alloc(longPieceBytes, "b"));
+  },
+  "long-cut": (_, response) => {
+    response.write(Buffer.alloc(2 * longPieceBytes, "a"));
+    setTimeout(() => response.destroy(), 20);
+  },
+};
+
+const answerScript: Script = (request, response) => {
+  const pieces: Buffer[] = [];
+  request.on("data", (piece: Buffer) => pieces.push(piece));
+  request.on("end", () => {
+    response.writeHead(200, {
+      "content-type": "text/plain",
+      "x-seen-path": request.url ?? "",
+      "set-cookie": ["a=1", "b=2"],
+    });
+    response.end(`${request.method} ${Buffer.concat(pieces).toString()}`);
+  });
+};
+
+/** Starts a backend server whose calls do what the last segment of their path names. */
+export async function startScriptedBackendServer(): Promise<
+  ScriptedBackendServer
+> {
+  const runs: IncomingMessage[] = [];
+  let cancelled = 0;
+  const server = createServer((request, response) => {
+    const name = request.url?.split("?")[0]?.split("/").at(-1) ?? "";
+    if (name !== "shed") {
+      runs.push(request);
+    }
+    response.on("close", () => {
+      cancelled += response.writableFinished ? 0 : 1;
+    });
+    request.resume();
+    (scripts[name] ?? answerScript)(request, response);
+  });
+  const address = await listenOnLoopback(server);
+  return {
+    address,
+    runs,
+    getCancelled: () => cancelled,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
