Split the limit into controllers and hold slots until they are let go

Change: limit controllers, queue order and the ramp are part of the policy; a free slot takes any call, so that the estimate is unlearnt; one late call counts for at most four times the average; the ramp remembers where it was shed; a probe frees slots by the fewest calls that ran here while it was under way. Ruled out: counting only calls that ran during the whole probe as certain; with short calls and 6 ms probes it would hardly ever free the last slots.

--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -1,5 +1,12 @@
+import type { LimitController } from "./limit_controller.ts";
+import type { QueueOrder } from "./queue_order.ts";
+
 /** The figures that the admission decides by. Spans become deadlines where they are used. */
 export interface AdmissionPolicy {
+  readonly limitController: LimitController;
+  readonly queueOrder: QueueOrder;
+  /** Without the ramp every slot is open from the start. */
+  readonly coldStartRamp: boolean;
   readonly queuedCalls: number;
   readonly probeIntervalMilliseconds: number;
   readonly probeTimeoutMilliseconds: number;
--- a/src/admission/compare_queued_calls.ts
+++ b/src/admission/compare_queued_calls.ts
@@ -1,4 +1,6 @@
+import { match } from "ts-pattern";
 import { CallPriority } from "../configuration/call_priority.ts";
+import { QueueOrder } from "./queue_order.ts";
 import type { QueuedCall } from "./queued_call.ts";
 
 const rank: Readonly<Record<CallPriority, number>> = {
@@ -7,12 +9,20 @@
   [CallPriority.Low]: 2,
 };
 
-/** Orders by priority, then deadline, then arrival; negative where `left` goes first. */
+/** Orders two queued calls; negative where `left` goes first. */
 export function compareQueuedCalls(
   left: QueuedCall,
   right: QueuedCall,
+  options: { readonly order: QueueOrder },
 ): number {
-  return rank[left.request.priority] - rank[right.request.priority] ||
-    left.request.deadline - right.request.deadline ||
-    left.sequence - right.sequence;
+  return match(options.order)
+    .with(QueueOrder.FirstCome, () => left.sequence - right.sequence)
+    .with(
+      QueueOrder.PriorityThenDeadline,
+      () =>
+        rank[left.request.priority] - rank[right.request.priority] ||
+        left.request.deadline - right.request.deadline ||
+        left.sequence - right.sequence,
+    )
+    .exhaustive();
 }
--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -1,10 +1,15 @@
 import type { NodeSettings } from "../daemon/node_settings.ts";
 import type { AdmissionPolicy } from "./admission_policy.ts";
+import { LimitController } from "./limit_controller.ts";
+import { QueueOrder } from "./queue_order.ts";
 
 /** Creates the policy that a node with these settings uses. */
 export function createAdmissionPolicy(settings: NodeSettings): AdmissionPolicy {
   const probeIntervalMilliseconds = settings.timing.probeIntervalMilliseconds;
   return {
+    limitController: LimitController.AdditiveIncrease,
+    queueOrder: QueueOrder.PriorityThenDeadline,
+    coldStartRamp: true,
     queuedCalls: settings.limits.queuedCalls,
     probeIntervalMilliseconds,
     probeTimeoutMilliseconds: Math.min(1_000, probeIntervalMilliseconds),
--- a/src/admission/create_admission_state.ts
+++ b/src/admission/create_admission_state.ts
@@ -1,6 +1,7 @@
 import type { NodeSettings } from "../daemon/node_settings.ts";
 import { BackendServerState } from "../health/backend_server_state.ts";
 import type { AdmissionState } from "./admission_state.ts";
+import { createLimitState } from "./create_limit_state.ts";
 
 /** Creates the state of an admission that has heard of nothing yet. */
 export function createAdmissionState(settings: NodeSettings): AdmissionState {
@@ -11,13 +12,7 @@
     backendServer: undefined,
     backendServerState: BackendServerState.Unknown,
     nodeDraining: false,
-    limit: {
-      current: 1,
-      changedAt: 0,
-      answered: 0,
-      answeredWhenFull: 0,
-      shedInARow: 0,
-    },
+    limit: createLimitState(1, 0),
     running: [],
     lingering: [],
     queue: [],
@@ -27,6 +22,7 @@
       underWay: false,
       sentAt: 0,
       nextAt: Number.POSITIVE_INFINITY,
+      fewestRunning: 0,
       failuresInARow: 0,
       failingSince: 0,
       reportedState: undefined,
--- a/src/admission/enter_cold_start.ts
+++ b/src/admission/enter_cold_start.ts
@@ -1,21 +1,27 @@
 import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionContext } from "./admission_context.ts";
 import type { AdmissionState } from "./admission_state.ts";
+import { createLimitState } from "./create_limit_state.ts";
 
 /** Begins a cold start: the limit falls to the cold slots and is earned back by answered calls. */
 export function enterColdStart(
   state: AdmissionState,
-  now: number,
+  context: AdmissionContext,
 ): AdmissionState {
+  const { now, policy } = context;
+  const contact = { ...state.contact, downSince: 0 };
+  if (!policy.coldStartRamp) {
+    return {
+      ...state,
+      contact,
+      backendServerState: BackendServerState.Ready,
+      limit: createLimitState(state.backendServer?.slots ?? 1, now),
+    };
+  }
   return {
     ...state,
+    contact,
     backendServerState: BackendServerState.Cold,
-    limit: {
-      current: state.backendServer?.coldSlots ?? 1,
-      changedAt: now,
-      answered: 0,
-      answeredWhenFull: 0,
-      shedInARow: 0,
-    },
-    contact: { ...state.contact, downSince: 0 },
+    limit: createLimitState(state.backendServer?.coldSlots ?? 1, now),
   };
 }
--- /dev/null
+++ b/src/admission/fall_down_ramp.ts
@@ -0,0 +1,25 @@
+import type { AdmissionState } from "./admission_state.ts";
+import type { CallOutcome } from "./call_outcome.ts";
+
+/** Lowers the limit of a backend server in cold start, and remembers where it was shed. */
+export function fallDownRamp(
+  state: AdmissionState,
+  outcome: CallOutcome,
+): AdmissionState {
+  const { context, report } = outcome;
+  const { limit } = state;
+  if (report.dispatchedAt < limit.changedAt) return state;
+  const ceiling = Math.floor(limit.current);
+  return {
+    ...state,
+    limit: {
+      ...limit,
+      current: Math.max(1, limit.current * context.policy.decreaseFactor),
+      changedAt: context.now,
+      answered: 0,
+      answeredWhenFull: 0,
+      ceiling,
+      shedSteps: ceiling === limit.ceiling ? limit.shedSteps + 1 : 1,
+    },
+  };
+}
--- a/src/admission/get_next_instant.ts
+++ b/src/admission/get_next_instant.ts
@@ -2,6 +2,8 @@
 import type { AdmissionState } from "./admission_state.ts";
 import { getLatestStart } from "./get_latest_start.ts";
 import { getNextProbeInstant } from "./get_next_probe_instant.ts";
+import { QueueOrder } from "./queue_order.ts";
+import type { QueuedCall } from "./queued_call.ts";
 
 /**
  * Returns the next instant at which the admission has something to do without
@@ -14,8 +16,19 @@
   const instants = [
     getNextProbeInstant(state, context),
     ...state.lingering.map((slot) => slot.until),
-    // One millisecond later the call is late.
-    ...state.queue.map((call) => Math.floor(getLatestStart(state, call)) + 1),
+    ...state.queue.map((call) => getEndOfWait(state, { call, ...context })),
   ];
   return Math.min(...instants);
 }
+
+/** One millisecond after its latest start a queued call is late, and at its deadline it has passed. */
+function getEndOfWait(
+  state: AdmissionState,
+  options: Pick<AdmissionContext, "policy"> & { readonly call: QueuedCall },
+): number {
+  const { call, policy } = options;
+  const { deadline } = call.request;
+  return policy.queueOrder === QueueOrder.FirstCome
+    ? deadline
+    : Math.min(deadline, Math.floor(getLatestStart(state, call)) + 1);
+}
--- a/src/admission/handle_probe_answer.ts
+++ b/src/admission/handle_probe_answer.ts
@@ -1,6 +1,7 @@
 import { match } from "ts-pattern";
 import type { BackendServerProbe } from "../health/backend_server_probe.ts";
 import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionContext } from "./admission_context.ts";
 import type { AdmissionState } from "./admission_state.ts";
 import { enterColdStart } from "./enter_cold_start.ts";
 
@@ -8,7 +9,7 @@
 export function handleProbeAnswer(
   state: AdmissionState,
   probe: BackendServerProbe,
-  now: number,
+  context: AdmissionContext,
 ): AdmissionState {
   const wasReported = state.probing.reportedState;
   const answered: AdmissionState = {
@@ -27,14 +28,18 @@
   return match(state.backendServerState)
     .with(
       BackendServerState.Unknown,
+      () =>
+        enterColdStart(holdInherited(answered, { probe, context }), context),
+    )
+    .with(
       BackendServerState.Draining,
-      () => enterColdStart(answered, now),
+      () => enterColdStart(answered, context),
     )
     .with(
       BackendServerState.Down,
       () =>
         probe.sentAt >= state.contact.trialAt
-          ? enterColdStart(answered, now)
+          ? enterColdStart(answered, context)
           : answered,
     )
     .with(
@@ -43,7 +48,7 @@
       // more once its calls have carried the ramp to its end.
       () =>
         probe.reportedState === "cold" && wasReported !== "cold"
-          ? enterColdStart(answered, now)
+          ? enterColdStart(answered, context)
           : answered,
     )
     .with(BackendServerState.Cold, () => answered)
@@ -51,23 +56,48 @@
 }
 
 /**
- * Frees slots of given-up calls that the backend server has let go of. Calls
- * that ran before the probe was sent and still run are certainly among those
- * that it counted, so no more than the rest can be given-up ones. A count
- * below the certain ones proves that the endpoint lags, and frees nothing.
+ * Frees slots of given-up calls that the backend server has let go of. It
+ * counted its calls at some instant since the probe was sent, so that what it
+ * counted beyond the fewest that ran here since then are given-up ones at
+ * most. A smaller count proves that the endpoint lags, and frees nothing.
  */
 function releaseLingering(
   state: AdmissionState,
   probe: BackendServerProbe,
 ): AdmissionState {
-  const certain =
-    state.running.filter((call) => call.admittedAt < probe.sentAt).length;
-  if (probe.running < certain) return state;
+  const givenUp = probe.running - state.probing.fewestRunning;
+  if (givenUp < 0) return state;
   const older = state.lingering.filter((slot) => slot.since < probe.sentAt);
   const younger = state.lingering.filter((slot) => slot.since >= probe.sentAt);
-  const kept = Math.min(older.length, probe.running - certain);
+  const kept = Math.min(older.length, givenUp);
   return {
     ...state,
     lingering: [...older.slice(older.length - kept), ...younger],
   };
 }
+
+/** Holds slots for calls that a former process of this node left behind. */
+function holdInherited(
+  state: AdmissionState,
+  options: {
+    readonly probe: BackendServerProbe;
+    readonly context: AdmissionContext;
+  },
+): AdmissionState {
+  const { context, probe } = options;
+  const slots = state.backendServer?.slots ?? 0;
+  const inherited = Math.min(slots, probe.running) -
+    state.running.length - state.lingering.length;
+  if (inherited <= 0) return state;
+  const slot = {
+    since: context.now,
+    until: context.now + context.policy.lingeringMilliseconds,
+  };
+  return {
+    ...state,
+    lingering: [
+      ...state.lingering,
+      ...Array.from({ length: inherited }, () => slot),
+    ],
+  };
+}
--- a/src/admission/handle_report.ts
+++ b/src/admission/handle_report.ts
@@ -23,19 +23,20 @@
     report,
     now: context.now,
   });
+  const outcome = { report, call, context };
   return match(report.result)
     .with(
       DispatchResult.Answered,
-      () => learnFromAnswer(observed, { report, call, context }),
+      () => learnFromAnswer(observed, outcome),
     )
     .with(
       DispatchResult.Shed,
       DispatchResult.Broken,
-      () => learnFromOverload(observed, { report, context }),
+      () => learnFromOverload(observed, outcome),
     )
     .with(
       DispatchResult.ConnectionRefused,
-      () => learnFromRefusedConnection(observed, { report, context }),
+      () => learnFromRefusedConnection(observed, outcome),
     )
     .with(DispatchResult.Cancelled, () => observed)
     .exhaustive();
--- a/src/admission/handle_request.ts
+++ b/src/admission/handle_request.ts
@@ -28,7 +28,9 @@
   const queue = [
     ...state.queue,
     { request, sequence: state.nextSequence },
-  ].sort(compareQueuedCalls);
+  ].sort((left, right) =>
+    compareQueuedCalls(left, right, { order: context.policy.queueOrder })
+  );
   return {
     state: { ...state, queue, nextSequence: state.nextSequence + 1 },
     effects: [],
--- a/src/admission/handle_snapshot.ts
+++ b/src/admission/handle_snapshot.ts
@@ -1,6 +1,7 @@
 import type { Snapshot } from "../configuration/snapshot.ts";
 import { ZoneState } from "../configuration/zone_state.ts";
 import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionContext } from "./admission_context.ts";
 import type { AdmissionState } from "./admission_state.ts";
 import { enterColdStart } from "./enter_cold_start.ts";
 import type { LocalBackendServer } from "./local_backend_server.ts";
@@ -12,7 +13,7 @@
 export function handleSnapshot(
   state: AdmissionState,
   snapshot: Snapshot,
-  now: number,
+  context: AdmissionContext,
 ): AdmissionState {
   const backendServer = getLocalBackendServer(state, snapshot);
   const next = { ...state, version: snapshot.version, backendServer };
@@ -24,7 +25,7 @@
   // cannot be told beforehand.
   const isServing = state.backendServerState === BackendServerState.Cold ||
     state.backendServerState === BackendServerState.Ready;
-  if (isServing) return enterColdStart(next, now);
+  if (isServing) return enterColdStart(next, context);
   return {
     ...next,
     limit: { ...next.limit, current: backendServer.coldSlots },
--- /dev/null
+++ b/src/admission/limit_judgement.ts
@@ -0,0 +1,15 @@
+/** The last decision of a controller that judges its own steps, and what it rested on. */
+export interface LimitJudgement {
+  /** The limit before the last step. */
+  readonly limitBefore: number;
+  /** Whether the last step raised the limit. */
+  readonly raised: boolean;
+  /** The mean time of the calls answered in the period before the step, in milliseconds. */
+  readonly latencyMilliseconds: number;
+  /** The part of the calls that were shed in the period before the step, from 0 to 1. */
+  readonly shedRate: number;
+  /** Periods to wait before the next raise. */
+  readonly holdPeriods: number;
+  /** Raises taken back in a row. */
+  readonly takenBack: number;
+}
--- a/src/admission/limit_state.ts
+++ b/src/admission/limit_state.ts
@@ -1,3 +1,6 @@
+import type { LimitJudgement } from "./limit_judgement.ts";
+import type { LimitPeriod } from "./limit_period.ts";
+
 /** Where the limit on concurrent calls stands. All instants in milliseconds since the Unix epoch. */
 export interface LimitState {
   /** How many calls may run at once; the whole part counts. */
@@ -10,4 +13,10 @@
   readonly answeredWhenFull: number;
   /** Sheds in a row, without an answer in between. */
   readonly shedInARow: number;
+  /** The limit at which the ramp was last shed; 0 where it was not. */
+  readonly ceiling: number;
+  /** How many steps of the ramp in a row were shed at the ceiling. */
+  readonly shedSteps: number;
+  readonly period: LimitPeriod;
+  readonly judgement: LimitJudgement;
 }
--- /dev/null
+++ b/src/admission/lower_limit.ts
@@ -0,0 +1,38 @@
+import { match } from "ts-pattern";
+import type { AdmissionState } from "./admission_state.ts";
+import type { CallOutcome } from "./call_outcome.ts";
+import { judgeLimit } from "./judge_limit.ts";
+import { LimitController } from "./limit_controller.ts";
+
+/** Follows a shed or broken call of a backend server that is ready. */
+export function lowerLimit(
+  state: AdmissionState,
+  outcome: CallOutcome,
+): AdmissionState {
+  return match(outcome.context.policy.limitController)
+    .with(LimitController.Fixed, () => state)
+    .with(
+      LimitController.AdditiveIncrease,
+      () => decreaseByFactor(state, outcome),
+    )
+    .with(LimitController.StepBack, () => judgeLimit(state, outcome))
+    .exhaustive();
+}
+
+/** Lowers the limit once for all the calls that were dispatched under it. */
+function decreaseByFactor(
+  state: AdmissionState,
+  outcome: CallOutcome,
+): AdmissionState {
+  const { context, report } = outcome;
+  const { limit } = state;
+  if (report.dispatchedAt < limit.changedAt) return state;
+  return {
+    ...state,
+    limit: {
+      ...limit,
+      current: Math.max(1, limit.current * context.policy.decreaseFactor),
+      changedAt: context.now,
+    },
+  };
+}
--- a/src/admission/observe_service_time.ts
+++ b/src/admission/observe_service_time.ts
@@ -5,6 +5,8 @@
 
 const recentWeight = 0.1;
 const usualWeight = 0.01;
+/** How many times the average one call may count for, so that a single late call says little. */
+const largestFactor = 4;
 
 /**
  * Takes a call that has ended into the moving averages. A call that was given
@@ -22,10 +24,13 @@
   const isLowerBound = (result === DispatchResult.Cancelled ||
     result === DispatchResult.Broken) && elapsed > recentMilliseconds;
   if (!isWhole && !isLowerBound) return state;
+  const counted = samples === 0
+    ? elapsed
+    : Math.min(elapsed, largestFactor * Math.max(1, recentMilliseconds));
   const follow = (average: number, weight: number) =>
     samples === 0
-      ? elapsed
-      : average + Math.max(weight, 1 / (samples + 1)) * (elapsed - average);
+      ? counted
+      : average + Math.max(weight, 1 / (samples + 1)) * (counted - average);
   const learnsUsual = samples === 0 ||
     state.backendServerState === BackendServerState.Ready;
   return {
--- a/src/admission/probing_state.ts
+++ b/src/admission/probing_state.ts
@@ -7,6 +7,8 @@
   readonly sentAt: number;
   /** When the next probe is due, in milliseconds since the Unix epoch; infinite before the start. */
   readonly nextAt: number;
+  /** The fewest calls that ran here at one instant since the last probe was sent. */
+  readonly fewestRunning: number;
   readonly failuresInARow: number;
   /** When the first of the failures in a row was sent, in milliseconds since the Unix epoch. */
   readonly failingSince: number;
--- a/src/admission/schedule_probe.ts
+++ b/src/admission/schedule_probe.ts
@@ -18,6 +18,7 @@
         ...state.probing,
         underWay: true,
         sentAt: now,
+        fewestRunning: state.running.length,
         nextAt: now + policy.probeIntervalMilliseconds,
       },
     },
--- a/src/admission/settle_queue.ts
+++ b/src/admission/settle_queue.ts
@@ -9,6 +9,7 @@
 import { getFullReason } from "./get_full_reason.ts";
 import { getLatestStart } from "./get_latest_start.ts";
 import { getExpectedWait } from "./get_expected_wait.ts";
+import { QueueOrder } from "./queue_order.ts";
 import type { QueuedCall } from "./queued_call.ts";
 import { refuseCalls } from "./refuse_calls.ts";
 
@@ -22,7 +23,7 @@
   if (closed !== undefined) {
     return refuseQueued(state, { calls: state.queue, reason: closed, context });
   }
-  const phases = [refusePassed, refuseLate, dispatchQueue, refuseWaiting];
+  const phases = [refusePassed, dispatchQueue, refuseWaiting];
   return phases.reduce<AdmissionStep>(
     (step, phase) => continueStep(step, (next) => phase(next, context)),
     { state, effects: [] },
@@ -40,34 +41,45 @@
   });
 }
 
-function refuseLate(
+/** Refuses what the queue is too short for, and what would wait too long in it. */
+function refuseWaiting(
   state: AdmissionState,
   context: AdmissionContext,
 ): AdmissionStep {
+  const held = state.backendServerState === BackendServerState.Down
+    ? []
+    : state.queue.reduce<readonly QueuedCall[]>(
+      (ahead, call) =>
+        ahead.length < context.policy.queuedCalls &&
+          canStartInTime(state, { call, position: ahead.length, context })
+          ? [...ahead, call]
+          : ahead,
+      [],
+    );
   return refuseQueued(state, {
-    calls: state.queue.filter((call) =>
-      getLatestStart(state, call) < context.now
-    ),
+    calls: state.queue.filter((call) => !held.includes(call)),
     reason: getFullReason(state),
     context,
   });
 }
 
-/** Refuses what the queue is too short for, and what would wait too long in it. */
-function refuseWaiting(
+/**
+ * Tells whether a queued call can start so early that it ends in time. A free
+ * slot takes any call, however long calls have taken of late, so that a service
+ * time that has become too long can be unlearnt.
+ */
+function canStartInTime(
   state: AdmissionState,
-  context: AdmissionContext,
-): AdmissionStep {
-  const isDown = state.backendServerState === BackendServerState.Down;
-  const isHeld = (call: QueuedCall, position: number) =>
-    !isDown && position < context.policy.queuedCalls &&
-    context.now + getExpectedWait(state, position) <=
-      getLatestStart(state, call);
-  return refuseQueued(state, {
-    calls: state.queue.filter((call, position) => !isHeld(call, position)),
-    reason: getFullReason(state),
-    context,
-  });
+  options: {
+    readonly call: QueuedCall;
+    readonly position: number;
+    readonly context: AdmissionContext;
+  },
+): boolean {
+  const { call, context, position } = options;
+  if (context.policy.queueOrder === QueueOrder.FirstCome) return true;
+  return context.now + getExpectedWait(state, position) <=
+    getLatestStart(state, call);
 }
 
 function refuseQueued(
--- a/src/admission/step_admission.ts
+++ b/src/admission/step_admission.ts
@@ -15,6 +15,7 @@
 import { recordChanges } from "./record_changes.ts";
 import { scheduleProbe } from "./schedule_probe.ts";
 import { settleQueue } from "./settle_queue.ts";
+import { trackRunning } from "./track_running.ts";
 
 /**
  * Decides what follows from one event. The phases are: the event itself, slots
@@ -30,6 +31,7 @@
     (next: AdmissionState) =>
       withoutEffects(expireLingering(next, context.now)),
     (next: AdmissionState) => settleQueue(next, context),
+    (next: AdmissionState) => withoutEffects(trackRunning(next)),
     (next: AdmissionState) => scheduleProbe(next, context),
   ];
   const step = phases.reduce<AdmissionStep>(
@@ -74,12 +76,11 @@
     .with(
       { kind: AdmissionEventKind.SnapshotApplied },
       ({ snapshot }) =>
-        withoutEffects(handleSnapshot(state, snapshot, context.now)),
+        withoutEffects(handleSnapshot(state, snapshot, context)),
     )
     .with(
       { kind: AdmissionEventKind.ProbeAnswered },
-      ({ probe }) =>
-        withoutEffects(handleProbeAnswer(state, probe, context.now)),
+      ({ probe }) => withoutEffects(handleProbeAnswer(state, probe, context)),
     )
     .with(
       { kind: AdmissionEventKind.ProbeFailed },
