Let a controller with memory take back a raise that a shed followed

Change: a shed takes back the raise that brought it on; latency is judged only at the end of a period without a shed. A shed while at most half of the slots are occupied is a relapse; sheds in a row never came, since the calls that still ran were answered in between.

--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -25,8 +25,8 @@
   readonly cautiousStepMilliseconds: number;
   /** How many times the usual service time makes the ramp cautious. */
   readonly cautiousSlowdown: number;
-  /** How many sheds in a row, at or below the limit, count as a relapse into cold start. */
-  readonly relapseSheds: number;
+  /** A shed while at most this part of the slots is occupied (0 to 1) counts as a relapse into cold start. */
+  readonly relapseOccupancy: number;
   /** How many times the usual service time counts as a relapse into cold start. */
   readonly relapseSlowdown: number;
   /** How many answered calls make a usual service time. */
--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -19,7 +19,7 @@
     rampStepMilliseconds: 250,
     cautiousStepMilliseconds: 2_000,
     cautiousSlowdown: 1.5,
-    relapseSheds: 3,
+    relapseOccupancy: 0.5,
     relapseSlowdown: 3,
     usualSamples: 20,
     downProbeFailures: 3,
--- a/src/admission/create_limit_state.ts
+++ b/src/admission/create_limit_state.ts
@@ -1,4 +1,4 @@
-import { createLimitPeriod } from "./create_limit_period.ts";
+import { emptyLimitPeriod } from "./empty_limit_period.ts";
 import type { LimitState } from "./limit_state.ts";
 
 /** Creates a limit of `current` calls that begins at the instant `now`. */
@@ -8,16 +8,14 @@
     changedAt: now,
     answered: 0,
     answeredWhenFull: 0,
-    shedInARow: 0,
     ceiling: 0,
     shedSteps: 0,
-    period: createLimitPeriod(now),
+    period: emptyLimitPeriod,
     judgement: {
       limitBefore: current,
       raised: false,
       latencyMilliseconds: 0,
-      shedRate: 0,
-      holdPeriods: 0,
+      holdUntil: 0,
       takenBack: 0,
     },
   };
--- a/src/admission/learn_from_answer.ts
+++ b/src/admission/learn_from_answer.ts
@@ -23,7 +23,6 @@
         report.dispatchedAt,
       ),
     },
-    limit: { ...state.limit, shedInARow: 0 },
   };
   return match(state.backendServerState)
     .with(BackendServerState.Unknown, () => enterColdStart(answered, context))
--- a/src/admission/learn_from_overload.ts
+++ b/src/admission/learn_from_overload.ts
@@ -13,7 +13,7 @@
   state: AdmissionState,
   outcome: CallOutcome,
 ): AdmissionState {
-  const { report, context } = outcome;
+  const { call, context, report } = outcome;
   const isShed = report.result === DispatchResult.Shed;
   return match(state.backendServerState)
     .with(
@@ -28,13 +28,12 @@
     })
     .with(BackendServerState.Cold, () => fallDownRamp(state, outcome))
     .with(BackendServerState.Ready, () => {
-      const shedInARow = state.limit.shedInARow + (isShed ? 1 : 0);
-      return shedInARow >= context.policy.relapseSheds
+      const slots = state.backendServer?.slots ?? 1;
+      const isRelapse = isShed &&
+        call.occupiedSlots <= context.policy.relapseOccupancy * slots;
+      return isRelapse
         ? enterColdStart(state, context)
-        : lowerLimit(
-          { ...state, limit: { ...state.limit, shedInARow } },
-          outcome,
-        );
+        : lowerLimit(state, outcome);
     })
     .with(BackendServerState.Draining, () => state)
     .exhaustive();
--- a/src/admission/limit_judgement.ts
+++ b/src/admission/limit_judgement.ts
@@ -6,10 +6,8 @@
   readonly raised: boolean;
   /** The mean time of the calls answered in the period before the step, in milliseconds. */
   readonly latencyMilliseconds: number;
-  /** The part of the calls that were shed in the period before the step, from 0 to 1. */
-  readonly shedRate: number;
-  /** Periods to wait before the next raise. */
-  readonly holdPeriods: number;
+  /** No raise before this instant, in milliseconds since the Unix epoch. */
+  readonly holdUntil: number;
   /** Raises taken back in a row. */
   readonly takenBack: number;
 }
--- a/src/admission/limit_state.ts
+++ b/src/admission/limit_state.ts
@@ -11,8 +11,6 @@
   readonly answered: number;
   /** Those among `answered` that were admitted to the last slot under the limit. */
   readonly answeredWhenFull: number;
-  /** Sheds in a row, without an answer in between. */
-  readonly shedInARow: number;
   /** The limit at which the ramp was last shed; 0 where it was not. */
   readonly ceiling: number;
   /** How many steps of the ramp in a row were shed at the ceiling. */
--- a/src/admission/raise_limit.ts
+++ b/src/admission/raise_limit.ts
@@ -1,7 +1,7 @@
 import { match } from "ts-pattern";
 import type { AdmissionState } from "./admission_state.ts";
 import type { CallOutcome } from "./call_outcome.ts";
-import { judgeLimit } from "./judge_limit.ts";
+import { judgeRaise } from "./judge_raise.ts";
 import { LimitController } from "./limit_controller.ts";
 
 /** Follows an answered call of a backend server that is ready. */
@@ -15,7 +15,7 @@
       LimitController.AdditiveIncrease,
       () => increaseAdditively(state, outcome),
     )
-    .with(LimitController.StepBack, () => judgeLimit(state, outcome))
+    .with(LimitController.StepBack, () => judgeRaise(state, outcome))
     .exhaustive();
 }
 
