--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -1,10 +1,15 @@
 import type { NodeSettings } from "../daemon/node_settings.ts";
 import type { AdmissionPolicy } from "./admission_policy.ts";
+import { LimitController } from "./limit_controller.ts";
+import { QueueOrder } from "./queue_order.ts";
 
 /** Creates the policy that a node with these settings uses. */
 export function createAdmissionPolicy(settings: NodeSettings): AdmissionPolicy {
   const probeIntervalMilliseconds = settings.timing.probeIntervalMilliseconds;
   return {
+    limitController: LimitController.AdditiveIncrease,
+    queueOrder: QueueOrder.PriorityThenDeadline,
+    coldStartRamp: true,
     queuedCalls: settings.limits.queuedCalls,
     probeIntervalMilliseconds,
     probeTimeoutMilliseconds: Math.min(1_000, probeIntervalMilliseconds),
@@ -14,7 +19,7 @@
     rampStepMilliseconds: 250,
     cautiousStepMilliseconds: 2_000,
     cautiousSlowdown: 1.5,
-    relapseSheds: 3,
+    relapseOccupancy: 0.5,
     relapseSlowdown: 3,
     usualSamples: 20,
     downProbeFailures: 3,
