Learn from refusals, renew silent connections, refuse what a stop cuts

Cause: a node that refuses work was asked again by the next call until its record arrived, which spends the retry budget; a silent connection left its pool's other connections in use; a stop broke connections where a refusal can be given; and a key whose former owner's process is gone stayed unsettled even for a caller's first attempt.

Change: views avoid a node that refuses all work for one second; pools are renewed after silence; CallEventKind.Stopped; ControlFailure.refused (optional) tells a process that is gone from a lost connection.

--- a/src/calls/backend_server_view.ts
+++ b/src/calls/backend_server_view.ts
@@ -12,6 +12,8 @@
   readonly avoidedUntil: number;
   /** Failed contacts in a row. */
   readonly failures: number;
+  /** Whether no process listened there at the last contact. */
+  readonly processGone: boolean;
   /** Until this instant no second call is sent while the probing call is out. */
   readonly probingUntil: number;
 }
--- a/src/calls/call_effect.ts
+++ b/src/calls/call_effect.ts
@@ -9,6 +9,11 @@
     readonly attempt: number;
     readonly excluded: readonly string[];
   }
+  | {
+    readonly kind: CallEffectKind.AvoidNode;
+    /** Whether no process listens there. */
+    readonly processGone: boolean;
+  }
   | { readonly kind: CallEffectKind.Refuse; readonly refusal: Refusal }
   | {
     readonly kind: CallEffectKind.SendStoredAnswer;
@@ -22,7 +27,7 @@
   | {
     readonly kind:
       | CallEffectKind.CancelTry
-      | CallEffectKind.AvoidNode
+      | CallEffectKind.RenewConnections
       | CallEffectKind.SendAnswer
       | CallEffectKind.BeginStream
       | CallEffectKind.EndStream
--- a/src/calls/call_event.ts
+++ b/src/calls/call_event.ts
@@ -14,6 +14,11 @@
   | { readonly kind: CallEventKind.NoneChosen; readonly refusal: Refusal }
   | { readonly kind: CallEventKind.Refused; readonly refusal: NodeRefusal }
   | { readonly kind: CallEventKind.Settled; readonly settlement: Settlement }
+  | {
+    readonly kind: CallEventKind.NotSent;
+    /** Whether the connection was refused: no process listens there. */
+    readonly processGone: boolean;
+  }
   | {
     readonly kind:
       | CallEventKind.Started
@@ -21,9 +26,9 @@
       | CallEventKind.AnswerWhole
       | CallEventKind.AnswerStreams
       | CallEventKind.StreamEnded
-      | CallEventKind.NotSent
       | CallEventKind.ContactLost
       | CallEventKind.SettlementFailed
       | CallEventKind.Woke
-      | CallEventKind.CallerLeft;
+      | CallEventKind.CallerLeft
+      | CallEventKind.Stopped;
   };
--- a/src/calls/call_event_kind.ts
+++ b/src/calls/call_event_kind.ts
@@ -25,4 +25,6 @@
   SettlementFailed = "settlement-failed",
   Woke = "woke",
   CallerLeft = "caller-left",
+  /** The node ends now. */
+  Stopped = "stopped",
 }
--- a/src/calls/create_backend_server_view.ts
+++ b/src/calls/create_backend_server_view.ts
@@ -8,6 +8,7 @@
     record: undefined,
     avoidedUntil: 0,
     failures: 0,
+    processGone: false,
     probingUntil: 0,
   };
 }
--- a/src/calls/get_backend_server_obstacle.ts
+++ b/src/calls/get_backend_server_obstacle.ts
@@ -6,6 +6,13 @@
 import type { PeerRecord } from "../peers/peer_record.ts";
 import { RefusalReason } from "./refusal_reason.ts";
 
+const nodeObstacles: Readonly<Record<NodeState, RefusalReason | undefined>> = {
+  [NodeState.Starting]: RefusalReason.NodeStarting,
+  [NodeState.Serving]: undefined,
+  [NodeState.ConfirmingView]: RefusalReason.ConfirmingView,
+  [NodeState.Draining]: RefusalReason.NodeDraining,
+};
+
 /** Returns why a backend server may not be given new work, or undefined where it may. */
 export function getBackendServerObstacle(
   server: BackendServer,
@@ -21,8 +28,9 @@
   if (record === undefined) {
     return undefined;
   }
-  if (record.state === NodeState.Draining) {
-    return RefusalReason.NodeDraining;
+  const nodeObstacle = nodeObstacles[record.state];
+  if (nodeObstacle !== undefined) {
+    return nodeObstacle;
   }
   if (record.backendServerState === BackendServerState.Draining) {
     return RefusalReason.BackendServerDraining;
--- a/src/calls/get_dispatch_obstacle.ts
+++ b/src/calls/get_dispatch_obstacle.ts
@@ -5,6 +5,8 @@
 export function getDispatchObstacle(
   node: {
     readonly hasSnapshot: boolean;
+    /** Whether the snapshot in force has the call's backend server. */
+    readonly isRegistered: boolean;
     readonly confirmingView: boolean;
     readonly draining: boolean;
     /** Name of the backend server beside the node. */
@@ -25,7 +27,7 @@
   if (node.draining) {
     return RefusalReason.NodeDraining;
   }
-  if (call.backendServer !== node.ownBackendServer) {
+  if (!node.isRegistered || call.backendServer !== node.ownBackendServer) {
     return RefusalReason.BackendServerUnknown;
   }
   return call.settlement === undefined ? undefined : RefusalReason.Fenced;
--- a/src/calls/ledger_event.ts
+++ b/src/calls/ledger_event.ts
@@ -12,6 +12,8 @@
     readonly attemptIdentifier: string;
     /** No attempt was made before this instant, in milliseconds since the Unix epoch. */
     readonly firstAttemptAt: number | undefined;
+    /** Whether the caller says that it made no earlier attempt. */
+    readonly isFirstAttempt: boolean;
     /** The servers that may have run the key before this one became its owner. */
     readonly predecessors: readonly LedgerServer[];
   }
@@ -27,6 +29,8 @@
     readonly attemptIdentifier: string;
     /** When the server's VM was seen to be gone, in milliseconds since the Unix epoch. */
     readonly goneAt: number | undefined;
+    /** Whether the connection was refused: no process listens there. */
+    readonly processGone: boolean;
   }
   | { readonly kind: LedgerEventKind.Asked; readonly by: LedgerServer }
   | {
--- a/src/calls/step_backend_server_view.ts
+++ b/src/calls/step_backend_server_view.ts
@@ -5,6 +5,8 @@
 
 const firstAvoidanceMilliseconds = 200;
 const longestAvoidanceMilliseconds = 5000;
+/** How long a node that takes no new work is left alone, unless its record changes before. */
+const refusalAvoidanceMilliseconds = 1000;
 /** How long a probing call may take before another one is sent. */
 const probeMilliseconds = 1000;
 
@@ -41,8 +43,13 @@
       { kind: ViewEventKind.ContactMade },
       () => ({ ...view, ...noFailures }),
     )
-    .with({ kind: ViewEventKind.ContactFailed }, () => ({
+    .with({ kind: ViewEventKind.WorkRefused }, () => ({
       ...view,
+      avoidedUntil: now + refusalAvoidanceMilliseconds,
+    }))
+    .with({ kind: ViewEventKind.ContactFailed }, ({ processGone }) => ({
+      ...view,
+      processGone,
       failures: view.failures + 1,
       probingUntil: 0,
       avoidedUntil: now + getAvoidance(view.failures, random),
@@ -50,7 +57,12 @@
     .exhaustive();
 }
 
-const noFailures = { failures: 0, avoidedUntil: 0, probingUntil: 0 };
+const noFailures = {
+  failures: 0,
+  avoidedUntil: 0,
+  processGone: false,
+  probingUntil: 0,
+};
 
 /** Exponential backoff, spread over the upper half so that nodes do not probe in step. */
 function getAvoidance(failures: number, random: number): number {
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -78,7 +78,10 @@
       { kind: CallEventKind.Refused },
       ({ refusal }) => refused(state, refusal, context),
     )
-    .with({ kind: CallEventKind.NotSent }, () => notSent(state, context))
+    .with(
+      { kind: CallEventKind.NotSent },
+      ({ processGone }) => notSent(state, context, { processGone }),
+    )
     .with({ kind: CallEventKind.ContactLost }, () => lost(state, context, []))
     .with(
       { kind: CallEventKind.Settled },
@@ -89,6 +92,7 @@
       () => refuseUnknown(state, RefusalReason.ContactLost, context),
     )
     .with({ kind: CallEventKind.Woke }, () => woke(state, context))
+    .with({ kind: CallEventKind.Stopped }, () => stopped(state, context))
     .with({ kind: CallEventKind.CallerLeft }, () =>
       end(state, [
         { kind: CallEffectKind.CancelTry },
@@ -210,7 +214,11 @@
     reason === RefusalReason.DeadlinePassed;
 }
 
-function notSent(state: CallState, context: CallContext): CallStep {
+function notSent(
+  state: CallState,
+  context: CallContext,
+  options: { readonly processGone: boolean },
+): CallStep {
   const step = tryElsewhere(state, context, {
     keySettled: false,
     refusal: createRefusal(
@@ -221,7 +229,10 @@
   });
   return {
     ...step,
-    effects: [{ kind: CallEffectKind.AvoidNode }, ...step.effects],
+    effects: [
+      { kind: CallEffectKind.AvoidNode, ...options },
+      ...step.effects,
+    ],
   };
 }
 
@@ -324,9 +335,10 @@
     .with(
       CallPhase.Sent,
       () =>
-        heldUp
-          ? heard(state, context)
-          : lost(state, context, [cancel, { kind: CallEffectKind.AvoidNode }]),
+        heldUp ? heard(state, context) : lost(state, context, [cancel, {
+          kind: CallEffectKind.AvoidNode,
+          processGone: false,
+        }, { kind: CallEffectKind.RenewConnections }]),
     )
     .with(CallPhase.AwaitingOutcome, () => ask(state, context, []))
     .with(
@@ -342,18 +354,38 @@
 }
 
 function late(state: CallState, context: CallContext): CallStep {
+  return giveUp(
+    state,
+    createRefusal(RefusalReason.DeadlinePassed, Outcome.NotRun, {
+      now: context.now,
+    }),
+  );
+}
+
+/** Ends the call with its current try still open. */
+function giveUp(state: CallState, refusal: Refusal): CallStep {
   const cancel: CallEffect = { kind: CallEffectKind.CancelTry };
   if (state.phase === CallPhase.Streaming) {
     return end(state, [cancel, { kind: CallEffectKind.BreakCaller }]);
   }
   const open = state.phase !== CallPhase.Choosing;
-  const step = refuseLate(
+  const step = refuseFinally(
     { ...state, mayHaveRun: state.mayHaveRun || open },
-    context,
+    refusal,
   );
   return { ...step, effects: [cancel, ...step.effects] };
 }
 
+/** The node ends: the caller is told what is known by now. */
+function stopped(state: CallState, context: CallContext): CallStep {
+  return giveUp(
+    state,
+    createRefusal(RefusalReason.NodeDraining, Outcome.NotRun, {
+      now: context.now,
+    }),
+  );
+}
+
 function refuseLate(state: CallState, context: CallContext): CallStep {
   return refuseFinally(
     state,
--- a/src/calls/step_dispatch.ts
+++ b/src/calls/step_dispatch.ts
@@ -118,7 +118,10 @@
       effects: [],
     }))
     .with({ kind: DispatchEventKind.Woke }, () => woke(state, context))
-    .with({ kind: DispatchEventKind.Stopped }, () => stopped(state, context))
+    .with(
+      { kind: DispatchEventKind.Stopped },
+      () => giveUp(state, RefusalReason.NodeDraining, context),
+    )
     .exhaustive();
 }
 
@@ -226,7 +229,7 @@
 
 function woke(state: DispatchState, context: DispatchContext): DispatchStep {
   if (context.now >= state.deadline) {
-    return late(state, context);
+    return giveUp(state, RefusalReason.DeadlinePassed, context);
   }
   if (context.now >= state.cancelAt) {
     return cancel(state);
@@ -239,18 +242,19 @@
     : { state, effects: [] };
 }
 
-function late(state: DispatchState, context: DispatchContext): DispatchStep {
+/** Ends the try: what waits is refused as not run, what runs is cut. */
+function giveUp(
+  state: DispatchState,
+  reason: RefusalReason,
+  context: DispatchContext,
+): DispatchStep {
   return match(state.phase)
     .with(
       DispatchPhase.AwaitingLedger,
-      () => concludeNotRun(state, RefusalReason.DeadlinePassed, context),
+      () => concludeNotRun(state, reason, context),
     )
     .with(DispatchPhase.Queued, () => {
-      const step = concludeNotRun(
-        state,
-        RefusalReason.DeadlinePassed,
-        context,
-      );
+      const step = concludeNotRun(state, reason, context);
       return {
         ...step,
         effects: [
@@ -261,29 +265,7 @@
     })
     .with(DispatchPhase.Running, () =>
       cutRun(state, [
-        refusal(state, RefusalReason.DeadlinePassed, {
-          now: context.now,
-          outcome: Outcome.Unknown,
-        }),
-      ]))
-    .with(
-      DispatchPhase.Streaming,
-      () => cutRun(state, [{ kind: DispatchEffectKind.BreakStream }]),
-    )
-    .with(DispatchPhase.Ended, () => ({ state, effects: [] }))
-    .exhaustive();
-}
-
-/** The node ends: what runs is cut, what waits is refused. */
-function stopped(state: DispatchState, context: DispatchContext): DispatchStep {
-  return match(state.phase)
-    .with(
-      P.union(DispatchPhase.AwaitingLedger, DispatchPhase.Queued),
-      () => concludeNotRun(state, RefusalReason.NodeDraining, context),
-    )
-    .with(DispatchPhase.Running, () =>
-      cutRun(state, [
-        refusal(state, RefusalReason.NodeDraining, {
+        refusal(state, reason, {
           now: context.now,
           outcome: Outcome.Unknown,
         }),
--- a/src/calls/step_ledger.ts
+++ b/src/calls/step_ledger.ts
@@ -128,7 +128,8 @@
   event: Requested,
   context: LedgerContext,
 ): LedgerStep {
-  const { fingerprint, attemptIdentifier, firstAttemptAt } = event;
+  const { fingerprint, attemptIdentifier, firstAttemptAt, isFirstAttempt } =
+    event;
   if (!isKeyWithinLedger(firstAttemptAt, context)) {
     return refuse(createFence(fencers), event, {
       reason: RefusalReason.KeyUnsettled,
@@ -144,6 +145,7 @@
       fingerprint,
       attemptIdentifier,
       firstAttemptAt,
+      isFirstAttempt,
       fencers,
       asked,
       pending: asked.map(({ name }) => name),
@@ -249,7 +251,9 @@
 
 /**
  * A server that does not answer may have run the key, unless its VM was gone
- * before the first attempt.
+ * before the first attempt, or its process is gone and this is the first
+ * attempt. A process that starts there later does not run the key: its ledger
+ * begins after the first attempt.
  */
 function miss(
   entry: LedgerEntry | undefined,
@@ -262,7 +266,7 @@
   const goneBefore = event.goneAt !== undefined &&
     entry.firstAttemptAt !== undefined &&
     entry.firstAttemptAt > event.goneAt + context.clockSkewMilliseconds;
-  return goneBefore
+  return goneBefore || (event.processGone && entry.isFirstAttempt)
     ? cross(entry, event.from, [])
     : giveUp(entry, RefusalReason.KeyUnsettled);
 }
--- a/src/calls/view_event.ts
+++ b/src/calls/view_event.ts
@@ -5,10 +5,15 @@
 export type ViewEvent =
   | { readonly kind: ViewEventKind.LoadReported; readonly freeSlots: number }
   | { readonly kind: ViewEventKind.RecordReceived; readonly record: PeerRecord }
+  | {
+    readonly kind: ViewEventKind.ContactFailed;
+    /** Whether the connection was refused: no process listens there. */
+    readonly processGone: boolean;
+  }
   | {
     readonly kind:
       | ViewEventKind.CallSent
       | ViewEventKind.CallEnded
       | ViewEventKind.ContactMade
-      | ViewEventKind.ContactFailed;
+      | ViewEventKind.WorkRefused;
   };
--- a/src/calls/view_event_kind.ts
+++ b/src/calls/view_event_kind.ts
@@ -9,4 +9,6 @@
   ContactMade = "contact-made",
   /** No connection could be opened, or one went silent. */
   ContactFailed = "contact-failed",
+  /** The node beside it takes no new work for now. */
+  WorkRefused = "work-refused",
 }
--- a/src/daemon/calls/answer_receiver.ts
+++ b/src/daemon/calls/answer_receiver.ts
@@ -18,8 +18,8 @@
   onStreamEnd(): void;
   /** The node beside the backend server refused. */
   onRefused(refusal: NodeRefusal): void;
-  /** The call was not sent and will not be. */
-  onNotSent(): void;
+  /** The call was not sent and will not be; `refused` where no process listens there. */
+  onNotSent(refused: boolean): void;
   /** The connection broke after the call was sent, or the answer is malformed. */
   onLost(): void;
 }
--- a/src/daemon/calls/choose_server.ts
+++ b/src/daemon/calls/choose_server.ts
@@ -1,3 +1,4 @@
+import type { CallKey } from "../../calls/call_key.ts";
 import { chooseBackendServer } from "../../calls/choose_backend_server.ts";
 import { chooseKeyOwner } from "../../calls/choose_key_owner.ts";
 import { getBackendServerObstacle } from "../../calls/get_backend_server_obstacle.ts";
@@ -15,7 +16,7 @@
   snapshot: Snapshot,
   options: {
     readonly service: Service;
-    readonly key: string | undefined;
+    readonly key: CallKey | undefined;
     readonly excluded: readonly string[];
   },
 ): BackendServer | undefined {
--- a/src/daemon/calls/collector_events.ts
+++ b/src/daemon/calls/collector_events.ts
@@ -12,8 +12,8 @@
   onStream(head: AnswerHead): void;
   onPiece(piece: Uint8Array): boolean;
   onStreamEnd(): void;
-  /** No connection could be opened; nothing was sent. */
-  onNotSent(): void;
+  /** No connection could be opened, nothing was sent; `refused` where no process listens there. */
+  onNotSent(refused: boolean): void;
   /** The exchange broke, or the answer is malformed. */
   onBroken(): void;
 }
--- a/src/daemon/calls/create_answer_collector.ts
+++ b/src/daemon/calls/create_answer_collector.ts
@@ -137,13 +137,13 @@
           receiveEnd();
         }
       },
-      onResponseError: () => {
+      onResponseError: (_, error) => {
         if (ended) {
           return;
         }
         ended = true;
         if (controller === undefined) {
-          events.onNotSent();
+          events.onNotSent(isConnectionRefused(error));
         } else {
           events.onBroken();
         }
@@ -156,6 +156,10 @@
   };
 }
 
+function isConnectionRefused(error: Error): boolean {
+  return "code" in error && error.code === "ECONNREFUSED";
+}
+
 function createHead(
   status: number,
   headers: IncomingHttpHeaders,
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -118,7 +118,7 @@
         by: getLedgerServer(ownServer!),
       },
       deadline: clock.now() + questionMilliseconds,
-      freshConnection: false,
+      freshConnection: true,
     });
     const settlement = answer.isOk
       ? decodeKeySettlement(answer.value)
@@ -131,6 +131,7 @@
           from: server.name,
           attemptIdentifier,
           goneAt: options.getGoneVms().get(server.vm),
+          processGone: answer.isErr && answer.error.refused === true,
         }
         : {
           kind: LedgerEventKind.Answered,
@@ -160,17 +161,23 @@
         return;
       }
       const attemptIdentifier = getAttemptIdentifier(call);
-      const { value, firstAttemptAt } = call.key;
+      const { value, firstAttemptAt, callerAttempt } = call.key;
+      const gone = options.getGoneVms();
+      const isGone = ({ vm }: LedgerServer) =>
+        firstAttemptAt !== undefined &&
+        firstAttemptAt > (gone.get(vm) ?? Infinity) +
+            settings.timing.clockSkewMilliseconds;
       waiting.set(attemptIdentifier, callbacks);
       apply(value, {
         kind: LedgerEventKind.Requested,
         fingerprint: getRequestFingerprint(call),
         attemptIdentifier,
         firstAttemptAt,
+        isFirstAttempt: callerAttempt === 1,
         predecessors: getPredecessors(
           [...servers, ...getFormerServers(now)],
           value,
-          { self, firstAttemptAt, ledgerSince },
+          { self, firstAttemptAt, ledgerSince, isGone },
         ),
       });
     },
--- a/src/daemon/calls/create_call_pool.ts
+++ b/src/daemon/calls/create_call_pool.ts
@@ -1,7 +1,8 @@
 import { Pool } from "undici";
 import type { NetworkAddress } from "../../runtime/network_address.ts";
 
-const connectMilliseconds = 500;
+/** Well below the silence bound of calls, so that a call that was never sent is known as such. */
+const connectMilliseconds = 300;
 /** Shorter than the usual idle bound of servers, so that they seldom close a connection in use. */
 const idleMilliseconds = 4000;
 
--- a/src/daemon/calls/create_call_pools.ts
+++ b/src/daemon/calls/create_call_pools.ts
@@ -16,8 +16,19 @@
     pools.set(name, created);
     return created;
   };
+  const end = ([name, pool]: readonly [string, Pool]) => {
+    pools.delete(name);
+    pool.close().catch(() => pool.destroy());
+  };
   return {
     get,
+    renew: ({ host, port }) => {
+      const name = `${host}:${port}`;
+      const pool = pools.get(name);
+      if (pool !== undefined) {
+        end([name, pool]);
+      }
+    },
     keepOnly: (addresses) => {
       const names = new Set(
         addresses.map(({ host, port }) => `${host}:${port}`),
@@ -25,10 +36,7 @@
       addresses.forEach(get);
       Array.from(pools)
         .filter(([name]) => !names.has(name))
-        .forEach(([name, pool]) => {
-          pools.delete(name);
-          pool.close().catch(() => pool.destroy());
-        });
+        .forEach(end);
     },
     destroy: async () => {
       await Promise.all(
--- a/src/daemon/calls/create_calls_runtime.ts
+++ b/src/daemon/calls/create_calls_runtime.ts
@@ -64,16 +64,15 @@
     },
     stop: async () => {
       node.draining = true;
-      const cut = node.callerCalls.size + node.dispatches.size;
-      Array.from(node.dispatches.values()).forEach((dispatch) =>
-        dispatch.stop()
-      );
-      Array.from(node.callerCalls).forEach((cutCall) => cutCall());
+      const dispatches = Array.from(node.dispatches.values());
+      const calls = Array.from(node.callerCalls);
+      calls.forEach((cutCall) => cutCall());
+      dispatches.forEach((dispatch) => dispatch.stop());
       await Promise.all([
         node.pools.destroy(),
         node.backendPool?.destroy(),
       ]);
-      return cut;
+      return calls.length + dispatches.filter(({ remote }) => remote).length;
     },
     getStatus: () => {
       const { refusalsByReason, ...counters } = node.counters;
--- a/src/daemon/calls/dispatch_control.ts
+++ b/src/daemon/calls/dispatch_control.ts
@@ -1,5 +1,7 @@
 /** A try under way on the node beside its backend server. */
 export interface DispatchControl {
+  /** Whether the call came over a connection. */
+  readonly remote: boolean;
   /** The connection over which the call came has closed. */
   contactLost(): void;
   /** The caller is known to have left. */
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -11,6 +11,7 @@
 import { depositCall } from "../../calls/deposit_call.ts";
 import type { ForwardedCall } from "../../calls/forwarded_call.ts";
 import { isRetryAllowed } from "../../calls/is_retry_allowed.ts";
+import { isWorkRefused } from "../../calls/is_work_refused.ts";
 import { Outcome } from "../../calls/outcome.ts";
 import type { Refusal } from "../../calls/refusal.ts";
 import { RefusalReason } from "../../calls/refusal_reason.ts";
@@ -83,8 +84,14 @@
       })
       .with(
         { kind: CallEffectKind.AvoidNode },
-        () => updateLast({ kind: ViewEventKind.ContactFailed }),
+        ({ processGone }) =>
+          updateLast({ kind: ViewEventKind.ContactFailed, processGone }),
       )
+      .with({ kind: CallEffectKind.RenewConnections }, () => {
+        if (lastServer !== undefined) {
+          node.pools.renew(lastServer.nodeAddress);
+        }
+      })
       .with(
         { kind: CallEffectKind.Settle },
         ({ deadline }) => void settle(deadline),
@@ -149,7 +156,7 @@
   ) => {
     const server = chooseServer(node, call.snapshot, {
       service: call.service,
-      key: call.key?.value,
+      key: call.key,
       excluded,
     });
     if (server === undefined) {
@@ -224,8 +231,14 @@
       },
       onPiece: (piece) => isCurrent() ? response.write(piece) : true,
       onStreamEnd: () => finish({ kind: CallEventKind.StreamEnded }),
-      onRefused: (refusal) => finish({ kind: CallEventKind.Refused, refusal }),
-      onNotSent: () => finish({ kind: CallEventKind.NotSent }),
+      onRefused: (refusal) => {
+        if (isCurrent() && isWorkRefused(refusal.refusal.reason)) {
+          updateLast({ kind: ViewEventKind.WorkRefused });
+        }
+        finish({ kind: CallEventKind.Refused, refusal });
+      },
+      onNotSent: (processGone) =>
+        finish({ kind: CallEventKind.NotSent, processGone }),
       onLost: () => finish({ kind: CallEventKind.ContactLost }),
     };
   };
@@ -245,10 +258,14 @@
 
   node.budget = depositCall(node.budget, call.snapshot.retryBudgetPercent);
   response.on("drain", () => current?.exchange?.resume());
+  const stop = () => apply({ kind: CallEventKind.Stopped });
+  node.callerCalls.add(stop);
   response.on("close", () => {
+    node.callerCalls.delete(stop);
     if (!response.writableFinished && state.phase !== CallPhase.Ended) {
       apply({ kind: CallEventKind.CallerLeft });
     }
+    node.onEnded();
   });
   apply({ kind: CallEventKind.Started });
 }
--- a/src/daemon/calls/run_forwarded_call.ts
+++ b/src/daemon/calls/run_forwarded_call.ts
@@ -185,6 +185,7 @@
   };
 
   const control: DispatchControl = {
+    remote: options.remote,
     contactLost: () => stopListening({ kind: DispatchEventKind.ContactLost }),
     callerLeft: () => stopListening({ kind: DispatchEventKind.CallerLeft }),
     asked: () => apply({ kind: DispatchEventKind.Asked }),
@@ -200,6 +201,8 @@
     kind: DispatchEventKind.Arrived,
     obstacle: getDispatchObstacle({
       hasSnapshot: node.snapshot !== undefined,
+      isRegistered: node.snapshot?.backendServers.has(call.backendServer) ??
+        false,
       confirmingView: node.confirmingView,
       draining: node.draining,
       ownBackendServer: settings.backendServer?.name,
--- a/src/daemon/calls/send_forwarded_call.ts
+++ b/src/daemon/calls/send_forwarded_call.ts
@@ -53,7 +53,7 @@
       onStream: (head) => receiver.onStream(head),
       onPiece: (piece) => receiver.onPiece(piece),
       onStreamEnd: () => receiver.onStreamEnd(),
-      onNotSent: () => receiver.onNotSent(),
+      onNotSent: (refused) => receiver.onNotSent(refused),
       onBroken: () => receiver.onLost(),
     },
   });
--- a/src/daemon/calls/serve_caller_request.ts
+++ b/src/daemon/calls/serve_caller_request.ts
@@ -7,9 +7,12 @@
 import { CallPriority } from "../../configuration/call_priority.ts";
 import type { CallsNode } from "./calls_node.ts";
 import { refuseCallerCall } from "./refuse_caller_call.ts";
+import { observeCall } from "./observe_call.ts";
 import { readBody } from "./read_body.ts";
 import { runCallerCall } from "./run_caller_call.ts";
 
+const unrouted = { service: "", priority: CallPriority.Normal };
+
 /** Serves one request of the callers' listener. */
 export function serveCallerRequest(
   node: CallsNode,
@@ -24,8 +27,7 @@
   const refuse = (refusal: Refusal) => {
     ended = true;
     refuseCallerCall(node, response, {
-      service: "",
-      priority: CallPriority.Normal,
+      ...unrouted,
       receivedAt,
       refusal,
     });
@@ -39,6 +41,7 @@
     node.callerCalls.delete(cut);
     if (!ended) {
       node.counters.abandoned += 1;
+      observeCall(node, { ...unrouted, receivedAt, result: "abandoned" });
     }
     node.onEnded();
   });
@@ -66,6 +69,7 @@
     onTooLarge: () => refuseFor(RefusalReason.RequestTooLarge),
     onWhole: (body) => {
       ended = true;
+      node.callerCalls.delete(cut);
       runCallerCall(node, parsed.value, { body, receivedAt, response });
     },
   });
--- a/src/peers/control_failure.ts
+++ b/src/peers/control_failure.ts
@@ -4,4 +4,6 @@
 export interface ControlFailure {
   readonly kind: ControlFailureKind;
   readonly detail: string;
+  /** Whether the other end refused the connection: no process listens there. */
+  readonly refused?: boolean;
 }
