Add the stand-ins for platform, backend server, caller and relay

Cause: every proof in real processes needs counts from outside the mesh: runs by call identifier, key and token at the backend server, bytes at the caller, reads at the platform. Decided: a backend server warms up by whole answers, not by time, so that a node which only waits does not warm it; a call beyond what it can bear is shed and counted, and as many of these within a second as it has slots make a cold one fall over. Answers derive from the token in the query, so the caller knows every byte without asking the backend server. Ruled out: hono for the stand-ins; they cut sockets in the middle of answers. Shown: the caller's test with a backend server that cuts every fourth answer counts 30 whole and 10 cut of 40.

--- /dev/null
+++ b/stand_ins/backend_server/get_bearable_slots.ts
@@ -0,0 +1,8 @@
+import type { CapacityState } from "./capacity_state.ts";
+
+/** Returns how many calls the backend server can run at once: fewer while it warms up. */
+export function getBearableSlots(state: CapacityState): number {
+  const warmth = state.answersSinceColdStart / state.warmUpAnswers;
+  return state.coldSlots +
+    Math.floor((state.slots - state.coldSlots) * warmth);
+}
--- /dev/null
+++ b/stand_ins/caller/caller_service.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { callerServiceSchema } from "./caller_service_schema.ts";
+
+/** One kind of call that a caller makes. */
+export type CallerService = z.infer<typeof callerServiceSchema>;
--- /dev/null
+++ b/stand_ins/caller/caller_settings.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { callerSettingsSchema } from "./caller_settings_schema.ts";
+
+/** The checked settings of the caller. */
+export type CallerSettings = z.infer<typeof callerSettingsSchema>;
--- /dev/null
+++ b/stand_ins/caller/create_caller_report.ts
@@ -0,0 +1,97 @@
+import { CallEnding } from "./call_ending.ts";
+import type { CallRecord } from "./call_record.ts";
+import type { CallerBucket } from "./caller_bucket.ts";
+import type { CallerReport } from "./caller_report.ts";
+import type { CallerSettings } from "./caller_settings.ts";
+import { countBy } from "./count_by.ts";
+import { getQuantile } from "./get_quantile.ts";
+import { groupRecords } from "./group_records.ts";
+
+const millisecondsPerSecond = 1000;
+const endingsWithoutRun: readonly CallEnding[] = [
+  CallEnding.NotRun,
+  CallEnding.Unreachable,
+];
+
+/** Sums up every attempt. */
+export function createCallerReport(
+  records: readonly CallRecord[],
+  options: {
+    readonly settings: CallerSettings;
+    readonly startedAt: number;
+    readonly held: number;
+  },
+): CallerReport {
+  const { settings, startedAt, held } = options;
+  const endings = countBy(records, (record) => record.result.ending);
+  const cut = records.filter((record) =>
+    record.result.ending === CallEnding.Cut
+  );
+  const getSecond = (record: CallRecord) =>
+    Math.floor((record.sentAt - startedAt) / millisecondsPerSecond);
+  const buckets = groupRecords(
+    records,
+    (record) =>
+      `${
+        getSecond(record)
+      } ${record.call.service.service} ${record.call.service.priority}`,
+  );
+  return {
+    seed: settings.seed,
+    startedAt,
+    sent: records.length - (endings[CallEnding.Unreachable] ?? 0),
+    whole: endings[CallEnding.Whole] ?? 0,
+    notRun: endings[CallEnding.NotRun] ?? 0,
+    unknown: endings[CallEnding.Unknown] ?? 0,
+    abandoned: endings[CallEnding.Abandoned] ?? 0,
+    wrong: endings[CallEnding.Wrong] ?? 0,
+    cut: cut.length,
+    unreachable: endings[CallEnding.Unreachable] ?? 0,
+    held,
+    reasons: countBy(
+      records.filter((record) => record.result.reason !== ""),
+      (record) => record.result.reason,
+    ),
+    cutByNode: countBy(
+      cut,
+      (record) => settings.nodes[record.call.node] ?? "",
+    ),
+    neverRunTokens: getNeverRunTokens(records),
+    keys: [
+      ...new Set(records.flatMap((record) => record.call.key ?? [])),
+    ],
+    buckets: [...buckets.values()].map((group) =>
+      createBucket(group, getSecond)
+    ),
+    endings,
+  };
+}
+
+function getNeverRunTokens(records: readonly CallRecord[]): readonly string[] {
+  const attempts = groupRecords(records, (record) => record.call.token);
+  return [...attempts]
+    .filter(([, group]) =>
+      group.every((record) => endingsWithoutRun.includes(record.result.ending))
+    )
+    .map(([token]) => token);
+}
+
+function createBucket(
+  group: readonly CallRecord[],
+  getSecond: (record: CallRecord) => number,
+): CallerBucket {
+  const [first] = group as [CallRecord];
+  const latencies = group
+    .filter((record) => record.result.ending === CallEnding.Whole)
+    .map((record) => record.result.elapsedMilliseconds)
+    .sort((left, right) => left - right);
+  return {
+    second: getSecond(first),
+    service: first.call.service.service,
+    priority: first.call.service.priority,
+    sent: group.length,
+    endings: countBy(group, (record) => record.result.ending),
+    medianMilliseconds: getQuantile(latencies, 0.5),
+    percentile99Milliseconds: getQuantile(latencies, 0.99),
+  };
+}
--- /dev/null
+++ b/stand_ins/common/parse_stand_in_arguments.ts
@@ -0,0 +1,35 @@
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { z } from "zod";
+
+const usageExitStatus = 2;
+
+/** Returns the checked settings of the file that `--settings` names; ends the process with status 2 where they are bad. */
+export function parseStandInArguments<Settings>(
+  schema: z.ZodType<Settings>,
+  usage: string,
+): Settings {
+  try {
+    const { values } = parseArgs({
+      options: { settings: { type: "string" }, help: { type: "boolean" } },
+    });
+    if (values.help === true) {
+      process.stdout.write(`${usage}\n`);
+      process.exit(0);
+    }
+    const text = readFileSync(values.settings ?? "", "utf8");
+    const checked = schema.safeParse(JSON.parse(text));
+    if (checked.success) {
+      return checked.data;
+    }
+    process.stderr.write(`${z.prettifyError(checked.error)}\n`);
+  } catch (error) {
+    process.stderr.write(
+      `Cannot read the settings: ${
+        error instanceof Error ? error.message : String(error)
+      }\n${usage}\n`,
+    );
+  }
+  return process.exit(usageExitStatus);
+}
--- /dev/null
+++ b/stand_ins/relay/main.ts
@@ -0,0 +1,23 @@
+/**
+ * A TCP relay that can cut connections, delay them, or let open ones go silent.
+ *
+ * @module
+ */
+import { announceListening } from "../common/announce_listening.ts";
+import { getPort } from "../common/get_port.ts";
+import { parseNetworkAddress } from "../common/parse_network_address.ts";
+import { parseStandInArguments } from "../common/parse_stand_in_arguments.ts";
+import { createRelay } from "./create_relay.ts";
+import { createRelayControl } from "./create_relay_control.ts";
+import { relaySettingsSchema } from "./relay_settings_schema.ts";
+
+const settings = parseStandInArguments(
+  relaySettingsSchema,
+  "Usage: node dist/stand_ins/relay/main.js --settings FILE",
+);
+const relay = createRelay(parseNetworkAddress(settings.target));
+const control = createRelayControl(relay);
+control.listen(parseNetworkAddress(settings.control), () => {
+  announceListening(relay.server, { control: getPort(control) });
+  relay.server.listen(parseNetworkAddress(settings.listen));
+});
