--- /dev/null
+++ b/stand_ins/deployment/node_status.ts
@@ -0,0 +1,6 @@
+import type { Version } from "../../src/configuration/version.ts";
+
+/** The part of a node's `/status` that deployments read. */
+export interface NodeStatus {
+  readonly version: Version | null;
+}
--- /dev/null
+++ b/stand_ins/deployment/start_child.ts
@@ -0,0 +1,38 @@
+import { spawn } from "node:child_process";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import type { Child } from "./child.ts";
+
+const keptLines = 40;
+
+/** Starts one Node.js program; closing this process closes its standard input. */
+export function startChild(
+  name: string,
+  parameters: readonly string[],
+): Child {
+  const child = spawn(process.execPath, parameters, {
+    stdio: ["pipe", "pipe", "pipe"],
+  });
+  const lines: string[] = [];
+  const keep = (line: string) => {
+    lines.push(line);
+    lines.splice(0, Math.max(0, lines.length - keptLines));
+  };
+  const output = createInterface({ input: child.stdout });
+  output.on("line", keep);
+  createInterface({ input: child.stderr }).on("line", keep);
+  child.stdin.on("error", () => {});
+  const ended = new Promise<number | null>((resolve) => {
+    child.once("close", resolve);
+  });
+  const firstLine = new Promise<string>((resolve, reject) => {
+    output.once("line", resolve);
+    ended.then((status) =>
+      reject(
+        new Error(`"${name}" ended with ${status}: ${lines.join("\n")}`),
+      )
+    );
+  });
+  firstLine.catch(() => {});
+  return { name, process: child, firstLine, ended, getOutput: () => lines };
+}
--- /dev/null
+++ b/stand_ins/deployment/start_deployment.ts
@@ -0,0 +1,193 @@
+import type { CallerReport } from "../caller/caller_report.ts";
+import type { CallerSettings } from "../caller/caller_settings.ts";
+import type { PlatformCounters } from "../platform/platform_counters.ts";
+import type { BackendServerRuns } from "./backend_server_runs.ts";
+import type { Child } from "./child.ts";
+import { createConfigurationText } from "./create_configuration_text.ts";
+import { createDeploymentVms } from "./create_deployment_vms.ts";
+import { createNodeSettings } from "./create_node_settings.ts";
+import { createProcessGroup } from "./create_process_group.ts";
+import type { Deployment } from "./deployment.ts";
+import type { DeploymentOptions } from "./deployment_options.ts";
+import type { DeploymentPlan } from "./deployment_plan.ts";
+import type { DeploymentVm } from "./deployment_vm.ts";
+import { findFreePorts } from "./find_free_ports.ts";
+import { loopback } from "./loopback.ts";
+import type { NodeStatus } from "./node_status.ts";
+import { requestJson } from "./request_json.ts";
+
+interface Announcement {
+  readonly listening: number;
+  readonly control?: number;
+}
+
+const nodeProgram = "src/command_line/main.js";
+const callerSeed = 7;
+const callerMilliseconds = 60_000;
+
+/**
+ * Starts the platform, the backend servers, the relays and the nodes of a plan.
+ * Version 1 is published and every VM listed before the first node starts.
+ */
+export async function startDeployment(
+  plan: DeploymentPlan,
+  options: DeploymentOptions = {},
+): Promise<Deployment> {
+  const group = createProcessGroup();
+  const planned = await createDeploymentVms(plan, findFreePorts);
+  const nodes = new Map<string, Child>();
+  const relayControls = new Map<string, number>();
+  let callers = 0;
+
+  const startStandIn = async (name: string, kind: string, settings: object) => {
+    const program = `stand_ins/${kind}/main.js`;
+    const child = group.start(name, { program, settings });
+    return JSON.parse(await child.firstLine) as Announcement;
+  };
+  const startRelay = async (vm: DeploymentVm): Promise<DeploymentVm> => {
+    if (options.hasRelay?.(vm) !== true) {
+      return vm;
+    }
+    const relay = await startStandIn(`relay-${vm.vm}`, "relay", {
+      target: `${loopback}:${vm.nodesPort}`,
+    });
+    relayControls.set(vm.vm, relay.control ?? 0);
+    return { ...vm, advertisedNodesPort: relay.listening };
+  };
+  const startBackendServer = (vm: DeploymentVm, index: number) =>
+    startStandIn(vm.backendServerName, "backend_server", {
+      listen: `${loopback}:${vm.backendServerPort}`,
+      name: vm.backendServerName,
+      slots: plan.slots,
+      coldSlots: plan.coldSlots,
+      connections: plan.connections,
+      seed: index + 1,
+      ...options.backendServer,
+    });
+  const platform = await startStandIn("platform", "platform", {});
+  const vms = await Promise.all(planned.map(startRelay));
+  await Promise.all(vms.map(startBackendServer));
+  const platformPort = platform.listening;
+
+  const put = async (port: number, path: string, body: string) => {
+    const answer = await requestJson<{ acceptedAt?: number }>(port, path, body);
+    if (answer === undefined) {
+      throw new Error(`No answer to "PUT ${path}" at port ${port}`);
+    }
+    return answer.acceptedAt ?? 0;
+  };
+  const publishText = (text: string) =>
+    put(platformPort, "/stand-in/value", text);
+  const startNode = (vm: DeploymentVm) => {
+    const child = group.start(vm.vm, {
+      program: nodeProgram,
+      parameters: ["node"],
+      settings: createNodeSettings(vm, {
+        vms,
+        platformPort,
+        ...(options.timing === undefined ? {} : { timing: options.timing }),
+      }),
+    });
+    nodes.set(vm.vm, child);
+    return child;
+  };
+  const startCaller = (settings: Partial<CallerSettings>) => {
+    callers += 1;
+    const child = group.start(`caller-${callers}`, {
+      program: "stand_ins/caller/main.js",
+      settings: { ...createCallerSettings(plan, vms), ...settings },
+    });
+    return {
+      report: child.firstLine.then((line) => JSON.parse(line) as CallerReport),
+      stop: () => void child.process.kill("SIGTERM"),
+    };
+  };
+  const deployment: Deployment = {
+    vms,
+    platformPort,
+    getNode: (vm) => nodes.get(vm.vm)!,
+    startNode,
+    publishText,
+    publish: (change) =>
+      publishText(createConfigurationText(plan, vms, change)),
+    async listVms(live, leaving = []) {
+      const list = createVmList(plan, live, leaving);
+      await put(platformPort, "/stand-in/vms", JSON.stringify({ vms: list }));
+    },
+    async setPlatformFaults(faults) {
+      await put(platformPort, "/stand-in/faults", JSON.stringify(faults));
+    },
+    async setBackendServerState(vm, state) {
+      const body = JSON.stringify(state);
+      await put(vm.backendServerPort, "/stand-in/state", body);
+    },
+    async setBackendServerFaults(vm, faults) {
+      const body = JSON.stringify(faults);
+      await put(vm.backendServerPort, "/stand-in/faults", body);
+    },
+    async setRelayMode(vm, mode) {
+      const port = relayControls.get(vm.vm) ?? 0;
+      await put(port, "/stand-in/mode", JSON.stringify(mode));
+    },
+    getStatus: (vm) => requestJson<NodeStatus>(vm.operatorsPort, "/status"),
+    async isReady(vm) {
+      const health = await requestJson<{ ready: boolean }>(
+        vm.operatorsPort,
+        "/health",
+      );
+      return health?.ready === true;
+    },
+    async getRuns(vm) {
+      const path = "/stand-in/runs";
+      return (await requestJson<BackendServerRuns>(
+        vm.backendServerPort,
+        path,
+      ))!;
+    },
+    async getPlatformCounters() {
+      const path = "/stand-in/counters";
+      return (await requestJson<PlatformCounters>(platformPort, path))!;
+    },
+    startCaller,
+    end: () => group.end(),
+  };
+  await deployment.publish({ number: 1 });
+  await deployment.listVms(vms);
+  vms.forEach(startNode);
+  return deployment;
+}
+
+function createVmList(
+  plan: DeploymentPlan,
+  live: readonly DeploymentVm[],
+  leaving: readonly DeploymentVm[],
+): readonly object[] {
+  return live.map((vm) => ({
+    vm: vm.vm,
+    zone: vm.zone,
+    region: plan.region,
+    nodeAddress: { host: loopback, port: vm.advertisedNodesPort },
+    state: leaving.includes(vm) ? "leaving" : "live",
+  }));
+}
+
+function createCallerSettings(
+  plan: DeploymentPlan,
+  vms: readonly DeploymentVm[],
+): object {
+  return {
+    nodes: vms.map((vm) => `${loopback}:${vm.callersPort}`),
+    seed: callerSeed,
+    callsPerSecond: plan.callsPerSecond,
+    durationMilliseconds: callerMilliseconds,
+    services: plan.services.map((service) => ({
+      service: service.name,
+      priority: service.priority,
+      path: `/${service.name}/page`,
+      method: service.method,
+      weight: service.weight,
+      bytes: service.bytes,
+      keyed: service.method === "POST",
+    })),
+  };
+}
--- a/stand_ins/platform/create_platform_server_test.ts
+++ b/stand_ins/platform/create_platform_server_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { once } from "node:events";
 import { getPort } from "../common/get_port.ts";
+import type { PlatformCounters } from "./platform_counters.ts";
 import { createPlatformServer } from "./create_platform_server.ts";
 
 test("the platform's stand-in wakes watches, and answers stale where told to", async (t) => {
@@ -15,7 +16,8 @@
     `${origin}/values/configuration?after=1&until=${Date.now() + 60_000}`,
   );
   const getCounters = async () =>
-    (await fetch(`${origin}/stand-in/counters`)).json();
+    await (await fetch(`${origin}/stand-in/counters`))
+      .json() as PlatformCounters;
   const untilWatched = async (): Promise<void> =>
     (await getCounters()).waitingWatches === 1 ? undefined : untilWatched();
   await untilWatched();
