--- a/stand_ins/demo/run_demo.ts
+++ b/stand_ins/demo/run_demo.ts
@@ -4,6 +4,7 @@
 import type { Deployment } from "../deployment/deployment.ts";
 import type { DeploymentPlan } from "../deployment/deployment_plan.ts";
 import type { DeploymentVm } from "../deployment/deployment_vm.ts";
+import { expectValue } from "../deployment/expect_value.ts";
 import { loopback } from "../deployment/loopback.ts";
 import { waitUntil } from "../deployment/wait_until.ts";
 import { awaitConvergence } from "./await_convergence.ts";
@@ -11,7 +12,6 @@
 import { countRanTwice } from "./count_ran_twice.ts";
 import type { DemoResult } from "./demo_result.ts";
 import type { DemoTable } from "./demo_table.ts";
-import { expectStep } from "./expect_step.ts";
 import { watchVersions } from "./watch_versions.ts";
 
 const readyMilliseconds = 15_000;
@@ -34,7 +34,7 @@
     const acceptedAt = await deployment.publish(publication);
     const { number } = publication;
     const deadline = acceptedAt + convergenceLimitMilliseconds;
-    const took = expectStep(
+    const took = expectValue(
       await awaitConvergence(deployment, {
         vms: live,
         number,
@@ -90,7 +90,7 @@
   await deployment.listVms(live, [stopped]);
   stoppedNode.process.kill("SIGTERM");
   const status = await within(stoppedNode.ended, shutdownMilliseconds);
-  expectStep(status, `Node "${stopped.vm}" did not end after SIGTERM`);
+  expectValue(status, `Node "${stopped.vm}" did not end after SIGTERM`);
   live = live.filter((vm) => vm !== stopped);
   table.row(`SIGTERM to ${stopped.vm}`, `ended with status ${status}`);
 
@@ -139,7 +139,7 @@
   const output = late[0] === undefined
     ? []
     : deployment.getNode(late[0]).getOutput();
-  expectStep(
+  expectValue(
     late.length === 0 ? true : undefined,
     `Not ready within ${readyMilliseconds} ms: ${
       late.map((vm) => vm.vm).join(", ")
--- a/stand_ins/deployment/start_child.ts
+++ b/stand_ins/deployment/start_child.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import { createInterface } from "node:readline";
 import type { Child } from "./child.ts";
+import { DeploymentFailure } from "./deployment_failure.ts";
 
 const keptLines = 40;
 
@@ -29,7 +30,9 @@
     output.once("line", resolve);
     ended.then((status) =>
       reject(
-        new Error(`"${name}" ended with ${status}: ${lines.join("\n")}`),
+        new DeploymentFailure(
+          `"${name}" ended with ${status}: ${lines.join("\n")}`,
+        ),
       )
     );
   });
--- a/stand_ins/deployment/start_deployment.ts
+++ b/stand_ins/deployment/start_deployment.ts
@@ -11,9 +11,11 @@
 import type { DeploymentOptions } from "./deployment_options.ts";
 import type { DeploymentPlan } from "./deployment_plan.ts";
 import type { DeploymentVm } from "./deployment_vm.ts";
+import { expectValue } from "./expect_value.ts";
 import { findFreePorts } from "./find_free_ports.ts";
 import { loopback } from "./loopback.ts";
 import type { NodeStatus } from "./node_status.ts";
+import type { ProcessGroup } from "./process_group.ts";
 import { requestJson } from "./request_json.ts";
 
 interface Announcement {
@@ -34,6 +36,19 @@
   options: DeploymentOptions = {},
 ): Promise<Deployment> {
   const group = createProcessGroup();
+  try {
+    return await startInGroup(plan, options, group);
+  } catch (failure) {
+    await group.end();
+    throw failure;
+  }
+}
+
+async function startInGroup(
+  plan: DeploymentPlan,
+  options: DeploymentOptions,
+  group: ProcessGroup,
+): Promise<Deployment> {
   const planned = await createDeploymentVms(plan, findFreePorts);
   const nodes = new Map<string, Child>();
   const relayControls = new Map<string, number>();
@@ -70,10 +85,10 @@
   const platformPort = platform.listening;
 
   const put = async (port: number, path: string, body: string) => {
-    const answer = await requestJson<{ acceptedAt?: number }>(port, path, body);
-    if (answer === undefined) {
-      throw new Error(`No answer to "PUT ${path}" at port ${port}`);
-    }
+    const answer = expectValue(
+      await requestJson<{ acceptedAt?: number }>(port, path, body),
+      `No answer to "PUT ${path}" at port ${port}`,
+    );
     return answer.acceptedAt ?? 0;
   };
   const publishText = (text: string) =>
@@ -139,14 +154,17 @@
     },
     async getRuns(vm) {
       const path = "/stand-in/runs";
-      return (await requestJson<BackendServerRuns>(
-        vm.backendServerPort,
-        path,
-      ))!;
+      return expectValue(
+        await requestJson<BackendServerRuns>(vm.backendServerPort, path),
+        `No run counts from "${vm.backendServerName}"`,
+      );
     },
     async getPlatformCounters() {
       const path = "/stand-in/counters";
-      return (await requestJson<PlatformCounters>(platformPort, path))!;
+      return expectValue(
+        await requestJson<PlatformCounters>(platformPort, path),
+        "No counters from the platform",
+      );
     },
     startCaller,
     end: () => group.end(),
