Add the scenario runner and the table of proofs

The list of rows stands in one data file; a row whose tag no test that ran carries is not proved, and a tag without a row fails the run.

--- /dev/null
+++ b/checks/format_proof_table.ts
@@ -0,0 +1,18 @@
+import Table from "cli-table3";
+import type { JudgedProofRow } from "./judged_proof_row.ts";
+
+/** Returns the table for people: a row for each point and failure. */
+export function formatProofTable(rows: readonly JudgedProofRow[]): string {
+  const table = new Table({
+    head: ["point", "promise", "failure", "verdict", "tests"],
+    style: { head: [], border: [], compact: true },
+  });
+  table.push(...rows.map((row) => [
+    String(row.point),
+    row.promise,
+    row.failure,
+    row.verdict,
+    String(row.passed.length + row.failed.length),
+  ]));
+  return table.toString();
+}
--- /dev/null
+++ b/checks/judge_proof_rows.ts
@@ -0,0 +1,28 @@
+import { getProofTag } from "./get_proof_tag.ts";
+import type { JudgedProofRow } from "./judged_proof_row.ts";
+import type { ProofRow } from "./proof_row.ts";
+import { ProofVerdict } from "./proof_verdict.ts";
+import type { TestReport } from "./test_report.ts";
+
+/** Gives each row the verdict of the tests that ran with its tag in their title. */
+export function judgeProofRows(
+  rows: readonly ProofRow[],
+  report: TestReport,
+): readonly JudgedProofRow[] {
+  return rows.map((row) => {
+    const hasTag = (title: string) => title.includes(getProofTag(row));
+    const passed = report.passed.filter(hasTag);
+    const failed = report.failed.filter(hasTag);
+    return { ...row, passed, failed, verdict: getVerdict(passed, failed) };
+  });
+}
+
+function getVerdict(
+  passed: readonly string[],
+  failed: readonly string[],
+): ProofVerdict {
+  if (failed.length > 0) {
+    return ProofVerdict.Red;
+  }
+  return passed.length > 0 ? ProofVerdict.Proved : ProofVerdict.NotProved;
+}
--- /dev/null
+++ b/checks/judge_proof_rows_test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import { findStrayTags } from "./find_stray_tags.ts";
+import { judgeProofRows } from "./judge_proof_rows.ts";
+import { parseProofRows } from "./parse_proof_rows.ts";
+
+const rows = parseProofRows(JSON.stringify([
+  { point: 8, promise: "At most once", failures: ["a", "b", "c"] },
+]));
+
+test("judgeProofRows() takes a verdict only from tests that ran", (t) => {
+  const judged = judgeProofRows(rows, {
+    passed: ["x › [point 8: a] one", "x › [point 8: b] two"],
+    failed: ["x › [point 8: b] three"],
+    complete: true,
+  });
+  t.deepEqual(judged.map((row) => row.verdict), [
+    "proved",
+    "red",
+    "not proved",
+  ]);
+});
+
+test("findStrayTags() names a tag without a row", (t) => {
+  t.deepEqual(findStrayTags(rows, ["[point 8: a]", "[point 9: a] x"]), [
+    "[point 9: a]",
+  ]);
+});
--- /dev/null
+++ b/checks/run_proofs.ts
@@ -0,0 +1,92 @@
+/**
+ * Runs every test and prints, for each point that must always hold and each
+ * failure put against it, whether the tests that carry its tag proved it.
+ *
+ * @module
+ */
+import { spawnSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { findStrayTags } from "./find_stray_tags.ts";
+import { formatProofTable } from "./format_proof_table.ts";
+import { judgeProofRows } from "./judge_proof_rows.ts";
+import { parseProofRows } from "./parse_proof_rows.ts";
+import { parseTestReport } from "./parse_test_report.ts";
+import { ProofVerdict } from "./proof_verdict.ts";
+
+const usage = `Usage: npm run proofs -- [--json]
+
+Runs every test and prints a table: for each point and failure proved, red, or
+not proved. A row without a test that ran is not proved.
+
+  --json  print one line of JSON in place of the table
+  --help  print this text
+
+Exit status: 0 nothing is red, 1 a test failed or the run did not come to its
+end, 2 bad usage.
+`;
+const rowsFile = "checks/proof_points.json";
+const testRunner = "node_modules/.bin/ava";
+const outputBytesMaximum = 64 * 1024 * 1024;
+const usageExitStatus = 2;
+
+function runProofs(json: boolean): number {
+  const rows = parseProofRows(readFileSync(rowsFile, "utf8"));
+  process.stderr.write("Running every test\n");
+  const run = spawnSync(testRunner, ["--tap"], {
+    encoding: "utf8",
+    maxBuffer: outputBytesMaximum,
+  });
+  const report = parseTestReport(run.stdout);
+  const titles = [...report.passed, ...report.failed];
+  const judged = judgeProofRows(rows, report);
+  const strayTags = findStrayTags(rows, titles);
+  const isTagged = (title: string) => title.includes("[point ");
+  const passed = report.passed.filter(isTagged).length;
+  const failed = report.failed.filter(isTagged).length;
+  const notProved =
+    judged.filter((row) => row.verdict === ProofVerdict.NotProved).length;
+  const runnerFailed = !report.complete ||
+    (run.status !== 0 && report.failed.length === 0);
+  if (json) {
+    const result = { rows: judged, strayTags, passed, failed, notProved };
+    process.stdout.write(`${JSON.stringify(result)}\n`);
+  } else {
+    process.stdout.write(`${formatProofTable(judged)}\n`);
+    report.failed.filter(isTagged).forEach((title) =>
+      process.stdout.write(`red: ${title}\n`)
+    );
+    process.stdout.write(`${notProved} rows not proved\n`);
+    process.stdout.write(`${passed} passed, ${failed} failed\n`);
+  }
+  strayTags.forEach((tag) =>
+    process.stderr.write(`The tag "${tag}" names no row of "${rowsFile}"\n`)
+  );
+  if (runnerFailed) {
+    process.stderr.write(`The test runner did not come to its end\n`);
+    process.stderr.write(run.stderr);
+  }
+  return failed > 0 || runnerFailed || strayTags.length > 0 ? 1 : 0;
+}
+
+function main(): number {
+  try {
+    const { values } = parseArgs({
+      options: {
+        json: { type: "boolean", default: false },
+        help: { type: "boolean", default: false },
+      },
+    });
+    if (values.help) {
+      process.stdout.write(usage);
+      return 0;
+    }
+    return runProofs(values.json);
+  } catch (error) {
+    process.stderr.write(`${error instanceof Error ? error.message : ""}\n`);
+    return usageExitStatus;
+  }
+}
+
+process.exitCode = main();
--- /dev/null
+++ b/scenarios/runner/run_scenario.ts
@@ -0,0 +1,25 @@
+import type { ExecutionContext } from "ava";
+import type { Scenario } from "./scenario.ts";
+import type { StepLibrary } from "./step_library.ts";
+
+/** Runs the steps in order; a step that no definition fits fails the scenario. */
+export async function runScenario<World>(
+  scenario: Scenario,
+  options: {
+    readonly world: World;
+    readonly library: StepLibrary<World>;
+    readonly assert: ExecutionContext;
+  },
+): Promise<void> {
+  const { world, library, assert } = options;
+  await scenario.steps.reduce(async (before, step) => {
+    await before;
+    const run = library.find(step);
+    if (run === undefined) {
+      assert.fail(`No step definition fits "${step.text}"`);
+      return;
+    }
+    assert.log(step.text);
+    await run(world, assert);
+  }, Promise.resolve());
+}
