--- a/stand_ins/demo/await_convergence.ts
+++ b/stand_ins/deployment/await_convergence.ts
@@ -1,6 +1,6 @@
-import type { Deployment } from "../deployment/deployment.ts";
-import type { DeploymentVm } from "../deployment/deployment_vm.ts";
-import { waitUntil } from "../deployment/wait_until.ts";
+import type { Deployment } from "./deployment.ts";
+import type { DeploymentVm } from "./deployment_vm.ts";
+import { waitUntil } from "./wait_until.ts";
 
 /** Resolves with the time from `acceptedAt` until the version was in force on every VM; undefined where it was not by the deadline. */
 export async function awaitConvergence(
--- /dev/null
+++ b/stand_ins/deployment/await_readiness.ts
@@ -0,0 +1,23 @@
+import type { Deployment } from "./deployment.ts";
+import { DeploymentFailure } from "./deployment_failure.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const readyMilliseconds = 20_000;
+
+/** Resolves once every node is ready; fails with the output of the first that is late. */
+export async function awaitReadiness(deployment: Deployment): Promise<void> {
+  const deadline = Date.now() + readyMilliseconds;
+  const ready = await Promise.all(
+    deployment.vms.map((vm) =>
+      waitUntil(() => deployment.isReady(vm), deadline)
+    ),
+  );
+  const late = deployment.vms.filter((_, index) => !ready[index]);
+  if (late[0] !== undefined) {
+    const names = late.map((vm) => vm.vm).join(", ");
+    const output = deployment.getNode(late[0]).getOutput().join("\n");
+    throw new DeploymentFailure(
+      `Not ready within ${readyMilliseconds} ms: ${names}\n${output}`,
+    );
+  }
+}
--- a/stand_ins/demo/count_ran_twice.ts
+++ b/stand_ins/deployment/count_ran_twice.ts
@@ -1,4 +1,4 @@
-import type { BackendServerRuns } from "../deployment/backend_server_runs.ts";
+import type { BackendServerRuns } from "./backend_server_runs.ts";
 import { sumRuns } from "./sum_runs.ts";
 
 /** Returns how many keys, and call identifiers without an idempotent method, began to run more than once. */
--- /dev/null
+++ b/stand_ins/deployment/pause.ts
@@ -0,0 +1,6 @@
+/** Resolves after a time. */
+export function pause(milliseconds: number): Promise<undefined> {
+  return new Promise((resolve) =>
+    setTimeout(() => resolve(undefined), milliseconds)
+  );
+}
--- a/stand_ins/demo/sum_runs.ts
+++ b/stand_ins/deployment/sum_runs.ts
@@ -1,4 +1,4 @@
-import type { BackendServerRuns } from "../deployment/backend_server_runs.ts";
+import type { BackendServerRuns } from "./backend_server_runs.ts";
 
 /** Returns the sum over all backend servers of one of the counts by name. */
 export function sumRuns(
--- a/stand_ins/demo/watch_versions.ts
+++ b/stand_ins/deployment/watch_versions.ts
@@ -1,5 +1,5 @@
-import type { Deployment } from "../deployment/deployment.ts";
-import type { DeploymentVm } from "../deployment/deployment_vm.ts";
+import type { Deployment } from "./deployment.ts";
+import type { DeploymentVm } from "./deployment_vm.ts";
 
 /** Resolves with the version in force on each VM that answers. */
 export async function watchVersions(
