--- a/stand_ins/deployment/await_readiness.ts
+++ b/stand_ins/deployment/await_readiness.ts
@@ -1,5 +1,6 @@
 import type { Deployment } from "./deployment.ts";
 import { DeploymentFailure } from "./deployment_failure.ts";
+import type { DeploymentVm } from "./deployment_vm.ts";
 import { waitUntil } from "./wait_until.ts";
 
 const readyMilliseconds = 20_000;
@@ -9,10 +10,15 @@
   const deadline = Date.now() + readyMilliseconds;
   const ready = await Promise.all(
     deployment.vms.map((vm) =>
-      waitUntil(() => deployment.isReady(vm), deadline)
+      waitUntil(
+        async () => hasEnded(deployment, vm) || await deployment.isReady(vm),
+        deadline,
+      )
     ),
   );
-  const late = deployment.vms.filter((_, index) => !ready[index]);
+  const late = deployment.vms.filter((vm, index) =>
+    !ready[index] || hasEnded(deployment, vm)
+  );
   if (late[0] !== undefined) {
     const names = late.map((vm) => vm.vm).join(", ");
     const output = deployment.getNode(late[0]).getOutput().join("\n");
@@ -21,3 +27,7 @@
     );
   }
 }
+
+function hasEnded(deployment: Deployment, vm: DeploymentVm): boolean {
+  return deployment.getNode(vm).process.exitCode !== null;
+}
