Settle keys with refused contacts, and test the ledger over interleavings

Cause: a first attempt that was still settling crossed a process that had died, though a second attempt had run there meanwhile.

Ruled out: trusting "Idempotency-Attempt: 1" for a dead process; refusing every key of a dead process until the platform's list drops its VM, which costs one n-th of the checkouts for the lag of the list.

Change: a process counts as gone for a key only if connections were refused since before the first attempt, never 2 s apart, and a ledger lets no key run in its first 2 s. Refusals by the ledger say whether it knows of an attempt that may have run.

--- a/src/calls/dispatch_event.ts
+++ b/src/calls/dispatch_event.ts
@@ -16,6 +16,8 @@
   | {
     readonly kind: DispatchEventKind.KeyRefused;
     readonly reason: RefusalReason;
+    /** Whether the ledger knows of an attempt that may have run. */
+    readonly mayHaveRun: boolean;
   }
   | {
     readonly kind: DispatchEventKind.AdmissionRefused;
--- a/src/calls/ledger_effect.ts
+++ b/src/calls/ledger_effect.ts
@@ -20,6 +20,8 @@
     readonly kind: LedgerEffectKind.Refuse;
     readonly attemptIdentifier: string;
     readonly reason: RefusalReason;
+    /** Whether the ledger knows of an attempt that may have run. */
+    readonly mayHaveRun: boolean;
   }
   | {
     readonly kind: LedgerEffectKind.Reply;
--- a/src/calls/ledger_entry.ts
+++ b/src/calls/ledger_entry.ts
@@ -15,8 +15,6 @@
     readonly attemptIdentifier: string;
     /** No attempt was made before this instant, in milliseconds since the Unix epoch. */
     readonly firstAttemptAt: number | undefined;
-    /** Whether the caller says that it made no earlier attempt. */
-    readonly isFirstAttempt: boolean;
     /** The servers that fenced the key here before the settling began. */
     readonly fencers: readonly LedgerServer[];
     /** Every server that was asked. */
--- a/src/calls/ledger_event.ts
+++ b/src/calls/ledger_event.ts
@@ -1,6 +1,7 @@
 import type { KeySettlement } from "./key_settlement.ts";
 import type { LedgerEventKind } from "./ledger_event_kind.ts";
 import type { LedgerServer } from "./ledger_server.ts";
+import type { RefusedContact } from "./refused_contact.ts";
 import type { SettlementKind } from "./settlement_kind.ts";
 import type { StoredAnswer } from "./stored_answer.ts";
 
@@ -12,8 +13,6 @@
     readonly attemptIdentifier: string;
     /** No attempt was made before this instant, in milliseconds since the Unix epoch. */
     readonly firstAttemptAt: number | undefined;
-    /** Whether the caller says that it made no earlier attempt. */
-    readonly isFirstAttempt: boolean;
     /** The servers that may have run the key before this one became its owner. */
     readonly predecessors: readonly LedgerServer[];
   }
@@ -29,8 +28,8 @@
     readonly attemptIdentifier: string;
     /** When the server's VM was seen to be gone, in milliseconds since the Unix epoch. */
     readonly goneAt: number | undefined;
-    /** Whether the connection was refused: no process listens there. */
-    readonly processGone: boolean;
+    /** For how long connections have been refused; undefined where this one was not. */
+    readonly refused: RefusedContact | undefined;
   }
   | { readonly kind: LedgerEventKind.Asked; readonly by: LedgerServer }
   | {
--- a/src/calls/step_dispatch.ts
+++ b/src/calls/step_dispatch.ts
@@ -59,7 +59,7 @@
     )
     .with(
       { kind: DispatchEventKind.KeyRefused },
-      ({ reason }) => refuseKey(state, reason, context),
+      (refused) => refuseKey(state, refused, context),
     )
     .with({ kind: DispatchEventKind.Admitted }, () => admitted(state, context))
     .with(
@@ -344,17 +344,16 @@
 /** Passes on why the ledger does not let the call run. */
 function refuseKey(
   state: DispatchState,
-  reason: RefusalReason,
+  refused: Extract<DispatchEvent, { kind: DispatchEventKind.KeyRefused }>,
   context: DispatchContext,
 ): DispatchStep {
-  const open = reason === RefusalReason.KeyRunning ||
-    reason === RefusalReason.KeyUnsettled;
+  const { reason, mayHaveRun } = refused;
   // A key that belongs to another request shows that this one did not run.
   const keySettled = reason === RefusalReason.KeyMismatch;
   return end(state, [
     refusal({ ...state, keySettled }, reason, {
       now: context.now,
-      outcome: open ? Outcome.Unknown : Outcome.NotRun,
+      outcome: mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
     }),
   ]);
 }
--- a/src/calls/step_ledger.ts
+++ b/src/calls/step_ledger.ts
@@ -7,6 +7,7 @@
 import { LedgerEntryKind } from "./ledger_entry_kind.ts";
 import type { LedgerEvent } from "./ledger_event.ts";
 import { LedgerEventKind } from "./ledger_event_kind.ts";
+import { ledgerQuietMilliseconds } from "./ledger_quiet_milliseconds.ts";
 import type { LedgerServer } from "./ledger_server.ts";
 import type { LedgerStep } from "./ledger_step.ts";
 import { RefusalReason } from "./refusal_reason.ts";
@@ -100,17 +101,19 @@
   event: Requested,
   reason: RefusalReason,
 ): LedgerStep {
-  return refuse(entry, event, {
-    reason: entry.fingerprint === event.fingerprint
-      ? reason
-      : RefusalReason.KeyMismatch,
-  });
+  return refuse(
+    entry,
+    event,
+    entry.fingerprint === event.fingerprint
+      ? { reason, mayHaveRun: true }
+      : { reason: RefusalReason.KeyMismatch, mayHaveRun: false },
+  );
 }
 
 function refuse(
   entry: LedgerEntry | undefined,
   event: { readonly attemptIdentifier: string },
-  options: { readonly reason: RefusalReason },
+  options: { readonly reason: RefusalReason; readonly mayHaveRun: boolean },
 ): LedgerStep {
   const { attemptIdentifier } = event;
   return {
@@ -118,7 +121,7 @@
     effects: [{
       kind: LedgerEffectKind.Refuse,
       attemptIdentifier,
-      reason: options.reason,
+      ...options,
     }],
   };
 }
@@ -128,11 +131,20 @@
   event: Requested,
   context: LedgerContext,
 ): LedgerStep {
-  const { fingerprint, attemptIdentifier, firstAttemptAt, isFirstAttempt } =
-    event;
+  const { fingerprint, attemptIdentifier, firstAttemptAt } = event;
   if (!isKeyWithinLedger(firstAttemptAt, context)) {
     return refuse(createFence(fencers), event, {
       reason: RefusalReason.KeyUnsettled,
+      mayHaveRun: false,
+    });
+  }
+  const quietEnd = context.ledgerSince + ledgerQuietMilliseconds;
+  if (
+    !isKeyWithinLedger(firstAttemptAt, { ...context, ledgerSince: quietEnd })
+  ) {
+    return refuse(createFence(fencers), event, {
+      reason: RefusalReason.NodeStarting,
+      mayHaveRun: false,
     });
   }
   const asked = addServers(event.predecessors, fencers);
@@ -145,7 +157,6 @@
       fingerprint,
       attemptIdentifier,
       firstAttemptAt,
-      isFirstAttempt,
       fencers,
       asked,
       pending: asked.map(({ name }) => name),
@@ -210,25 +221,39 @@
       ))
     .with(
       { kind: SettlementKind.Running },
-      () => giveUp(entry, RefusalReason.KeyRunning),
+      () =>
+        giveUp(entry, {
+          reason: RefusalReason.KeyRunning,
+          mayHaveRun: true,
+        }),
     )
     .with(
       { kind: SettlementKind.Unknown },
-      () => giveUp(entry, RefusalReason.KeyUnsettled),
+      () =>
+        giveUp(entry, {
+          reason: RefusalReason.KeyUnsettled,
+          mayHaveRun: true,
+        }),
     )
     .with(
       { kind: SettlementKind.NotRun },
       ({ ledgerSince, fencers }) =>
         isKeyWithinLedger(entry.firstAttemptAt, { ...context, ledgerSince })
           ? cross(entry, event.from, fencers)
-          : giveUp(entry, RefusalReason.KeyUnsettled),
+          : giveUp(entry, {
+            reason: RefusalReason.KeyUnsettled,
+            mayHaveRun: false,
+          }),
     )
     .exhaustive();
 }
 
 /** Stops settling; the key stays as open as it was. */
-function giveUp(entry: Settling, reason: RefusalReason): LedgerStep {
-  return refuse(createFence(entry.fencers), entry, { reason });
+function giveUp(
+  entry: Settling,
+  options: { readonly reason: RefusalReason; readonly mayHaveRun: boolean },
+): LedgerStep {
+  return refuse(createFence(entry.fencers), entry, options);
 }
 
 /** Takes one server off the list of pending ones and adds those it names. */
@@ -250,10 +275,8 @@
 }
 
 /**
- * A server that does not answer may have run the key, unless its VM was gone
- * before the first attempt, or its process is gone and this is the first
- * attempt. A process that starts there later does not run the key: its ledger
- * begins after the first attempt.
+ * A server that does not answer may have run the key, unless its VM or its
+ * process was gone before the first attempt and ever since.
  */
 function miss(
   entry: LedgerEntry | undefined,
@@ -263,12 +286,27 @@
   if (!isSettlingFor(entry, event)) {
     return { entry, effects: [] };
   }
-  const goneBefore = event.goneAt !== undefined &&
-    entry.firstAttemptAt !== undefined &&
-    entry.firstAttemptAt > event.goneAt + context.clockSkewMilliseconds;
-  return goneBefore || (event.processGone && entry.isFirstAttempt)
+  return wasGone(entry.firstAttemptAt, event, context)
     ? cross(entry, event.from, [])
-    : giveUp(entry, RefusalReason.KeyUnsettled);
+    : giveUp(entry, { reason: RefusalReason.KeyUnsettled, mayHaveRun: false });
+}
+
+function wasGone(
+  firstAttemptAt: number | undefined,
+  event: Unanswered,
+  context: LedgerContext,
+): boolean {
+  if (firstAttemptAt === undefined) {
+    return false;
+  }
+  const { now, clockSkewMilliseconds } = context;
+  const { goneAt, refused } = event;
+  const isLater = (instant: number) =>
+    firstAttemptAt > instant + clockSkewMilliseconds;
+  const vmGone = goneAt !== undefined && isLater(goneAt);
+  const processGone = refused !== undefined && isLater(refused.since) &&
+    now + clockSkewMilliseconds < refused.lastAt + ledgerQuietMilliseconds;
+  return vmGone || processGone;
 }
 
 function reply(
--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -14,7 +14,11 @@
     callbacks: {
       readonly onAllowed: () => void;
       readonly onAnswered: (answer: StoredAnswer) => void;
-      readonly onRefused: (reason: RefusalReason) => void;
+      readonly onRefused: (refused: {
+        readonly reason: RefusalReason;
+        /** Whether the ledger knows of an attempt that may have run. */
+        readonly mayHaveRun: boolean;
+      }) => void;
     },
   ): void;
   /** Reports how a call that was allowed, or gave up waiting, has ended. */
--- a/src/daemon/calls/choose_server.ts
+++ b/src/daemon/calls/choose_server.ts
@@ -41,7 +41,7 @@
       random: environment.random,
       policy: node.choicePolicy,
     })
-    : chooseKeyOwner(eligible, options.key, selection);
+    : chooseKeyOwner(eligible, options.key.value, selection);
 }
 
 /** The node knows its own backend server better than any record. */
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -3,6 +3,7 @@
 import { CallsControlMethod } from "../../calls/calls_control_method.ts";
 import { createKeptMap } from "../../calls/create_kept_map.ts";
 import { decodeKeySettlement } from "../../calls/decode_key_settlement.ts";
+import { extendRefusedContact } from "../../calls/extend_refused_contact.ts";
 import { getAttemptIdentifier } from "../../calls/get_attempt_identifier.ts";
 import { getPredecessors } from "../../calls/get_predecessors.ts";
 import { getRequestFingerprint } from "../../calls/get_request_fingerprint.ts";
@@ -15,6 +16,7 @@
 import type { LedgerEvent } from "../../calls/ledger_event.ts";
 import { LedgerEventKind } from "../../calls/ledger_event_kind.ts";
 import type { LedgerServer } from "../../calls/ledger_server.ts";
+import type { RefusedContact } from "../../calls/refused_contact.ts";
 import { RefusalReason } from "../../calls/refusal_reason.ts";
 import { SettlementKind } from "../../calls/settlement_kind.ts";
 import { stepLedger } from "../../calls/step_ledger.ts";
@@ -35,6 +37,7 @@
   const { clock } = environment;
   const self = settings.backendServer?.name ?? "";
   const startedAt = clock.now();
+  const refusedContacts = new Map<string, RefusedContact>();
   const waiting = new Map<string, Callbacks>();
   const entries = createKeptMap<LedgerEntry>({
     maximumBytes: keptAnswerBytes,
@@ -97,8 +100,8 @@
       )
       .with(
         { kind: LedgerEffectKind.Refuse },
-        ({ attemptIdentifier, reason }) =>
-          take(attemptIdentifier)?.onRefused(reason),
+        ({ attemptIdentifier, reason, mayHaveRun }) =>
+          take(attemptIdentifier)?.onRefused({ reason, mayHaveRun }),
       )
       .with({ kind: LedgerEffectKind.Reply }, () => undefined)
       .exhaustive();
@@ -108,6 +111,7 @@
     attemptIdentifier: string,
     { server }: { readonly server: LedgerServer },
   ) => {
+    const begunAt = clock.now();
     const answer = await controlClient.call({
       address: server.nodeAddress,
       method: CallsControlMethod.SettleKey,
@@ -120,6 +124,17 @@
       deadline: clock.now() + questionMilliseconds,
       freshConnection: true,
     });
+    const refused = answer.isErr && answer.error.refused === true
+      ? extendRefusedContact(refusedContacts.get(server.name), {
+        begunAt,
+        refusedAt: clock.now(),
+      })
+      : undefined;
+    if (refused === undefined) {
+      refusedContacts.delete(server.name);
+    } else {
+      refusedContacts.set(server.name, refused);
+    }
     const settlement = answer.isOk
       ? decodeKeySettlement(answer.value)
       : undefined;
@@ -131,7 +146,7 @@
           from: server.name,
           attemptIdentifier,
           goneAt: options.getGoneVms().get(server.vm),
-          processGone: answer.isErr && answer.error.refused === true,
+          refused,
         }
         : {
           kind: LedgerEventKind.Answered,
@@ -153,15 +168,18 @@
       const { now } = createContext();
       entries.sweep(now);
       if (ownServer === undefined || call.key === undefined) {
-        callbacks.onRefused(RefusalReason.BackendServerUnknown);
+        callbacks.onRefused({
+          reason: RefusalReason.BackendServerUnknown,
+          mayHaveRun: false,
+        });
         return;
       }
       if (entries.size >= maximumKeys) {
-        callbacks.onRefused(RefusalReason.Full);
+        callbacks.onRefused({ reason: RefusalReason.Full, mayHaveRun: false });
         return;
       }
       const attemptIdentifier = getAttemptIdentifier(call);
-      const { value, firstAttemptAt, callerAttempt } = call.key;
+      const { value, firstAttemptAt } = call.key;
       const gone = options.getGoneVms();
       const isGone = ({ vm }: LedgerServer) =>
         firstAttemptAt !== undefined &&
@@ -173,7 +191,6 @@
         fingerprint: getRequestFingerprint(call),
         attemptIdentifier,
         firstAttemptAt,
-        isFirstAttempt: callerAttempt === 1,
         predecessors: getPredecessors(
           [...servers, ...getFormerServers(now)],
           value,
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -232,7 +232,11 @@
       onPiece: (piece) => isCurrent() ? response.write(piece) : true,
       onStreamEnd: () => finish({ kind: CallEventKind.StreamEnded }),
       onRefused: (refusal) => {
-        if (isCurrent() && isWorkRefused(refusal.refusal.reason)) {
+        const { reason } = refusal.refusal;
+        // A young ledger refuses keys alone.
+        const keyOnly = call.key !== undefined &&
+          reason === RefusalReason.NodeStarting;
+        if (isCurrent() && !keyOnly && isWorkRefused(reason)) {
           updateLast({ kind: ViewEventKind.WorkRefused });
         }
         finish({ kind: CallEventKind.Refused, refusal });
--- a/src/daemon/calls/run_forwarded_call.ts
+++ b/src/daemon/calls/run_forwarded_call.ts
@@ -67,8 +67,8 @@
             apply({ kind: DispatchEventKind.KeyAllowed }),
           onAnswered: (stored) =>
             apply({ kind: DispatchEventKind.KeyAnswered, answer: stored }),
-          onRefused: (reason) =>
-            apply({ kind: DispatchEventKind.KeyRefused, reason }),
+          onRefused: (refused) =>
+            apply({ kind: DispatchEventKind.KeyRefused, ...refused }),
         }))
       .with({ kind: DispatchEffectKind.RequestSlot }, requestSlot)
       .with(
--- a/src/testing/calls/create_loopback_environment.ts
+++ b/src/testing/calls/create_loopback_environment.ts
@@ -1,14 +1,22 @@
 import type { NodeEnvironment } from "../../runtime/node_environment.ts";
 
-/** The environment of a node in loopback tests: real time, a fixed random sequence, no log. */
-export function createLoopbackEnvironment(): NodeEnvironment {
+/**
+ * The environment of a node in loopback tests: real time, less what `getLag`
+ * returns (in milliseconds), a fixed random sequence, and no log.
+ */
+export function createLoopbackEnvironment(
+  getLag: () => number,
+): NodeEnvironment {
   let drawn = 0;
   const ignore = () => undefined;
   return {
-    clock: { now: () => Date.now() },
+    clock: { now: () => Date.now() - getLag() },
     timers: {
       at: (instant, callback) => {
-        const timeout = setTimeout(callback, Math.max(0, instant - Date.now()));
+        const timeout = setTimeout(
+          callback,
+          Math.max(0, instant - Date.now() + getLag()),
+        );
         return { cancel: () => clearTimeout(timeout) };
       },
     },
--- a/src/testing/calls/start_calls_bench.ts
+++ b/src/testing/calls/start_calls_bench.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import { Result } from "true-myth";
 import type { CallsRuntimeOptions } from "../../calls/calls_runtime_options.ts";
+import { ledgerQuietMilliseconds } from "../../calls/ledger_quiet_milliseconds.ts";
 import { CallPriority } from "../../configuration/call_priority.ts";
 import type { BackendServer } from "../../configuration/backend_server.ts";
 import type { Snapshot } from "../../configuration/snapshot.ts";
@@ -32,11 +33,17 @@
   } = {},
 ): Promise<CallsBench> {
   const running = new Map<number, BenchNode>();
+  // The nodes are as old as their ledgers have to be to let keys run.
+  let lag = 2 * ledgerQuietMilliseconds;
   const controlClient: ControlClient = {
     call: async ({ address, method, parameters }) => {
       const node = running.get(address.port);
       return node === undefined
-        ? Result.err({ kind: ControlFailureKind.ConnectionFailed, detail: "" })
+        ? Result.err({
+          kind: ControlFailureKind.ConnectionFailed,
+          detail: "",
+          refused: true,
+        })
         : Result.ok(
           JSON.parse(JSON.stringify(
             await node.runtime.handleControlMethod(method, parameters),
@@ -51,6 +58,7 @@
         controlClient,
         slots: options.slots ?? 12,
         gone: options.gone ?? new Map(),
+        getLag: () => lag,
       });
       running.set(node.nodes.port, node);
       return {
@@ -70,6 +78,7 @@
     nodes.map((node) => node.runtime.prepareSnapshot(snapshot)),
   );
   nodes.forEach((node) => node.runtime.applySnapshot(snapshot));
+  lag = 0;
   return {
     nodes,
     snapshot,
@@ -88,6 +97,7 @@
   options: {
     readonly controlClient: ControlClient;
     readonly slots: number;
+    readonly getLag: () => number;
     readonly gone: ReadonlyMap<string, number>;
   },
 ): Promise<BenchNode> {
@@ -97,7 +107,7 @@
   const runtime = createCallsRuntime(
     {
       settings: createBenchSettings(name, backendServer.address),
-      environment: createLoopbackEnvironment(),
+      environment: createLoopbackEnvironment(options.getLag),
       admission,
       controlClient: options.controlClient,
       getPeers: () => new Map(),
