--- /dev/null
+++ b/scenarios/handover/create_handover_world.ts
@@ -0,0 +1,20 @@
+import { createCallState } from "../../src/calls/create_call_state.ts";
+import type { HandoverWorld } from "./handover_world.ts";
+
+const startInstant = 10_000_000;
+const deadlineMilliseconds = 4000;
+
+/** Creates a call without a key that has not been handed over yet. */
+export function createHandoverWorld(idempotent = false): HandoverWorld {
+  return {
+    now: startInstant,
+    call: createCallState({
+      idempotent,
+      repeatsPossible: false,
+      deadline: startInstant + deadlineMilliseconds,
+    }),
+    tries: [],
+    questionOpen: false,
+    told: undefined,
+  };
+}
--- /dev/null
+++ b/scenarios/handover/lose_handover_contact.ts
@@ -0,0 +1,15 @@
+import { CallEventKind } from "../../src/calls/call_event_kind.ts";
+import type { HandoverTry } from "./handover_try.ts";
+import type { HandoverWorld } from "./handover_world.ts";
+import { stepHandoverCall } from "./step_handover_call.ts";
+
+/** Breaks the connection of a try, as the node that took the call sees it. */
+export function loseHandoverContact(
+  world: HandoverWorld,
+  one: HandoverTry,
+): void {
+  if (one.connected && world.tries.at(-1) === one) {
+    one.connected = false;
+    stepHandoverCall(world, { kind: CallEventKind.ContactLost });
+  }
+}
--- /dev/null
+++ b/scenarios/handover/step_handover_try.ts
@@ -0,0 +1,62 @@
+import { match, P } from "ts-pattern";
+import { CallEventKind } from "../../src/calls/call_event_kind.ts";
+import type { DispatchEffect } from "../../src/calls/dispatch_effect.ts";
+import { DispatchEffectKind } from "../../src/calls/dispatch_effect_kind.ts";
+import type { DispatchEvent } from "../../src/calls/dispatch_event.ts";
+import { SettlementKind } from "../../src/calls/settlement_kind.ts";
+import { stepDispatch } from "../../src/calls/step_dispatch.ts";
+import type { HandoverTry } from "./handover_try.ts";
+import type { HandoverWorld } from "./handover_world.ts";
+
+/** Feeds one event to the node beside the backend server, once the try has arrived there. */
+export function stepHandoverTry(
+  world: HandoverWorld,
+  one: HandoverTry,
+  event: DispatchEvent,
+): void {
+  if (one.state === undefined) {
+    return;
+  }
+  const step = stepDispatch(one.state, event, { now: world.now });
+  one.state = step.state;
+  step.effects.forEach((effect) => carryOut(one, effect));
+}
+
+function carryOut(one: HandoverTry, effect: DispatchEffect): void {
+  match(effect)
+    .with({ kind: DispatchEffectKind.Dispatch }, () => {
+      one.runs += 1;
+    })
+    .with({ kind: DispatchEffectKind.Conclude }, ({ outcome }) => {
+      one.settlement = outcome === SettlementKind.Finished
+        ? { kind: outcome, answer: undefined }
+        : { kind: outcome };
+    })
+    .with(
+      { kind: DispatchEffectKind.Refuse },
+      ({ refusal }) =>
+        void one.replies.push({ kind: CallEventKind.Refused, refusal }),
+    )
+    .with(
+      { kind: DispatchEffectKind.SendAnswer },
+      () => void one.replies.push({ kind: CallEventKind.AnswerWhole }),
+    )
+    .with(
+      { kind: DispatchEffectKind.SendSign },
+      () => void one.replies.push({ kind: CallEventKind.Heard }),
+    )
+    .with({
+      kind: P.union(
+        DispatchEffectKind.BeginStream,
+        DispatchEffectKind.BreakStream,
+        DispatchEffectKind.CancelDispatch,
+        DispatchEffectKind.ConsultLedger,
+        DispatchEffectKind.EndStream,
+        DispatchEffectKind.Report,
+        DispatchEffectKind.RequestSlot,
+        DispatchEffectKind.SendStoredAnswer,
+        DispatchEffectKind.WithdrawRequest,
+      ),
+    }, () => {})
+    .exhaustive();
+}
--- a/scenarios/scenarios_test.ts
+++ b/scenarios/scenarios_test.ts
@@ -1,5 +1,7 @@
 import { admissionSteps } from "./admission/admission_steps.ts";
 import { createAdmissionWorld } from "./admission/create_admission_world.ts";
+import { createHandoverWorld } from "./handover/create_handover_world.ts";
+import { handoverSteps } from "./handover/handover_steps.ts";
 import { createLedgerWorld } from "./ledger/create_ledger_world.ts";
 import { ledgerSteps } from "./ledger/ledger_steps.ts";
 import { createStepLibrary } from "./runner/create_step_library.ts";
@@ -13,3 +15,7 @@
   library: createStepLibrary(ledgerSteps),
   createWorld: createLedgerWorld,
 });
+registerScenarios(["hand_over.feature"], {
+  library: createStepLibrary(handoverSteps),
+  createWorld: () => createHandoverWorld(),
+});
