--- a/scenarios/handover/arrive_handover_try.ts
+++ b/scenarios/handover/arrive_handover_try.ts
@@ -22,6 +22,7 @@
   });
   const obstacle = getDispatchObstacle({
     hasSnapshot: true,
+    isRegistered: true,
     confirmingView: false,
     draining: false,
     ownBackendServer: one.backendServer,
--- a/scenarios/handover/step_handover_call.ts
+++ b/scenarios/handover/step_handover_call.ts
@@ -53,6 +53,7 @@
       kind: P.union(
         CallEffectKind.AvoidNode,
         CallEffectKind.BeginStream,
+        CallEffectKind.RenewConnections,
         CallEffectKind.SpendRetry,
       ),
     }, () => {})
--- a/scenarios/ledger/send_ledger_attempt.ts
+++ b/scenarios/ledger/send_ledger_attempt.ts
@@ -1,5 +1,6 @@
 import { getPredecessors } from "../../src/calls/get_predecessors.ts";
 import { LedgerEventKind } from "../../src/calls/ledger_event_kind.ts";
+import { ledgerClockSkew } from "./ledger_clock_skew.ts";
 import { ledgerKey } from "./ledger_key.ts";
 import type { LedgerWorld } from "./ledger_world.ts";
 import { stepLedgerNode } from "./step_ledger_node.ts";
@@ -20,13 +21,25 @@
   const predecessors = getPredecessors(
     world.nodes.map(({ server }) => server),
     ledgerKey,
-    { self: node.server.name, firstAttemptAt, ledgerSince: node.ledgerSince },
+    {
+      self: node.server.name,
+      firstAttemptAt,
+      ledgerSince: node.ledgerSince,
+      isGone: (server) => isGoneBefore(world, server.name),
+    },
   );
   stepLedgerNode(world, position, {
     kind: LedgerEventKind.Requested,
     fingerprint: "one cake",
     attemptIdentifier,
     firstAttemptAt,
+    isFirstAttempt: world.attempts === 1,
     predecessors,
   });
 }
+
+function isGoneBefore(world: LedgerWorld, name: string): boolean {
+  const position = world.nodes.findIndex((node) => node.server.name === name);
+  const goneAt = world.goneAt.get(position) ?? Infinity;
+  return (world.firstAttemptAt ?? world.now) > goneAt + ledgerClockSkew;
+}
