--- a/scenarios/ledger/lose_ledger_message.ts
+++ b/scenarios/ledger/lose_ledger_message.ts
@@ -15,7 +15,7 @@
       from: world.nodes[message.asked]!.server.name,
       attemptIdentifier: message.attemptIdentifier,
       goneAt: world.goneAt.get(message.asked),
-      processGone: !world.nodes[message.asked]!.running,
+      refused: undefined,
     });
   }
 }
--- a/src/command_line/run_command_line.ts
+++ b/src/command_line/run_command_line.ts
@@ -1,10 +1,8 @@
-import { checkCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { getPackageVersion } from "./get_package_version.ts";
 import { nodeCommand } from "./node_command.ts";
-import { routesCommand } from "./routes_command.ts";
 import { statusCommand } from "./status_command.ts";
 import { trailCommand } from "./trail_command.ts";
 
@@ -12,8 +10,6 @@
 
 Commands:
   node     run one node beside its backend server
-  check    check a configuration before it is published
-  routes   show what a configuration compiles to
   status   show a node's version, backend server, peers and refusals
   trail    show a node's audit trail of changes
 
@@ -23,8 +19,6 @@
 
 const commands: ReadonlyMap<string, Command> = new Map([
   ["node", nodeCommand],
-  ["check", checkCommand],
-  ["routes", routesCommand],
   ["status", statusCommand],
   ["trail", trailCommand],
 ]);
--- a/src/daemon/create_control_listener.ts
+++ b/src/daemon/create_control_listener.ts
@@ -13,6 +13,7 @@
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ControlHandler } from "./control_handler.ts";
+import type { ServedControlTraffic } from "./served_control_traffic.ts";
 
 /** The control methods that the calls answer; all others belong to the distribution. */
 const callMethods: readonly string[] = ["settleCall", "settleKey"];
@@ -25,6 +26,7 @@
     readonly calls: ControlHandler;
     readonly distribution: ControlHandler;
     readonly log: Log;
+    readonly traffic: ServedControlTraffic;
     /** Requests with a longer body are refused unread. */
     readonly bodyBytesMaximum: number;
   },
@@ -86,6 +88,7 @@
   }
 
   return (request, response) => {
+    options.traffic.noteRequest(request.socket);
     if (
       Number(request.headers["content-length"] ?? 0) > options.bodyBytesMaximum
     ) {
@@ -96,6 +99,7 @@
       .then(answerText)
       .then((answer) => {
         const body = JSON.stringify(answer);
+        options.traffic.noteAnswer();
         response.writeHead(okStatus, {
           "content-type": "application/json",
           "content-length": Buffer.byteLength(body),
--- a/src/daemon/create_control_listener_test.ts
+++ b/src/daemon/create_control_listener_test.ts
@@ -5,6 +5,7 @@
 import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
 import type { Log } from "../telemetry/log.ts";
 import { createControlListener } from "./create_control_listener.ts";
+import { createServedControlTraffic } from "./create_served_control_traffic.ts";
 import { openListener } from "./open_listener.ts";
 import { refuseBrokenRequest } from "./refuse_broken_request.ts";
 
@@ -35,6 +36,7 @@
           )
           : Promise.resolve({ method, parameters }),
       log: silentLog,
+      traffic: createServedControlTraffic(),
       bodyBytesMaximum: 1_000,
     }),
   });
--- a/src/daemon/create_node_daemon.ts
+++ b/src/daemon/create_node_daemon.ts
@@ -1,5 +1,6 @@
 import { getRequestListener } from "@hono/node-server";
 import { Result } from "true-myth";
+import type { Version } from "../configuration/version.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { createPauseWatch } from "../health/create_pause_watch.ts";
 import { NodeEventKind } from "../lifecycle/node_event_kind.ts";
@@ -11,6 +12,7 @@
 import { createNodeRuntimes } from "./create_node_runtimes.ts";
 import { createOperatorApplication } from "./create_operator_application.ts";
 import { createReporting } from "./create_reporting.ts";
+import { createServedControlTraffic } from "./create_served_control_traffic.ts";
 import { getNodeGauges } from "./get_node_gauges.ts";
 import { getNodeStatus } from "./get_node_status.ts";
 import type { NodeDaemon } from "./node_daemon.ts";
@@ -28,26 +30,28 @@
 export async function createNodeDaemon(
   settings: NodeSettings,
 ): Promise<Result<NodeDaemon, Diagnostic>> {
-  const reporting = createReporting(
-    settings,
-    () => runtimes.distribution.getSnapshot()?.version,
-  );
-  const { environment, auditTrail } = reporting;
+  let version: Version | undefined;
+  const { environment, auditTrail } = createReporting(settings, () => version);
   const startedAt = environment.clock.now();
+  const servedTraffic = createServedControlTraffic();
   const metrics = createNodeMetrics(() =>
     getNodeGauges(getStatus(), isReady())
   );
-  const runtimes = createNodeRuntimes(settings, {
-    environment,
-    getState: () => lifecycle.getState(),
-    onSnapshot: () => lifecycle.notify(NodeEventKind.ConfigurationInForce),
-    observe: metrics.observe,
-  });
   const lifecycle = createNodeLifecycle({
     auditTrail,
     onChange: (state) =>
       runtimes.calls.setConfirmingView(state === NodeState.ConfirmingView),
   });
+  const runtimes = createNodeRuntimes(settings, {
+    environment,
+    servedTraffic,
+    getState: lifecycle.getState,
+    observe: metrics.observe,
+    onSnapshot: (snapshot) => {
+      version = snapshot.version;
+      lifecycle.notify(NodeEventKind.ConfigurationInForce);
+    },
+  });
   const pauseWatch = createPauseWatch({
     environment,
     settings,
@@ -83,6 +87,7 @@
     calls: runtimes.calls.handleControlMethod,
     distribution: runtimes.distribution.handleControlMethod,
     log: environment.log,
+    traffic: servedTraffic,
     bodyBytesMaximum: settings.limits.configurationBytes *
       controlBytesPerConfigurationByte,
   });
--- a/src/daemon/create_node_runtimes.ts
+++ b/src/daemon/create_node_runtimes.ts
@@ -1,6 +1,7 @@
 import { createAdmissionRuntime } from "../admission/create_admission_runtime.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
 import { createDistributionRuntime } from "../distribution/create_distribution_runtime.ts";
+import { addControlTraffic } from "../peers/add_control_traffic.ts";
 import type { NodeState } from "../peers/node_state.ts";
 import type { NodeEnvironment } from "../runtime/node_environment.ts";
 import type { CallObservation } from "../telemetry/call_observation.ts";
@@ -10,6 +11,7 @@
 import { createPlatformClient } from "./create_platform_client.ts";
 import type { NodeRuntimes } from "./node_runtimes.ts";
 import type { NodeSettings } from "./node_settings.ts";
+import type { ServedControlTraffic } from "./served_control_traffic.ts";
 
 /** Creates the decision loops of a node and the clients that carry out their effects. */
 export function createNodeRuntimes(
@@ -19,12 +21,16 @@
     readonly getState: () => NodeState;
     /** Called after a snapshot was put in force. */
     readonly onSnapshot: (snapshot: Snapshot) => void;
+    readonly servedTraffic: ServedControlTraffic;
     readonly observe: (observation: CallObservation) => void;
   },
 ): NodeRuntimes {
   const environment = options.environment;
   const controlClient = createControlClient(environment);
-  const platformClient = createPlatformClient(settings.platform, environment);
+  const platformClient = createPlatformClient({
+    address: settings.platform,
+    clock: environment.clock,
+  });
   const prober = settings.backendServer === null
     ? undefined
     : createBackendServerProber(settings.backendServer.address, environment);
@@ -34,6 +40,11 @@
     environment,
     controlClient,
     platformClient,
+    getControlTraffic: () =>
+      addControlTraffic(
+        controlClient.getTraffic(),
+        options.servedTraffic.getTraffic(),
+      ),
     getOwnState: () => {
       const status = admission.getStatus();
       return {
--- a/src/distribution/distribution_runtime.ts
+++ b/src/distribution/distribution_runtime.ts
@@ -20,7 +20,5 @@
   confirmView(): Promise<void>;
   /** Tells some peers that this node is draining, and ends all timers and watches. */
   stop(): Promise<void>;
-  /** Returns the document in force with its version, as JSON; undefined before the first one. */
-  getDocument(): unknown;
   getStatus(): DistributionStatus;
 }
