Test lost contact over relays; try a fenced node again on a fresh connection

Cause: with every connection silent, each backend server was tried once and then left out, so the call was refused as full though fresh connections worked (the new test "a call on a silent connection …" failed with reason full).

Change: a node that answered the settlement question is avoided no longer and may be tried again. Relays in the test bench silence, hold and cut connections.

--- a/src/calls/call_effect.ts
+++ b/src/calls/call_effect.ts
@@ -27,6 +27,7 @@
   | {
     readonly kind:
       | CallEffectKind.CancelTry
+      | CallEffectKind.StopAvoiding
       | CallEffectKind.RenewConnections
       | CallEffectKind.SendAnswer
       | CallEffectKind.BeginStream
--- a/src/calls/call_effect_kind.ts
+++ b/src/calls/call_effect_kind.ts
@@ -6,6 +6,8 @@
   CancelTry = "cancel-try",
   /** Avoid the node of the current try for a while. */
   AvoidNode = "avoid-node",
+  /** The node of the last try has answered: avoid it no longer. */
+  StopAvoiding = "stop-avoiding",
   /** Open new connections to the node of the current try: the old ones may be silent. */
   RenewConnections = "renew-connections",
   /** Ask for the outcome of the current try on a fresh connection. */
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -311,16 +311,30 @@
       },
       effects: [],
     }))
-    .with({ kind: SettlementKind.NotRun }, () =>
-      tryElsewhere(state, context, {
-        keySettled: false,
-        refusal: createRefusal(RefusalReason.Fenced, Outcome.NotRun, {
-          now: context.now,
-        }),
-      }))
+    .with(
+      { kind: SettlementKind.NotRun },
+      () => tryAfterFence(state, context),
+    )
     .exhaustive();
 }
 
+/**
+ * Tries again after a lost try was fenced. The node has answered on a fresh
+ * connection, so it may be tried again as well.
+ */
+function tryAfterFence(state: CallState, context: CallContext): CallStep {
+  const step = tryElsewhere({ ...state, backendServer: undefined }, context, {
+    keySettled: false,
+    refusal: createRefusal(RefusalReason.Fenced, Outcome.NotRun, {
+      now: context.now,
+    }),
+  });
+  return {
+    ...step,
+    effects: [{ kind: CallEffectKind.StopAvoiding }, ...step.effects],
+  };
+}
+
 function woke(state: CallState, context: CallContext): CallStep {
   if (context.now < state.wakeAt) {
     return { state, effects: [] };
--- a/src/daemon/calls/create_calls_runtime_test.ts
+++ b/src/daemon/calls/create_calls_runtime_test.ts
@@ -1,67 +1,18 @@
 import test from "ava";
-import type { ExecutionContext } from "ava";
 import { setTimeout as delay } from "node:timers/promises";
-import { request } from "undici";
 import { DispatchResult } from "../../admission/dispatch_result.ts";
-import type { BenchNode } from "../../testing/calls/bench_node.ts";
-import { startCallsBench } from "../../testing/calls/start_calls_bench.ts";
-
-interface Answer {
-  readonly status: number;
-  readonly headers: Record<string, string | string[] | undefined>;
-  readonly body: string;
-}
-
-async function call(
-  node: BenchNode,
-  path: string,
-  options: {
-    readonly method?: "GET" | "POST" | "HEAD";
-    readonly headers?: Record<string, string>;
-    readonly body?: string;
-    readonly signal?: AbortSignal;
-  } = {},
-): Promise<Answer> {
-  const { host, port } = node.callers;
-  const answer = await request(`http://${host}:${port}${path}`, {
-    method: options.method ?? "GET",
-    headers: options.headers ?? {},
-    body: options.body ?? null,
-    ...(options.signal === undefined ? {} : { signal: options.signal }),
-  });
-  return {
-    status: answer.statusCode,
-    headers: answer.headers,
-    body: await answer.body.text(),
-  };
-}
-
-async function start(
-  t: ExecutionContext,
-  count: number,
-  options: Parameters<typeof startCallsBench>[1] = {},
-) {
-  const bench = await startCallsBench(count, options);
-  t.teardown(bench.close);
-  return bench;
-}
-
-function countRuns(nodes: readonly BenchNode[]): number {
-  return nodes.reduce((sum, node) => sum + node.backendServer.runs.length, 0);
-}
-
-function getRefusal(answer: Answer) {
-  const { outcome, reason, status } = JSON.parse(answer.body);
-  return { outcome, reason, status };
-}
+import { callNode } from "../../testing/calls/call_node.ts";
+import { countRuns } from "../../testing/calls/count_runs.ts";
+import { getRefusal } from "../../testing/calls/get_refusal.ts";
+import { useCallsBench } from "../../testing/calls/use_calls_bench.ts";
 
 test("a call reaches a backend server, in process and through another node, and its answer comes back", async (t) => {
-  const bench = await start(t, 2);
+  const bench = await useCallsBench(t, 2);
   const answers = await Promise.all(
     Array.from(
       { length: 20 },
       (_, index) =>
-        call(bench.nodes[0]!, `/encomendas/pedido?n=${index}`, {
+        callNode(bench.nodes[0]!, `/encomendas/pedido?n=${index}`, {
           method: "POST",
           body: `bolo ${index}`,
           headers: { "catkinquay-outcome": "forged" },
@@ -93,11 +44,11 @@
 });
 
 test("HEAD keeps the length that the backend server declares", async (t) => {
-  const bench = await start(t, 2);
+  const bench = await useCallsBench(t, 2);
   const answers = await Promise.all(
     Array.from(
       { length: 6 },
-      () => call(bench.nodes[0]!, "/encomendas/pedido", { method: "HEAD" }),
+      () => callNode(bench.nodes[0]!, "/encomendas/pedido", { method: "HEAD" }),
     ),
   );
   answers.forEach((answer) => t.is(answer.status, 200));
@@ -105,11 +56,11 @@
 });
 
 test("a cut, malformed, unframed or crossed answer becomes a refusal whose outcome is unknown", async (t) => {
-  const bench = await start(t, 2);
+  const bench = await useCallsBench(t, 2);
   const names = ["cut", "rubbish", "unframed", "crossed"];
   const answers = await Promise.all(
     names.map((name) =>
-      call(bench.nodes[0]!, `/encomendas/${name}`, { method: "POST" })
+      callNode(bench.nodes[0]!, `/encomendas/${name}`, { method: "POST" })
     ),
   );
   answers.forEach((answer) =>
@@ -123,8 +74,8 @@
 });
 
 test("a shed call is refused as not run after the other backend servers were tried", async (t) => {
-  const bench = await start(t, 3);
-  const answer = await call(bench.nodes[0]!, "/encomendas/shed", {
+  const bench = await useCallsBench(t, 3);
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/shed", {
     method: "POST",
   });
   t.deepEqual(getRefusal(answer), {
@@ -142,11 +93,11 @@
 });
 
 test("a caller that leaves cancels the run at the backend server", async (t) => {
-  const bench = await start(t, 2);
+  const bench = await useCallsBench(t, 2);
   const calls = Array.from(
     { length: 6 },
     () =>
-      call(bench.nodes[0]!, "/encomendas/silence", {
+      callNode(bench.nodes[0]!, "/encomendas/silence", {
         signal: AbortSignal.timeout(150),
       }),
   );
@@ -163,8 +114,8 @@
 });
 
 test("a call that gets no answer is refused at its deadline", async (t) => {
-  const bench = await start(t, 2, { deadlineMilliseconds: 300 });
-  const answer = await call(bench.nodes[0]!, "/encomendas/silence", {
+  const bench = await useCallsBench(t, 2, { deadlineMilliseconds: 300 });
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/silence", {
     method: "POST",
   });
   t.deepEqual(getRefusal(answer), {
@@ -176,27 +127,27 @@
 });
 
 test("a long answer streams, and a break in it breaks the caller's connection", async (t) => {
-  const bench = await start(t, 2);
+  const bench = await useCallsBench(t, 2);
   const answers = await Promise.all(
     Array.from(
       { length: 4 },
-      () => call(bench.nodes[0]!, "/encomendas/long"),
+      () => callNode(bench.nodes[0]!, "/encomendas/long"),
     ),
   );
   answers.forEach((answer) => t.is(answer.body.length, 2 * 64 * 1024));
   const cut = await Promise.allSettled(
     Array.from(
       { length: 4 },
-      () => call(bench.nodes[0]!, "/encomendas/long-cut"),
+      () => callNode(bench.nodes[0]!, "/encomendas/long-cut"),
     ),
   );
   cut.forEach(({ status }) => t.is(status, "rejected"));
 });
 
 test("a key runs once, whichever node is asked", async (t) => {
-  const bench = await start(t, 3);
+  const bench = await useCallsBench(t, 3);
   const askWith = (index: number, headers: Record<string, string>) =>
-    call(bench.nodes[index]!, "/encomendas/checkout", {
+    callNode(bench.nodes[index]!, "/encomendas/checkout", {
       method: "POST",
       body: "one cake",
       headers: { "idempotency-key": "order-7", ...headers },
@@ -213,7 +164,7 @@
   answers.forEach((answer) => t.is(answer.body, "POST one cake"));
   t.is(countRuns(bench.nodes), 1);
 
-  const other = await call(bench.nodes[1]!, "/encomendas/checkout", {
+  const other = await callNode(bench.nodes[1]!, "/encomendas/checkout", {
     method: "POST",
     body: "two cakes",
     headers: { "idempotency-key": "order-7" },
@@ -223,25 +174,25 @@
 });
 
 test("a request that breaks a rule is refused as not run", async (t) => {
-  const bench = await start(t, 1);
+  const bench = await useCallsBench(t, 1);
   const node = bench.nodes[0]!;
   const past = { "request-deadline": String(Date.now() - 1) };
   const cases = [
-    [await call(node, "/unknown"), 404, "no-route"],
+    [await callNode(node, "/unknown"), 404, "no-route"],
     [
-      await call(node, "/encomendas/x", { headers: past }),
+      await callNode(node, "/encomendas/x", { headers: past }),
       504,
       "deadline-passed",
     ],
     [
-      await call(node, "/encomendas/x", {
+      await callNode(node, "/encomendas/x", {
         headers: { "request-deadline": "soon" },
       }),
       400,
       "request-invalid",
     ],
     [
-      await call(node, "/encomendas/x", {
+      await callNode(node, "/encomendas/x", {
         method: "POST",
         body: "x".repeat(10_001),
       }),
@@ -257,12 +208,12 @@
 });
 
 test("drain() lets running calls finish and refuses new ones; stop() counts what it cuts", async (t) => {
-  const bench = await start(t, 1);
+  const bench = await useCallsBench(t, 1);
   const node = bench.nodes[0]!;
-  const running = call(node, "/encomendas/slow");
+  const running = callNode(node, "/encomendas/slow");
   await delay(50);
   const drained = node.runtime.drain();
-  const refused = await call(node, "/encomendas/x");
+  const refused = await callNode(node, "/encomendas/x");
   t.is(getRefusal(refused).reason, "node-draining");
   t.is(refused.headers["connection"], "close");
   t.is((await running).body, "slow answer");
--- /dev/null
+++ b/src/daemon/calls/lost_contact_test.ts
@@ -0,0 +1,122 @@
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { callNode } from "../../testing/calls/call_node.ts";
+import type { CallsBench } from "../../testing/calls/calls_bench.ts";
+import { countRuns } from "../../testing/calls/count_runs.ts";
+import { getRefusal } from "../../testing/calls/get_refusal.ts";
+import { useCallsBench } from "../../testing/calls/use_calls_bench.ts";
+
+/** The node that is asked has no slot, so that every call goes to another one. */
+const slots = [0, 12, 12];
+
+/** Opens connections from the first node to the others. */
+async function warmUp(bench: CallsBench): Promise<number> {
+  await Promise.all(
+    Array.from(
+      { length: 12 },
+      () => callNode(bench.nodes[0]!, "/encomendas/x"),
+    ),
+  );
+  return countRuns(bench.nodes);
+}
+
+const checkout = { method: "POST", body: "one cake" } as const;
+
+test("a call on a silent connection is fenced there and runs once elsewhere, long before its deadline", async (t) => {
+  const bench = await useCallsBench(t, 3, { slots });
+  const before = await warmUp(bench);
+  bench.nodes.forEach((node) => node.relay.silence());
+  const startedAt = Date.now();
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/x", checkout);
+  t.is(answer.body, "POST one cake");
+  t.true(Date.now() - startedAt < 2000);
+  t.is(countRuns(bench.nodes) - before, 1);
+});
+
+test("an answer that gets lost on a silent connection is fetched over a fresh one", async (t) => {
+  const bench = await useCallsBench(t, 2, { slots });
+  const before = await warmUp(bench);
+  bench.nodes[1]!.relay.swallowAnswers();
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/x", checkout);
+  t.is(answer.body, "POST one cake");
+  t.is(countRuns(bench.nodes) - before, 1);
+});
+
+test("an answer whose connection breaks is fetched over a fresh one", async (t) => {
+  const bench = await useCallsBench(t, 2, { slots });
+  const before = await warmUp(bench);
+  bench.nodes[1]!.relay.cutAnswers();
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/x", checkout);
+  t.is(answer.body, "POST one cake");
+  t.is(countRuns(bench.nodes) - before, 1);
+});
+
+test("a call that arrives after its outcome was asked for is not run", async (t) => {
+  const bench = await useCallsBench(t, 2, { slots });
+  const before = await warmUp(bench);
+  bench.nodes[1]!.relay.holdRequests();
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/x", checkout);
+  t.is(getRefusal(answer).outcome, "not-run");
+  bench.nodes[1]!.relay.release();
+  await delay(200);
+  t.is(countRuns(bench.nodes) - before, 0);
+});
+
+test("a call that arrives after its deadline is not run", async (t) => {
+  const bench = await useCallsBench(t, 2, { slots, deadlineMilliseconds: 300 });
+  const before = await warmUp(bench);
+  bench.nodes[1]!.relay.holdRequests();
+  const answer = await callNode(bench.nodes[0]!, "/encomendas/x", checkout);
+  t.deepEqual(getRefusal(answer), {
+    outcome: "unknown",
+    reason: "deadline-passed",
+    status: 504,
+  });
+  bench.nodes[1]!.relay.release();
+  await delay(200);
+  t.is(countRuns(bench.nodes) - before, 0);
+});
+
+test("a call to a node that is gone runs elsewhere, and later calls avoid that node", async (t) => {
+  const bench = await useCallsBench(t, 3, { slots });
+  await warmUp(bench);
+  await bench.nodes[1]!.closeListeners();
+  const answers = await Promise.all(
+    Array.from(
+      { length: 20 },
+      () => callNode(bench.nodes[0]!, "/encomendas/x", checkout),
+    ),
+  );
+  answers.forEach((answer) => t.is(answer.body, "POST one cake"));
+});
+
+test("keys whose owner's process is gone run at the next owner, apart from those of the first moment", async (t) => {
+  const bench = await useCallsBench(t, 3);
+  await bench.nodes[2]!.closeListeners();
+  const ask = (index: number) =>
+    callNode(bench.nodes[index % 2]!, "/encomendas/x", {
+      ...checkout,
+      headers: {
+        "idempotency-key": `order-${index}`,
+        "idempotency-attempt": "1",
+      },
+    });
+  const first = await Promise.all(
+    Array.from({ length: 20 }, (_, index) => ask(index)),
+  );
+  first
+    .filter((answer) => answer.status !== 200)
+    .forEach((answer) => t.is(getRefusal(answer).outcome, "not-run"));
+  const later = await Promise.all(
+    Array.from({ length: 20 }, (_, index) => ask(100 + index)),
+  );
+  later.forEach((answer) => t.is(answer.status, 200, answer.body));
+  const again = await Promise.all(
+    Array.from({ length: 20 }, (_, index) => ask(101 + index)),
+  );
+  t.is(again.filter((answer) => answer.status === 200).length, 20);
+  t.is(
+    countRuns(bench.nodes),
+    first.filter((answer) => answer.status === 200).length + 21,
+  );
+});
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -87,6 +87,10 @@
         ({ processGone }) =>
           updateLast({ kind: ViewEventKind.ContactFailed, processGone }),
       )
+      .with(
+        { kind: CallEffectKind.StopAvoiding },
+        () => updateLast({ kind: ViewEventKind.ContactMade }),
+      )
       .with({ kind: CallEffectKind.RenewConnections }, () => {
         if (lastServer !== undefined) {
           node.pools.renew(lastServer.nodeAddress);
--- a/src/testing/calls/bench_node.ts
+++ b/src/testing/calls/bench_node.ts
@@ -2,6 +2,7 @@
 import type { NetworkAddress } from "../../runtime/network_address.ts";
 import type { CallObservation } from "../../telemetry/call_observation.ts";
 import type { createSlotCounter } from "./create_slot_counter.ts";
+import type { Relay } from "./relay.ts";
 import type { ScriptedBackendServer } from "./scripted_backend_server.ts";
 
 /** One node of a bench, with its backend server. */
@@ -13,7 +14,9 @@
   /** Where callers connect. */
   readonly callers: NetworkAddress;
   readonly nodes: NetworkAddress;
+  /** Stands between the other nodes' calls and this node; control messages do not pass it. */
+  readonly relay: Relay;
   readonly observations: CallObservation[];
-  /** Closes the nodes' listener: other nodes then reach nothing there. */
-  closeNodesListener(): Promise<void>;
+  /** Closes the listeners, as the death of the process does: other nodes are refused. */
+  closeListeners(): Promise<void>;
 }
--- /dev/null
+++ b/src/testing/calls/call_node.ts
@@ -0,0 +1,28 @@
+import { request } from "undici";
+import type { BenchNode } from "./bench_node.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+
+/** Sends one request to a node, as a caller does. */
+export async function callNode(
+  node: BenchNode,
+  path: string,
+  options: {
+    readonly method?: "GET" | "POST" | "HEAD";
+    readonly headers?: Record<string, string>;
+    readonly body?: string;
+    readonly signal?: AbortSignal;
+  } = {},
+): Promise<CallerAnswer> {
+  const { host, port } = node.callers;
+  const answer = await request(`http://${host}:${port}${path}`, {
+    method: options.method ?? "GET",
+    headers: options.headers ?? {},
+    body: options.body ?? null,
+    ...(options.signal === undefined ? {} : { signal: options.signal }),
+  });
+  return {
+    status: answer.statusCode,
+    headers: answer.headers,
+    body: await answer.body.text(),
+  };
+}
--- /dev/null
+++ b/src/testing/calls/caller_answer.ts
@@ -0,0 +1,6 @@
+/** An answer as a caller of a bench sees it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+}
--- a/src/testing/calls/start_calls_bench.ts
+++ b/src/testing/calls/start_calls_bench.ts
@@ -18,6 +18,7 @@
 import { createLoopbackEnvironment } from "./create_loopback_environment.ts";
 import { createSlotCounter } from "./create_slot_counter.ts";
 import { listenOnLoopback } from "./listen_on_loopback.ts";
+import { startRelay } from "./start_relay.ts";
 import { startScriptedBackendServer } from "./start_scripted_backend_server.ts";
 
 const zone = "sul-a";
@@ -27,7 +28,8 @@
 export async function startCallsBench(
   count: number,
   options: {
-    readonly slots?: number;
+    /** Of each node's backend server; 12 where left out. */
+    readonly slots?: readonly number[];
     readonly gone?: ReadonlyMap<string, number>;
     readonly deadlineMilliseconds?: number;
   } = {},
@@ -56,16 +58,16 @@
     Array.from({ length: count }, async (_, index) => {
       const node = await startNode(`encomendas-${index + 1}`, {
         controlClient,
-        slots: options.slots ?? 12,
+        slots: options.slots?.[index] ?? 12,
         gone: options.gone ?? new Map(),
         getLag: () => lag,
       });
-      running.set(node.nodes.port, node);
+      running.set(node.relay.address.port, node);
       return {
         ...node,
-        closeNodesListener: async () => {
-          running.delete(node.nodes.port);
-          await node.closeNodesListener();
+        closeListeners: async () => {
+          running.delete(node.relay.address.port);
+          await node.closeListeners();
         },
       };
     }),
@@ -85,7 +87,7 @@
     close: async () => {
       await Promise.all(nodes.map(async (node) => {
         await node.runtime.stop();
-        await node.closeNodesListener();
+        await node.closeListeners();
         await node.backendServer.close();
       }));
     },
@@ -117,6 +119,8 @@
   );
   const callersServer = createServer(runtime.handleCallerRequest);
   const nodesServer = createServer(runtime.handleForwardedCall);
+  const nodesAddress = await listenOnLoopback(nodesServer);
+  const relay = await startRelay(nodesAddress);
   return {
     name,
     runtime,
@@ -124,9 +128,14 @@
     backendServer,
     observations,
     callers: await listenOnLoopback(callersServer),
-    nodes: await listenOnLoopback(nodesServer),
-    closeNodesListener: async () => {
-      await Promise.all([closeServer(callersServer), closeServer(nodesServer)]);
+    nodes: nodesAddress,
+    relay,
+    closeListeners: async () => {
+      await Promise.all([
+        closeServer(callersServer),
+        closeServer(nodesServer),
+        relay.close(),
+      ]);
     },
   };
 }
@@ -180,7 +189,7 @@
     zone,
     vm: `vm-${node.name}`,
     address: node.backendServer.address,
-    nodeAddress: node.nodes,
+    nodeAddress: node.relay.address,
     slots: 12,
     coldSlots: 2,
     connections: 120,
--- /dev/null
+++ b/src/testing/calls/use_calls_bench.ts
@@ -0,0 +1,14 @@
+import type { ExecutionContext } from "ava";
+import type { CallsBench } from "./calls_bench.ts";
+import { startCallsBench } from "./start_calls_bench.ts";
+
+/** Starts a bench that ends with the test. */
+export async function useCallsBench(
+  t: ExecutionContext,
+  count: number,
+  options: Parameters<typeof startCallsBench>[1] = {},
+): Promise<CallsBench> {
+  const bench = await startCallsBench(count, options);
+  t.teardown(bench.close);
+  return bench;
+}
