Spend less processor time on each call

Cause: a node spent about 350 us of processor time a call, a quarter of it in writes; header filtering and effects tried in the order of writing stood out in its profile besides.

Ruled out: undici's older handler interface, which would spare one parse of the headers but is deprecated.

Change: one verdict for each header name, frequent effects first, the contact event only after failures; a reported load is not raised again by the end of the same call.

--- a/src/calls/encode_forwarded_call.ts
+++ b/src/calls/encode_forwarded_call.ts
@@ -4,9 +4,7 @@
 /** Returns the headers, as names and values in turn, of the request that hands a call over. */
 export function encodeForwardedCall(call: ForwardedCall): string[] {
   const passed = call.headers.map((text, index) =>
-    index % 2 === 0 && text.toLowerCase() === "host"
-      ? ForwardedHeader.Host
-      : text
+    index % 2 === 0 && isHost(text) ? ForwardedHeader.Host : text
   );
   const { key } = call;
   return [
@@ -33,6 +31,10 @@
   ];
 }
 
+function isHost(name: string): boolean {
+  return name.length === "host".length && name.toLowerCase() === "host";
+}
+
 function encodeOptional(
   name: ForwardedHeader,
   value: string | number | undefined,
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -77,11 +77,20 @@
   const carryOut = (effect: CallEffect): void =>
     match(effect)
       .with({ kind: CallEffectKind.Try }, tryOnce)
+      .with({ kind: CallEffectKind.SendAnswer }, () => sendAnswer(answer!))
+      .with(
+        { kind: CallEffectKind.Refuse },
+        ({ refusal }) => refuseCallerCall(node, response, { ...end, refusal }),
+      )
       .with({ kind: CallEffectKind.CancelTry }, () => {
         const cancelled = current;
         endTry();
         cancelled?.exchange?.cancel();
       })
+      .with({ kind: CallEffectKind.Abandon }, () => {
+        node.counters.abandoned += 1;
+        observeCall(node, { ...end, result: "abandoned" });
+      })
       .with(
         { kind: CallEffectKind.AvoidNode },
         ({ processGone }) =>
@@ -100,7 +109,6 @@
         { kind: CallEffectKind.Settle },
         ({ deadline }) => void settle(deadline),
       )
-      .with({ kind: CallEffectKind.SendAnswer }, () => sendAnswer(answer!))
       .with(
         { kind: CallEffectKind.SendStoredAnswer },
         (stored) => sendAnswer(stored.answer),
@@ -113,19 +121,11 @@
         response.end();
         countAnswered();
       })
-      .with(
-        { kind: CallEffectKind.Refuse },
-        ({ refusal }) => refuseCallerCall(node, response, { ...end, refusal }),
-      )
       .with({ kind: CallEffectKind.BreakCaller }, () => {
         response.destroy();
         node.counters.refusedUnknown += 1;
         observeCall(node, { ...end, result: RefusalReason.AnswerBroken });
       })
-      .with({ kind: CallEffectKind.Abandon }, () => {
-        node.counters.abandoned += 1;
-        observeCall(node, { ...end, result: "abandoned" });
-      })
       .with({ kind: CallEffectKind.SpendRetry }, () => {
         node.budget = spendRetry(node.budget);
       })
@@ -146,9 +146,13 @@
       updateView(node, lastServer, event);
     }
   };
+  const hasFailures = () =>
+    lastServer !== undefined &&
+    (node.views.get(lastServer.name)?.failures ?? 0) > 0;
   const endTry = () => {
-    if (current !== undefined) {
-      current = undefined;
+    const counted = current !== undefined && !current.loadReported;
+    current = undefined;
+    if (counted) {
       updateLast({ kind: ViewEventKind.CallEnded });
     }
   };
@@ -170,7 +174,7 @@
       });
       return;
     }
-    const thisTry: Try = { exchange: undefined };
+    const thisTry: Try = { exchange: undefined, loadReported: false };
     current = thisTry;
     lastServer = server;
     updateLast({ kind: ViewEventKind.CallSent });
@@ -217,8 +221,11 @@
       },
       onLoad: (freeSlots) => {
         if (isCurrent()) {
-          updateLast({ kind: ViewEventKind.ContactMade });
+          if (hasFailures()) {
+            updateLast({ kind: ViewEventKind.ContactMade });
+          }
           updateLast({ kind: ViewEventKind.LoadReported, freeSlots });
+          current!.loadReported = true;
         }
       },
       onWhole: (whole) => {
@@ -230,6 +237,7 @@
       onStream: (head) => {
         if (isCurrent()) {
           answer = { head, body: new Uint8Array(0) };
+          current!.loadReported = false;
           apply({ kind: CallEventKind.AnswerStreams });
         }
       },
@@ -282,6 +290,8 @@
 interface Try {
   /** Undefined until the hand-over has returned. */
   exchange: Exchange | undefined;
+  /** Whether the last report of free slots already counts this call as ended. */
+  loadReported: boolean;
 }
 
 function createNoneRefusal(now: number): Refusal {
--- a/src/daemon/calls/run_forwarded_call.ts
+++ b/src/daemon/calls/run_forwarded_call.ts
@@ -61,26 +61,8 @@
   const reportLoad = () => receiver.onLoad(admission.getStatus().freeSlots);
   const carryOut = (effect: DispatchEffect): void =>
     match(effect)
-      .with({ kind: DispatchEffectKind.ConsultLedger }, () =>
-        node.ledger.request(call, {
-          onAllowed: () =>
-            apply({ kind: DispatchEventKind.KeyAllowed }),
-          onAnswered: (stored) =>
-            apply({ kind: DispatchEventKind.KeyAnswered, answer: stored }),
-          onRefused: (refused) =>
-            apply({ kind: DispatchEventKind.KeyRefused, ...refused }),
-        }))
       .with({ kind: DispatchEffectKind.RequestSlot }, requestSlot)
-      .with(
-        { kind: DispatchEffectKind.WithdrawRequest },
-        () =>
-          admission.withdraw(attemptIdentifier),
-      )
       .with({ kind: DispatchEffectKind.Dispatch }, dispatch)
-      .with(
-        { kind: DispatchEffectKind.CancelDispatch },
-        () => exchange?.cancel(),
-      )
       .with(
         { kind: DispatchEffectKind.Report },
         ({ result, dispatchedAt }) =>
@@ -95,6 +77,10 @@
         ({ outcome, withAnswer }) =>
           conclude(outcome, withAnswer ? answer : undefined),
       )
+      .with(
+        { kind: DispatchEffectKind.SendAnswer },
+        () => sendAnswer(answer!),
+      )
       .with({ kind: DispatchEffectKind.Refuse }, ({ refusal }) => {
         if (listening) {
           reportLoad();
@@ -102,8 +88,22 @@
         }
       })
       .with(
-        { kind: DispatchEffectKind.SendAnswer },
-        () => sendAnswer(answer!),
+        { kind: DispatchEffectKind.CancelDispatch },
+        () => exchange?.cancel(),
+      )
+      .with({ kind: DispatchEffectKind.ConsultLedger }, () =>
+        node.ledger.request(call, {
+          onAllowed: () =>
+            apply({ kind: DispatchEventKind.KeyAllowed }),
+          onAnswered: (stored) =>
+            apply({ kind: DispatchEventKind.KeyAnswered, answer: stored }),
+          onRefused: (refused) =>
+            apply({ kind: DispatchEventKind.KeyRefused, ...refused }),
+        }))
+      .with(
+        { kind: DispatchEffectKind.WithdrawRequest },
+        () =>
+          admission.withdraw(attemptIdentifier),
       )
       .with(
         { kind: DispatchEffectKind.SendStoredAnswer },
