--- /dev/null
+++ b/measurements/admission/comparison.ts
@@ -0,0 +1,15 @@
+import type { AdmissionPolicy } from "../../src/admission/admission_policy.ts";
+import type { RunOptions } from "./run_options.ts";
+
+/** Several policies under the same loads. */
+export interface Comparison {
+  readonly name: string;
+  readonly variants: readonly {
+    readonly name: string;
+    readonly policy: Partial<AdmissionPolicy>;
+  }[];
+  readonly scenarios: readonly {
+    readonly name: string;
+    readonly options: Omit<RunOptions, "seed" | "policy">;
+  }[];
+}
--- /dev/null
+++ b/measurements/admission/main.ts
@@ -0,0 +1,39 @@
+/**
+ * Compares the admission with its baselines in virtual time.
+ *
+ * @module
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { compare } from "./compare.ts";
+import type { ComparisonRow } from "./comparison_row.ts";
+import { comparisons } from "./comparisons.ts";
+import { formatRows } from "./format_rows.ts";
+
+const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
+const quickSeeds = [1];
+
+const { values } = parseArgs({
+  options: {
+    json: { type: "boolean", default: false },
+    quick: { type: "boolean", default: false },
+  },
+});
+const usedSeeds = values.quick ? quickSeeds : seeds;
+const tables = await comparisons.reduce<
+  Promise<readonly (readonly ComparisonRow[])[]>
+>(
+  async (done, comparison) => [
+    ...await done,
+    await compare(comparison, { seeds: usedSeeds }),
+  ],
+  Promise.resolve([]),
+);
+if (values.json) {
+  process.stdout.write(
+    `${JSON.stringify({ seeds: usedSeeds, rows: tables.flat() })}\n`,
+  );
+} else {
+  process.stdout.write(`seeds ${usedSeeds.join(", ")}; mean (range)\n`);
+  tables.forEach((rows) => process.stdout.write(formatRows(rows)));
+}
--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -7,6 +7,8 @@
   readonly queueOrder: QueueOrder;
   /** Without the ramp every slot is open from the start. */
   readonly coldStartRamp: boolean;
+  /** Whether a zone or backend server that returns to service starts as from a cold start. */
+  readonly returnRamp: boolean;
   readonly queuedCalls: number;
   readonly probeIntervalMilliseconds: number;
   readonly probeTimeoutMilliseconds: number;
@@ -29,8 +31,6 @@
   readonly relapseOccupancy: number;
   /** How many times the usual service time counts as a relapse into cold start. */
   readonly relapseSlowdown: number;
-  /** How many answered calls make a usual service time. */
-  readonly usualSamples: number;
   /** How many probes in a row must fail before the backend server counts as down. */
   readonly downProbeFailures: number;
   readonly initialBackoffMilliseconds: number;
--- a/src/admission/climb_ramp.ts
+++ b/src/admission/climb_ramp.ts
@@ -43,7 +43,7 @@
   }
   const isCautious = limit.answeredWhenFull === 0 ||
     state.probing.reportedState === "cold" ||
-    isSlowerThanUsual(state, { factor: policy.cautiousSlowdown, context });
+    isSlowerThanUsual(state, { factor: policy.cautiousSlowdown });
   return limit.changedAt +
     (isCautious
       ? policy.cautiousStepMilliseconds
--- a/src/admission/dispatch_queue.ts
+++ b/src/admission/dispatch_queue.ts
@@ -18,6 +18,7 @@
   const running = admitted.map(({ request }, position) => ({
     callIdentifier: request.callIdentifier,
     admittedAt: context.now,
+    deadline: request.deadline,
     occupiedSlots: occupied + position + 1,
   }));
   const dispatched = {
--- a/src/admission/handle_probe_answer.ts
+++ b/src/admission/handle_probe_answer.ts
@@ -5,6 +5,9 @@
 import type { AdmissionState } from "./admission_state.ts";
 import { enterColdStart } from "./enter_cold_start.ts";
 
+/** The longest time that a call is on its way to the backend server beside the node. */
+const arrivalMilliseconds = 5;
+
 /** Takes over what the health and load endpoints say, as far as the calls do not show otherwise. */
 export function handleProbeAnswer(
   state: AdmissionState,
@@ -56,16 +59,15 @@
 }
 
 /**
- * Frees slots of given-up calls that the backend server has let go of. It
- * counted its calls at some instant since the probe was sent, so that what it
- * counted beyond the fewest that ran here since then are given-up ones at
+ * Frees slots of given-up calls that the backend server has let go of. What it
+ * counted beyond the calls that it must have counted are given-up ones at
  * most. A smaller count proves that the endpoint lags, and frees nothing.
  */
 function releaseLingering(
   state: AdmissionState,
   probe: BackendServerProbe,
 ): AdmissionState {
-  const givenUp = probe.running - state.probing.fewestRunning;
+  const givenUp = probe.running - countCertain(state, probe);
   if (givenUp < 0) return state;
   const older = state.lingering.filter((slot) => slot.since < probe.sentAt);
   const younger = state.lingering.filter((slot) => slot.since >= probe.sentAt);
@@ -76,6 +78,24 @@
   };
 }
 
+/**
+ * Returns how many running calls a probe must have counted. A ready backend
+ * server counted at some instant since the probe was sent, and so at least the
+ * fewest that ran here since then; a call on its way there may be missing,
+ * which costs a shed at worst. A cold one bears less, and only calls count that
+ * had arrived for certain.
+ */
+function countCertain(
+  state: AdmissionState,
+  probe: BackendServerProbe,
+): number {
+  if (state.backendServerState === BackendServerState.Ready) {
+    return state.probing.fewestRunning;
+  }
+  const arrivedBefore = probe.sentAt - arrivalMilliseconds;
+  return state.running.filter((call) => call.admittedAt < arrivedBefore).length;
+}
+
 /** Holds slots for calls that a former process of this node left behind. */
 function holdInherited(
   state: AdmissionState,
--- a/src/admission/handle_snapshot.ts
+++ b/src/admission/handle_snapshot.ts
@@ -19,7 +19,8 @@
   const next = { ...state, version: snapshot.version, backendServer };
   if (backendServer === undefined) return next;
   const isNew = state.backendServer === undefined;
-  const returns = isClosed(state.backendServer) && !isClosed(backendServer);
+  const returns = context.policy.returnRamp && isClosed(state.backendServer) &&
+    !isClosed(backendServer);
   if (!isNew && !returns) return next;
   // The whole zone comes back at once, so that the load on one backend server
   // cannot be told beforehand.
--- a/src/admission/learn_from_answer.ts
+++ b/src/admission/learn_from_answer.ts
@@ -36,7 +36,7 @@
     .with(BackendServerState.Cold, () => climbRamp(answered, outcome))
     .with(BackendServerState.Ready, () => {
       const factor = context.policy.relapseSlowdown;
-      return isSlowerThanUsual(answered, { factor, context })
+      return isSlowerThanUsual(answered, { factor })
         ? enterColdStart(answered, context)
         : raiseLimit(answered, outcome);
     })
--- a/src/admission/learn_from_overload.ts
+++ b/src/admission/learn_from_overload.ts
@@ -6,6 +6,7 @@
 import { enterColdStart } from "./enter_cold_start.ts";
 import { enterDown } from "./enter_down.ts";
 import { fallDownRamp } from "./fall_down_ramp.ts";
+import { isOverload } from "./is_overload.ts";
 import { lowerLimit } from "./lower_limit.ts";
 
 /** Lowers the limit after a call that the backend server shed or broke. */
@@ -15,6 +16,7 @@
 ): AdmissionState {
   const { call, context, report } = outcome;
   const isShed = report.result === DispatchResult.Shed;
+  const isTooMuch = isOverload(state, outcome);
   return match(state.backendServerState)
     .with(
       BackendServerState.Unknown,
@@ -26,14 +28,16 @@
         ? enterColdStart(state, context)
         : enterDown(state, context);
     })
-    .with(BackendServerState.Cold, () => fallDownRamp(state, outcome))
+    .with(
+      BackendServerState.Cold,
+      () => isTooMuch ? fallDownRamp(state, outcome) : state,
+    )
     .with(BackendServerState.Ready, () => {
       const slots = state.backendServer?.slots ?? 1;
       const isRelapse = isShed &&
         call.occupiedSlots <= context.policy.relapseOccupancy * slots;
-      return isRelapse
-        ? enterColdStart(state, context)
-        : lowerLimit(state, outcome);
+      if (isRelapse) return enterColdStart(state, context);
+      return isTooMuch ? lowerLimit(state, outcome) : state;
     })
     .with(BackendServerState.Draining, () => state)
     .exhaustive();
--- a/src/admission/observe_service_time.ts
+++ b/src/admission/observe_service_time.ts
@@ -31,8 +31,7 @@
     samples === 0
       ? counted
       : average + Math.max(weight, 1 / (samples + 1)) * (counted - average);
-  const learnsUsual = samples === 0 ||
-    state.backendServerState === BackendServerState.Ready;
+  const learnsUsual = state.backendServerState === BackendServerState.Ready;
   return {
     ...state,
     serviceTime: {
--- a/src/admission/service_time.ts
+++ b/src/admission/service_time.ts
@@ -3,6 +3,6 @@
   readonly samples: number;
   /** Follows the last calls, in milliseconds. */
   readonly recentMilliseconds: number;
-  /** Follows the calls of a longer time, in milliseconds. */
+  /** Follows the calls of a longer time while ready, in milliseconds; 0 before the first cold start ended. */
   readonly usualMilliseconds: number;
 }
