--- a/scenarios/ledger/create_ledger_world.ts
+++ b/scenarios/ledger/create_ledger_world.ts
@@ -24,6 +24,7 @@
       incarnation: 1,
       skewMilliseconds: skews[index] ?? 0,
       runningAttempt: undefined,
+      refusedContacts: new Map(),
     })),
     messages: [],
     goneAt: new Map(),
--- a/scenarios/ledger/deliver_ledger_message.ts
+++ b/scenarios/ledger/deliver_ledger_message.ts
@@ -28,6 +28,7 @@
     return;
   }
   if (asker.running && asker.incarnation === message.askerIncarnation) {
+    asker.refusedContacts.delete(message.asked);
     stepLedgerNode(world, message.asker, {
       kind: LedgerEventKind.Answered,
       from: asked.server.name,
--- a/scenarios/ledger/ledger_message.ts
+++ b/scenarios/ledger/ledger_message.ts
@@ -7,6 +7,8 @@
   readonly askerIncarnation: number;
   readonly asked: number;
   readonly attemptIdentifier: string;
+  /** When the question was sent, by the asker's clock. */
+  readonly sentAt: number;
   /** Undefined in a question. */
   readonly settlement: KeySettlement | undefined;
 }
--- a/scenarios/ledger/ledger_node.ts
+++ b/scenarios/ledger/ledger_node.ts
@@ -1,5 +1,6 @@
 import type { LedgerEntry } from "../../src/calls/ledger_entry.ts";
 import type { LedgerServer } from "../../src/calls/ledger_server.ts";
+import type { RefusedContact } from "../../src/calls/refused_contact.ts";
 
 /** One node with its ledger, for the one key of a scenario. */
 export interface LedgerNode {
@@ -14,4 +15,6 @@
   readonly skewMilliseconds: number;
   /** The attempt that the backend server runs now. */
   runningAttempt: string | undefined;
+  /** Since when other nodes, by rank, refuse connections. */
+  readonly refusedContacts: Map<number, RefusedContact>;
 }
--- a/scenarios/ledger/lose_ledger_message.ts
+++ b/scenarios/ledger/lose_ledger_message.ts
@@ -1,9 +1,12 @@
+import { extendRefusedContact } from "../../src/calls/extend_refused_contact.ts";
 import { LedgerEventKind } from "../../src/calls/ledger_event_kind.ts";
+import type { RefusedContact } from "../../src/calls/refused_contact.ts";
 import type { LedgerMessage } from "./ledger_message.ts";
+import type { LedgerNode } from "./ledger_node.ts";
 import type { LedgerWorld } from "./ledger_world.ts";
 import { stepLedgerNode } from "./step_ledger_node.ts";
 
-/** Lets the node that asked find out that no answer came. */
+/** Lets the node that asked find out that no answer came; a node that does not run refuses the connection. */
 export function loseLedgerMessage(
   world: LedgerWorld,
   message: LedgerMessage,
@@ -15,7 +18,27 @@
       from: world.nodes[message.asked]!.server.name,
       attemptIdentifier: message.attemptIdentifier,
       goneAt: world.goneAt.get(message.asked),
-      processGone: !world.nodes[message.asked]!.running,
+      refused: noteContact(world, message, asker),
     });
   }
 }
+
+function noteContact(
+  world: LedgerWorld,
+  message: LedgerMessage,
+  asker: LedgerNode,
+): RefusedContact | undefined {
+  if (world.nodes[message.asked]!.running) {
+    asker.refusedContacts.delete(message.asked);
+    return undefined;
+  }
+  const contact = extendRefusedContact(
+    asker.refusedContacts.get(message.asked),
+    {
+      begunAt: message.sentAt,
+      refusedAt: world.now + asker.skewMilliseconds,
+    },
+  );
+  asker.refusedContacts.set(message.asked, contact);
+  return contact;
+}
--- a/scenarios/ledger/restart_ledger_node.ts
+++ b/scenarios/ledger/restart_ledger_node.ts
@@ -9,6 +9,7 @@
   const node = world.nodes[position]!;
   node.entry = undefined;
   node.runningAttempt = undefined;
+  node.refusedContacts.clear();
   node.running = again;
   node.incarnation += 1;
   node.ledgerSince = world.now + node.skewMilliseconds;
--- a/scenarios/ledger/send_ledger_attempt.ts
+++ b/scenarios/ledger/send_ledger_attempt.ts
@@ -33,7 +33,6 @@
     fingerprint: "one cake",
     attemptIdentifier,
     firstAttemptAt,
-    isFirstAttempt: world.attempts === 1,
     predecessors,
   });
 }
--- a/scenarios/ledger/step_ledger_node.ts
+++ b/scenarios/ledger/step_ledger_node.ts
@@ -46,6 +46,7 @@
             one.server.name === server.name
           ),
           attemptIdentifier: event.attemptIdentifier,
+          sentAt: world.now + node.skewMilliseconds,
           settlement: undefined,
         });
       }
