--- /dev/null
+++ b/scenarios/scenarios_test.ts
@@ -0,0 +1,21 @@
+import { admissionSteps } from "./admission/admission_steps.ts";
+import { createAdmissionWorld } from "./admission/create_admission_world.ts";
+import { createHandoverWorld } from "./handover/create_handover_world.ts";
+import { handoverSteps } from "./handover/handover_steps.ts";
+import { createLedgerWorld } from "./ledger/create_ledger_world.ts";
+import { ledgerSteps } from "./ledger/ledger_steps.ts";
+import { createStepLibrary } from "./runner/create_step_library.ts";
+import { registerScenarios } from "./runner/register_scenarios.ts";
+
+registerScenarios(["cold_start.feature", "no_new_work.feature"], {
+  library: createStepLibrary(admissionSteps),
+  createWorld: createAdmissionWorld,
+});
+registerScenarios(["at_most_once.feature"], {
+  library: createStepLibrary(ledgerSteps),
+  createWorld: createLedgerWorld,
+});
+registerScenarios(["hand_over.feature"], {
+  library: createStepLibrary(handoverSteps),
+  createWorld: () => createHandoverWorld(),
+});
--- /dev/null
+++ b/src/admission/create_admission_policy.ts
@@ -0,0 +1,31 @@
+import type { NodeSettings } from "../daemon/node_settings.ts";
+import type { AdmissionPolicy } from "./admission_policy.ts";
+import { LimitController } from "./limit_controller.ts";
+import { QueueOrder } from "./queue_order.ts";
+
+/** Creates the policy that a node with these settings uses. */
+export function createAdmissionPolicy(settings: NodeSettings): AdmissionPolicy {
+  const probeIntervalMilliseconds = settings.timing.probeIntervalMilliseconds;
+  return {
+    limitController: LimitController.AdditiveIncrease,
+    queueOrder: QueueOrder.PriorityThenDeadline,
+    coldStartRamp: true,
+    returnRamp: true,
+    queuedCalls: settings.limits.queuedCalls,
+    probeIntervalMilliseconds,
+    probeTimeoutMilliseconds: Math.min(1_000, probeIntervalMilliseconds),
+    lingeringProbeIntervalMilliseconds: 20,
+    lingeringMilliseconds: 5_000,
+    decreaseFactor: 0.7,
+    rampStepMilliseconds: 250,
+    cautiousStepMilliseconds: 1_000,
+    cautiousSlowdown: 1.5,
+    relapseOccupancy: 0.5,
+    relapseSlowdown: 3,
+    downProbeFailures: 3,
+    initialBackoffMilliseconds: 100,
+    maximumBackoffMilliseconds: 5_000,
+    defaultRetryMilliseconds: 1_000,
+    maximumRetryMilliseconds: 10_000,
+  };
+}
--- a/src/command_line/exit_status.ts
+++ b/src/command_line/exit_status.ts
@@ -1,4 +1,4 @@
-/** How a command ended, for the shell. */
+/** The exit status of a command. */
 export enum ExitStatus {
   Success = 0,
   Failure = 1,
