--- a/src/command_line/check_command.ts
+++ b/src/command_line/check_command.ts
@@ -2,18 +2,21 @@
 import { compareConfigurations } from "../configuration/compare_configurations.ts";
 import type { CompiledConfiguration } from "../configuration/compiled_configuration.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
-import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
-import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
 import { tryParseAddress } from "../runtime/try_parse_address.ts";
+import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { loadConfiguration } from "./load_configuration.ts";
-import type { Output } from "./output.ts";
-import { tryParseArguments } from "./try_parse_arguments.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
+const usage =
+  "catkinquay check FILE… [--against FILE|ADDRESS] [--expect NAME]… [--json]";
+
 const help = `Usage: catkinquay check FILE… [options]
 
 Checks configuration documents as every node does, before they are published.
@@ -40,53 +43,46 @@
 /** Runs `catkinquay check`; `parameters` are the arguments after the name of the command. */
 export async function runCheckCommand(
   parameters: readonly string[],
-  output: Output,
+  output: CommandOutput,
 ): Promise<ExitStatus> {
-  const parsed = tryParseArguments({
-    args: [...parameters],
-    allowPositionals: true,
+  const commandLine = parseCommandLine(parameters, {
     options: {
       against: { type: "string" },
       expect: { type: "string", multiple: true },
       json: { type: "boolean" },
-      help: { type: "boolean" },
     },
+    operandsMinimum: 1,
+    operandsMaximum: Infinity,
+    usage,
   });
-  if (parsed.isErr) {
-    output.write(`${formatDiagnostic(parsed.error)}\n`);
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
     return ExitStatus.Usage;
   }
-  const { values, positionals } = parsed.value;
-  if (values.help) {
+  const { values, operands } = commandLine.value;
+  if (values["help"] === true) {
     output.write(help);
     return ExitStatus.Success;
   }
-  if (positionals.length === 0) {
-    output.write(`${formatDiagnostic(createUsageDiagnostic())}\n`);
-    return ExitStatus.Usage;
-  }
-  const against = values.against === undefined
+  const against = getText(values["against"]);
+  const inForce = against === undefined
     ? undefined
-    : await loadVersionInForce(values.against);
-  if (against?.isErr) {
-    writeDiagnostics(output, against.error, {
-      subject: values.against ?? "",
-    });
+    : await loadVersionInForce(against);
+  if (inForce?.isErr) {
+    writeDiagnostics(output, inForce.error, { subject: against ?? "" });
     return ExitStatus.Failure;
   }
-  return checkFiles(positionals, output, {
-    inForce: against?.value.snapshot,
-    expected: new Set(values.expect),
-    json: values.json ?? false,
+  return checkFiles(operands, output, {
+    inForce: inForce?.value.snapshot,
+    expected: new Set([values["expect"] ?? []].flat().map(String)),
+    json: values["json"] === true,
   });
 }
 
-function createUsageDiagnostic(): Diagnostic {
-  return createDiagnostic(DiagnosticCode.UsageInvalid, {
-    path: "FILE",
-    found: "missing",
-    allowed: "one or more files, see --help",
-  });
+function getText(
+  value: ParsedCommandLine["values"][string],
+): string | undefined {
+  return typeof value === "string" ? value : undefined;
 }
 
 function loadVersionInForce(
@@ -99,7 +95,7 @@
 
 async function checkFiles(
   paths: readonly string[],
-  output: Output,
+  output: CommandOutput,
   options: CheckOptions,
 ): Promise<ExitStatus> {
   const loaded = await Promise.all(paths.map(loadConfiguration));
@@ -112,7 +108,7 @@
 /** Writes what was found in one file; returns whether it may be published. */
 function report(
   loaded: Result<CompiledConfiguration, readonly Diagnostic[]>,
-  output: Output,
+  output: CommandOutput,
   options: CheckOptions & { readonly path: string },
 ): boolean {
   const { path, inForce, expected } = options;
--- a/src/command_line/parse_command_line.ts
+++ b/src/command_line/parse_command_line.ts
@@ -1,10 +1,10 @@
-import { parseArgs, type ParseArgsConfig } from "node:util";
+import type { ParseArgsConfig } from "node:util";
 import { Result } from "true-myth";
-import { tryOrElse } from "true-myth/result";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import type { ParsedCommandLine } from "./parsed_command_line.ts";
+import { tryParseArguments } from "./try_parse_arguments.ts";
 
 /** The options and the number of operands that a command takes. */
 interface CommandLineShape {
@@ -41,21 +41,15 @@
   parameters: readonly string[],
   shape: CommandLineShape,
 ): Result<ParsedCommandLine, Diagnostic> {
-  const parsed = tryOrElse(
-    (error) =>
-      createDiagnostic(DiagnosticCode.UsageInvalid, {
-        path: parameters.join(" "),
-        found: error instanceof Error ? error.message : String(error),
-        allowed: shape.usage,
-      }),
-    () =>
-      parseArgs({
-        args: [...parameters],
-        options: { ...shape.options, help: { type: "boolean", short: "h" } },
-        allowPositionals: true,
-        strict: true,
-      }),
-  );
+  const parsed = tryParseArguments({
+    args: [...parameters],
+    options: {
+      ...shape.options,
+      help: { type: "boolean" as const, short: "h" },
+    },
+    allowPositionals: true,
+    strict: true,
+  }, shape);
   return parsed.andThen(({ values, positionals }) => {
     const fault = values["help"] === true
       ? undefined
--- a/src/command_line/try_parse_arguments.ts
+++ b/src/command_line/try_parse_arguments.ts
@@ -11,9 +11,10 @@
     "an option without its value, or with one that it does not take",
 };
 
-/** Parses arguments with `util.parseArgs`; an unknown or incomplete option is a diagnostic. */
+/** Parses arguments with `util.parseArgs`; an unknown or incomplete option is a diagnostic that says `usage`. */
 export function tryParseArguments<Config extends ParseArgsConfig>(
   config: Config,
+  { usage }: { readonly usage: string },
 ): Result<ReturnType<typeof parseArgs<Config>>, Diagnostic> {
   try {
     return Result.ok(parseArgs(config));
@@ -22,7 +23,7 @@
       createDiagnostic(DiagnosticCode.UsageInvalid, {
         path: findQuoted(error) ?? (config.args ?? []).join(" "),
         found: foundByErrorCode[getErrorCode(error)] ?? "not understood",
-        allowed: "the options that --help lists",
+        allowed: usage,
       }),
     );
   }
--- a/src/distribution/create_distribution_runtime.ts
+++ b/src/distribution/create_distribution_runtime.ts
@@ -1,8 +1,10 @@
-import { JSONRPCErrorCode, JSONRPCErrorException } from "json-rpc-2.0";
 import { match } from "ts-pattern";
 import { joinConfiguration } from "../configuration/join_configuration.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
-import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { createDistributionState } from "./create_distribution_state.ts";
 import type { DistributionContext } from "./distribution_context.ts";
@@ -219,12 +221,11 @@
     },
     handleControlMethod(method, parameters) {
       if (isStopped) {
-        return Promise.reject(
-          new JSONRPCErrorException(
-            "The node has stopped",
-            JSONRPCErrorCode.InternalError,
-          ),
-        );
+        return rejectMessage({
+          path: "method",
+          found: "sent to a node that has stopped",
+          allowed: "sent to a node that runs",
+        });
       }
       return parseDistributionRequest(method, parameters).match({
         Ok: (request) =>
@@ -237,14 +238,7 @@
               request,
             });
           }),
-        Err: (reasons) =>
-          Promise.reject(
-            new JSONRPCErrorException(
-              reasons.map(formatDiagnostic).join("; "),
-              JSONRPCErrorCode.InvalidParams,
-              reasons,
-            ),
-          ),
+        Err: ([reason]) => rejectMessage(reason ?? {}),
       });
     },
     getSnapshot: (): Snapshot | undefined => state.versions.inForce?.snapshot,
@@ -276,3 +270,11 @@
       }),
   };
 }
+
+function rejectMessage(reason: Partial<Diagnostic>): Promise<never> {
+  return Promise.reject(
+    new DiagnosticFailure(
+      createDiagnostic(DiagnosticCode.ControlMessageInvalid, reason),
+    ),
+  );
+}
