Keep the work of a large fleet linear

Cause: taking the VM list or the register copied the map of known peers once for each entry, and each exchange hashed every record anew.

--- a/src/command_line/compile_text.ts
+++ b/src/command_line/compile_text.ts
@@ -10,7 +10,7 @@
   text: string,
 ): Result<CompiledConfiguration, readonly Diagnostic[]> {
   return parseConfiguration(text)
-    .andThen(splitConfiguration)
+    .andThen((configuration) => splitConfiguration(configuration))
     .andThen((set) =>
       compileSnapshot(set).map((snapshot) => ({ set, snapshot }))
     );
--- a/src/configuration/split_configuration.ts
+++ b/src/configuration/split_configuration.ts
@@ -16,14 +16,18 @@
  * Cuts a document into a base part and one part for each service, and names
  * the version. A service that only a backend server names has a part too, so
  * that every node can refuse the version for the same reason. Fails where the
- * document states a digest that does not fit.
+ * document states a digest that does not fit. The digests of parts that
+ * `previous` has in the same form are taken over, since most changes leave most
+ * parts as they are.
  */
 export function splitConfiguration(
   configuration: ParsedConfiguration,
+  previous?: ConfigurationSet,
 ): Result<ConfigurationSet, readonly Diagnostic[]> {
+  const known = getKnownDigests(previous);
   const parts = createParts(configuration).map((part) => ({
     part,
-    digest: computeDigest(part),
+    digest: known.get(JSON.stringify(part)) ?? computeDigest(part),
   }));
   const manifest = {
     format: configurationFormat,
@@ -50,6 +54,17 @@
     ]);
 }
 
+function getKnownDigests(
+  previous: ConfigurationSet | undefined,
+): ReadonlyMap<string, string> {
+  return new Map(
+    [...previous?.parts ?? []].map(([digest, part]) => [
+      JSON.stringify(part),
+      digest,
+    ]),
+  );
+}
+
 function createParts(
   { register, rules }: ParsedConfiguration,
 ): readonly ConfigurationPart[] {
--- a/src/distribution/create_distribution_state.ts
+++ b/src/distribution/create_distribution_state.ts
@@ -1,6 +1,6 @@
 import type { OwnState } from "../peers/own_state.ts";
 import { formatAddress } from "../runtime/format_address.ts";
-import { upsertKnownPeer } from "../peers/upsert_known_peer.ts";
+import { upsertKnownPeers } from "../peers/upsert_known_peers.ts";
 import type { KnownPeer } from "../peers/known_peer.ts";
 import type { DistributionContext } from "./distribution_context.ts";
 import { distributionLimits } from "./distribution_limits.ts";
@@ -87,10 +87,10 @@
   settings: DistributionContext["settings"],
 ): ReadonlyMap<string, KnownPeer> {
   const ownAddress = formatAddress(settings.listeners.nodes);
-  return settings.seedPeers
-    .filter((address) => formatAddress(address) !== ownAddress)
-    .reduce<ReadonlyMap<string, KnownPeer>>(
-      (known, address) => upsertKnownPeer(known, { address, isSeed: true }),
-      new Map(),
-    );
+  return upsertKnownPeers(
+    new Map(),
+    settings.seedPeers
+      .filter((address) => formatAddress(address) !== ownAddress)
+      .map((address) => ({ address, isSeed: true })),
+  );
 }
--- a/src/distribution/take_platform_value.ts
+++ b/src/distribution/take_platform_value.ts
@@ -26,7 +26,9 @@
 ): Transition {
   const maxBytes = context.settings.limits.configurationBytes;
   return parseConfiguration(text, { maxBytes })
-    .andThen(splitConfiguration)
+    .andThen((configuration) =>
+      splitConfiguration(configuration, state.versions.inForce?.set)
+    )
     .match({
       Ok: (set) => takeSet(state, set, context),
       Err: (reasons) =>
--- a/src/peers/merge_records.ts
+++ b/src/peers/merge_records.ts
@@ -3,7 +3,7 @@
 import type { PeerRecord } from "./peer_record.ts";
 import type { PeersState } from "./peers_state.ts";
 import { sendsOfChange } from "./sends_of_change.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 /** Takes over the records that are newer than those held, and marks them to be passed on. */
 export function mergeRecords(
@@ -24,13 +24,16 @@
       ...state.recordSends,
       ...newer.map((record) => [record.vm, sendsOfChange] as const),
     ]),
-    known: newer
-      .filter((record) => !isOwnAddress(state, record))
-      .reduce(
-        (known, { vm, zone, nodeAddress }) =>
-          upsertKnownPeer(known, { vm, zone, address: nodeAddress }),
-        state.known,
-      ),
+    known: upsertKnownPeers(
+      state.known,
+      newer
+        .filter((record) => !isOwnAddress(state, record))
+        .map(({ vm, zone, nodeAddress }) => ({
+          vm,
+          zone,
+          address: nodeAddress,
+        })),
+    ),
   };
 }
 
--- a/src/peers/note_peer_answered.ts
+++ b/src/peers/note_peer_answered.ts
@@ -2,7 +2,7 @@
 import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { PeersState } from "./peers_state.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 /** Notes that the node at an address is there, and the version that it says it holds. */
 export function notePeerAnswered(
@@ -15,12 +15,12 @@
     ? state
     : {
       ...state,
-      known: upsertKnownPeer(state.known, {
+      known: upsertKnownPeers(state.known, [{
         address,
         failures: 0,
         avoidUntil: 0,
         heardAt: heard.at,
         heldVersion: heard.heldVersion,
-      }),
+      }]),
     };
 }
--- a/src/peers/note_peer_failed.ts
+++ b/src/peers/note_peer_failed.ts
@@ -2,7 +2,7 @@
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { RandomSource } from "../runtime/random_source.ts";
 import type { PeersState } from "./peers_state.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 const firstAvoidMilliseconds = 500;
 const maxAvoidMilliseconds = 30_000;
@@ -23,10 +23,10 @@
   );
   return {
     ...state,
-    known: upsertKnownPeer(state.known, {
+    known: upsertKnownPeers(state.known, [{
       address,
       failures: former.failures + 1,
       avoidUntil: context.now + span * (1 + context.random.next()) / 2,
-    }),
+    }]),
   };
 }
--- a/src/peers/take_listed_vms.ts
+++ b/src/peers/take_listed_vms.ts
@@ -3,7 +3,7 @@
 import type { KnownPeer } from "./known_peer.ts";
 import { mergeSightings } from "./merge_sightings.ts";
 import type { PeersState } from "./peers_state.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 const forgetSilentPeerMilliseconds = 600_000;
 
@@ -47,14 +47,13 @@
       peer.isSeed || peer.isListed || peer.isRegistered ||
       peer.heardAt + forgetSilentPeerMilliseconds > options.now
     );
-  return others.reduce<ReadonlyMap<string, KnownPeer>>(
-    (known, { vm, zone, nodeAddress }) =>
-      upsertKnownPeer(known, {
-        vm,
-        zone,
-        address: nodeAddress,
-        isListed: true,
-      }),
+  return upsertKnownPeers(
     new Map(kept),
+    others.map(({ vm, zone, nodeAddress }) => ({
+      vm,
+      zone,
+      address: nodeAddress,
+      isListed: true,
+    })),
   );
 }
--- a/src/peers/take_registered_servers.ts
+++ b/src/peers/take_registered_servers.ts
@@ -1,8 +1,7 @@
 import type { BackendServer } from "../configuration/backend_server.ts";
 import { formatAddress } from "../runtime/format_address.ts";
-import type { KnownPeer } from "./known_peer.ts";
 import type { PeersState } from "./peers_state.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 /** Takes over the nodes beside the backend servers of the configuration in force. */
 export function takeRegisteredServers(
@@ -24,15 +23,14 @@
   );
   return {
     ...state,
-    known: others.reduce<ReadonlyMap<string, KnownPeer>>(
-      (known, { vm, zone, nodeAddress }) =>
-        upsertKnownPeer(known, {
-          vm,
-          zone,
-          address: nodeAddress,
-          isRegistered: true,
-        }),
+    known: upsertKnownPeers(
       former,
+      others.map(({ vm, zone, nodeAddress }) => ({
+        vm,
+        zone,
+        address: nodeAddress,
+        isRegistered: true,
+      })),
     ),
   };
 }
