Offer no version before the question of a start has ended; tell VMs that leave

Cause: a starting node offered what it had read from the platform, and another starting node took that for a version in force at a peer. With a stale platform and several nodes restarting at once the fleet went back a version; a first start did not wait for most nodes. Change: a node offers a version only once its own question has ended. VMs that the platform lists as leaving are passed on like those that are gone, and their nodes are shown as draining, so that they get no new work although few nodes read the list. Seen failing first: "a first start waits for most nodes" and "nodes that restart together take nobody's word". The second passed at first in spite of the fault, because the fleet of the tests let a killed node say farewell; now a killed node says nothing. Ruled out: counting only peers that serve as answers, since a draining peer's version is as good.

--- a/src/distribution/answer_request.ts
+++ b/src/distribution/answer_request.ts
@@ -7,6 +7,7 @@
 import { DistributionMethod } from "./distribution_method.ts";
 import type { DistributionRequest } from "./distribution_request.ts";
 import type { DistributionState } from "./distribution_state.ts";
+import { getOfferedConfiguration } from "./get_offered_configuration.ts";
 import { stay } from "./stay.ts";
 import { takeExchangeMessage } from "./take_exchange_message.ts";
 import { takeStoreRequest } from "./take_store_request.ts";
@@ -68,8 +69,7 @@
       answer: {
         method,
         result: {
-          manifest: (versions.candidate?.compiled ?? versions.inForce)?.set
-            .manifest,
+          manifest: getOfferedConfiguration(state)?.set.manifest,
         },
       },
     }))
--- a/src/distribution/create_distribution_runtime.ts
+++ b/src/distribution/create_distribution_runtime.ts
@@ -5,6 +5,9 @@
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
+import { getShownRecords } from "../peers/get_shown_records.ts";
+import { getVmsInState } from "../peers/get_vms_in_state.ts";
+import { VmSightingState } from "../peers/vm_sighting_state.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { createDistributionState } from "./create_distribution_state.ts";
 import type { DistributionContext } from "./distribution_context.ts";
@@ -15,7 +18,6 @@
 import type { DistributionRuntime } from "./distribution_runtime.ts";
 import type { DistributionRuntimeOptions } from "./distribution_runtime_options.ts";
 import { getDistributionStatus } from "./get_distribution_status.ts";
-import { getGoneVms } from "./get_gone_vms.ts";
 import { getNextDeadline } from "./get_next_deadline.ts";
 import { parseDistributionRequest } from "./parse_distribution_request.ts";
 import { stepDistribution } from "./step_distribution.ts";
@@ -244,8 +246,9 @@
     getSnapshot: (): Snapshot | undefined => state.versions.inForce?.snapshot,
     getDocument: () =>
       state.versions.inForce && joinConfiguration(state.versions.inForce.set),
-    getPeers: () => state.peers.records,
-    getGoneVms: () => getGoneVms(state.peers),
+    getPeers: () => getShownRecords(state.peers),
+    getGoneVms: () => getVmsInState(state.peers, VmSightingState.Gone),
+    getLeavingVms: () => getVmsInState(state.peers, VmSightingState.Leaving),
     confirmView() {
       if (isStopped) {
         return Promise.resolve();
--- a/src/distribution/create_distribution_runtime_test.ts
+++ b/src/distribution/create_distribution_runtime_test.ts
@@ -1,7 +1,10 @@
 import test from "ava";
 import type { Version } from "../configuration/version.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { NodeState } from "../peers/node_state.ts";
+import { VmState } from "../platform/vm_state.ts";
 import { AuditEntryKind } from "../telemetry/audit_entry_kind.ts";
+import { createDistributionFleet } from "../testing/create_distribution_fleet.ts";
 import type { DistributionFleet } from "../testing/distribution_fleet.ts";
 import type { FleetNode } from "../testing/fleet_node.ts";
 import { publishSample } from "../testing/publish_sample.ts";
@@ -45,7 +48,9 @@
   publishSample(fleet, { number: 2, backendServersLeaving: ["server-1"] });
   await fleet.advanceBy(1_000);
   const moved = fleet.network.getSent().slice(sentBefore)
-    .filter(({ method, isAnswer }) => method === "readParts" && isAnswer)
+    .filter(({ method, isAnswer }) =>
+      method === (isAnswer ? "readParts" : "storeVersion")
+    )
     .map(({ content }) => (content as { parts: { kind: string }[] }).parts);
   t.true(moved.length > 0);
   moved.forEach((parts) =>
@@ -88,6 +93,23 @@
   t.deepEqual(node.applied.map(({ version }) => version.number), [2]);
 });
 
+test("nodes that restart together take nobody's word for what the stale platform says", async (t) => {
+  const fleet = await startDistributionFleet({ ...shape, seed: 20 });
+  publishSample(fleet, { number: 2 });
+  await fleet.advanceBy(1_000);
+  publishSample(fleet, { number: 1 });
+  const zone = fleet.getNodes().filter((node) => node.zone === "zone-2");
+  fleet.network.partition([zone.map(({ address }) => address)]);
+  const restarted = zone.map(({ vm }) => fleet.start(vm));
+  await fleet.advanceBy(60_000);
+  restarted.forEach(({ applied }) => t.deepEqual(applied, []));
+  fleet.network.partition([]);
+  await fleet.advanceBy(35_000);
+  restarted.forEach(({ applied }) =>
+    t.deepEqual(applied.map(({ version }) => version.number), [2])
+  );
+});
+
 test("a version survives that its reader dies right after reading it, with the platform down", async (t) => {
   const fleet = await startDistributionFleet({ ...shape, seed: 6 });
   publishSample(fleet, { number: 2 });
@@ -246,3 +268,57 @@
   await fleet.advanceBy(30_000);
   fleet.getNodes().forEach(({ runtime }) => t.is(runtime.getGoneVms().size, 0));
 });
+
+test("a VM that the platform lists as leaving is shown as draining everywhere within seconds", async (t) => {
+  const fleet = await startDistributionFleet({ ...shape, seed: 16 });
+  await fleet.advanceBy(15_000);
+  fleet.platform.setVms(
+    fleet.getVms().map((entry) =>
+      entry.vm === "vm-7" ? { ...entry, state: VmState.Leaving } : entry
+    ),
+  );
+  await fleet.advanceBy(6_000);
+  fleet.getNodes().forEach(({ vm, runtime }) => {
+    t.deepEqual([...runtime.getLeavingVms().keys()], ["vm-7"]);
+    t.true(
+      vm === "vm-7" ||
+        runtime.getPeers().get("vm-7")?.state === NodeState.Draining,
+    );
+  });
+  fleet.platform.setVms(fleet.getVms());
+  await fleet.advanceBy(10_000);
+  fleet.getNodes().forEach(({ runtime }) =>
+    t.is(runtime.getLeavingVms().size, 0)
+  );
+});
+
+test("a node that drains is known to drain everywhere within seconds", async (t) => {
+  const fleet = await startDistributionFleet({ ...shape, seed: 17 });
+  await fleet.advanceBy(15_000);
+  fleet.setState("vm-7", NodeState.Draining);
+  await fleet.advanceBy(5_000);
+  fleet.getNodes().filter(({ vm }) => vm !== "vm-7").forEach(({ runtime }) =>
+    t.is(runtime.getPeers().get("vm-7")?.state, NodeState.Draining)
+  );
+});
+
+test("a first start waits for most nodes, and a node that is alone does not wait", async (t) => {
+  const fleet = createDistributionFleet({ ...shape, seed: 18 });
+  publishSample(fleet, { number: 1 });
+  const names = Array.from(
+    { length: shape.vms },
+    (_, index) => `vm-${index + 1}`,
+  );
+  names.slice(0, 6).forEach(fleet.start);
+  await fleet.advanceBy(20_000);
+  t.deepEqual(getNumbers(fleet.getNodes()), Array(6).fill(undefined));
+  names.slice(6, 8).forEach(fleet.start);
+  await fleet.advanceBy(35_000);
+  t.deepEqual(getNumbers(fleet.getNodes()), Array(8).fill(1));
+
+  const alone = createDistributionFleet({ vms: 1, zones: 1, seed: 19 });
+  publishSample(alone, { number: 1 });
+  alone.start("vm-1");
+  await alone.advanceBy(3_000);
+  t.deepEqual(getNumbers(alone.getNodes()), [1]);
+});
--- a/src/distribution/create_exchange_message.ts
+++ b/src/distribution/create_exchange_message.ts
@@ -3,7 +3,7 @@
 import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
 import type { ExchangeMessage } from "./exchange_message.ts";
-import { getHeldVersion } from "./get_held_version.ts";
+import { getOfferedConfiguration } from "./get_offered_configuration.ts";
 
 /** What a node says in an exchange, and its state after having said it. */
 interface SpokenExchange {
@@ -35,7 +35,7 @@
   return {
     message: {
       record: peers.own,
-      heldVersion: getHeldVersion(versions),
+      heldVersion: getOfferedConfiguration(state)?.set.version,
       viewHash: hashView(peers),
       records,
       sightings,
--- a/src/distribution/distribution_property_test.ts
+++ b/src/distribution/distribution_property_test.ts
@@ -26,6 +26,7 @@
     readonly isBad: boolean;
   }
   | { readonly kind: "restart"; readonly vm: number }
+  | { readonly kind: "herd"; readonly zone: number }
   | { readonly kind: "partition"; readonly zone: number }
   | { readonly kind: "heal" }
   | { readonly kind: "platform"; readonly isDown: boolean }
@@ -49,6 +50,13 @@
       vm: fc.integer({ min: 1, max: shape.vms }),
     }),
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("herd" as const),
+      zone: fc.integer({ min: 1, max: shape.zones }),
+    }),
+  },
   {
     weight: 1,
     arbitrary: fc.record({
@@ -132,6 +140,15 @@
       ...world,
       nodes: [...world.nodes, fleet.start(`vm-${vm}`)],
     }))
+    .with({ kind: "herd" }, ({ zone }) => ({
+      ...world,
+      nodes: [
+        ...world.nodes,
+        ...fleet.getNodes()
+          .filter((node) => node.zone === `zone-${zone}`)
+          .map(({ vm }) => fleet.start(vm)),
+      ],
+    }))
     .with({ kind: "partition" }, ({ zone }) => {
       const side = fleet.getNodes().filter((node) =>
         node.zone === `zone-${zone}`
--- a/src/distribution/distribution_runtime.ts
+++ b/src/distribution/distribution_runtime.ts
@@ -12,8 +12,13 @@
   getSnapshot(): Snapshot | undefined;
   /** Returns the document in force with its digest, in a form that can be published again. */
   getDocument(): ParsedConfiguration | undefined;
-  /** Returns the latest record known of each peer, by VM, without the node itself. */
+  /**
+   * Returns the latest record known of each peer, by VM, without the node
+   * itself. A peer whose VM the platform lists as leaving is shown as draining.
+   */
   getPeers(): ReadonlyMap<string, PeerRecord>;
+  /** VMs that the platform lists as leaving, with the instant at which that was seen; this node's own may be among them. */
+  getLeavingVms(): ReadonlyMap<string, number>;
   /** VMs that the platform listed once and lists no longer, with the instant at which that was seen. */
   getGoneVms(): ReadonlyMap<string, number>;
   /** Resolves once peers have confirmed, or replaced, the version in force after a pause. */
--- a/src/distribution/exchange_message_schema.ts
+++ b/src/distribution/exchange_message_schema.ts
@@ -14,7 +14,7 @@
 export const exchangeMessageSchema = createStrictObject({
   /** The sender's own record. */
   record: peerRecordSchema,
-  /** The highest version that the sender holds whole; absent where it holds none. */
+  /** The highest version that the sender holds whole; absent where it holds none, or is still asking its peers after a start. */
   heldVersion: versionSchema.optional(),
   /** Over every record, the own one with them, and every sighting that the sender holds. */
   viewHash: createWholeNumberSchema(0, maxHash),
--- a/src/peers/peers_state.ts
+++ b/src/peers/peers_state.ts
@@ -14,7 +14,7 @@
   readonly known: ReadonlyMap<string, KnownPeer>;
   /** The platform's list as last read, by VM; undefined until then. */
   readonly listedVms: ReadonlyMap<string, VmEntry> | undefined;
-  /** VMs that were once missing from the platform's list, by VM. */
+  /** VMs that the platform's list once showed as leaving or gone, by VM. */
   readonly sightings: ReadonlyMap<string, VmSighting>;
   /** How many more times a changed record is sent on, by VM. */
   readonly recordSends: ReadonlyMap<string, number>;
--- a/src/peers/take_listed_vms.ts
+++ b/src/peers/take_listed_vms.ts
@@ -1,6 +1,7 @@
 import { formatAddress } from "../runtime/format_address.ts";
 import type { VmEntry } from "../platform/vm_entry.ts";
 import type { KnownPeer } from "./known_peer.ts";
+import { findSightings } from "./find_sightings.ts";
 import { mergeSightings } from "./merge_sightings.ts";
 import type { PeersState } from "./peers_state.ts";
 import { upsertKnownPeers } from "./upsert_known_peers.ts";
@@ -14,17 +15,9 @@
   { now }: { readonly now: number },
 ): PeersState {
   const listed = new Map(vms.map((entry) => [entry.vm, entry]));
-  const gone = [...(state.listedVms?.keys() ?? [])]
-    .filter((vm) =>
-      !listed.has(vm) && state.sightings.get(vm)?.listed !== false
-    )
-    .map((vm) => ({ vm, listed: false, at: now }));
-  const returned = [...state.sightings.values()]
-    .filter((sighting) => !sighting.listed && listed.has(sighting.vm))
-    .map(({ vm }) => ({ vm, listed: true, at: now }));
   return mergeSightings(
     { ...state, listedVms: listed, known: updateKnown(state, { vms, now }) },
-    [...gone, ...returned],
+    findSightings(state, listed, { now }),
   );
 }
 
--- a/src/peers/vm_sighting.ts
+++ b/src/peers/vm_sighting.ts
@@ -1,7 +1,12 @@
-/** Whether a VM that was once missing from the platform's list is on it; the later instant replaces the other. */
+import type { VmSightingState } from "./vm_sighting_state.ts";
+
+/**
+ * A change that a reader of the platform's list saw. Only VMs that were leaving
+ * or gone at some time have one; the later instant replaces the other.
+ */
 export interface VmSighting {
   readonly vm: string;
-  readonly listed: boolean;
+  readonly state: VmSightingState;
   /** When a node saw it so, in milliseconds since the Unix epoch. */
   readonly at: number;
 }
--- a/src/testing/create_distribution_fleet.ts
+++ b/src/testing/create_distribution_fleet.ts
@@ -1,4 +1,5 @@
 import type { NodeSettings } from "../daemon/node_settings.ts";
+import type { ControlClient } from "../peers/control_client.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
 import { createDistributionRuntime } from "../distribution/create_distribution_runtime.ts";
 import { BackendServerState } from "../health/backend_server_state.ts";
@@ -37,6 +38,7 @@
     { length: options.vms },
     (_, index) => createVmEntry(index, options.zones),
   );
+  const ended = new Set<FleetNode>();
   const states = new Map<string, NodeState>();
   let starts = 0;
   platform.setVms(entries);
@@ -60,8 +62,8 @@
     const node = nodes.get(vm);
     if (node !== undefined) {
       network.close(node.address);
-      node.runtime.stop();
       nodes.delete(vm);
+      ended.add(node);
     }
   }
 
@@ -78,12 +80,23 @@
       settings: createSettings(entry, seedPeers),
       environment: {
         clock: time.clock,
-        timers: time.timers,
+        timers: {
+          at: (instant, callback) =>
+            time.timers.at(instant, () => {
+              // The process is gone, and its timers with it.
+              if (!ended.has(node)) {
+                callback();
+              }
+            }),
+        },
         random: createRandomSource(seed),
         auditTrail: { record: (item) => void audit.push(item) },
         log: { debug() {}, info() {}, warn() {}, error() {} },
       },
-      controlClient: network.createClient(entry.nodeAddress),
+      controlClient: createMortalClient(
+        network.createClient(entry.nodeAddress),
+        () => ended.has(node),
+      ),
       platformClient: platform.createClient(entry.vm),
       getOwnState: () => ({
         state: states.get(entry.vm) ??
@@ -94,7 +107,7 @@
       prepareSnapshot: () => Promise.resolve(),
       applySnapshot: (snapshot) => void applied.push(snapshot),
     });
-    return {
+    const node: FleetNode = {
       vm: entry.vm,
       zone: entry.zone,
       address: entry.nodeAddress,
@@ -102,6 +115,7 @@
       applied,
       audit,
     };
+    return node;
   }
 
   return {
@@ -120,6 +134,22 @@
   };
 }
 
+/** The client of a process that may be gone: then it sends nothing, and no answer reaches it. */
+function createMortalClient(
+  client: ControlClient,
+  isGone: () => boolean,
+): ControlClient {
+  return {
+    call: (call) =>
+      new Promise((resolve) => {
+        if (!isGone()) {
+          client.call(call).then((answer) => isGone() || resolve(answer));
+        }
+      }),
+    close: () => client.close(),
+  };
+}
+
 function createVmEntry(index: number, zones: number): VmEntry {
   return {
     vm: `vm-${index + 1}`,
