Ask many peers before a node that restarts puts a first version in force

Cause: a node that ended right after putting a version in force, before it had told anyone near, asked only three peers when it started again, and took an older version from them; in a herd, most peers that had just started counted as a first start although the others had not been heard. Change: a starting node asks up to 16 peers over all zones and waits until each has answered or failed, for no longer than the settings say; a first start also needs three failures of every peer that is silent. Not provable by any rule: more than half of a fleet restarts at once and the others stay silent; the property leaves that out and says so.

--- a/src/distribution/ask_confirmation.ts
+++ b/src/distribution/ask_confirmation.ts
@@ -18,8 +18,8 @@
   { now, random }: DistributionContext,
 ): Transition {
   const peers = choosePeers(state.peers, {
-    ownZone: distributionLimits.questionOwnZone,
-    otherZones: distributionLimits.questionOtherZones,
+    ownZone: distributionLimits.confirmationOwnZone,
+    otherZones: distributionLimits.confirmationOtherZones,
     now,
     random,
   });
--- a/src/distribution/ask_startup_peers.ts
+++ b/src/distribution/ask_startup_peers.ts
@@ -21,8 +21,8 @@
     .filter(([, answer]) => answer !== StartupAnswer.Failed)
     .map(([key]) => key);
   const chosen = choosePeers(state.peers, {
-    ownZone: distributionLimits.questionOwnZone,
-    otherZones: distributionLimits.questionOtherZones,
+    ownZone: distributionLimits.startupOwnZone,
+    otherZones: distributionLimits.startupOtherZones,
     now,
     random,
     except: new Set(settled),
--- a/src/distribution/create_distribution_state.ts
+++ b/src/distribution/create_distribution_state.ts
@@ -57,6 +57,7 @@
       decided: false,
       nextWaveAt: now + random.next() * startJitterMilliseconds,
       settleAt: now + startupQuestionMilliseconds,
+      learntPeers: false,
       answers: new Map(),
       floor: undefined,
     },
--- a/src/distribution/decide_startup.ts
+++ b/src/distribution/decide_startup.ts
@@ -2,11 +2,12 @@
 import type { KnownPeer } from "../peers/known_peer.ts";
 import { formatAddress } from "../runtime/format_address.ts";
 import type { DistributionContext } from "./distribution_context.ts";
+import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
 import { StartupAnswer } from "./startup_answer.ts";
 
-/** Answers that a node waits for while it may still get them. */
-const wantedAnswers = 3;
+/** A peer is asked so often before its silence counts, since it may hold the only version. */
+const failuresOfLostPeer = 3;
 
 /**
  * Ends the question of a starting node once it may put a first version in
@@ -26,27 +27,38 @@
     : state;
 }
 
-function isAnswered({ startup, peers }: DistributionState, now: number) {
-  const answers = [...startup.answers.values()];
-  const count = (answer: StartupAnswer) =>
-    answers.filter((other) => other === answer).length;
-  const answered = count(StartupAnswer.HoldsVersion) +
-    count(StartupAnswer.HoldsNone);
-  const hasEnough = count(StartupAnswer.Pending) === 0 &&
-    answered >= Math.min(wantedAnswers, peers.known.size);
-  return count(StartupAnswer.HoldsVersion) > 0 &&
-    (hasEnough || now >= startup.settleAt);
+function isAnswered(state: DistributionState, now: number): boolean {
+  const { startup } = state;
+  return [...startup.answers.values()].includes(StartupAnswer.HoldsVersion) &&
+    (hasAllAnswers(state) || now >= startup.settleAt);
 }
 
 function isFirstStart(state: DistributionState): boolean {
   const { startup, peers } = state;
   const known = [...peers.known.values()];
   const holdsNone = known.filter((peer) => isWithoutVersion(state, peer));
-  return peers.listedVms !== undefined &&
-    ![...startup.answers.values()].some((answer) =>
-      answer === StartupAnswer.HoldsVersion || answer === StartupAnswer.Pending
-    ) &&
-    holdsNone.length * 2 > known.length;
+  const isSettled = ({ address, failures }: KnownPeer) =>
+    startup.answers.get(formatAddress(address)) !== StartupAnswer.Failed ||
+    failures >= failuresOfLostPeer;
+  return peers.listedVms !== undefined && hasAllAnswers(state) &&
+    ![...startup.answers.values()].includes(StartupAnswer.HoldsVersion) &&
+    known.every(isSettled) && holdsNone.length * 2 > known.length;
+}
+
+/**
+ * Whether enough peers were asked and each has answered or failed. The version
+ * that this node had in force may have reached only some of them before the
+ * node ended, and in a herd most may have just started.
+ */
+function hasAllAnswers({ startup, peers }: DistributionState): boolean {
+  const answers = [...startup.answers.values()];
+  const wanted = Math.min(
+    distributionLimits.startupOwnZone + distributionLimits.startupOtherZones,
+    peers.known.size,
+  );
+  return !answers.includes(StartupAnswer.Pending) &&
+    answers.length >= wanted &&
+    (startup.learntPeers || peers.listedVms !== undefined);
 }
 
 /** A record that a third node passed on counts too, so that a large fleet need not ask everyone. */
--- a/src/distribution/distribution_limits.ts
+++ b/src/distribution/distribution_limits.ts
@@ -3,9 +3,12 @@
   /** Peers told at once of news, in the own zone and elsewhere. */
   pushOwnZone: 2,
   pushOtherZones: 1,
-  /** Peers asked at a time by a node that starts or was paused. */
-  questionOwnZone: 3,
-  questionOtherZones: 2,
+  /** Peers asked by a node that starts: all of a small fleet, and some of most zones of a large one. */
+  startupOwnZone: 4,
+  startupOtherZones: 12,
+  /** Peers asked at a time by a node that was paused. */
+  confirmationOwnZone: 3,
+  confirmationOtherZones: 2,
   /** Peers that hold a version before a reader of the platform puts it in force. */
   replicas: 2,
   replicationMilliseconds: 2_000,
--- a/src/distribution/startup_state.ts
+++ b/src/distribution/startup_state.ts
@@ -8,6 +8,8 @@
   readonly nextWaveAt: number;
   /** When the answers so far suffice, provided that one names a version. */
   readonly settleAt: number;
+  /** Whether a peer has told which nodes it knows. */
+  readonly learntPeers: boolean;
   /** What each asked peer answered, by address. */
   readonly answers: ReadonlyMap<string, StartupAnswer>;
   /** The highest version that a peer has said it holds; nothing older is put in force first. */
--- a/src/distribution/take_reconcile_answer.ts
+++ b/src/distribution/take_reconcile_answer.ts
@@ -25,6 +25,9 @@
       recordSends: peers.recordSends,
       sightingSends: peers.sightingSends,
     },
+    startup: state.startup.decided || state.startup.learntPeers
+      ? state.startup
+      : { ...state.startup, learntPeers: true, nextWaveAt: now },
     exchange: answer.hasMore
       ? {
         ...exchange,
