--- a/src/daemon/calls/collector_events.ts
+++ b/src/daemon/calls/collector_events.ts
@@ -4,6 +4,8 @@
 
 /** What a collector reports of one exchange; exactly one of the ends comes, unless it is cancelled. */
 export interface CollectorEvents {
+  /** The request is about to be written; cancelling now keeps it from being sent. */
+  onStart(): void;
   /** An interim answer (status 1xx) came. */
   onSign(): void;
   /** The head came; false makes the answer count as malformed. */
--- a/src/daemon/calls/create_answer_collector.ts
+++ b/src/daemon/calls/create_answer_collector.ts
@@ -111,6 +111,7 @@
         // of this module may decide.
         const again = controller !== undefined;
         controller = started;
+        events.onStart();
         if (ended) {
           abort();
         } else if (again) {
--- a/src/daemon/calls/create_calls_runtime_test.ts
+++ b/src/daemon/calls/create_calls_runtime_test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { setTimeout as delay } from "node:timers/promises";
 import { DispatchResult } from "../../admission/dispatch_result.ts";
 import { callNode } from "../../testing/calls/call_node.ts";
 import { countRuns } from "../../testing/calls/count_runs.ts";
 import { getRefusal } from "../../testing/calls/get_refusal.ts";
 import { useCallsBench } from "../../testing/calls/use_calls_bench.ts";
+import { waitUntil } from "../../testing/calls/wait_until.ts";
 
 test("a call reaches a backend server, in process and through another node, and its answer comes back", async (t) => {
   const bench = await useCallsBench(t, 2);
@@ -94,22 +94,24 @@
 
 test("a caller that leaves cancels the run at the backend server", async (t) => {
   const bench = await useCallsBench(t, 2);
+  const leaving = new AbortController();
   const calls = Array.from(
     { length: 6 },
     () =>
       callNode(bench.nodes[0]!, "/encomendas/silence", {
-        signal: AbortSignal.timeout(150),
+        signal: leaving.signal,
       }),
   );
+  t.true(await waitUntil(() => countRuns(bench.nodes) === 6));
+  t.true(bench.nodes.every((node) => node.backendServer.runs.length > 0));
+  leaving.abort();
   await Promise.allSettled(calls);
-  await delay(150);
-  t.is(countRuns(bench.nodes), 6);
-  const cancelled = bench.nodes.map((node) =>
-    node.backendServer.getCancelled()
-  );
-  t.is(cancelled[0]! + cancelled[1]!, 6);
-  t.true(cancelled.every((count) => count > 0));
-  bench.nodes.forEach((node) => t.is(node.admission.getRunning(), 0));
+  const isCancelled = () =>
+    bench.nodes.every((node) =>
+      node.backendServer.getCancelled() === node.backendServer.runs.length &&
+      node.admission.getRunning() === 0
+    );
+  t.true(await waitUntil(isCancelled));
   t.is(bench.nodes[0]!.runtime.getStatus().abandoned, 6);
 });
 
@@ -211,7 +213,7 @@
   const bench = await useCallsBench(t, 1);
   const node = bench.nodes[0]!;
   const running = callNode(node, "/encomendas/slow");
-  await delay(50);
+  t.true(await waitUntil(() => countRuns(bench.nodes) === 1));
   const drained = node.runtime.drain();
   const refused = await callNode(node, "/encomendas/x");
   t.is(getRefusal(refused).reason, "node-draining");
--- a/src/daemon/calls/dispatch_to_backend_server.ts
+++ b/src/daemon/calls/dispatch_to_backend_server.ts
@@ -34,6 +34,12 @@
     method: call.method,
     heldBytes: settings.limits.bufferedAnswerBytes,
     events: {
+      // The process may have been paused while the connection was opened.
+      onStart: () => {
+        if (environment.clock.now() >= call.deadline) {
+          onEvent({ kind: DispatchEventKind.Woke });
+        }
+      },
       onSign: () => undefined,
       onHead: (head, headers) => {
         shedRetryAt = isShed(head, headers)
--- a/src/daemon/calls/run_forwarded_call.ts
+++ b/src/daemon/calls/run_forwarded_call.ts
@@ -192,7 +192,11 @@
     resume: () => exchange?.resume(),
     stop: () => apply({ kind: DispatchEventKind.Stopped }),
   };
-  if (node.dispatches.has(attemptIdentifier)) {
+  const settlement = node.records.get(attemptIdentifier, clock.now());
+  const mayHaveRun = settlement !== undefined &&
+    settlement.kind !== SettlementKind.NotRun;
+  if (mayHaveRun || node.dispatches.has(attemptIdentifier)) {
+    // The same try again: it is not run, and its outcome has to be asked for.
     receiver.onLost();
     return control;
   }
@@ -208,7 +212,7 @@
       ownBackendServer: settings.backendServer?.name,
     }, {
       backendServer: call.backendServer,
-      settlement: node.records.get(attemptIdentifier, clock.now()),
+      settlement,
     }),
   });
   return control;
--- a/src/daemon/calls/send_forwarded_call.ts
+++ b/src/daemon/calls/send_forwarded_call.ts
@@ -28,6 +28,7 @@
     method: hopMethod,
     heldBytes,
     events: {
+      onStart: () => undefined,
       onSign: () => receiver.onSign(),
       onHead: (_, headers) => {
         const refused = headers[ForwardedHeader.Outcome] !== undefined;
