--- /dev/null
+++ b/src/admission/handle_probe_answer.ts
@@ -0,0 +1,123 @@
+import { match } from "ts-pattern";
+import type { BackendServerProbe } from "../health/backend_server_probe.ts";
+import { BackendServerState } from "../health/backend_server_state.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+import { enterColdStart } from "./enter_cold_start.ts";
+
+/** The longest time that a call is on its way to the backend server beside the node. */
+const arrivalMilliseconds = 5;
+
+/** Takes over what the health and load endpoints say, as far as the calls do not show otherwise. */
+export function handleProbeAnswer(
+  state: AdmissionState,
+  probe: BackendServerProbe,
+  context: AdmissionContext,
+): AdmissionState {
+  const wasReported = state.probing.reportedState;
+  const answered: AdmissionState = {
+    ...releaseLingering(state, probe),
+    probing: {
+      ...state.probing,
+      underWay: false,
+      failuresInARow: 0,
+      failingSince: 0,
+      reportedState: probe.reportedState,
+    },
+  };
+  if (probe.reportedState === "draining") {
+    return { ...answered, backendServerState: BackendServerState.Draining };
+  }
+  return match(state.backendServerState)
+    .with(
+      BackendServerState.Unknown,
+      () =>
+        enterColdStart(holdInherited(answered, { probe, context }), context),
+    )
+    .with(
+      BackendServerState.Draining,
+      () => enterColdStart(answered, context),
+    )
+    .with(
+      BackendServerState.Down,
+      () =>
+        probe.sentAt >= state.contact.trialAt
+          ? enterColdStart(answered, context)
+          : answered,
+    )
+    .with(
+      BackendServerState.Ready,
+      // Only the change counts: a server that says so for good is believed no
+      // more once its calls have carried the ramp to its end.
+      () =>
+        probe.reportedState === "cold" && wasReported !== "cold"
+          ? enterColdStart(answered, context)
+          : answered,
+    )
+    .with(BackendServerState.Cold, () => answered)
+    .exhaustive();
+}
+
+/**
+ * Frees slots of given-up calls that the backend server has let go of. What it
+ * counted beyond the calls that it must have counted are given-up ones at
+ * most. A smaller count proves that the endpoint lags, and frees nothing.
+ */
+function releaseLingering(
+  state: AdmissionState,
+  probe: BackendServerProbe,
+): AdmissionState {
+  const givenUp = probe.running - countCertain(state, probe);
+  if (givenUp < 0) return state;
+  const older = state.lingering.filter((slot) => slot.since < probe.sentAt);
+  const younger = state.lingering.filter((slot) => slot.since >= probe.sentAt);
+  const kept = Math.min(older.length, givenUp);
+  return {
+    ...state,
+    lingering: [...older.slice(older.length - kept), ...younger],
+  };
+}
+
+/**
+ * Returns how many running calls a probe must have counted. A ready backend
+ * server counted at some instant since the probe was sent, and so at least the
+ * fewest that ran here since then; a call on its way there may be missing,
+ * which costs a shed at worst. A cold one bears less, and only calls count that
+ * had arrived for certain.
+ */
+function countCertain(
+  state: AdmissionState,
+  probe: BackendServerProbe,
+): number {
+  if (state.backendServerState === BackendServerState.Ready) {
+    return state.probing.fewestRunning;
+  }
+  const arrivedBefore = probe.sentAt - arrivalMilliseconds;
+  return state.running.filter((call) => call.admittedAt < arrivedBefore).length;
+}
+
+/** Holds slots for calls that a former process of this node left behind. */
+function holdInherited(
+  state: AdmissionState,
+  options: {
+    readonly probe: BackendServerProbe;
+    readonly context: AdmissionContext;
+  },
+): AdmissionState {
+  const { context, probe } = options;
+  const slots = state.backendServer?.slots ?? 0;
+  const inherited = Math.min(slots, probe.running) -
+    state.running.length - state.lingering.length;
+  if (inherited <= 0) return state;
+  const slot = {
+    since: context.now,
+    until: context.now + context.policy.lingeringMilliseconds,
+  };
+  return {
+    ...state,
+    lingering: [
+      ...state.lingering,
+      ...Array.from({ length: inherited }, () => slot),
+    ],
+  };
+}
--- a/src/diagnostics/diagnostic_table.ts
+++ b/src/diagnostics/diagnostic_table.ts
@@ -41,6 +41,64 @@
     category: DiagnosticCategory.Error,
     template: "The configuration has {found} bytes, but must have {allowed}",
   },
+  [DiagnosticCode.ConfigurationNameUnknown]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" names "{found}", which is not in {allowed}',
+  },
+  [DiagnosticCode.ConfigurationNameRepeated]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is "{found}", but another entry has the same value, and each must have {allowed}',
+  },
+  [DiagnosticCode.ConfigurationDigestMismatch]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is "{found}", but the content has the digest "{allowed}"',
+  },
+  [DiagnosticCode.ConfigurationPartMissing]: {
+    category: DiagnosticCategory.Error,
+    template: 'The part "{path}" of the configuration is missing',
+  },
+  [DiagnosticCode.ConfigurationServiceEmpty]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" names the service "{found}", which has no backend server',
+  },
+  [DiagnosticCode.ConfigurationNumberNotHigher]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'Configuration field "{path}" is {found}, but must be above {allowed}, the number in force',
+  },
+  [DiagnosticCode.ConfigurationZoneReturned]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The zone "{path}" is taken out in the version in force and would return',
+  },
+  [DiagnosticCode.ConfigurationZoneRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The zone "{path}" is in service in the version in force and would be removed',
+  },
+  [DiagnosticCode.ConfigurationBackendServerRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The backend server "{path}" would be removed without having been marked as leaving',
+  },
+  [DiagnosticCode.ConfigurationBackendServerReturned]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The backend server "{path}" is leaving in the version in force and would return',
+  },
+  [DiagnosticCode.ConfigurationServiceRemoved]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The service "{path}" would be removed; {found} in the version in force lead to it',
+  },
+  [DiagnosticCode.ConfigurationRouteRemoved]: {
+    category: DiagnosticCategory.Error,
+    template: 'The route "{path}" to the service "{found}" would be removed',
+  },
 
   [DiagnosticCode.ControlMessageInvalid]: {
     category: DiagnosticCategory.Error,
@@ -84,4 +142,10 @@
     category: DiagnosticCategory.Error,
     template: 'Cannot listen on "{path}": {found}',
   },
+
+  [DiagnosticCode.NodeAnswerInvalid]: {
+    category: DiagnosticCategory.Error,
+    template:
+      'The node at "{path}" answered with {found}, but must answer with {allowed}',
+  },
 };
