--- a/src/daemon/create_control_client_test.ts
+++ b/src/daemon/create_control_client_test.ts
@@ -85,6 +85,7 @@
   t.teardown(() => client.close());
   const result = await client.call(createCall(port));
   t.is(result.isErr && result.error.kind, ControlFailureKind.ConnectionFailed);
+  t.true(result.isErr && result.error.refused);
 });
 
 test("createControlClient() gives up at the deadline, and a fresh connection gets past one that went silent", async (t) => {
--- a/src/daemon/open_node_listeners.ts
+++ b/src/daemon/open_node_listeners.ts
@@ -8,25 +8,34 @@
 import { openListener } from "./open_listener.ts";
 import { refuseBrokenRequest } from "./refuse_broken_request.ts";
 
+/** What a node adds to the headers of a call that it hands over. */
+const forwardedHeaderBytes = 4096;
+
 /** Binds the three listeners of a node; where one fails, the others are closed again. */
 export async function openNodeListeners(
   settings: NodeSettings,
   handlers: Readonly<Record<keyof NodeListeners, RequestListener>>,
 ): Promise<Result<NodeListeners, Diagnostic>> {
+  const { requestHeaderBytes } = settings.limits;
   function open(
     address: NetworkAddress,
     onRequest: RequestListener,
+    headerBytes = requestHeaderBytes,
   ): Promise<Result<Listener, Diagnostic>> {
     return openListener({
       address,
       onRequest,
       onBrokenRequest: refuseBrokenRequest,
-      requestHeaderBytes: settings.limits.requestHeaderBytes,
+      requestHeaderBytes: headerBytes,
     });
   }
   const opened = await Promise.all([
     open(settings.listeners.callers, handlers.callers),
-    open(settings.listeners.nodes, handlers.nodes),
+    open(
+      settings.listeners.nodes,
+      handlers.nodes,
+      requestHeaderBytes + forwardedHeaderBytes,
+    ),
     open(settings.listeners.operators, handlers.operators),
   ]);
   const [callers, nodes, operators] = opened;
