--- /dev/null
+++ b/src/testing/calls/create_sample_routes.ts
@@ -0,0 +1,24 @@
+import { CallPriority } from "../../configuration/call_priority.ts";
+import type { Snapshot } from "../../configuration/snapshot.ts";
+
+const service = "encomendas";
+
+/** A snapshot with routes to one service and no backend servers. */
+export function createSampleRoutes(pathPrefixes: readonly string[]): Snapshot {
+  return {
+    version: { number: 1, digest: "0".repeat(64) },
+    zones: new Map(),
+    services: new Map([[service, { name: service, backendServers: [] }]]),
+    backendServers: new Map(),
+    routes: pathPrefixes.map((pathPrefix) => ({
+      host: undefined,
+      pathPrefix,
+      service,
+      priority: CallPriority.High,
+      deadlineMilliseconds: 4000,
+      idempotentMethods: ["GET"],
+      requireIdempotencyKey: false,
+    })),
+    retryBudgetPercent: 10,
+  };
+}
