--- a/src/calls/call_event_kind.ts
+++ b/src/calls/call_event_kind.ts
@@ -6,7 +6,7 @@
   Sent = "sent",
   /** No backend server may take the call. */
   NoneChosen = "none-chosen",
-  /** The node beside the backend server says that it holds the call. */
+  /** The call is being written, or the node beside the backend server shows that it holds it. */
   Heard = "heard",
   /** The answer is whole and held back. */
   AnswerWhole = "answer-whole",
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -23,6 +23,8 @@
  * configuration causes, and far below the deadline of a usual call.
  */
 const silenceMilliseconds = 500;
+/** How long a call may wait for a connection; opening one fails well before. */
+const connectionMilliseconds = 2000;
 /** How long the outcome of a lost try may stay unanswered. */
 const settlementMilliseconds = 1000;
 /** How long to wait before asking again for the outcome of a try that runs. */
@@ -142,7 +144,9 @@
       ...state,
       phase: CallPhase.Sent,
       backendServer: sending.backendServer,
-      wakeAt: sending.remote ? getSilentAt(state, context) : state.deadline,
+      wakeAt: sending.remote
+        ? Math.min(state.deadline, context.now + connectionMilliseconds)
+        : state.deadline,
     },
     effects: [],
   };
--- a/src/calls/step_dispatch.ts
+++ b/src/calls/step_dispatch.ts
@@ -16,6 +16,8 @@
 interface DispatchContext {
   /** In milliseconds since the Unix epoch. */
   readonly now: number;
+  /** Whether the node was paused and its view may be old. */
+  readonly confirmingView?: boolean;
 }
 
 /**
@@ -154,8 +156,13 @@
   state: DispatchState,
   context: DispatchContext,
 ): DispatchStep {
-  if (context.now >= state.deadline) {
-    const step = concludeNotRun(state, RefusalReason.DeadlinePassed, context);
+  const obstacle = context.now >= state.deadline
+    ? RefusalReason.DeadlinePassed
+    : context.confirmingView
+    ? RefusalReason.ConfirmingView
+    : undefined;
+  if (obstacle !== undefined) {
+    const step = concludeNotRun(state, obstacle, context);
     return withReport(state, DispatchResult.Cancelled, step);
   }
   return {
--- a/src/daemon/calls/answer_receiver.ts
+++ b/src/daemon/calls/answer_receiver.ts
@@ -4,7 +4,7 @@
 
 /** Where the answer to a handed-over call goes; each call gets one end. */
 export interface AnswerReceiver {
-  /** The other node shows that it holds the call. */
+  /** The call is being written, or the other node shows that it holds it. */
   onSign(): void;
   /** The backend server's free slots; comes before any of the ends. */
   onLoad(freeSlots: number): void;
--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -31,7 +31,10 @@
     answer: StoredAnswer | undefined,
   ): void;
   /** Answers another owner and fences the key for it. */
-  settle(key: string, by: LedgerServer): KeySettlement;
+  settle(
+    question: { readonly service: string; readonly key: string },
+    by: LedgerServer,
+  ): KeySettlement;
   /** Learns which servers the register has. */
   applySnapshot(snapshot: Snapshot): void;
 }
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -7,6 +7,7 @@
 import { getAttemptIdentifier } from "../../calls/get_attempt_identifier.ts";
 import { getPredecessors } from "../../calls/get_predecessors.ts";
 import { getRequestFingerprint } from "../../calls/get_request_fingerprint.ts";
+import type { KeptMap } from "../../calls/kept_map.ts";
 import type { KeySettlement } from "../../calls/key_settlement.ts";
 import type { LedgerContext } from "../../calls/ledger_context.ts";
 import type { LedgerEffect } from "../../calls/ledger_effect.ts";
@@ -39,18 +40,9 @@
   const startedAt = clock.now();
   const refusedContacts = new Map<string, RefusedContact>();
   const waiting = new Map<string, Callbacks>();
-  const entries = createKeptMap<LedgerEntry>({
-    maximumBytes: keptAnswerBytes,
-    getBytes: (entry) =>
-      entry.kind === LedgerEntryKind.Finished
-        ? entry.answer?.body.byteLength ?? 0
-        : 0,
-    strip: (entry) =>
-      entry.kind === LedgerEntryKind.Finished
-        ? { ...entry, answer: undefined }
-        : entry,
-  });
+  let entries = createLedgerEntries();
   let ownServer: BackendServer | undefined;
+  let ownService: string | undefined;
   let servers: readonly LedgerServer[] = [];
   let removed: ReadonlyMap<string, RemovedServer> = new Map();
   let ledgerSince = startedAt;
@@ -156,12 +148,8 @@
         },
     );
   };
-  const getFormerServers = (now: number): readonly LedgerServer[] =>
-    Array.from(removed.values())
-      .filter(({ removedAt }) =>
-        now < removedAt + settings.timing.keyLifetimeMilliseconds
-      )
-      .map(({ server }) => server);
+  const getFormerServers = (): readonly LedgerServer[] =>
+    Array.from(removed.values()).map(({ server }) => server);
 
   return {
     request: (call, callbacks) => {
@@ -174,12 +162,13 @@
         });
         return;
       }
-      if (entries.size >= maximumKeys) {
+      const { value, firstAttemptAt } = call.key;
+      const isNew = entries.get(value, now) === undefined;
+      if (isNew && entries.size >= maximumKeys) {
         callbacks.onRefused({ reason: RefusalReason.Full, mayHaveRun: false });
         return;
       }
       const attemptIdentifier = getAttemptIdentifier(call);
-      const { value, firstAttemptAt } = call.key;
       const gone = options.getGoneVms();
       const isGone = ({ vm }: LedgerServer) =>
         firstAttemptAt !== undefined &&
@@ -192,7 +181,7 @@
         attemptIdentifier,
         firstAttemptAt,
         predecessors: getPredecessors(
-          [...servers, ...getFormerServers(now)],
+          [...servers, ...getFormerServers()],
           value,
           { self, firstAttemptAt, ledgerSince, isGone },
         ),
@@ -211,7 +200,10 @@
         answer,
       });
     },
-    settle: (key, by) => {
+    settle: ({ service, key }, by) => {
+      if (service !== (ownService ?? service)) {
+        return unknownSettlement;
+      }
       const effects = apply(key, { kind: LedgerEventKind.Asked, by });
       const reply = effects.find((effect) =>
         effect.kind === LedgerEffectKind.Reply
@@ -226,18 +218,42 @@
       const registered = found === undefined
         ? []
         : snapshot.services.get(found.service)?.backendServers ?? [];
-      removed = updateRemoved(removed, servers, { registered, now });
+      removed = updateRemoved(removed, servers, {
+        registered,
+        now,
+        keptMilliseconds: settings.timing.keyLifetimeMilliseconds,
+      });
       servers = registered.map(getLedgerServer);
       // While the backend server was not in the register, nobody asked here
       // before running a key elsewhere.
       if (found !== undefined && ownServer === undefined) {
         ledgerSince = now;
       }
+      // Keys belong to a service.
+      if (found !== undefined && found.service !== ownService) {
+        ledgerSince = now;
+        entries = createLedgerEntries();
+        ownService = found.service;
+      }
       ownServer = found;
     },
   };
 }
 
+function createLedgerEntries(): KeptMap<LedgerEntry> {
+  return createKeptMap<LedgerEntry>({
+    maximumBytes: keptAnswerBytes,
+    getBytes: (entry) =>
+      entry.kind === LedgerEntryKind.Finished
+        ? entry.answer?.body.byteLength ?? 0
+        : 0,
+    strip: (entry) =>
+      entry.kind === LedgerEntryKind.Finished
+        ? { ...entry, answer: undefined }
+        : entry,
+  });
+}
+
 interface RemovedServer {
   readonly server: LedgerServer;
   /** In milliseconds since the Unix epoch. */
@@ -251,13 +267,14 @@
   return { name, vm, nodeAddress };
 }
 
-/** Adds the servers that have left the register and drops those that are back. */
+/** Adds the servers that have left the register, and drops those that are back or that no kept key can have run at. */
 function updateRemoved(
   removed: ReadonlyMap<string, RemovedServer>,
   former: readonly LedgerServer[],
   current: {
     readonly registered: readonly { readonly name: string }[];
     readonly now: number;
+    readonly keptMilliseconds: number;
   },
 ): ReadonlyMap<string, RemovedServer> {
   const names = new Set(current.registered.map(({ name }) => name));
@@ -266,5 +283,7 @@
     ...former.map((server) =>
       [server.name, { server, removedAt: current.now }] as const
     ),
-  ].filter(([name]) => !names.has(name)));
+  ].filter(([name, { removedAt }]) =>
+    !names.has(name) && current.now < removedAt + current.keptMilliseconds
+  ));
 }
--- a/src/daemon/calls/create_call_pool.ts
+++ b/src/daemon/calls/create_call_pool.ts
@@ -1,8 +1,8 @@
 import { Pool } from "undici";
 import type { NetworkAddress } from "../../runtime/network_address.ts";
 
-/** Well below the silence bound of calls, so that a call that was never sent is known as such. */
-const connectMilliseconds = 300;
+/** A call whose connection does not open in this time is known not to have been sent. */
+const connectMilliseconds = 500;
 /** Shorter than the usual idle bound of servers, so that they seldom close a connection in use. */
 const idleMilliseconds = 4000;
 
--- a/src/daemon/calls/handle_calls_control_method.ts
+++ b/src/daemon/calls/handle_calls_control_method.ts
@@ -17,10 +17,10 @@
     const { attemptIdentifier, deadline } = settleCallSchema.parse(parameters);
     return encodeSettlement(settleCall(node, attemptIdentifier, { deadline }));
   }
-  const { key, backendServer, by } = settleKeySchema.parse(parameters);
+  const { service, key, backendServer, by } = settleKeySchema.parse(parameters);
   return encodeKeySettlement(
     backendServer === node.options.settings.backendServer?.name
-      ? node.ledger.settle(key, by)
+      ? node.ledger.settle({ service, key }, by)
       : { kind: SettlementKind.Unknown },
   );
 }
--- a/src/daemon/calls/run_forwarded_call.ts
+++ b/src/daemon/calls/run_forwarded_call.ts
@@ -49,7 +49,10 @@
     () => apply({ kind: DispatchEventKind.Woke }),
   );
   const apply = (event: DispatchEvent) => {
-    const step = stepDispatch(state, event, { now: clock.now() });
+    const step = stepDispatch(state, event, {
+      now: clock.now(),
+      confirmingView: node.confirmingView,
+    });
     state = step.state;
     step.effects.forEach(carryOut);
     wakeTimer.setInstant(getDispatchWakeAt(state));
--- a/src/daemon/calls/send_forwarded_call.ts
+++ b/src/daemon/calls/send_forwarded_call.ts
@@ -28,7 +28,8 @@
     method: hopMethod,
     heldBytes,
     events: {
-      onStart: () => undefined,
+      // Time to open a connection does not count as silence.
+      onStart: () => receiver.onSign(),
       onSign: () => receiver.onSign(),
       onHead: (_, headers) => {
         const refused = headers[ForwardedHeader.Outcome] !== undefined;
