--- a/src/calls/call_event.ts
+++ b/src/calls/call_event.ts
@@ -10,6 +10,8 @@
     readonly backendServer: string;
     /** Whether the call went over a connection, which may go silent. */
     readonly remote: boolean;
+    /** Whether it may still wait for a connection; `Heard` follows once it is written. */
+    readonly awaitsConnection?: boolean;
   }
   | { readonly kind: CallEventKind.NoneChosen; readonly refusal: Refusal }
   | { readonly kind: CallEventKind.Refused; readonly refusal: NodeRefusal }
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -52,8 +52,7 @@
     .with({ kind: CallEventKind.Started }, () => tryNext(state, context, []))
     .with(
       { kind: CallEventKind.Sent },
-      ({ backendServer, remote }) =>
-        sent(state, context, { backendServer, remote }),
+      (sending) => sent(state, context, sending),
     )
     .with(
       { kind: CallEventKind.NoneChosen },
@@ -137,16 +136,18 @@
 function sent(
   state: CallState,
   context: CallContext,
-  sending: { readonly backendServer: string; readonly remote: boolean },
+  sending: Extract<CallEvent, { kind: CallEventKind.Sent }>,
 ): CallStep {
   return {
     state: {
       ...state,
       phase: CallPhase.Sent,
       backendServer: sending.backendServer,
-      wakeAt: sending.remote
+      wakeAt: !sending.remote
+        ? state.deadline
+        : sending.awaitsConnection === true
         ? Math.min(state.deadline, context.now + connectionMilliseconds)
-        : state.deadline,
+        : getSilentAt(state, context),
     },
     effects: [],
   };
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -183,6 +183,7 @@
       kind: CallEventKind.Sent,
       backendServer: server.name,
       remote,
+      awaitsConnection: remote,
     });
     const exchange = handOver(node, createForwarded(server, attempt), {
       server,
