End a stopped node at once

Cause: SIGTERM to a node without calls ended it only at its drain deadline; the demo showed 8 s. Ruled out: open connections, the platform's watch (a node with neither took as long). The timer of the drain deadline stayed set and kept the process alive. Change: it is cancelled once the calls have finished.

--- a/src/daemon/shut_down.ts
+++ b/src/daemon/shut_down.ts
@@ -1,4 +1,5 @@
 import type { NodeEnvironment } from "../runtime/node_environment.ts";
+import type { TimerHandle } from "../runtime/timer_handle.ts";
 import type { NodeListeners } from "./node_listeners.ts";
 import type { NodeRuntimes } from "./node_runtimes.ts";
 
@@ -16,38 +17,39 @@
   readonly aborted: Promise<void>;
 }
 
-function waitUntil(
-  instant: number,
-  environment: NodeEnvironment,
-): Promise<void> {
-  return new Promise((resolve) => {
-    environment.timers.at(instant, resolve);
-  });
-}
-
 async function finishCalls(options: ShutDownOptions): Promise<void> {
   const { runtimes, environment, listeners } = options;
   const lateArrivalsEnd = environment.clock.now() + lateArrivalMilliseconds;
   await Promise.all([
     runtimes.calls.drain(),
     runtimes.admission.drain(),
-    waitUntil(lateArrivalsEnd, environment),
+    new Promise<void>((resolve) => {
+      environment.timers.at(lateArrivalsEnd, resolve);
+    }),
   ]);
   await listeners.callers.close();
   await listeners.nodes.close();
 }
 
+/** Finishes the calls; resolves early at the deadline or when aborted. */
+async function finishCallsInTime(options: ShutDownOptions): Promise<void> {
+  const { environment, deadline, aborted } = options;
+  let timer: TimerHandle | undefined;
+  const deadlinePassed = new Promise<void>((resolve) => {
+    timer = environment.timers.at(deadline, resolve);
+  });
+  await Promise.race([finishCalls(options), deadlinePassed, aborted]);
+  // A timer that is left over would keep the process alive until the deadline.
+  timer?.cancel();
+}
+
 /**
  * Stops a node: calls finish first, then the listeners close, then the
  * distribution tells the peers. Resolves with the number of calls cut.
  */
 export async function shutDown(options: ShutDownOptions): Promise<number> {
-  const { runtimes, listeners, environment } = options;
-  await Promise.race([
-    finishCalls(options),
-    waitUntil(options.deadline, environment),
-    options.aborted,
-  ]);
+  const { runtimes, listeners } = options;
+  await finishCallsInTime(options);
   const cut = await runtimes.calls.stop();
   await Promise.race([runtimes.distribution.stop(), options.aborted]);
   runtimes.admission.stop();
