--- a/src/command_line/check_command.ts
+++ b/src/command_line/check_command.ts
@@ -2,16 +2,15 @@
 import { compareConfigurations } from "../configuration/compare_configurations.ts";
 import type { CompiledConfiguration } from "../configuration/compiled_configuration.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
-import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
-import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
 import { tryParseAddress } from "../runtime/try_parse_address.ts";
+import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { loadConfiguration } from "./load_configuration.ts";
-import type { Output } from "./output.ts";
-import { tryParseArguments } from "./try_parse_arguments.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
 const help = `Usage: catkinquay check FILE… [options]
@@ -40,52 +39,40 @@
 /** Runs `catkinquay check`; `parameters` are the arguments after the name of the command. */
 export async function runCheckCommand(
   parameters: readonly string[],
-  output: Output,
+  output: CommandOutput,
 ): Promise<ExitStatus> {
-  const parsed = tryParseArguments({
-    args: [...parameters],
-    allowPositionals: true,
+  const parsed = parseCommandLine(parameters, {
     options: {
       against: { type: "string" },
       expect: { type: "string", multiple: true },
       json: { type: "boolean" },
-      help: { type: "boolean" },
     },
+    operandName: "FILE",
+    operandsMinimum: 1,
+    operandsMaximum: Infinity,
+    usage: "one or more files, see --help",
   });
   if (parsed.isErr) {
-    output.write(`${formatDiagnostic(parsed.error)}\n`);
+    reportDiagnostics([parsed.error], output);
     return ExitStatus.Usage;
   }
-  const { values, positionals } = parsed.value;
-  if (values.help) {
+  const { values, operands } = parsed.value;
+  if (values["help"] === true) {
     output.write(help);
     return ExitStatus.Success;
   }
-  if (positionals.length === 0) {
-    output.write(`${formatDiagnostic(createUsageDiagnostic())}\n`);
-    return ExitStatus.Usage;
-  }
-  const against = values.against === undefined
+  const subject = values["against"] as string | undefined;
+  const against = subject === undefined
     ? undefined
-    : await loadVersionInForce(values.against);
+    : await loadVersionInForce(subject);
   if (against?.isErr) {
-    writeDiagnostics(output, against.error, {
-      subject: values.against ?? "",
-    });
+    writeDiagnostics(output, against.error, { subject: subject ?? "" });
     return ExitStatus.Failure;
   }
-  return checkFiles(positionals, output, {
+  return checkFiles(operands, output, {
     inForce: against?.value.snapshot,
-    expected: new Set(values.expect),
-    json: values.json ?? false,
-  });
-}
-
-function createUsageDiagnostic(): Diagnostic {
-  return createDiagnostic(DiagnosticCode.UsageInvalid, {
-    path: "FILE",
-    found: "missing",
-    allowed: "one or more files, see --help",
+    expected: new Set(values["expect"] as string[] | undefined),
+    json: values["json"] === true,
   });
 }
 
@@ -99,7 +86,7 @@
 
 async function checkFiles(
   paths: readonly string[],
-  output: Output,
+  output: CommandOutput,
   options: CheckOptions,
 ): Promise<ExitStatus> {
   const loaded = await Promise.all(paths.map(loadConfiguration));
@@ -112,7 +99,7 @@
 /** Writes what was found in one file; returns whether it may be published. */
 function report(
   loaded: Result<CompiledConfiguration, readonly Diagnostic[]>,
-  output: Output,
+  output: CommandOutput,
   options: CheckOptions & { readonly path: string },
 ): boolean {
   const { path, inForce, expected } = options;
--- a/src/command_line/commands_test.ts
+++ b/src/command_line/commands_test.ts
@@ -4,22 +4,15 @@
 import test from "ava";
 import { readBaseline } from "../testing/read_baseline.ts";
 import { runCheckCommand } from "./check_command.ts";
-import type { ExitStatus } from "./exit_status.ts";
-import type { Output } from "./output.ts";
+import type { Command } from "./command.ts";
 import { runRoutesCommand } from "./routes_command.ts";
 
 const directory = "src/command_line/baselines";
 
-type Command = (
-  parameters: readonly string[],
-  output: Output,
-) => Promise<ExitStatus>;
-
 async function run(command: Command, parameters: readonly string[]) {
   const written: string[] = [];
-  const status = await command(parameters, {
-    write: (text) => void written.push(text),
-  });
+  const write = (text: string) => void written.push(text);
+  const status = await command(parameters, { write, writeError: write });
   return { status, text: written.join("") };
 }
 
--- a/src/command_line/node_command.ts
+++ b/src/command_line/node_command.ts
@@ -51,6 +51,7 @@
       settings: { type: "string" },
       "check-settings": { type: "boolean" },
     },
+    operandName: "--settings",
     operandsMinimum: 0,
     operandsMaximum: 0,
     usage,
--- a/src/command_line/parse_command_line.ts
+++ b/src/command_line/parse_command_line.ts
@@ -1,14 +1,16 @@
-import { parseArgs, type ParseArgsConfig } from "node:util";
+import type { ParseArgsConfig } from "node:util";
 import { Result } from "true-myth";
-import { tryOrElse } from "true-myth/result";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import type { ParsedCommandLine } from "./parsed_command_line.ts";
+import { tryParseArguments } from "./try_parse_arguments.ts";
 
 /** The options and the number of operands that a command takes. */
 interface CommandLineShape {
   readonly options: NonNullable<ParseArgsConfig["options"]>;
+  /** What the help calls an operand, for example `FILE`. */
+  readonly operandName: string;
   readonly operandsMinimum: number;
   readonly operandsMaximum: number;
   /** What the usage diagnostic says is allowed. */
@@ -21,7 +23,7 @@
 ): Diagnostic | undefined {
   if (operands.length < shape.operandsMinimum) {
     return createDiagnostic(DiagnosticCode.UsageInvalid, {
-      path: "operands",
+      path: shape.operandName,
       found: "missing",
       allowed: shape.usage,
     });
@@ -41,22 +43,11 @@
   parameters: readonly string[],
   shape: CommandLineShape,
 ): Result<ParsedCommandLine, Diagnostic> {
-  const parsed = tryOrElse(
-    (error) =>
-      createDiagnostic(DiagnosticCode.UsageInvalid, {
-        path: parameters.join(" "),
-        found: error instanceof Error ? error.message : String(error),
-        allowed: shape.usage,
-      }),
-    () =>
-      parseArgs({
-        args: [...parameters],
-        options: { ...shape.options, help: { type: "boolean", short: "h" } },
-        allowPositionals: true,
-        strict: true,
-      }),
-  );
-  return parsed.andThen(({ values, positionals }) => {
+  return tryParseArguments({
+    args: [...parameters],
+    options: { ...shape.options, help: { type: "boolean", short: "h" } },
+    allowPositionals: true,
+  }).andThen(({ values, positionals }) => {
     const fault = values["help"] === true
       ? undefined
       : findOperandFault(positionals, shape);
--- a/src/command_line/request_operator_page.ts
+++ b/src/command_line/request_operator_page.ts
@@ -29,9 +29,10 @@
       return Result.ok(response);
     }
     await response.body.dump();
-    return Result.err(createDiagnostic(DiagnosticCode.NodeUnreachable, {
-      path: address,
-      found: `HTTP status ${response.statusCode} for "${path}"`,
+    return Result.err(createDiagnostic(DiagnosticCode.NodeAnswerInvalid, {
+      path: `${address}${path}`,
+      found: `status ${response.statusCode}`,
+      allowed: `status ${okStatus}`,
     }));
   } catch (error) {
     return Result.err(createDiagnostic(DiagnosticCode.NodeUnreachable, {
--- a/src/command_line/routes_command.ts
+++ b/src/command_line/routes_command.ts
@@ -3,13 +3,11 @@
 import type { Snapshot } from "../configuration/snapshot.ts";
 import { formatVersion } from "../configuration/format_version.ts";
 import { ZoneState } from "../configuration/zone_state.ts";
-import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
-import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
-import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { loadConfiguration } from "./load_configuration.ts";
-import type { Output } from "./output.ts";
-import { tryParseArguments } from "./try_parse_arguments.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
 const help = `Usage: catkinquay routes FILE [options]
@@ -27,35 +25,30 @@
 /** Runs `catkinquay routes`; `parameters` are the arguments after the name of the command. */
 export async function runRoutesCommand(
   parameters: readonly string[],
-  output: Output,
+  output: CommandOutput,
 ): Promise<ExitStatus> {
-  const parsed = tryParseArguments({
-    args: [...parameters],
-    allowPositionals: true,
-    options: { json: { type: "boolean" }, help: { type: "boolean" } },
+  const parsed = parseCommandLine(parameters, {
+    options: { json: { type: "boolean" } },
+    operandName: "FILE",
+    operandsMinimum: 1,
+    operandsMaximum: 1,
+    usage: "one file, see --help",
   });
   if (parsed.isErr) {
-    output.write(`${formatDiagnostic(parsed.error)}\n`);
+    reportDiagnostics([parsed.error], output);
     return ExitStatus.Usage;
   }
-  const { values, positionals: [path, ...others] } = parsed.value;
-  if (values.help) {
+  const { values, operands: [path = ""] } = parsed.value;
+  if (values["help"] === true) {
     output.write(help);
     return ExitStatus.Success;
   }
-  if (path === undefined || others.length > 0) {
-    const diagnostic = createDiagnostic(DiagnosticCode.UsageInvalid, {
-      path: "FILE",
-      found: path === undefined ? "missing" : "given more than once",
-      allowed: "one file, see --help",
-    });
-    output.write(`${formatDiagnostic(diagnostic)}\n`);
-    return ExitStatus.Usage;
-  }
   const loaded = await loadConfiguration(path);
   return loaded.match({
     Ok: ({ snapshot }) => {
-      output.write(values.json ? formatJson(snapshot) : formatTable(snapshot));
+      output.write(
+        values["json"] === true ? formatJson(snapshot) : formatTable(snapshot),
+      );
       return ExitStatus.Success;
     },
     Err: (reasons) => {
--- /dev/null
+++ b/src/command_line/run_command_line_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import { ExitStatus } from "./exit_status.ts";
+import { runCommandLine } from "./run_command_line.ts";
+
+async function run(...parameters: readonly string[]) {
+  const written: string[] = [];
+  const errors: string[] = [];
+  const status = await runCommandLine(parameters, {
+    write: (text) => void written.push(text),
+    writeError: (text) => void errors.push(text),
+  });
+  return { status, written: written.join(""), errors: errors.join("") };
+}
+
+test("every command shows its help", async (t) => {
+  const commands = ["node", "check", "routes", "status", "trail"];
+  const runs = await Promise.all(commands.map((name) => run(name, "--help")));
+  runs.forEach(({ status, written }, index) => {
+    t.is(status, ExitStatus.Success);
+    t.true(written.startsWith(`Usage: catkinquay ${commands[index]}`));
+  });
+  const { status, written } = await run("--help");
+  t.is(status, ExitStatus.Success);
+  commands.forEach((name) => t.true(written.includes(`\n  ${name} `)));
+});
+
+test("the version is shown", async (t) => {
+  t.regex((await run("--version")).written, /^\d+\.\d+\.\d+\n$/);
+});
+
+test("wrong arguments end with status 2 and a message on standard error", async (t) => {
+  const wrong = [
+    [],
+    ["fly"],
+    ["node"],
+    ["node", "--settings"],
+    ["node", "--settings", "absent.json"],
+    ["node", "--wings"],
+    ["check"],
+    ["status"],
+    ["status", "localhost"],
+    ["status", "127.0.0.1:1", "127.0.0.1:2"],
+    ["trail", "nowhere"],
+  ];
+  const runs = await Promise.all(wrong.map((parameters) => run(...parameters)));
+  runs.forEach(({ status, written, errors }, index) => {
+    t.is(status, ExitStatus.Usage, wrong[index]?.join(" "));
+    t.is(written, "");
+    t.not(errors, "");
+  });
+});
+
+test("a node that does not answer ends a command with status 1", async (t) => {
+  const { status, errors } = await run("status", "127.0.0.1:1");
+  t.is(status, ExitStatus.Failure);
+  t.regex(errors, /^error CQ7003: Cannot reach the node at "127.0.0.1:1": /);
+});
--- a/src/command_line/status_command.ts
+++ b/src/command_line/status_command.ts
@@ -25,6 +25,7 @@
 ): Promise<ExitStatus> {
   const commandLine = parseCommandLine(parameters, {
     options: { json: { type: "boolean" } },
+    operandName: "ADDRESS",
     operandsMinimum: 1,
     operandsMaximum: 1,
     usage,
--- a/src/command_line/trail_command.ts
+++ b/src/command_line/trail_command.ts
@@ -28,6 +28,7 @@
 ): Promise<ExitStatus> {
   const commandLine = parseCommandLine(parameters, {
     options: { once: { type: "boolean" }, json: { type: "boolean" } },
+    operandName: "ADDRESS",
     operandsMinimum: 1,
     operandsMaximum: 1,
     usage,
--- a/src/command_line/write_diagnostics.ts
+++ b/src/command_line/write_diagnostics.ts
@@ -1,10 +1,10 @@
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
-import type { Output } from "./output.ts";
+import type { CommandOutput } from "./command_output.ts";
 
 /** Writes one line for each diagnostic, with the file or address that it is about in front. */
 export function writeDiagnostics(
-  output: Output,
+  output: CommandOutput,
   diagnostics: readonly Diagnostic[],
   { subject }: { readonly subject: string },
 ): void {
