--- a/src/command_line/check_command.ts
+++ b/src/command_line/check_command.ts
@@ -10,9 +10,13 @@
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { loadConfiguration } from "./load_configuration.ts";
 import { parseCommandLine } from "./parse_command_line.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
+const usage =
+  "catkinquay check FILE… [--against FILE|ADDRESS] [--expect NAME]… [--json]";
+
 const help = `Usage: catkinquay check FILE… [options]
 
 Checks configuration documents as every node does, before they are published.
@@ -41,41 +45,46 @@
   parameters: readonly string[],
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const parsed = parseCommandLine(parameters, {
+  const commandLine = parseCommandLine(parameters, {
     options: {
       against: { type: "string" },
       expect: { type: "string", multiple: true },
       json: { type: "boolean" },
     },
-    operandName: "FILE",
     operandsMinimum: 1,
     operandsMaximum: Infinity,
-    usage: "one or more files, see --help",
+    usage,
   });
-  if (parsed.isErr) {
-    reportDiagnostics([parsed.error], output);
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
     return ExitStatus.Usage;
   }
-  const { values, operands } = parsed.value;
+  const { values, operands } = commandLine.value;
   if (values["help"] === true) {
     output.write(help);
     return ExitStatus.Success;
   }
-  const subject = values["against"] as string | undefined;
-  const against = subject === undefined
+  const against = getText(values["against"]);
+  const inForce = against === undefined
     ? undefined
-    : await loadVersionInForce(subject);
-  if (against?.isErr) {
-    writeDiagnostics(output, against.error, { subject: subject ?? "" });
+    : await loadVersionInForce(against);
+  if (inForce?.isErr) {
+    writeDiagnostics(output, inForce.error, { subject: against ?? "" });
     return ExitStatus.Failure;
   }
   return checkFiles(operands, output, {
-    inForce: against?.value.snapshot,
-    expected: new Set(values["expect"] as string[] | undefined),
+    inForce: inForce?.value.snapshot,
+    expected: new Set([values["expect"] ?? []].flat().map(String)),
     json: values["json"] === true,
   });
 }
 
+function getText(
+  value: ParsedCommandLine["values"][string],
+): string | undefined {
+  return typeof value === "string" ? value : undefined;
+}
+
 function loadVersionInForce(
   against: string,
 ): Promise<Result<CompiledConfiguration, readonly Diagnostic[]>> {
--- a/src/command_line/commands_test.ts
+++ b/src/command_line/commands_test.ts
@@ -11,8 +11,10 @@
 
 async function run(command: Command, parameters: readonly string[]) {
   const written: string[] = [];
-  const write = (text: string) => void written.push(text);
-  const status = await command(parameters, { write, writeError: write });
+  const status = await command(parameters, {
+    write: (text) => void written.push(text),
+    writeError: (text) => void written.push(`standard error: ${text}`),
+  });
   return { status, text: written.join("") };
 }
 
--- a/src/command_line/fetch_configuration.ts
+++ b/src/command_line/fetch_configuration.ts
@@ -9,8 +9,7 @@
   address: string,
 ): Promise<Result<CompiledConfiguration, readonly Diagnostic[]>> {
   const page = await requestOperatorPage(address, "/configuration");
-  if (page.isErr) {
-    return Result.err([page.error]);
-  }
-  return compileText(await page.value.body.text());
+  return page.isOk
+    ? compileText(await page.value.body.text())
+    : Result.err([page.error]);
 }
--- a/src/command_line/load_configuration.ts
+++ b/src/command_line/load_configuration.ts
@@ -10,7 +10,5 @@
   path: string,
 ): Promise<Result<CompiledConfiguration, readonly Diagnostic[]>> {
   const text = await readTextFile(path, DiagnosticCode.FileUnreadable);
-  return text
-    .mapErr((diagnostic): readonly Diagnostic[] => [diagnostic])
-    .andThen(compileText);
+  return text.mapErr((reason) => [reason]).andThen(compileText);
 }
--- a/src/command_line/node_command.ts
+++ b/src/command_line/node_command.ts
@@ -51,7 +51,6 @@
       settings: { type: "string" },
       "check-settings": { type: "boolean" },
     },
-    operandName: "--settings",
     operandsMinimum: 0,
     operandsMaximum: 0,
     usage,
--- a/src/command_line/parse_command_line.ts
+++ b/src/command_line/parse_command_line.ts
@@ -9,8 +9,6 @@
 /** The options and the number of operands that a command takes. */
 interface CommandLineShape {
   readonly options: NonNullable<ParseArgsConfig["options"]>;
-  /** What the help calls an operand, for example `FILE`. */
-  readonly operandName: string;
   readonly operandsMinimum: number;
   readonly operandsMaximum: number;
   /** What the usage diagnostic says is allowed. */
@@ -23,7 +21,7 @@
 ): Diagnostic | undefined {
   if (operands.length < shape.operandsMinimum) {
     return createDiagnostic(DiagnosticCode.UsageInvalid, {
-      path: shape.operandName,
+      path: "operands",
       found: "missing",
       allowed: shape.usage,
     });
@@ -43,11 +41,16 @@
   parameters: readonly string[],
   shape: CommandLineShape,
 ): Result<ParsedCommandLine, Diagnostic> {
-  return tryParseArguments({
+  const parsed = tryParseArguments({
     args: [...parameters],
-    options: { ...shape.options, help: { type: "boolean", short: "h" } },
+    options: {
+      ...shape.options,
+      help: { type: "boolean" as const, short: "h" },
+    },
     allowPositionals: true,
-  }).andThen(({ values, positionals }) => {
+    strict: true,
+  }, shape);
+  return parsed.andThen(({ values, positionals }) => {
     const fault = values["help"] === true
       ? undefined
       : findOperandFault(positionals, shape);
--- a/src/command_line/routes_command.ts
+++ b/src/command_line/routes_command.ts
@@ -10,6 +10,8 @@
 import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
+const usage = "catkinquay routes FILE [--json]";
+
 const help = `Usage: catkinquay routes FILE [options]
 
 Shows what a configuration document compiles to: the routes in the order in
@@ -27,18 +29,17 @@
   parameters: readonly string[],
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const parsed = parseCommandLine(parameters, {
+  const commandLine = parseCommandLine(parameters, {
     options: { json: { type: "boolean" } },
-    operandName: "FILE",
     operandsMinimum: 1,
     operandsMaximum: 1,
-    usage: "one file, see --help",
+    usage,
   });
-  if (parsed.isErr) {
-    reportDiagnostics([parsed.error], output);
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
     return ExitStatus.Usage;
   }
-  const { values, operands: [path = ""] } = parsed.value;
+  const { values, operands: [path = ""] } = commandLine.value;
   if (values["help"] === true) {
     output.write(help);
     return ExitStatus.Success;
