--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -56,21 +56,23 @@
   { atMilliseconds: changeAt, run: ({ server }) => server.setSlots(6) },
   { atMilliseconds: returnAt, run: ({ server }) => server.setSlots(12) },
 ];
-const zoneLeavesAndReturns: RunOptions["events"] = [
+const zoneLeavesAndReturnsWarm: RunOptions["events"] = [
   {
     atMilliseconds: changeAt,
-    run: ({ runtime, server }) => {
+    run: ({ runtime }) =>
       runtime.applySnapshot(
         createTestSnapshot({ ...register, zoneState: ZoneState.TakenOut }),
-      );
-      server.relapse();
-    },
+      ),
   },
   {
     atMilliseconds: returnAt,
     run: ({ runtime }) => runtime.applySnapshot(createTestSnapshot(register)),
   },
 ];
+const zoneLeavesAndReturns: RunOptions["events"] = [
+  ...zoneLeavesAndReturnsWarm,
+  ...relapse,
+];
 const saysReady = { report: () => "ready" as const };
 const saysCold = { report: () => "cold" as const };
 
@@ -133,18 +135,32 @@
       { name: "no ramp", policy: { returnRamp: false } },
     ],
     scenarios: [
-      { name: "says cold", server: warmSlowly },
-      { name: "says ready", server: { ...warmSlowly, ...saysReady } },
       {
-        name: "says ready, never falls over",
-        server: { ...warmSlowly, ...saysReady, ...neverFalls },
+        name: "cold, says so",
+        server: warmSlowly,
+        events: zoneLeavesAndReturns,
+      },
+      {
+        name: "cold, says ready",
+        server: { ...warmSlowly, ...saysReady },
+        events: zoneLeavesAndReturns,
+      },
+      {
+        name: "cold, says ready, falls over at 8 sheds, load 3 times",
+        server: { ...warmSlowly, ...saysReady, fallSheds: 8 },
+        events: zoneLeavesAndReturns,
+        classes: createClasses(900),
+      },
+      {
+        name: "stayed warm",
+        server: { ...warmSlowly, ...saysReady },
+        events: zoneLeavesAndReturnsWarm,
       },
-    ].map(({ name, server }) => ({
+    ].map(({ name, ...rest }) => ({
       name,
       options: {
         ...usual,
-        server,
-        events: zoneLeavesAndReturns,
+        ...rest,
         countFromMilliseconds: returnAt,
       },
     })),
@@ -158,8 +174,25 @@
         policy: { limitController: LimitController.AdditiveIncrease },
       },
       {
-        name: "step back",
-        policy: { limitController: LimitController.StepBack },
+        name: "step back, 1.1",
+        policy: {
+          limitController: LimitController.StepBack,
+          raiseLatencyTolerance: 1.1,
+        },
+      },
+      {
+        name: "step back, 1.25",
+        policy: {
+          limitController: LimitController.StepBack,
+          raiseLatencyTolerance: 1.25,
+        },
+      },
+      {
+        name: "step back by sheds alone",
+        policy: {
+          limitController: LimitController.StepBack,
+          raiseLatencyTolerance: Number.POSITIVE_INFINITY,
+        },
       },
     ],
     scenarios: [
@@ -168,6 +201,13 @@
         name: "slower above 8 of 12 slots",
         options: { ...usual, server: { ...warmSoon, kneeSlots: 8 } },
       },
+      {
+        name: "loses throughput above 6 of 12 slots",
+        options: {
+          ...usual,
+          server: { ...warmSoon, kneeSlots: 6, crowdingPower: 2 },
+        },
+      },
       {
         name: "bears 6 of 12 slots for 10 s",
         options: {
--- a/measurements/admission/run_admission.ts
+++ b/measurements/admission/run_admission.ts
@@ -36,6 +36,7 @@
     coldSlowdown: 1,
     warmingCalls: 1,
     kneeSlots: registeredSlots,
+    crowdingPower: 1,
     fallSheds: 20,
     restartMilliseconds: 2_000,
     letGoMilliseconds: 10,
--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -18,6 +18,8 @@
   readonly lingeringMilliseconds: number;
   /** What the limit is multiplied by when the backend server sheds or breaks a call. */
   readonly decreaseFactor: number;
+  /** How many times the former service time takes back a raise. */
+  readonly raiseLatencyTolerance: number;
   /** The least time between two steps of the cold-start ramp. */
   readonly rampStepMilliseconds: number;
   /**
--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -7,7 +7,7 @@
 export function createAdmissionPolicy(settings: NodeSettings): AdmissionPolicy {
   const probeIntervalMilliseconds = settings.timing.probeIntervalMilliseconds;
   return {
-    limitController: LimitController.AdditiveIncrease,
+    limitController: LimitController.StepBack,
     queueOrder: QueueOrder.PriorityThenDeadline,
     coldStartRamp: true,
     returnRamp: true,
@@ -17,6 +17,7 @@
     lingeringProbeIntervalMilliseconds: 20,
     lingeringMilliseconds: 5_000,
     decreaseFactor: 0.7,
+    raiseLatencyTolerance: 1.25,
     rampStepMilliseconds: 250,
     cautiousStepMilliseconds: 1_000,
     cautiousSlowdown: 1.5,
--- a/src/admission/hold_limit.ts
+++ b/src/admission/hold_limit.ts
@@ -3,7 +3,7 @@
 import type { LimitState } from "./limit_state.ts";
 
 /** How often the wait after a raise that was taken back is doubled at most. */
-const maximumDoublings = 4;
+const maximumDoublings = 2;
 
 /** Takes back the last raise and puts off the next one, longer each time in a row. */
 export function holdLimit(
--- a/src/admission/judge_raise.ts
+++ b/src/admission/judge_raise.ts
@@ -6,8 +6,6 @@
 
 /** A period has as many answers as this many rounds at the limit. */
 const roundsInPeriod = 4;
-/** By how much calls must take longer after a raise for the raise to be taken back. */
-const latencyTolerance = 1.25;
 
 /**
  * Counts an answered call and, at the end of a period without a shed, judges
@@ -27,7 +25,8 @@
   const { judgement } = limit;
   const latencyMilliseconds = period.answeredMilliseconds / period.answered;
   const isSlower = judgement.raised &&
-    latencyMilliseconds > latencyTolerance * judgement.latencyMilliseconds;
+    latencyMilliseconds >
+      context.policy.raiseLatencyTolerance * judgement.latencyMilliseconds;
   if (isSlower) return { ...state, limit: holdLimit(limit, context) };
   const slots = state.backendServer?.slots ?? 1;
   const raised = period.whenFull > 0 && limit.current < slots &&
--- a/src/admission/testing/create_fake_backend_server.ts
+++ b/src/admission/testing/create_fake_backend_server.ts
@@ -45,7 +45,8 @@
     );
     const slowdown = options.coldSlowdown +
       (1 - options.coldSlowdown) * warmth;
-    const crowding = Math.max(1, running.size / options.kneeSlots);
+    const crowding = Math.max(1, running.size / options.kneeSlots) **
+      options.crowdingPower;
     const spread = 0.5 - 0.5 * Math.log(1 - random.next());
     return options.serviceMilliseconds * slowdown * crowding * spread;
   }
--- a/src/admission/testing/fake_backend_server_options.ts
+++ b/src/admission/testing/fake_backend_server_options.ts
@@ -17,8 +17,10 @@
   readonly coldSlowdown: number;
   /** How many answered calls let it bear one call more, while it is cold. */
   readonly warmingCalls: number;
-  /** Above this many calls at once, each takes longer in proportion. */
+  /** Above this many calls at once, each takes longer. */
   readonly kneeSlots: number;
+  /** The power with which calls above the knee slow each other down; 1 keeps the throughput, 2 lowers it. */
+  readonly crowdingPower: number;
   /** How many sheds within one second make a cold server fall over. */
   readonly fallSheds: number;
   /** How long it refuses connections after it fell over. */
