--- a/src/admission/handle_probe_failure.ts
+++ b/src/admission/handle_probe_failure.ts
@@ -18,6 +18,8 @@
     probing: { ...probing, underWay: false, failuresInARow, failingSince },
   };
   const callsShowOtherwise = contact.answeredDispatchAt >= failingSince;
+  // A failed probe does not put off the trial call: the endpoint may mislead.
+  if (state.backendServerState === BackendServerState.Down) return failed;
   const isEnough = state.backendServerState === BackendServerState.Unknown ||
     failuresInARow >= context.policy.downProbeFailures;
   return isEnough && !callsShowOtherwise ? enterDown(failed, context) : failed;
