--- a/stand_ins/demo/run_demo.ts
+++ b/stand_ins/demo/run_demo.ts
@@ -17,6 +17,11 @@
 
 const convergenceLimitMilliseconds = 11_000;
 const settleMilliseconds = 1500;
+/** Callers most of whom hang up early. */
+const hastyCallers = {
+  abandonShare: 0.7,
+  abandonMilliseconds: [1, 20] as [number, number],
+};
 const shutdownMilliseconds = 12_000;
 const badVersionNumber = 3;
 
@@ -60,7 +65,7 @@
 
   await awaitReadiness(deployment);
   table.row("start", `${live.length} nodes ready`);
-  const caller = deployment.startCaller({});
+  const caller = deployment.startCaller(hastyCallers);
   await pause(settleMilliseconds);
   await change("publish a change", { number: 2, retryBudgetPercent: 15 });
 
