--- a/src/command_line/run_command_line.ts
+++ b/src/command_line/run_command_line.ts
@@ -1,10 +1,10 @@
-import { checkCommand } from "./check_command.ts";
+import { runCheckCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { getPackageVersion } from "./get_package_version.ts";
 import { nodeCommand } from "./node_command.ts";
-import { routesCommand } from "./routes_command.ts";
+import { runRoutesCommand } from "./routes_command.ts";
 import { statusCommand } from "./status_command.ts";
 import { trailCommand } from "./trail_command.ts";
 
@@ -23,8 +23,8 @@
 
 const commands: ReadonlyMap<string, Command> = new Map([
   ["node", nodeCommand],
-  ["check", checkCommand],
-  ["routes", routesCommand],
+  ["check", runCheckCommand],
+  ["routes", runRoutesCommand],
   ["status", statusCommand],
   ["trail", trailCommand],
 ]);
