Prove versions and convergence over a fleet in virtual time

The platform's stand-in answers with its oldest list where the lag is longer than its memory; an empty list made every node refuse for lack of a backend server.

--- /dev/null
+++ b/scenarios/fleet/create_fleet_configuration.ts
@@ -0,0 +1,37 @@
+import { createSampleConfiguration } from "../../src/testing/create_sample_configuration.ts";
+
+/** What differs between the texts that a scenario publishes. */
+interface FleetConfigurationOptions {
+  readonly number: number;
+  readonly zones: number;
+  /** Another content under the same number. */
+  readonly retryBudgetPercent?: number;
+  readonly services?: number;
+  /** Adds a route to a service that the register does not name. */
+  readonly isBad?: boolean;
+}
+
+const usualServices = 2;
+
+/** Returns a text that fits the VMs of a fleet. */
+export function createFleetConfiguration(
+  options: FleetConfigurationOptions,
+): string {
+  const { number, zones, retryBudgetPercent, isBad = false } = options;
+  const sample = createSampleConfiguration({
+    number,
+    zones,
+    services: options.services ?? usualServices,
+    ...(retryBudgetPercent === undefined ? {} : { retryBudgetPercent }),
+  });
+  const [route] = sample.rules.routes;
+  const stray = { ...route, pathPrefix: "/stray", service: "stray" };
+  return JSON.stringify(
+    isBad
+      ? {
+        ...sample,
+        rules: { ...sample.rules, routes: [...sample.rules.routes, stray] },
+      }
+      : sample,
+  );
+}
--- /dev/null
+++ b/scenarios/fleet/create_fleet_world.ts
@@ -0,0 +1,22 @@
+import { createDistributionFleet } from "../../src/testing/create_distribution_fleet.ts";
+import type { FleetWorld } from "./fleet_world.ts";
+
+const seed = 11;
+const vms = 6;
+const zones = 3;
+
+/** Creates six VMs in three zones; no node has started. */
+export function createFleetWorld(): FleetWorld {
+  const world: FleetWorld = {
+    fleet: createDistributionFleet({ vms, zones, seed }),
+    zones,
+    history: new Map(),
+    rules: [],
+  };
+  world.fleet.network.setScript((message) =>
+    world.rules
+      .map((rule) => rule(message))
+      .find((delivery) => delivery !== undefined) ?? {}
+  );
+  return world;
+}
--- a/scenarios/handover/step_handover_call.ts
+++ b/scenarios/handover/step_handover_call.ts
@@ -54,6 +54,7 @@
         CallEffectKind.AvoidNode,
         CallEffectKind.BeginStream,
         CallEffectKind.RenewConnections,
+        CallEffectKind.StopAvoiding,
         CallEffectKind.SpendRetry,
       ),
     }, () => {})
--- a/scenarios/scenarios_test.ts
+++ b/scenarios/scenarios_test.ts
@@ -1,5 +1,7 @@
 import { admissionSteps } from "./admission/admission_steps.ts";
 import { createAdmissionWorld } from "./admission/create_admission_world.ts";
+import { createFleetWorld } from "./fleet/create_fleet_world.ts";
+import { fleetSteps } from "./fleet/fleet_steps.ts";
 import { createHandoverWorld } from "./handover/create_handover_world.ts";
 import { handoverSteps } from "./handover/handover_steps.ts";
 import { createLedgerWorld } from "./ledger/create_ledger_world.ts";
@@ -19,3 +21,7 @@
   library: createStepLibrary(handoverSteps),
   createWorld: () => createHandoverWorld(),
 });
+registerScenarios(["versions.feature", "convergence.feature"], {
+  library: createStepLibrary(fleetSteps),
+  createWorld: createFleetWorld,
+});
--- a/stand_ins/platform/create_platform_server.ts
+++ b/stand_ins/platform/create_platform_server.ts
@@ -34,7 +34,7 @@
   options: { readonly readsPerSecondMaximum: number },
 ): Server {
   const values: PublishedValue[] = [];
-  const vmLists: VmList[] = [{ since: 0, vms: [] }];
+  const vmLists: VmList[] = [];
   const watches = new Set<Watch>();
   const rate = createReadRate();
   const counters: PlatformCounters = {
@@ -108,7 +108,8 @@
   const readVms = (response: ServerResponse) => {
     counters.vmReads += 1;
     const latest = Date.now() - faults.vmListLagMilliseconds;
-    const list = vmLists.findLast((entry) => entry.since <= latest);
+    const [oldest] = vmLists;
+    const list = vmLists.findLast((entry) => entry.since <= latest) ?? oldest;
     answer(response, 200, { vms: list?.vms ?? [] });
   };
   const read = (
