--- /dev/null
+++ b/measurements/format_table.ts
@@ -0,0 +1,12 @@
+import type { MeasureTable } from "./measure_table.ts";
+
+/** Returns the table in Markdown. */
+export function formatTable(table: MeasureTable): string {
+  const toLine = (cells: readonly (string | number)[]) =>
+    `| ${cells.join(" | ")} |`;
+  return [
+    toLine(table.columns),
+    toLine(table.columns.map(() => "---")),
+    ...table.rows.map(toLine),
+  ].join("\n");
+}
--- /dev/null
+++ b/measurements/main.ts
@@ -0,0 +1,95 @@
+/**
+ * Runs the measurements, prints their tables and writes the result pages.
+ *
+ * @module
+ */
+import process from "node:process";
+import { formatDiagnostic } from "../src/diagnostics/format_diagnostic.ts";
+import { formatTable } from "./format_table.ts";
+import type { MeasureReport } from "./measure_report.ts";
+import { measures } from "./measures.ts";
+import { parseMeasureOptions } from "./parse_measure_options.ts";
+import { runMeasure } from "./run_measure.ts";
+import { writeReport } from "./write_report.ts";
+
+const usageExitCode = 2;
+const failureExitCode = 1;
+
+const help = `Usage: npm run measure -- [options]
+
+Runs the measurements and writes their pages and charts.
+
+  --quick        smaller runs, under a minute; writes no pages unless --output is given
+  --json         print the figures as one JSON line at the end
+  --only NAME    run one measure; may be repeated
+  --seed NUMBER  seed of the random numbers (1)
+  --output PATH  folder for the pages (docs/measurements)
+  --help         print this text
+
+Measures:
+${measures.map((measure) => `  ${measure.name}: ${measure.title}`).join("\n")}
+`;
+
+async function main(): Promise<number> {
+  const parsed = parseMeasureOptions(
+    process.argv.slice(2),
+    measures.map((measure) => measure.name),
+  );
+  if (parsed.isErr) {
+    process.stderr.write(`${formatDiagnostic(parsed.error)}\n`);
+    return usageExitCode;
+  }
+  const measureOptions = parsed.value;
+  if (measureOptions.help) {
+    process.stdout.write(help);
+    return 0;
+  }
+  const selected = measures.filter((measure) =>
+    measureOptions.only.length === 0 ||
+    measureOptions.only.includes(measure.name)
+  );
+  const progress = (message: string) => process.stderr.write(`${message}\n`);
+  const reports = await selected.reduce<Promise<readonly MeasureReport[]>>(
+    async (earlier, measure) => {
+      const done = await earlier;
+      const report = await runMeasure(measure, { measureOptions, progress });
+      if (measureOptions.output !== undefined) {
+        await writeReport(report, measureOptions.output);
+      }
+      return [...done, report];
+    },
+    Promise.resolve([]),
+  );
+  printReports(reports, measureOptions.json);
+  return 0;
+}
+
+function printReports(reports: readonly MeasureReport[], json: boolean): void {
+  const stream = json ? process.stderr : process.stdout;
+  reports.forEach((report) => {
+    stream.write(`\n${report.measure.title}\n`);
+    report.result.tables.forEach((table) =>
+      stream.write(`\n${table.title}\n${formatTable(table)}\n`)
+    );
+    report.result.targets.forEach((check) =>
+      stream.write(`${check.verdict}: ${check.target}: ${check.measured}\n`)
+    );
+  });
+  if (json) {
+    const figures = reports.map((report) => ({
+      name: report.measure.name,
+      seed: report.seed,
+      quick: report.quick,
+      loadBefore: report.loadBefore,
+      loadAfter: report.loadAfter,
+      targets: report.result.targets,
+      data: report.result.data,
+    }));
+    process.stdout.write(`${JSON.stringify({ measures: figures })}\n`);
+  }
+}
+
+process.exitCode = await main().catch((error: unknown) => {
+  process.stderr.write(`The measurements failed: ${String(error)}\n`);
+  return failureExitCode;
+});
--- /dev/null
+++ b/measurements/measure_table.ts
@@ -0,0 +1,6 @@
+/** A table of results; every row has one cell for each column. */
+export interface MeasureTable {
+  readonly title: string;
+  readonly columns: readonly string[];
+  readonly rows: readonly (readonly (string | number)[])[];
+}
--- /dev/null
+++ b/measurements/measures.ts
@@ -0,0 +1,4 @@
+import type { Measure } from "./measure.ts";
+
+/** Every measure, in the order in which they run. */
+export const measures: readonly Measure[] = [];
--- /dev/null
+++ b/measurements/run_measure.ts
@@ -0,0 +1,36 @@
+import { cpus, loadavg } from "node:os";
+import type { Measure } from "./measure.ts";
+import type { MeasureOptions } from "./measure_options.ts";
+import type { MeasureReport } from "./measure_report.ts";
+
+/** Runs one measure and notes the circumstances of the run. */
+export async function runMeasure(
+  measure: Measure,
+  options: {
+    readonly measureOptions: MeasureOptions;
+    readonly progress: (message: string) => void;
+  },
+): Promise<MeasureReport> {
+  const { quick, seed } = options.measureOptions;
+  const loadBefore = loadavg()[0] ?? 0;
+  const startedAt = Date.now();
+  const result = await measure.run({
+    quick,
+    seed,
+    progress: (message) => options.progress(`${measure.name}: ${message}`),
+  });
+  return {
+    measure,
+    result,
+    command: `npm run measure -- --only ${measure.name} --seed ${seed}${
+      quick ? " --quick" : ""
+    }`,
+    seed,
+    quick,
+    loadBefore,
+    loadAfter: loadavg()[0] ?? 0,
+    processors: cpus().length,
+    startedAt,
+    endedAt: Date.now(),
+  };
+}
