--- /dev/null
+++ b/measurements/compile/count_document_bytes.ts
@@ -0,0 +1,27 @@
+import { Buffer } from "node:buffer";
+import { PartKind } from "../../src/configuration/part_kind.ts";
+import { createSizedDocument } from "../documents/create_sized_document.ts";
+import { scaleDocumentSize } from "../documents/scale_document_size.ts";
+import { createConfigurationSet } from "./create_configuration_set.ts";
+import type { DocumentBytes } from "./document_bytes.ts";
+
+/** Counts the bytes of a document of the given size and of its parts. */
+export function countDocumentBytes(backendServers: number): DocumentBytes {
+  const text = createSizedDocument(scaleDocumentSize(backendServers), {
+    number: 1,
+    variant: 0,
+  });
+  const set = createConfigurationSet(text);
+  const parts = [...set.parts.values()];
+  const count = (value: unknown) => Buffer.byteLength(JSON.stringify(value));
+  const sizesOf = (kind: PartKind) =>
+    parts.filter((part) => part.kind === kind).map(count);
+  return {
+    backendServers,
+    document: Buffer.byteLength(text),
+    manifest: count(set.manifest),
+    parts: parts.length,
+    basePart: Math.max(...sizesOf(PartKind.Base)),
+    largestServicePart: Math.max(...sizesOf(PartKind.Service)),
+  };
+}
--- /dev/null
+++ b/measurements/measure_elapsed.ts
@@ -0,0 +1,9 @@
+import { performance } from "node:perf_hooks";
+import type { Elapsed } from "./elapsed.ts";
+
+/** Runs `work` once and returns its result with the time that it held the event loop. */
+export function measureElapsed<T>(work: () => T): Elapsed<T> {
+  const startedAt = performance.now();
+  const value = work();
+  return { value, milliseconds: performance.now() - startedAt };
+}
