--- a/measurements/compile/measure_retained_bytes.ts
+++ b/measurements/compile/measure_retained_bytes.ts
@@ -7,7 +7,7 @@
 import { expectOk } from "../expect_ok.ts";
 import { createConfigurationSet } from "./create_configuration_set.ts";
 
-const copies = 10;
+const backendServersHeld = 12_000;
 
 /** Returns the heap that one version with its snapshot keeps, in bytes. */
 export function measureRetainedBytes(backendServers: number): number {
@@ -15,6 +15,7 @@
   const size = scaleDocumentSize(backendServers);
   collect();
   const before = process.memoryUsage().heapUsed;
+  const copies = Math.ceil(backendServersHeld / backendServers);
   const held = Array.from({ length: copies }, (_, index) => {
     const text = createSizedDocument(size, {
       number: index + 1,
