--- /dev/null
+++ b/measurements/plain_node/forward_plainly.ts
@@ -0,0 +1,68 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { Outcome } from "../../src/calls/outcome.ts";
+import type { BackendServer } from "../../src/configuration/backend_server.ts";
+import { refusePlainly } from "./refuse_plainly.ts";
+
+const shedStatus = 503;
+
+/** Passes one call on to a backend server, without limit, queue or second try. */
+export async function forwardPlainly(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: {
+    readonly backendServer: BackendServer;
+    readonly pools: Map<string, Pool>;
+    readonly deadlineMilliseconds: number;
+  },
+): Promise<void> {
+  const left = new AbortController();
+  response.once("close", () => left.abort());
+  const hasBody = request.method !== "GET" && request.method !== "HEAD";
+  try {
+    const answer = await getPool(options).request({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.url ?? "/",
+      headers: { "idempotency-key": request.headers["idempotency-key"] ?? "" },
+      body: hasBody ? request : null,
+      signal: left.signal,
+      headersTimeout: options.deadlineMilliseconds,
+    });
+    if (answer.statusCode === shedStatus) {
+      await answer.body.dump();
+      refusePlainly(response, { outcome: Outcome.NotRun, reason: "shed" });
+      return;
+    }
+    const length = answer.headers["content-length"];
+    response.writeHead(
+      answer.statusCode,
+      length === undefined ? {} : { "content-length": String(length) },
+    );
+    answer.body.on("error", () => response.destroy());
+    answer.body.pipe(response);
+  } catch (error) {
+    refusePlainly(response, {
+      outcome: isConnectionRefused(error) ? Outcome.NotRun : Outcome.Unknown,
+      reason: "failed",
+    });
+  }
+}
+
+function getPool(
+  options: {
+    readonly backendServer: BackendServer;
+    readonly pools: Map<string, Pool>;
+  },
+): Pool {
+  const { address, connections } = options.backendServer;
+  const origin = `http://${address.host}:${address.port}`;
+  const pool = options.pools.get(origin) ?? new Pool(origin, { connections });
+  options.pools.set(origin, pool);
+  return pool;
+}
+
+function isConnectionRefused(error: unknown): boolean {
+  return error instanceof Error && "code" in error &&
+    error.code === "ECONNREFUSED";
+}
--- /dev/null
+++ b/measurements/plain_node/main.ts
@@ -0,0 +1,89 @@
+/**
+ * The baseline of the measurements: a node that watches the platform itself
+ * and passes each call to a backend server drawn at random, without admission,
+ * without other nodes and without a second try. It takes the settings of a
+ * node and answers the operators' paths that the measurements read.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import type { Pool } from "undici";
+import { Outcome } from "../../src/calls/outcome.ts";
+import { parseNodeSettings } from "../../src/daemon/parse_node_settings.ts";
+import { announceListening } from "../../stand_ins/common/announce_listening.ts";
+import { writeJson } from "../../stand_ins/common/write_json.ts";
+import { expectOk } from "../expect_ok.ts";
+import { chooseBackendServer } from "./choose_backend_server.ts";
+import { findPlainRoute } from "./find_plain_route.ts";
+import { forwardPlainly } from "./forward_plainly.ts";
+import type { PlainNodeState } from "./plain_node_state.ts";
+import { refusePlainly } from "./refuse_plainly.ts";
+import { watchPlatform } from "./watch_platform.ts";
+
+const { values } = parseArgs({
+  options: { settings: { type: "string" } },
+  allowPositionals: true,
+});
+const path = values.settings ?? "";
+const settings = expectOk(parseNodeSettings(readFileSync(path, "utf8"), path));
+const state: PlainNodeState = {
+  snapshot: undefined,
+  appliedAt: undefined,
+  revision: undefined,
+  platformReads: 0,
+};
+const pools = new Map<string, Pool>();
+
+function serveCall(request: IncomingMessage, response: ServerResponse): void {
+  const snapshot = state.snapshot;
+  const route = snapshot === undefined
+    ? undefined
+    : findPlainRoute(snapshot, request.url ?? "/");
+  const backendServer = snapshot === undefined || route === undefined
+    ? undefined
+    : chooseBackendServer(snapshot, {
+      service: route.service,
+      random: Math.random(),
+    });
+  if (route === undefined || backendServer === undefined) {
+    refusePlainly(response, { outcome: Outcome.NotRun, reason: "no-route" });
+    return;
+  }
+  forwardPlainly(request, response, {
+    backendServer,
+    pools,
+    deadlineMilliseconds: route.deadlineMilliseconds,
+  });
+}
+
+function serveOperator(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  if (request.url === "/health") {
+    writeJson(response, 200, { live: true, ready: state.snapshot !== undefined });
+    return;
+  }
+  writeJson(response, 200, {
+    version: state.snapshot?.version ?? null,
+    distribution: {
+      appliedAt: state.appliedAt,
+      platformReads: state.platformReads,
+      controlBytesSent: 0,
+      controlBytesReceived: 0,
+      controlMessagesSent: 0,
+      controlMessagesReceived: 0,
+    },
+  });
+}
+
+const operators = createServer(serveOperator);
+const callers = createServer(serveCall);
+announceListening(callers);
+operators.listen(settings.listeners.operators);
+callers.listen(settings.listeners.callers);
+watchPlatform(settings.platform, state);
