--- /dev/null
+++ b/measurements/fleet/fleet_figure.ts
@@ -0,0 +1,7 @@
+import type { FleetRun } from "./fleet_run.ts";
+
+/** A figure that is read from the run of a fleet. */
+export interface FleetFigure {
+  readonly title: string;
+  readonly read: (run: FleetRun) => number;
+}
--- a/measurements/fleet/fleet_run.ts
+++ b/measurements/fleet/fleet_run.ts
@@ -1,14 +1,18 @@
 import type { ControlUse } from "./control_use.ts";
+import type { StormUse } from "./storm_use.ts";
 
 /** What one fleet did. */
 export interface FleetRun {
+  readonly label: string;
   readonly nodes: number;
   readonly repeat: number;
   readonly isBaseline: boolean;
   readonly atRest: ControlUse;
   /** Time from the platform's acceptance to in force, of each node and each publication, in milliseconds. */
   readonly convergence: readonly number[];
-  /** Bytes that one change costs a node beyond the traffic at rest. */
+  /** Bytes of the published document. */
+  readonly documentBytes: number;
+  /** Bytes that one change of one service costs a node beyond the traffic at rest. */
   readonly bytesPerChange: number;
-  readonly peakPlatformReadsPerSecond: number;
+  readonly storm: StormUse;
 }
--- a/measurements/fleet/run_fleet.ts
+++ b/measurements/fleet/run_fleet.ts
@@ -1,28 +1,34 @@
+import { Buffer } from "node:buffer";
 import { wait } from "../wait.ts";
 import { computeControlUse } from "./compute_control_use.ts";
-import { createFleetPlan } from "./create_fleet_plan.ts";
+import { createServiceChange } from "./create_service_change.ts";
+import type { FleetCase } from "./fleet_case.ts";
 import type { FleetRun } from "./fleet_run.ts";
+import { getNodeCount } from "./get_node_count.ts";
 import { plainNodeProgram } from "./plain_node_program.ts";
 import { publishInTurn } from "./publish_in_turn.ts";
 import { readFleet } from "./read_fleet.ts";
+import { runStorm } from "./run_storm.ts";
 import { withDeployment } from "./with_deployment.ts";
 
 const millisecondsPerSecond = 1000;
 
-/** Starts a fleet, reads its use at rest, publishes some changes and reads again. */
+/** Starts a fleet, reads its use at rest, publishes changes, restarts a herd of its nodes and reads again. */
 export function runFleet(
+  fleetCase: FleetCase,
   options: {
-    readonly nodes: number;
     readonly repeat: number;
     readonly isBaseline: boolean;
     readonly settleMilliseconds: number;
     readonly restMilliseconds: number;
+    readonly stormMilliseconds: number;
     readonly changes: number;
   },
 ): Promise<FleetRun> {
-  const { nodes, repeat, isBaseline } = options;
+  const { label, plan } = fleetCase;
+  const { repeat, isBaseline } = options;
   return withDeployment(
-    createFleetPlan(nodes),
+    plan,
     isBaseline ? { nodeProgram: plainNodeProgram } : {},
     async (deployment) => {
       await wait(options.settleMilliseconds);
@@ -30,25 +36,30 @@
       await wait(options.restMilliseconds);
       const second = await readFleet(deployment);
       const atRest = computeControlUse(first, second);
-      const convergence = await publishInTurn(deployment, {
+      const times = await publishInTurn(deployment, {
+        plan,
         firstNumber: 2,
         count: options.changes,
       });
       const third = await readFleet(deployment);
       const changing = computeControlUse(second, third);
-      const counters = await deployment.getPlatformCounters();
+      const storm = await runStorm(deployment, options.stormMilliseconds);
       const extraPerSecond = changing.bytesSentPerSecond +
         changing.bytesReceivedPerSecond - atRest.bytesSentPerSecond -
         atRest.bytesReceivedPerSecond;
       return {
-        nodes,
+        label,
+        nodes: getNodeCount(plan),
         repeat,
         isBaseline,
         atRest,
-        convergence,
+        convergence: times.flat(),
+        documentBytes: Buffer.byteLength(
+          createServiceChange(plan, deployment.vms, 1),
+        ),
         bytesPerChange: extraPerSecond * changing.windowMilliseconds /
           millisecondsPerSecond / options.changes,
-        peakPlatformReadsPerSecond: counters.peakReadsPerSecond,
+        storm,
       };
     },
   );
--- /dev/null
+++ b/measurements/fleet/run_fleet_cases.ts
@@ -0,0 +1,39 @@
+import type { MeasureContext } from "../measure_context.ts";
+import { runInTurn } from "../run_in_turn.ts";
+import type { FleetCase } from "./fleet_case.ts";
+import type { FleetRun } from "./fleet_run.ts";
+import { runFleet } from "./run_fleet.ts";
+
+const repeats = 3;
+const quickRepeats = 1;
+
+/** Runs every case and its baseline in turn, as often as the context asks for. */
+export function runFleetCases(
+  cases: readonly FleetCase[],
+  context: MeasureContext,
+): Promise<readonly FleetRun[]> {
+  const count = context.quick ? quickRepeats : repeats;
+  const plans = Array.from(
+    { length: count },
+    (_, repeat) =>
+      cases.flatMap((fleetCase) => [
+        { fleetCase, repeat, isBaseline: false },
+        { fleetCase, repeat, isBaseline: true },
+      ]),
+  ).flat();
+  return runInTurn(plans, ({ fleetCase, repeat, isBaseline }) => {
+    context.progress(
+      `${fleetCase.label}${isBaseline ? " as baseline" : ""}, repeat ${
+        repeat + 1
+      } of ${count}`,
+    );
+    return runFleet(fleetCase, {
+      repeat,
+      isBaseline,
+      settleMilliseconds: context.quick ? 1000 : 4000,
+      restMilliseconds: context.quick ? 2000 : 10_000,
+      stormMilliseconds: context.quick ? 3000 : 10_000,
+      changes: context.quick ? 2 : 5,
+    });
+  });
+}
--- a/measurements/measures.ts
+++ b/measurements/measures.ts
@@ -1,11 +1,17 @@
 import { compileMeasure } from "./compile/compile_measure.ts";
 import { costMeasure } from "./cost/cost_measure.ts";
+import { convergenceMeasure } from "./convergence/convergence_measure.ts";
+import { controlMeasure } from "./fleet/control_measure.ts";
 import { fleetMeasure } from "./fleet/fleet_measure.ts";
+import { serviceMeasure } from "./service/service_measure.ts";
 import type { Measure } from "./measure.ts";
 
 /** Every measure, in the order in which they run. */
 export const measures: readonly Measure[] = [
   compileMeasure,
   costMeasure,
+  convergenceMeasure,
+  serviceMeasure,
+  controlMeasure,
   fleetMeasure,
 ];
--- /dev/null
+++ b/measurements/service/create_service_tables.ts
@@ -0,0 +1,123 @@
+import type { DeploymentPlan } from "../../stand_ins/deployment/deployment_plan.ts";
+import { formatSpread } from "../format_spread.ts";
+import type { MeasureTable } from "../measure_table.ts";
+import { computeServiceShare } from "./compute_service_share.ts";
+import { getServicePhase } from "./get_service_phase.ts";
+import { getSystemName } from "./get_system_name.ts";
+import { ServicePhase } from "./service_phase.ts";
+import type { ServiceRun } from "./service_run.ts";
+import type { ServiceShare } from "./service_share.ts";
+
+const shareColumns: readonly {
+  readonly title: string;
+  readonly read: (share: ServiceShare) => number;
+}[] = [
+  { title: "whole, %", read: (share) => share.whole * 100 },
+  { title: "not-run, %", read: (share) => share.notRun * 100 },
+  { title: "unknown, %", read: (share) => share.unknown * 100 },
+  { title: "broken, %", read: (share) => share.broken * 100 },
+  { title: "median, ms", read: (share) => share.medianMilliseconds },
+  {
+    title: "worst 99th percentile of a second, ms",
+    read: (share) => share.worstPercentile99Milliseconds,
+  },
+];
+
+/** Returns a table for each service of a plan, the calls of high priority first, and one of what the backend servers saw. */
+export function createServiceTables(
+  plan: DeploymentPlan,
+  runs: readonly ServiceRun[],
+): readonly MeasureTable[] {
+  const chosen = runs.filter((run) => run.deployment === plan.name);
+  const services = [...plan.services].sort((left, right) =>
+    getRank(left.priority) - getRank(right.priority)
+  );
+  return [
+    ...services.map((service) => ({
+      title: `${plan.name}: ${service.name}, priority ${service.priority}`,
+      columns: [
+        "phase",
+        "system",
+        ...shareColumns.map(({ title }) => title),
+      ],
+      rows: Object.values(ServicePhase).flatMap((phase) =>
+        [false, true].map((isBaseline) => [
+          phase,
+          getSystemName(isBaseline),
+          ...createShareCells(chosen, {
+            service: service.name,
+            phase,
+            isBaseline,
+          }),
+        ])
+      ),
+    })),
+    createBackendServerTable(plan, chosen),
+  ];
+}
+
+function getRank(priority: string): number {
+  return ["high", "normal", "low"].indexOf(priority);
+}
+
+function createShareCells(
+  runs: readonly ServiceRun[],
+  options: {
+    readonly service: string;
+    readonly phase: ServicePhase;
+    readonly isBaseline: boolean;
+  },
+): readonly string[] {
+  const shares = runs
+    .filter((run) => run.isBaseline === options.isBaseline)
+    .map((run) =>
+      computeServiceShare(
+        run.buckets.filter((bucket) =>
+          bucket.service === options.service &&
+          getServicePhase(bucket.second, run.timeline) === options.phase
+        ),
+      )
+    );
+  return shareColumns.map(({ read }) => formatSpread(shares.map(read)));
+}
+
+function createBackendServerTable(
+  plan: DeploymentPlan,
+  runs: readonly ServiceRun[],
+): MeasureTable {
+  const figures: readonly {
+    readonly title: string;
+    readonly read: (run: ServiceRun) => number;
+  }[] = [
+    {
+      title: "calls begun in the zone taken out, after 3 s",
+      read: (run) => run.begunInZoneTakenOut,
+    },
+    {
+      title: "calls beyond what a backend server could bear",
+      read: (run) => run.overloadEvents,
+    },
+    { title: "cold backend servers that fell over", read: (run) => run.falls },
+    { title: "idempotency keys run", read: (run) => run.keysRun },
+    {
+      title: "idempotency keys run more than once",
+      read: (run) => run.keysRunTwice,
+    },
+    {
+      title: "calls that the caller held back",
+      read: (run) => run.held,
+    },
+  ];
+  return {
+    title: `${plan.name}: what the backend servers counted`,
+    columns: ["figure", getSystemName(false), getSystemName(true)],
+    rows: figures.map(({ title, read }) => [
+      title,
+      ...[false, true].map((isBaseline) =>
+        formatSpread(
+          runs.filter((run) => run.isBaseline === isBaseline).map(read),
+        )
+      ),
+    ]),
+  };
+}
--- /dev/null
+++ b/measurements/service/get_service_phase.ts
@@ -0,0 +1,15 @@
+import { ServicePhase } from "./service_phase.ts";
+import type { ServiceTimeline } from "./service_timeline.ts";
+
+/** Returns the phase that a second of the run belongs to. */
+export function getServicePhase(
+  second: number,
+  timeline: ServiceTimeline,
+): ServicePhase {
+  if (second < timeline.outSecond) {
+    return ServicePhase.Before;
+  }
+  return second < timeline.returnSecond
+    ? ServicePhase.Out
+    : ServicePhase.Returned;
+}
--- /dev/null
+++ b/measurements/service/run_service.ts
@@ -0,0 +1,94 @@
+import type { Deployment } from "../../stand_ins/deployment/deployment.ts";
+import type { DeploymentPlan } from "../../stand_ins/deployment/deployment_plan.ts";
+import type { DeploymentVm } from "../../stand_ins/deployment/deployment_vm.ts";
+import { plainNodeProgram } from "../fleet/plain_node_program.ts";
+import { withDeployment } from "../fleet/with_deployment.ts";
+import { wait } from "../wait.ts";
+import { countKeyRuns } from "./count_key_runs.ts";
+import { createServiceLoad } from "./create_service_load.ts";
+import type { ServiceRun } from "./service_run.ts";
+import type { ServiceTimeline } from "./service_timeline.ts";
+
+const millisecondsPerSecond = 1000;
+const warmUpMilliseconds = 6000;
+const graceMilliseconds = 3000;
+const zoneIndex = 1;
+const callerSeedFactor = 1000;
+
+/** Runs callers against a deployment while one zone is taken out and returned with cold backend servers. */
+export function runService(
+  plan: DeploymentPlan,
+  options: {
+    readonly isBaseline: boolean;
+    readonly repeat: number;
+    readonly seed: number;
+    readonly timeline: ServiceTimeline;
+  },
+): Promise<ServiceRun> {
+  const { isBaseline, repeat, seed, timeline } = options;
+  const load = createServiceLoad(plan);
+  const deploymentOptions = {
+    backendServer: {
+      workMilliseconds: [...load.workMilliseconds] as [number, number],
+    },
+    ...(isBaseline ? { nodeProgram: plainNodeProgram } : {}),
+  };
+  return withDeployment(plan, deploymentOptions, async (deployment) => {
+    const zone = plan.zones[zoneIndex] ?? "";
+    const zoneVms = deployment.vms.filter((vm) => vm.zone === zone);
+    const startCaller = (milliseconds: number, callerSeed: number) =>
+      deployment.startCaller({
+        callsPerSecond: load.callsPerSecond,
+        abandonShare: load.abandonShare,
+        abandonMilliseconds: [...load.abandonMilliseconds] as [number, number],
+        durationMilliseconds: milliseconds,
+        seed: callerSeed,
+      });
+    await startCaller(warmUpMilliseconds, seed * callerSeedFactor).report;
+    const caller = startCaller(
+      timeline.endSecond * millisecondsPerSecond,
+      seed * callerSeedFactor + repeat + 1,
+    );
+    await wait(timeline.outSecond * millisecondsPerSecond);
+    await deployment.publish({ number: 2, zonesTakenOut: [zone] });
+    await wait(graceMilliseconds);
+    const begunAfterGrace = await countBegun(deployment, zoneVms);
+    await wait(
+      (timeline.returnSecond - timeline.outSecond) * millisecondsPerSecond -
+        graceMilliseconds,
+    );
+    const begunBeforeReturn = await countBegun(deployment, zoneVms);
+    await Promise.all(
+      zoneVms.map((vm) => deployment.setBackendServerState(vm, { cold: true })),
+    );
+    await deployment.publish({ number: 3 });
+    const report = await caller.report;
+    const runs = await Promise.all(
+      deployment.vms.map((vm) => deployment.getRuns(vm)),
+    );
+    return {
+      deployment: plan.name,
+      isBaseline,
+      repeat,
+      timeline,
+      buckets: report.buckets,
+      held: report.held,
+      begunInZoneTakenOut: begunBeforeReturn - begunAfterGrace,
+      overloadEvents: getSum(runs.map((entry) => entry.overloadEvents)),
+      falls: getSum(runs.map((entry) => entry.falls)),
+      ...countKeyRuns(runs),
+    };
+  });
+}
+
+async function countBegun(
+  deployment: Deployment,
+  vms: readonly DeploymentVm[],
+): Promise<number> {
+  const runs = await Promise.all(vms.map((vm) => deployment.getRuns(vm)));
+  return getSum(runs.map((entry) => entry.begun));
+}
+
+function getSum(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
