--- a/measurements/service/run_service.ts
+++ b/measurements/service/run_service.ts
@@ -29,6 +29,7 @@
   const load = createServiceLoad(plan);
   const deploymentOptions = {
     backendServer: {
+      startsCold: false,
       workMilliseconds: [...load.workMilliseconds] as [number, number],
     },
     ...(isBaseline ? { nodeProgram: plainNodeProgram } : {}),
