--- a/measurements/samples/samples_test.ts
+++ b/measurements/samples/samples_test.ts
@@ -3,7 +3,7 @@
 import { compileSnapshot } from "../../src/configuration/compile_snapshot.ts";
 import { parseNodeSettings } from "../../src/daemon/parse_node_settings.ts";
 import type { VmEntry } from "../../src/platform/vm_entry.ts";
-import type { NetworkAddress } from "../../src/runtime/network_address.ts";
+import { formatAddress } from "../../src/runtime/format_address.ts";
 import { createConfigurationSet } from "../compile/create_configuration_set.ts";
 import { backendServerSettingsSchema } from "../../stand_ins/backend_server/backend_server_settings_schema.ts";
 import { platformSettingsSchema } from "../../stand_ins/platform/platform_settings_schema.ts";
@@ -98,7 +98,3 @@
     })),
   );
 });
-
-function formatAddress(address: NetworkAddress): string {
-  return `${address.host}:${address.port}`;
-}
