Count control bytes in both roles of a node

A node counts only the connections that it opens, while the stated 8 KB a second are of the whole node.

--- a/measurements/fleet/control_use.ts
+++ b/measurements/fleet/control_use.ts
@@ -1,4 +1,8 @@
-/** What a fleet used for control in one window, on average for each node. */
+/**
+ * What a fleet used for control in one window, on average for each node. Bytes
+ * and messages are those of the connections that the node opened: its requests
+ * and their answers.
+ */
 export interface ControlUse {
   readonly windowMilliseconds: number;
   readonly bytesSentPerSecond: number;
--- a/measurements/fleet/fleet_measure.ts
+++ b/measurements/fleet/fleet_measure.ts
@@ -9,6 +9,7 @@
 import type { FleetFigure } from "./fleet_figure.ts";
 import { fleetNotes } from "./fleet_notes.ts";
 import type { FleetRun } from "./fleet_run.ts";
+import { getControlBytes } from "./get_control_bytes.ts";
 import { runFleetCases } from "./run_fleet_cases.ts";
 
 const sizes: readonly number[] = [12, 24, 48, 96];
@@ -18,8 +19,7 @@
   {
     name: "fleet_bytes",
     title: "Control bytes a second of the mean node at rest",
-    read: ({ atRest }) =>
-      atRest.bytesSentPerSecond + atRest.bytesReceivedPerSecond,
+    read: getControlBytes,
   },
   {
     name: "fleet_reads",
