Give quick runs their time limit and say at which size a target is met

A quick run takes nodes and baseline at the same time. A run with 12 nodes cannot show a target that is stated for 1,200, so its verdict names the size.

--- a/measurements/fleet/check_control_targets.ts
+++ b/measurements/fleet/check_control_targets.ts
@@ -60,7 +60,7 @@
         formatNumber(highest)
       } ${target.unit} with up to ${largest} nodes, highest of all runs`,
       verdict: highest <= target.limit
-        ? TargetVerdict.Met
+        ? TargetVerdict.MetAtThisSize
         : TargetVerdict.Missed,
     };
   });
--- a/measurements/format_result_page.ts
+++ b/measurements/format_result_page.ts
@@ -32,7 +32,12 @@
     rows: [
       ["command", `\`${report.command}\``],
       ["seed", report.seed],
-      ["size of the run", report.quick ? "quick" : "full"],
+      [
+        "size of the run",
+        report.quick
+          ? "quick: nodes and baseline at the same time"
+          : "full: nodes and baseline in turn",
+      ],
       [
         "load average over one minute, before and after",
         `${formatNumber(report.loadBefore)} and ${
--- /dev/null
+++ b/measurements/run_cases.ts
@@ -0,0 +1,11 @@
+import type { MeasureContext } from "./measure_context.ts";
+import { runInTurn } from "./run_in_turn.ts";
+
+/** Runs the cases of a measure in turn; a quick run takes them all at the same time, so that it ends within a minute. */
+export function runCases<Item, Value>(
+  items: readonly Item[],
+  context: MeasureContext,
+  work: (item: Item) => Promise<Value>,
+): Promise<readonly Value[]> {
+  return context.quick ? Promise.all(items.map(work)) : runInTurn(items, work);
+}
--- a/measurements/service/create_service_tables.ts
+++ b/measurements/service/create_service_tables.ts
@@ -52,6 +52,7 @@
         ])
       ),
     })),
+    createReasonTable(plan, chosen),
     createBackendServerTable(plan, chosen),
   ];
 }
@@ -81,6 +82,28 @@
   return shareColumns.map(({ read }) => formatSpread(shares.map(read)));
 }
 
+function createReasonTable(
+  plan: DeploymentPlan,
+  runs: readonly ServiceRun[],
+): MeasureTable {
+  const reasons = [
+    ...new Set(runs.flatMap((run) => Object.keys(run.reasons))),
+  ].sort();
+  return {
+    title: `${plan.name}: refusals and failures by reason, whole run`,
+    columns: ["reason", getSystemName(false), getSystemName(true)],
+    rows: reasons.map((reason) => [
+      reason,
+      ...[false, true].map((isBaseline) =>
+        formatSpread(
+          runs.filter((run) => run.isBaseline === isBaseline)
+            .map((run) => run.reasons[reason] ?? 0),
+        )
+      ),
+    ]),
+  };
+}
+
 function createBackendServerTable(
   plan: DeploymentPlan,
   runs: readonly ServiceRun[],
--- a/measurements/service/service_run.ts
+++ b/measurements/service/service_run.ts
@@ -8,6 +8,8 @@
   readonly repeat: number;
   readonly timeline: ServiceTimeline;
   readonly buckets: readonly CallerBucket[];
+  /** Refusals and failures by reason, over the whole run. */
+  readonly reasons: Readonly<Record<string, number>>;
   /** Calls that were not sent since too many were unanswered. */
   readonly held: number;
   /** Calls that began in the zone from three seconds after the publication until its return. */
