--- a/measurements/service/create_service_tables.ts
+++ b/measurements/service/create_service_tables.ts
@@ -126,13 +126,17 @@
       title: "idempotency keys run more than once",
       read: (run) => run.keysRunTwice,
     },
+    {
+      title: "processor time of all nodes for one attempt of a caller, ms",
+      read: (run) => run.processorMillisecondsPerCall,
+    },
     {
       title: "calls that the caller held back",
       read: (run) => run.held,
     },
   ];
   return {
-    title: `${plan.name}: what the backend servers counted`,
+    title: `${plan.name}: what backend servers and nodes counted`,
     columns: ["figure", getSystemName(false), getSystemName(true)],
     rows: figures.map(({ title, read }) => [
       title,
--- a/measurements/service/run_service.ts
+++ b/measurements/service/run_service.ts
@@ -2,6 +2,7 @@
 import type { DeploymentPlan } from "../../stand_ins/deployment/deployment_plan.ts";
 import type { DeploymentVm } from "../../stand_ins/deployment/deployment_vm.ts";
 import { plainNodeProgram } from "../fleet/plain_node_program.ts";
+import { readProcessUse } from "../fleet/read_process_use.ts";
 import { withDeployment } from "../fleet/with_deployment.ts";
 import { wait } from "../wait.ts";
 import { countKeyRuns } from "./count_key_runs.ts";
@@ -48,6 +49,7 @@
       });
     await startCaller(options.warmUpMilliseconds, seed * callerSeedFactor)
       .report;
+    const spentBefore = readProcessorMilliseconds(deployment);
     const caller = startCaller(
       timeline.endSecond * millisecondsPerSecond,
       seed * callerSeedFactor + repeat + 1,
@@ -66,6 +68,7 @@
     );
     await deployment.publish({ number: 3 });
     const report = await caller.report;
+    const spent = readProcessorMilliseconds(deployment) - spentBefore;
     const runs = await Promise.all(
       deployment.vms.map((vm) => deployment.getRuns(vm)),
     );
@@ -76,6 +79,7 @@
       timeline,
       buckets: report.buckets,
       reasons: report.reasons,
+      processorMillisecondsPerCall: spent / Math.max(1, report.sent),
       held: report.held,
       begunInZoneTakenOut: begunBeforeReturn - begunAfterGrace,
       overloadEvents: getSum(runs.map((entry) => entry.overloadEvents)),
@@ -85,6 +89,14 @@
   });
 }
 
+function readProcessorMilliseconds(deployment: Deployment): number {
+  return getSum(
+    deployment.vms.map((vm) =>
+      readProcessUse(deployment.getNode(vm)).processorMilliseconds
+    ),
+  );
+}
+
 async function countBegun(
   deployment: Deployment,
   vms: readonly DeploymentVm[],
--- a/measurements/service/service_run.ts
+++ b/measurements/service/service_run.ts
@@ -12,6 +12,8 @@
   readonly reasons: Readonly<Record<string, number>>;
   /** Calls that were not sent since too many were unanswered. */
   readonly held: number;
+  /** Processor time of all nodes together for one attempt of a caller, in milliseconds. */
+  readonly processorMillisecondsPerCall: number;
   /** Calls that began in the zone from three seconds after the publication until its return. */
   readonly begunInZoneTakenOut: number;
   /** Calls that found a backend server at its limit. */
