Measure abandoned calls, and take control bytes as the node counts them

The node now counts the control traffic that it serves, so the mean is no longer doubled. Most callers leave early, so the processor time of a call whose caller hung up stands beside that of an answered one.

--- a/measurements/cost/measure_processor_cost.ts
+++ b/measurements/cost/measure_processor_cost.ts
@@ -2,6 +2,7 @@
 import { readProcessUse } from "../fleet/read_process_use.ts";
 import { runInTurn } from "../run_in_turn.ts";
 import { wait } from "../wait.ts";
+import { abandonMeasuredCall } from "./abandon_measured_call.ts";
 import type { CallTarget } from "./call_target.ts";
 import type { ProcessorCost } from "./processor_cost.ts";
 import { sendMeasuredCall } from "./send_measured_call.ts";
@@ -12,9 +13,16 @@
 /** Sends calls by one path and divides the processor time that the nodes took, less their time at rest, by the number of calls. */
 export async function measureProcessorCost(
   target: CallTarget,
-  options: { readonly nodes: readonly Child[]; readonly calls: number },
+  options: {
+    readonly nodes: readonly Child[];
+    readonly calls: number;
+    readonly abandoned: boolean;
+  },
 ): Promise<ProcessorCost> {
-  const { nodes, calls } = options;
+  const { nodes, calls, abandoned } = options;
+  const send: (target: CallTarget) => Promise<unknown> = abandoned
+    ? abandonMeasuredCall
+    : sendMeasuredCall;
   const first = readNodes(nodes);
   const perSender = Array.from({
     length: Math.ceil(calls / concurrentCalls),
@@ -22,7 +30,7 @@
   await Promise.all(
     Array.from(
       { length: concurrentCalls },
-      () => runInTurn(perSender, () => sendMeasuredCall(target)),
+      () => runInTurn(perSender, () => send(target)),
     ),
   );
   const second = readNodes(nodes);
@@ -35,6 +43,7 @@
   const sent = perSender.length * concurrentCalls;
   return {
     path: target.path,
+    abandoned,
     milliseconds: (spent - shareAtRest * span) / sent,
     callsPerSecond: sent * millisecondsPerSecond / span,
   };
--- a/measurements/fleet/check_control_targets.ts
+++ b/measurements/fleet/check_control_targets.ts
@@ -2,7 +2,6 @@
 import { summarizeSamples } from "../summarize_samples.ts";
 import type { TargetCheck } from "../target_check.ts";
 import { TargetVerdict } from "../target_verdict.ts";
-import { getHighestControlBytes } from "./get_highest_control_bytes.ts";
 import type { FleetFigure } from "./fleet_figure.ts";
 import type { FleetRun } from "./fleet_run.ts";
 
@@ -16,7 +15,7 @@
 const targets: readonly ControlTarget[] = [
   {
     title: "8 KB a second of control traffic for a node",
-    read: getHighestControlBytes,
+    read: ({ atRest }) => atRest.highestBytesPerSecond,
     limit: 8000,
     unit: "bytes a second",
   },
--- a/measurements/fleet/control_use.ts
+++ b/measurements/fleet/control_use.ts
@@ -1,7 +1,6 @@
 /**
  * What a fleet used for control in one window, on average for each node. Bytes
- * and messages are those of the connections that the node opened: its requests
- * and their answers.
+ * are those of the connections to and from other nodes, with HTTP heads.
  */
 export interface ControlUse {
   readonly windowMilliseconds: number;
