--- a/src/command_line/run_command_line.ts
+++ b/src/command_line/run_command_line.ts
@@ -1,8 +1,10 @@
+import { runCheckCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { getPackageVersion } from "./get_package_version.ts";
 import { nodeCommand } from "./node_command.ts";
+import { runRoutesCommand } from "./routes_command.ts";
 import { statusCommand } from "./status_command.ts";
 import { trailCommand } from "./trail_command.ts";
 
@@ -10,6 +12,8 @@
 
 Commands:
   node     run one node beside its backend server
+  check    check a configuration before it is published
+  routes   show what a configuration compiles to
   status   show a node's version, backend server, peers and refusals
   trail    show a node's audit trail of changes
 
@@ -19,6 +23,8 @@
 
 const commands: ReadonlyMap<string, Command> = new Map([
   ["node", nodeCommand],
+  ["check", runCheckCommand],
+  ["routes", runRoutesCommand],
   ["status", statusCommand],
   ["trail", trailCommand],
 ]);
