Measure what knowing many peers costs a node

Cause: fleets of processes on one machine end at about a hundred nodes, while the size to design for is 1,200, and some decisions look at every peer. The mending belongs to src/peers.

--- a/measurements/measures.ts
+++ b/measurements/measures.ts
@@ -3,12 +3,14 @@
 import { convergenceMeasure } from "./convergence/convergence_measure.ts";
 import { controlMeasure } from "./fleet/control_measure.ts";
 import { fleetMeasure } from "./fleet/fleet_measure.ts";
+import { peersMeasure } from "./peers/peers_measure.ts";
 import { serviceMeasure } from "./service/service_measure.ts";
 import type { Measure } from "./measure.ts";
 
 /** Every measure, in the order in which they run. */
 export const measures: readonly Measure[] = [
   compileMeasure,
+  peersMeasure,
   costMeasure,
   convergenceMeasure,
   serviceMeasure,
