--- a/measurements/compile/measure_retained_bytes.ts
+++ b/measurements/compile/measure_retained_bytes.ts
@@ -1,35 +1,25 @@
-import process from "node:process";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { compileSnapshot } from "../../src/configuration/compile_snapshot.ts";
 import { createSizedDocument } from "../documents/create_sized_document.ts";
 import { scaleDocumentSize } from "../documents/scale_document_size.ts";
 import { expectOk } from "../expect_ok.ts";
+import { measureHeapGrowth } from "../measure_heap_growth.ts";
 import { createConfigurationSet } from "./create_configuration_set.ts";
 
 const backendServersHeld = 12_000;
 
 /** Returns the heap that one version with its snapshot keeps, in bytes. */
 export function measureRetainedBytes(backendServers: number): number {
-  const collect = getGarbageCollector();
   const size = scaleDocumentSize(backendServers);
-  collect();
-  const before = process.memoryUsage().heapUsed;
   const copies = Math.ceil(backendServersHeld / backendServers);
-  const held = Array.from({ length: copies }, (_, index) => {
-    const text = createSizedDocument(size, {
-      number: index + 1,
-      variant: index,
-    });
-    const set = createConfigurationSet(text);
-    return { set, snapshot: expectOk(compileSnapshot(set)) };
-  });
-  collect();
-  const after = process.memoryUsage().heapUsed;
-  return (after - before) / held.length;
-}
-
-function getGarbageCollector(): () => void {
-  setFlagsFromString("--expose_gc");
-  return runInNewContext("gc") as () => void;
+  const growth = measureHeapGrowth(() =>
+    Array.from({ length: copies }, (_, index) => {
+      const text = createSizedDocument(size, {
+        number: index + 1,
+        variant: index,
+      });
+      const set = createConfigurationSet(text);
+      return { set, snapshot: expectOk(compileSnapshot(set)) };
+    })
+  );
+  return growth / copies;
 }
--- a/measurements/measures.ts
+++ b/measurements/measures.ts
@@ -5,12 +5,14 @@
 import { fleetMeasure } from "./fleet/fleet_measure.ts";
 import { peersMeasure } from "./peers/peers_measure.ts";
 import { serviceMeasure } from "./service/service_measure.ts";
+import { ledgerMeasure } from "./ledger/ledger_measure.ts";
 import type { Measure } from "./measure.ts";
 
 /** Every measure, in the order in which they run. */
 export const measures: readonly Measure[] = [
   compileMeasure,
   peersMeasure,
+  ledgerMeasure,
   costMeasure,
   convergenceMeasure,
   serviceMeasure,
