Work out the two-year size from the measured lines

npm run measure fills the marked block of docs/CAPACITY.md from the figures of its own runs, so a figure there cannot outlive its run; a quantity whose measure was not run is named as not measured.

--- /dev/null
+++ b/measurements/capacity/capacity_figures.ts
@@ -0,0 +1,42 @@
+import type { CostFigures } from "../cost/cost_figures.ts";
+import type { ProcessorCost } from "../cost/processor_cost.ts";
+import type { FleetRun } from "../fleet/fleet_run.ts";
+import type { LedgerSample } from "../ledger/ledger_sample.ts";
+
+/** The figures of earlier runs that the capacity page needs; undefined where a measure was not run. */
+export interface CapacityFigures {
+  readonly fleet: { readonly runs: readonly FleetRun[] } | undefined;
+  readonly compile: {
+    readonly sizes: readonly {
+      readonly backendServers: number;
+      readonly phases: readonly {
+        readonly phase: string;
+        readonly median: number;
+      }[];
+    }[];
+    readonly bytes: readonly {
+      readonly backendServers: number;
+      readonly document: number;
+      readonly manifest: number;
+      readonly largestServicePart: number;
+    }[];
+    readonly retained: readonly {
+      readonly backendServers: number;
+      readonly bytes: number;
+    }[];
+  } | undefined;
+  readonly peers: {
+    readonly sizes: readonly {
+      readonly peers: number;
+      readonly figures: readonly {
+        readonly figure: string;
+        readonly median: number;
+      }[];
+    }[];
+  } | undefined;
+  readonly cost: {
+    readonly figures: readonly CostFigures[];
+    readonly processorCosts: readonly ProcessorCost[];
+  } | undefined;
+  readonly ledger: { readonly samples: readonly LedgerSample[] } | undefined;
+}
--- /dev/null
+++ b/measurements/capacity/capacity_row.ts
@@ -0,0 +1,8 @@
+/** One figure at the two-year size. */
+export interface CapacityRow {
+  readonly quantity: string;
+  /** How it was worked out, and from which page. */
+  readonly workedOut: string;
+  readonly figure: string;
+  readonly limit: string;
+}
--- /dev/null
+++ b/measurements/capacity/replace_marked_block_test.ts
@@ -0,0 +1,16 @@
+import test from "ava";
+import { replaceMarkedBlock } from "./replace_marked_block.ts";
+
+test("replaceMarkedBlock() keeps the page around the marks", (t) => {
+  const page =
+    "before\n<!-- figures: begin -->\nold\n<!-- figures: end -->\nafter";
+  const replaced = replaceMarkedBlock(page, "new") ?? "";
+  t.true(replaced.startsWith("before\n"));
+  t.true(replaced.endsWith("\nafter"));
+  t.true(replaced.includes("new"));
+  t.false(replaced.includes("old"));
+});
+
+test("replaceMarkedBlock() refuses a page without marks", (t) => {
+  t.is(replaceMarkedBlock("text", "new"), undefined);
+});
--- /dev/null
+++ b/measurements/capacity/two_year_load.ts
@@ -0,0 +1,8 @@
+/** The load that the users expect two years after the start. */
+export const twoYearLoad = {
+  nodes: 1200,
+  zones: 15,
+  callsPerSecond: 58_000,
+  callDepth: 18,
+  changesPerDay: 1100,
+} as const;
--- /dev/null
+++ b/measurements/capacity/update_capacity_page.ts
@@ -0,0 +1,34 @@
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import { formatTable } from "../format_table.ts";
+import { computeCallRows } from "./compute_call_rows.ts";
+import { computeDecisionRows } from "./compute_decision_rows.ts";
+import { computeFleetRows } from "./compute_fleet_rows.ts";
+import { readCapacityFigures } from "./read_capacity_figures.ts";
+import { replaceMarkedBlock } from "./replace_marked_block.ts";
+
+/** Writes the figures at the two-year size, worked out from the results in `folder`, into the marked block of a page. */
+export function updateCapacityPage(folder: string, path: string): void {
+  if (!existsSync(path)) {
+    return;
+  }
+  const figures = readCapacityFigures(folder);
+  const rows = [
+    ...computeFleetRows(figures.fleet?.runs),
+    ...computeDecisionRows(figures),
+    ...computeCallRows(figures),
+  ];
+  const table = formatTable({
+    title: "",
+    columns: ["quantity", "worked out as", "at 1,200 nodes", "limit"],
+    rows: rows.map((row) => [
+      row.quantity,
+      row.workedOut,
+      row.figure,
+      row.limit,
+    ]),
+  });
+  const page = replaceMarkedBlock(readFileSync(path, "utf8"), table);
+  if (page !== undefined) {
+    writeFileSync(path, page);
+  }
+}
--- a/measurements/main.ts
+++ b/measurements/main.ts
@@ -5,6 +5,7 @@
  */
 import process from "node:process";
 import { formatDiagnostic } from "../src/diagnostics/format_diagnostic.ts";
+import { updateCapacityPage } from "./capacity/update_capacity_page.ts";
 import { formatTable } from "./format_table.ts";
 import type { MeasureReport } from "./measure_report.ts";
 import { measures } from "./measures.ts";
@@ -12,6 +13,7 @@
 import { runMeasure } from "./run_measure.ts";
 import { writeReport } from "./write_report.ts";
 
+const capacityPage = "docs/CAPACITY.md";
 const usageExitCode = 2;
 const failureExitCode = 1;
 
@@ -60,6 +62,9 @@
     },
     Promise.resolve([]),
   );
+  if (measureOptions.output !== undefined && !measureOptions.quick) {
+    updateCapacityPage(measureOptions.output, capacityPage);
+  }
   printReports(reports, measureOptions.json);
   return 0;
 }
