--- a/src/admission/create_admission_runtime.ts
+++ b/src/admission/create_admission_runtime.ts
@@ -71,6 +71,7 @@
         });
       })
       .with({ kind: AdmissionEffectKind.Probe }, (probe) => {
+        if (isStopped) return;
         void prober?.probe({ deadline: probe.deadline }).then((result) => {
           if (isStopped) return;
           send(
@@ -137,9 +138,9 @@
       return drained;
     },
     stop() {
+      isStopped = true;
       // The queue is refused, since nothing will decide it later.
       send({ kind: AdmissionEventKind.DrainRequested });
-      isStopped = true;
       timer?.handle.cancel();
       timer = null;
     },
--- a/src/admission/dispatch_queue.ts
+++ b/src/admission/dispatch_queue.ts
@@ -3,7 +3,6 @@
 import type { AdmissionState } from "./admission_state.ts";
 import type { AdmissionStep } from "./admission_step.ts";
 import { createAdmitEffect } from "./create_admit_effect.ts";
-import { enterDown } from "./enter_down.ts";
 import { getFreeSlots } from "./get_free_slots.ts";
 import { getOccupiedSlots } from "./get_occupied_slots.ts";
 
@@ -27,10 +26,15 @@
     running: [...state.running, ...running],
   };
   return {
-    // A trial call puts off the next one, for as long as it may take to fail.
     state: state.backendServerState === BackendServerState.Down
-      ? enterDown(dispatched, context)
+      ? putOffTrial(dispatched, context.now)
       : dispatched,
     effects: running.map((call) => createAdmitEffect(call.callIdentifier)),
   };
 }
+
+/** While one call tries whether the backend server is back, no other does. */
+function putOffTrial(state: AdmissionState, now: number): AdmissionState {
+  const trialAt = now + state.contact.backoffMilliseconds;
+  return { ...state, contact: { ...state.contact, trialAt } };
+}
--- a/src/admission/handle_probe_answer.ts
+++ b/src/admission/handle_probe_answer.ts
@@ -32,7 +32,10 @@
     .with(
       BackendServerState.Unknown,
       () =>
-        enterColdStart(holdInherited(answered, { probe, context }), context),
+        state.backendServer === undefined ? answered : enterColdStart(
+          holdInherited(answered, { probe, context }),
+          context,
+        ),
     )
     .with(
       BackendServerState.Draining,
--- a/src/admission/handle_snapshot.ts
+++ b/src/admission/handle_snapshot.ts
@@ -30,6 +30,13 @@
   return {
     ...next,
     limit: { ...next.limit, current: backendServer.coldSlots },
+    // The next probe shows what the backend server is running already.
+    probing: {
+      ...next.probing,
+      nextAt: isNew && next.probing.sentAt > 0
+        ? context.now
+        : next.probing.nextAt,
+    },
   };
 }
 
--- a/src/admission/step_admission_test.ts
+++ b/src/admission/step_admission_test.ts
@@ -317,6 +317,25 @@
   t.true(isAdmitted("three"));
 });
 
+test("a probe before the first snapshot is sent again after it", (t) => {
+  const driver = createAdmissionDriver();
+  driver.send({ kind: AdmissionEventKind.Started });
+  driver.send({
+    kind: AdmissionEventKind.ProbeAnswered,
+    probe: { reportedState: "ready", running: 2, sentAt: driver.now },
+  });
+  t.is(
+    driver.getState().backendServerState,
+    BackendServerState.Unknown,
+  );
+  driver.now += 1;
+  const effects = driver.send({
+    kind: AdmissionEventKind.SnapshotApplied,
+    snapshot: createTestSnapshot({ slots }),
+  });
+  t.true(effects.some((effect) => effect.kind === AdmissionEffectKind.Probe));
+});
+
 test("calls that a former process left behind hold their slots", (t) => {
   const { isAdmitted, probe, request } = createFixture();
   probe("ready", 2);
@@ -324,6 +343,25 @@
   t.false(isAdmitted("one"));
 });
 
+test("trial calls that are refused come further and further apart", (t) => {
+  const { driver, isAdmitted, report, request } = createFixture();
+  request("first");
+  report("first", DispatchResult.ConnectionRefused);
+  const startedAt = driver.now;
+  const trials: number[] = [];
+  Array.from({ length: 600 }, (_, place) => {
+    driver.now += 50;
+    request(`call-${place}`);
+    if (!isAdmitted(`call-${place}`)) return;
+    trials.push(driver.now - startedAt);
+    report(`call-${place}`, DispatchResult.ConnectionRefused);
+  });
+  const gaps = trials.map((trial, place) => trial - (trials[place - 1] ?? 0));
+  t.true(gaps.every((gap, place) => gap >= 50 * 2 ** Math.min(place, 5)));
+  t.true(gaps.every((gap, place) => gap <= 50 + 100 * 2 ** Math.min(place, 6)));
+  t.true(trials.length >= 9, `${trials.length} trials in 30 s`);
+});
+
 test("a refused connection refuses the queue and leaves one trial call", (t) => {
   const { driver, getReason, isAdmitted, report, request } = createFixture();
   ["one", "two", "three"].forEach((name) => request(name));
