--- /dev/null
+++ b/src/command_line/routes_command.ts
@@ -0,0 +1,121 @@
+import Table from "cli-table3";
+import type { Route } from "../configuration/route.ts";
+import type { Snapshot } from "../configuration/snapshot.ts";
+import { formatVersion } from "../configuration/format_version.ts";
+import { ZoneState } from "../configuration/zone_state.ts";
+import type { CommandOutput } from "./command_output.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { loadConfiguration } from "./load_configuration.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
+import { writeDiagnostics } from "./write_diagnostics.ts";
+
+const usage = "catkinquay routes FILE [--json]";
+
+const help = `Usage: catkinquay routes FILE [options]
+
+Shows what a configuration document compiles to: the routes in the order in
+which they are tried, and how many backend servers of each may take new work.
+
+Options:
+  --json  write one JSON object
+  --help  show this text
+
+Exit status: 0 where the document is valid, 1 where it is not, 2 for bad usage.
+`;
+
+/** Runs `catkinquay routes`; `parameters` are the arguments after the name of the command. */
+export async function runRoutesCommand(
+  parameters: readonly string[],
+  output: CommandOutput,
+): Promise<ExitStatus> {
+  const commandLine = parseCommandLine(parameters, {
+    options: { json: { type: "boolean" } },
+    operandsMinimum: 1,
+    operandsMaximum: 1,
+    usage,
+  });
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
+    return ExitStatus.Usage;
+  }
+  const { values, operands: [path = ""] } = commandLine.value;
+  if (values["help"] === true) {
+    output.write(help);
+    return ExitStatus.Success;
+  }
+  const loaded = await loadConfiguration(path);
+  return loaded.match({
+    Ok: ({ snapshot }) => {
+      output.write(
+        values["json"] === true ? formatJson(snapshot) : formatTable(snapshot),
+      );
+      return ExitStatus.Success;
+    },
+    Err: (reasons) => {
+      writeDiagnostics(output, reasons, { subject: path });
+      return ExitStatus.Failure;
+    },
+  });
+}
+
+function formatTable(snapshot: Snapshot): string {
+  const table = new Table({
+    head: [
+      "Host",
+      "Path prefix",
+      "Service",
+      "Priority",
+      "Deadline",
+      "Idempotent methods",
+      "Key",
+      "Backend servers",
+    ],
+    style: { head: [], border: [] },
+  });
+  table.push(...snapshot.routes.map((route) => formatRow(snapshot, route)));
+  const takenOut = [...snapshot.zones.values()]
+    .filter(({ state }) => state === ZoneState.TakenOut)
+    .map(({ name }) => name);
+  return [
+    `Version ${formatVersion(snapshot.version)}`,
+    table.toString(),
+    ...takenOut.length > 0 ? [`Zones taken out: ${takenOut.join(", ")}`] : [],
+    "",
+  ].join("\n");
+}
+
+function formatRow(snapshot: Snapshot, route: Route): string[] {
+  const servers = snapshot.services.get(route.service)?.backendServers ?? [];
+  const taking = countTakingWork(snapshot, route);
+  return [
+    route.host ?? "any",
+    route.pathPrefix,
+    route.service,
+    route.priority,
+    `${route.deadlineMilliseconds} ms`,
+    route.idempotentMethods.join(" "),
+    route.requireIdempotencyKey ? "required" : "optional",
+    `${taking} of ${servers.length}`,
+  ];
+}
+
+function formatJson(snapshot: Snapshot): string {
+  return `${
+    JSON.stringify({
+      version: snapshot.version,
+      routes: snapshot.routes.map((route) => ({
+        ...route,
+        backendServersTakingWork: countTakingWork(snapshot, route),
+      })),
+    })
+  }\n`;
+}
+
+function countTakingWork(snapshot: Snapshot, { service }: Route): number {
+  return (snapshot.services.get(service)?.backendServers ?? [])
+    .filter(({ leaving, zone }) =>
+      !leaving && snapshot.zones.get(zone)?.state === ZoneState.InService
+    )
+    .length;
+}
