Put twelve nodes under the scenarios of the distribution

Cause: with two nodes a zone every node reads the platform, so that nothing had to come from peers: mutants without the check of digests and with parts missing passed. With four a zone, and one reader that reaches the platform, they fail.

--- a/scenarios/convergence.feature
+++ b/scenarios/convergence.feature
@@ -1,23 +1,34 @@
 Feature: an accepted configuration is in force everywhere within seconds and never reverts
 
-  Scenario: [point 11: reader killed] half of the nodes, readers among them, die right after the publication
-    Given six nodes in three zones with version 1 in force
+  Scenario: [point 11: reader killed] half of the nodes die right after the publication
+    Given twelve nodes in three zones with version 1 in force
     When version 2 is published
     And 50 ms pass
-    And the nodes "vm-1, vm-2, vm-3" are killed
+    And the nodes "vm-1, vm-2, vm-3, vm-4, vm-5, vm-6" are killed
     And 11000 ms pass
-    Then version 2 is in force on "vm-4, vm-5, vm-6"
+    Then version 2 is in force on "vm-7, vm-8, vm-9, vm-10, vm-11, vm-12"
+
+  Scenario: [point 11: reader killed] the only reader that reaches the platform dies once two peers have the version
+    Given twelve nodes in three zones with version 1 in force
+    When only one reader reaches the platform
+    And version 2 is published
+    And 60 ms pass
+    And the nodes "the reader" are killed
+    And the platform goes down
+    And 11000 ms pass
+    Then version 2 is in force on "all but the reader"
 
   Scenario: [point 11: platform down right after publishing] one reader saw it and the platform goes down
-    Given six nodes in three zones with version 1 in force
-    When version 2 is published
+    Given twelve nodes in three zones with version 1 in force
+    When only one reader reaches the platform
+    And version 2 is published
     And 10 ms pass
     And the platform goes down
     And 11000 ms pass
     Then version 2 is in force everywhere
 
   Scenario: [point 11: partition healing] the side without a reader of the new version gets it when the network heals
-    Given six nodes in three zones with version 1 in force
+    Given twelve nodes in three zones with version 1 in force
     When messages from and to "vm-2, vm-5" are lost
     And version 2 is published
     And 100 ms pass
@@ -28,25 +39,25 @@
     Then version 2 is in force everywhere
     And no VM ever went back to an older version
 
-  Scenario: [point 11: herd of nodes killed and reconnecting] five of six nodes start again at once
-    Given six nodes in three zones with version 1 in force
-    When the nodes "vm-1, vm-2, vm-3, vm-4, vm-5" start
+  Scenario: [point 11: herd of nodes killed and reconnecting] all nodes but one start again at once
+    Given twelve nodes in three zones with version 1 in force
+    When the nodes "all but vm-6" start
     And version 2 is published
     And 11000 ms pass
     Then version 2 is in force everywhere
     And no VM ever went back to an older version
 
   Scenario: [point 11: herd of nodes killed and reconnecting] the whole fleet starts again at once, the platform down for a minute
-    Given six nodes in three zones with version 1 in force
+    Given twelve nodes in three zones with version 1 in force
     When the platform goes down
-    And the nodes "vm-1, vm-2, vm-3, vm-4, vm-5, vm-6" start
+    And the nodes "all" start
     And 60000 ms pass
     And the platform comes back
     And 45000 ms pass
     Then version 1 is in force everywhere
 
   Scenario: [point 11: connection gone silent] the messages of two nodes vanish for a time
-    Given six nodes in three zones with version 1 in force
+    Given twelve nodes in three zones with version 1 in force
     When messages from and to "vm-1, vm-4" are lost
     And version 2 is published
     And 11000 ms pass
--- a/scenarios/fleet/create_fleet_configuration.ts
+++ b/scenarios/fleet/create_fleet_configuration.ts
@@ -11,7 +11,7 @@
   readonly isBad?: boolean;
 }
 
-const usualServices = 2;
+const usualServices = 4;
 
 /** Returns a text that fits the VMs of a fleet. */
 export function createFleetConfiguration(
--- a/scenarios/fleet/create_fleet_world.ts
+++ b/scenarios/fleet/create_fleet_world.ts
@@ -2,15 +2,16 @@
 import type { FleetWorld } from "./fleet_world.ts";
 
 const seed = 11;
-const vms = 6;
+const vms = 12;
 const zones = 3;
 
-/** Creates six VMs in three zones; no node has started. */
+/** Creates twelve VMs in three zones; no node has started. */
 export function createFleetWorld(): FleetWorld {
   const world: FleetWorld = {
     fleet: createDistributionFleet({ vms, zones, seed }),
     zones,
     history: new Map(),
+    reader: undefined,
     rules: [],
   };
   world.fleet.network.setScript((message) =>
--- a/scenarios/fleet/fleet_steps.ts
+++ b/scenarios/fleet/fleet_steps.ts
@@ -1,4 +1,5 @@
 import { compareVersions } from "../../src/configuration/compare_versions.ts";
+import type { Snapshot } from "../../src/configuration/snapshot.ts";
 import type { Version } from "../../src/configuration/version.ts";
 import { DistributionMethod } from "../../src/distribution/distribution_method.ts";
 import type { FleetNode } from "../../src/testing/fleet_node.ts";
@@ -10,13 +11,13 @@
 import { getHistory } from "./get_history.ts";
 import { noteHistory } from "./note_history.ts";
 
-const vms = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"];
+const vms = Array.from({ length: 12 }, (_, index) => `vm-${index + 1}`);
 const startMilliseconds = 15_000;
 
 /** The steps of the scenarios about the distribution. */
 export const fleetSteps: readonly StepDefinition<FleetWorld>[] = [
   {
-    expression: "six nodes in three zones with version {int} in force",
+    expression: "twelve nodes in three zones with version {int} in force",
     async run(world, { values: [number] }) {
       publish(world, { number: Number(number) });
       vms.forEach((vm) => world.fleet.start(vm));
@@ -24,7 +25,7 @@
     },
   },
   {
-    expression: "six nodes in three zones that have not started",
+    expression: "twelve nodes in three zones that have not started",
     run() {},
   },
   {
@@ -67,7 +68,7 @@
   {
     expression: "the nodes {string} start",
     run: (world, { values: [names] }) =>
-      split(names).forEach((vm) => {
+      split(world, names).forEach((vm) => {
         noteHistory(world, vm);
         world.fleet.start(vm);
       }),
@@ -75,7 +76,7 @@
   {
     expression: "the nodes {string} are killed",
     run: (world, { values: [names] }) =>
-      split(names).forEach((vm) => {
+      split(world, names).forEach((vm) => {
         noteHistory(world, vm);
         world.fleet.kill(vm);
       }),
@@ -85,7 +86,7 @@
     run(world, { values: [names] }) {
       const addresses = vms.map((_, index) => getAddress(index));
       const inside = addresses.filter((_, index) =>
-        split(names).includes(vms[index] ?? "")
+        split(world, names).includes(vms[index] ?? "")
       );
       const outside = addresses.filter((address) => !inside.includes(address));
       world.fleet.network.partition([inside, outside]);
@@ -109,11 +110,13 @@
     },
   },
   {
-    expression: "only {string} reaches the platform",
-    run: (world, { values: [names] }) =>
+    expression: "only one reader reaches the platform",
+    run(world) {
+      world.reader = getReaders(world)[0] ?? "";
       world.fleet.platform.setCutOff(
-        vms.filter((vm) => !split(names).includes(vm)),
-      ),
+        vms.filter((vm) => vm !== world.reader),
+      );
+    },
   },
   {
     expression: "every request for parts is lost",
@@ -127,7 +130,7 @@
   {
     expression: "messages from and to {string} are lost",
     run(world, { values: [names] }) {
-      const lost = split(names).map((vm) =>
+      const lost = split(world, names).map((vm) =>
         formatAddress(getAddress(vms.indexOf(vm)))
       );
       world.rules.unshift(({ from, to }) =>
@@ -167,8 +170,8 @@
     expression: "version {int} is in force on {string}",
     run: (world, { values: [number, names], assert }) =>
       void assert.deepEqual(
-        split(names).map((vm) => getVersion(world, vm)?.number),
-        split(names).map(() => Number(number)),
+        split(world, names).map((vm) => getVersion(world, vm)?.number),
+        split(world, names).map(() => Number(number)),
       ),
   },
   {
@@ -185,14 +188,36 @@
       const digests = vms.map((vm) => getVersion(world, vm)?.digest);
       assert.deepEqual(digests, digests.map(() => digests[0]));
       assert.not(digests[0], undefined);
+      const contents = vms.map((vm) => {
+        const snapshot = world.fleet.getNode(vm)?.applied.at(-1);
+        return snapshot === undefined ? "" : describe(snapshot);
+      });
+      assert.is(new Set(contents).size, 1);
+    },
+  },
+  {
+    expression: "one content of version {int} was in force",
+    run(world, { values: [number], assert }) {
+      const digests = vms.flatMap((vm) =>
+        getHistory(world, vm)
+          .filter((version) => version.number === Number(number))
+          .map((version) => version.digest)
+      );
+      const contents = vms.flatMap((vm) =>
+        world.fleet.getNode(vm)?.applied.filter((snapshot) =>
+          snapshot.version.number === Number(number)
+        ).map((snapshot) => describe(snapshot)) ?? []
+      );
+      assert.is(new Set(digests).size, 1);
+      assert.is(new Set(contents).size, 1);
     },
   },
   {
     expression: "nothing is in force on {string}",
     run: (world, { values: [names], assert }) =>
       void assert.deepEqual(
-        split(names).map((vm) => getVersion(world, vm)),
-        split(names).map(() => undefined),
+        split(world, names).map((vm) => getVersion(world, vm)),
+        split(world, names).map(() => undefined),
       ),
   },
   {
@@ -246,6 +271,15 @@
   },
 ];
 
+function describe(snapshot: Snapshot): string {
+  return JSON.stringify([
+    [...snapshot.backendServers],
+    [...snapshot.zones],
+    snapshot.routes,
+    snapshot.retryBudgetPercent,
+  ]);
+}
+
 /** Changes a value within what the schema allows, so that the digest alone tells. */
 function corruptPart(part: object): object {
   const text = JSON.stringify(part);
@@ -256,8 +290,27 @@
   );
 }
 
-function split(names: string | number | undefined): readonly string[] {
-  return String(names).split(", ");
+/** Reads a list of VMs such as `vm-1, vm-2`, `all`, `all but vm-3`, `the readers` or `the reader`. */
+function split(
+  world: FleetWorld,
+  names: string | number | undefined,
+): readonly string[] {
+  const text = String(names).replace("the reader ", `${world.reader} `)
+    .replace(/the reader$/, `${world.reader}`);
+  const [, exception] = text.split("all but ");
+  if (exception !== undefined) {
+    return vms.filter((vm) => vm !== exception);
+  }
+  if (text === "the readers") {
+    return getReaders(world);
+  }
+  return text === "all" ? vms : text.split(", ");
+}
+
+function getReaders(world: FleetWorld): readonly string[] {
+  return vms.filter((vm) =>
+    world.fleet.getNode(vm)?.runtime.getStatus().isReader === true
+  );
 }
 
 function getAddress(index: number) {
@@ -268,7 +321,7 @@
   world: FleetWorld,
   names: string | number | undefined,
 ): readonly FleetNode[] {
-  return split(names).flatMap((vm) => world.fleet.getNode(vm) ?? []);
+  return split(world, names).flatMap((vm) => world.fleet.getNode(vm) ?? []);
 }
 
 function getVersion(world: FleetWorld, vm: string): Version | undefined {
--- a/scenarios/fleet/fleet_world.ts
+++ b/scenarios/fleet/fleet_world.ts
@@ -9,6 +9,8 @@
   readonly zones: number;
   /** Every version put in force on a VM, over all its starts, in order. */
   readonly history: Map<string, Version[]>;
+  /** The one reader that still reaches the platform, where a scenario has cut the others off. */
+  reader: string | undefined;
   /** What delivers messages; a rule that returns undefined leaves it to the next. */
   readonly rules: ((
     message: ControlMessage,
