--- a/measurements/convergence/convergence_measure.ts
+++ b/measurements/convergence/convergence_measure.ts
@@ -19,8 +19,7 @@
 import { publishUnderCondition } from "./publish_under_condition.ts";
 
 const plans: readonly DeploymentPlan[] = [boloFestaSulPlan, koloretePlan];
-const repeats = 6;
-const quickRepeats = 1;
+const publicationsInRepeat = 2;
 const settleMilliseconds = 2000;
 const targetMilliseconds = 11_000;
 const conditions = Object.values(ConvergenceCondition);
@@ -52,7 +51,9 @@
     return runCase(plan, {
       isBaseline,
       rounds: Array.from(
-        { length: context.quick ? quickRepeats : repeats },
+        {
+          length: context.quick ? 1 : context.repeats * publicationsInRepeat,
+        },
         () => context.quick ? quickConditions : conditions,
       ).flat(),
     });
--- a/measurements/main.ts
+++ b/measurements/main.ts
@@ -25,6 +25,7 @@
   --json         print the figures as one JSON line at the end
   --only NAME    run one measure; may be repeated
   --seed NUMBER  seed of the random numbers (1)
+  --repeats N    how often runs of processes are repeated (3; 1 in a quick run)
   --output PATH  folder for the pages (docs/measurements)
   --help         print this text
 
--- a/measurements/measure_context.ts
+++ b/measurements/measure_context.ts
@@ -2,6 +2,8 @@
 export interface MeasureContext {
   readonly quick: boolean;
   readonly seed: number;
+  /** How often runs of processes are repeated. */
+  readonly repeats: number;
   /** Reports progress for people. */
   readonly progress: (message: string) => void;
 }
--- a/measurements/measure_options.ts
+++ b/measurements/measure_options.ts
@@ -6,6 +6,8 @@
   readonly json: boolean;
   readonly help: boolean;
   readonly seed: number;
+  /** How often runs of processes are repeated. */
+  readonly repeats: number;
   /** Names of the measures to run; empty for all. */
   readonly only: readonly string[];
   /** Where result pages go; undefined writes none. */
--- a/measurements/parse_measure_options.ts
+++ b/measurements/parse_measure_options.ts
@@ -7,6 +7,9 @@
 import type { MeasureOptions } from "./measure_options.ts";
 
 const defaultSeed = 1;
+const defaultRepeats = 3;
+const quickRepeats = 1;
+const highestRepeats = 20;
 const defaultOutput = "docs/measurements";
 
 /**
@@ -29,6 +32,18 @@
       allowed: "a whole number",
     }));
   }
+  const quick = values.quick ?? false;
+  const repeats = Number(
+    values.repeats ?? (quick ? quickRepeats : defaultRepeats),
+  );
+  if (
+    !Number.isSafeInteger(repeats) || repeats < 1 || repeats > highestRepeats
+  ) {
+    return Result.err(createUsageDiagnostic("--repeats", {
+      found: `"${values.repeats}"`,
+      allowed: `a whole number from 1 to ${highestRepeats}`,
+    }));
+  }
   const only = values.only ?? [];
   const unknown = only.find((name) => !measureNames.includes(name));
   if (unknown !== undefined) {
@@ -37,12 +52,12 @@
       allowed: measureNames.join(", "),
     }));
   }
-  const quick = values.quick ?? false;
   return Result.ok({
     quick,
     json: values.json ?? false,
     help: values.help ?? false,
     seed,
+    repeats,
     only,
     output: values.output ?? (quick ? undefined : defaultOutput),
   });
@@ -63,6 +78,7 @@
           json: { type: "boolean" },
           help: { type: "boolean", short: "h" },
           seed: { type: "string" },
+          repeats: { type: "string" },
           only: { type: "string", multiple: true },
           output: { type: "string" },
         },
--- a/measurements/parse_measure_options_test.ts
+++ b/measurements/parse_measure_options_test.ts
@@ -18,4 +18,5 @@
   t.true(parseMeasureOptions(["--only", "speed"], names).isErr);
   t.true(parseMeasureOptions(["--fast"], names).isErr);
   t.true(parseMeasureOptions(["--seed", "one"], names).isErr);
+  t.true(parseMeasureOptions(["--repeats", "0"], names).isErr);
 });
