--- a/measurements/capacity/compute_fleet_rows.ts
+++ b/measurements/capacity/compute_fleet_rows.ts
@@ -36,7 +36,7 @@
   },
   {
     quantity:
-      `control bytes of a node for ${twoYearLoad.changesPerDay} changes a day`,
+      `upper bound of the control bytes of a node for ${twoYearLoad.changesPerDay} changes a day`,
     read: (run) => run.bytesPerChange,
     scale: twoYearLoad.changesPerDay / secondsPerDay,
     unit: "bytes a second",
--- a/measurements/capacity/compute_fleet_rows_test.ts
+++ b/measurements/capacity/compute_fleet_rows_test.ts
@@ -43,7 +43,7 @@
   const find = (text: string) =>
     rows.find(({ quantity }) => quantity.startsWith(text))?.figure;
   t.is(find("control bytes of a node at rest"), "3400 bytes a second");
-  t.is(find("control bytes of a node for"), "110 bytes a second");
+  t.is(find("upper bound of the control bytes"), "110 bytes a second");
   t.is(find("resident memory"), "100 MB");
 });
 
