--- a/src/distribution/create_distribution_runtime.ts
+++ b/src/distribution/create_distribution_runtime.ts
@@ -1,8 +1,13 @@
-import { JSONRPCErrorCode, JSONRPCErrorException } from "json-rpc-2.0";
 import { match } from "ts-pattern";
 import { joinConfiguration } from "../configuration/join_configuration.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
-import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
+import { getShownRecords } from "../peers/get_shown_records.ts";
+import { getVmsInState } from "../peers/get_vms_in_state.ts";
+import { VmSightingState } from "../peers/vm_sighting_state.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { createDistributionState } from "./create_distribution_state.ts";
 import type { DistributionContext } from "./distribution_context.ts";
@@ -13,7 +18,6 @@
 import type { DistributionRuntime } from "./distribution_runtime.ts";
 import type { DistributionRuntimeOptions } from "./distribution_runtime_options.ts";
 import { getDistributionStatus } from "./get_distribution_status.ts";
-import { getGoneVms } from "./get_gone_vms.ts";
 import { getNextDeadline } from "./get_next_deadline.ts";
 import { parseDistributionRequest } from "./parse_distribution_request.ts";
 import { stepDistribution } from "./step_distribution.ts";
@@ -145,9 +149,14 @@
   }
 
   function readPlatform(
-    { deadline }: EffectOf<DistributionEffectKind.ReadPlatform>,
+    { deadline, forConfirmation }: EffectOf<
+      DistributionEffectKind.ReadPlatform
+    >,
   ): void {
-    takePlatformAnswer(platformClient.readConfiguration({ deadline }));
+    takePlatformAnswer(
+      platformClient.readConfiguration({ deadline }),
+      forConfirmation,
+    );
   }
 
   function watchPlatform(
@@ -155,11 +164,13 @@
   ): void {
     takePlatformAnswer(
       platformClient.watchConfiguration(revision, { deadline }),
+      false,
     );
   }
 
   function takePlatformAnswer(
     answer: ReturnType<typeof platformClient.readConfiguration>,
+    forConfirmation: boolean,
   ): void {
     platformReads += 1;
     answer.then((result) =>
@@ -167,10 +178,12 @@
         Ok: (value) => ({
           kind: DistributionEventKind.PlatformAnswered,
           value,
+          forConfirmation,
         }),
         Err: (reason) => ({
           kind: DistributionEventKind.PlatformFailed,
           reason,
+          forConfirmation,
         }),
       }))
     );
@@ -210,12 +223,11 @@
     },
     handleControlMethod(method, parameters) {
       if (isStopped) {
-        return Promise.reject(
-          new JSONRPCErrorException(
-            "The node has stopped",
-            JSONRPCErrorCode.InternalError,
-          ),
-        );
+        return rejectMessage({
+          path: "method",
+          found: "sent to a node that has stopped",
+          allowed: "sent to a node that runs",
+        });
       }
       return parseDistributionRequest(method, parameters).match({
         Ok: (request) =>
@@ -228,21 +240,15 @@
               request,
             });
           }),
-        Err: (reasons) =>
-          Promise.reject(
-            new JSONRPCErrorException(
-              reasons.map(formatDiagnostic).join("; "),
-              JSONRPCErrorCode.InvalidParams,
-              reasons,
-            ),
-          ),
+        Err: ([reason]) => rejectMessage(reason ?? {}),
       });
     },
     getSnapshot: (): Snapshot | undefined => state.versions.inForce?.snapshot,
     getDocument: () =>
       state.versions.inForce && joinConfiguration(state.versions.inForce.set),
-    getPeers: () => state.peers.records,
-    getGoneVms: () => getGoneVms(state.peers),
+    getPeers: () => getShownRecords(state.peers),
+    getGoneVms: () => getVmsInState(state.peers, VmSightingState.Gone),
+    getLeavingVms: () => getVmsInState(state.peers, VmSightingState.Leaving),
     confirmView() {
       if (isStopped) {
         return Promise.resolve();
@@ -267,3 +273,11 @@
       }),
   };
 }
+
+function rejectMessage(reason: Partial<Diagnostic>): Promise<never> {
+  return Promise.reject(
+    new DiagnosticFailure(
+      createDiagnostic(DiagnosticCode.ControlMessageInvalid, reason),
+    ),
+  );
+}
--- a/src/peers/take_listed_vms.ts
+++ b/src/peers/take_listed_vms.ts
@@ -1,9 +1,10 @@
 import { formatAddress } from "../runtime/format_address.ts";
 import type { VmEntry } from "../platform/vm_entry.ts";
 import type { KnownPeer } from "./known_peer.ts";
+import { findSightings } from "./find_sightings.ts";
 import { mergeSightings } from "./merge_sightings.ts";
 import type { PeersState } from "./peers_state.ts";
-import { upsertKnownPeer } from "./upsert_known_peer.ts";
+import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
 const forgetSilentPeerMilliseconds = 600_000;
 
@@ -14,17 +15,9 @@
   { now }: { readonly now: number },
 ): PeersState {
   const listed = new Map(vms.map((entry) => [entry.vm, entry]));
-  const gone = [...(state.listedVms?.keys() ?? [])]
-    .filter((vm) =>
-      !listed.has(vm) && state.sightings.get(vm)?.listed !== false
-    )
-    .map((vm) => ({ vm, listed: false, at: now }));
-  const returned = [...state.sightings.values()]
-    .filter((sighting) => !sighting.listed && listed.has(sighting.vm))
-    .map(({ vm }) => ({ vm, listed: true, at: now }));
   return mergeSightings(
     { ...state, listedVms: listed, known: updateKnown(state, { vms, now }) },
-    [...gone, ...returned],
+    findSightings(state, listed, { now }),
   );
 }
 
@@ -47,14 +40,13 @@
       peer.isSeed || peer.isListed || peer.isRegistered ||
       peer.heardAt + forgetSilentPeerMilliseconds > options.now
     );
-  return others.reduce<ReadonlyMap<string, KnownPeer>>(
-    (known, { vm, zone, nodeAddress }) =>
-      upsertKnownPeer(known, {
-        vm,
-        zone,
-        address: nodeAddress,
-        isListed: true,
-      }),
+  return upsertKnownPeers(
     new Map(kept),
+    others.map(({ vm, zone, nodeAddress }) => ({
+      vm,
+      zone,
+      address: nodeAddress,
+      isListed: true,
+    })),
   );
 }
