--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -24,11 +24,13 @@
   /** Reports how a call that was allowed, or gave up waiting, has ended. */
   conclude(
     call: ForwardedCall,
-    outcome:
-      | SettlementKind.Finished
-      | SettlementKind.NotRun
-      | SettlementKind.Unknown,
-    answer: StoredAnswer | undefined,
+    end: {
+      readonly outcome:
+        | SettlementKind.Finished
+        | SettlementKind.NotRun
+        | SettlementKind.Unknown;
+      readonly answer: StoredAnswer | undefined;
+    },
   ): void;
   /** Answers another owner and fences the key for it. */
   settle(
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -187,7 +187,7 @@
         ),
       });
     },
-    conclude: (call, outcome, answer) => {
+    conclude: (call, end) => {
       if (call.key === undefined) {
         return;
       }
@@ -196,8 +196,7 @@
       apply(call.key.value, {
         kind: LedgerEventKind.Concluded,
         attemptIdentifier,
-        outcome,
-        answer,
+        ...end,
       });
     },
     settle: ({ service, key }, by) => {
--- a/src/daemon/calls/hand_over.ts
+++ b/src/daemon/calls/hand_over.ts
@@ -19,7 +19,10 @@
   const { settings, environment } = node.options;
   if (server.name === settings.backendServer?.name) {
     const control = runForwardedCall(node, call, { receiver, remote: false });
-    return { cancel: control.callerLeft, resume: control.resume };
+    return {
+      cancel: () => control?.callerLeft(),
+      resume: () => control?.resume(),
+    };
   }
   return sendForwardedCall(node.pools.get(server.nodeAddress), call, {
     receiver,
--- a/src/daemon/calls/serve_forwarded_call.ts
+++ b/src/daemon/calls/serve_forwarded_call.ts
@@ -27,10 +27,10 @@
             receiver: createResponseReceiver(response, call),
             remote: true,
           });
-          response.on("drain", () => control.resume());
+          response.on("drain", () => control?.resume());
           response.on("close", () => {
             if (!response.writableFinished) {
-              control.contactLost();
+              control?.contactLost();
             }
           });
         },
