--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -8,7 +8,7 @@
 
 /** Keeps the keys that the backend server beside this node owns. */
 export interface CallLedger {
-  /** Asks whether a call with a key may run; exactly one of the callbacks is called, at once or later. */
+  /** Asks whether a call may run, which must have a key; exactly one of the callbacks is called, at once or later. */
   request(
     call: ForwardedCall,
     callbacks: {
@@ -21,7 +21,7 @@
       }) => void;
     },
   ): void;
-  /** Reports how a call that was allowed, or gave up waiting, has ended. */
+  /** Reports how a call with a key that was allowed, or gave up waiting, has ended. */
   conclude(
     call: ForwardedCall,
     end: {
--- a/src/daemon/calls/carry_out_dispatch_effect.ts
+++ b/src/daemon/calls/carry_out_dispatch_effect.ts
@@ -135,5 +135,7 @@
       : { kind: outcome },
     call.deadline + settings.timing.clockSkewMilliseconds,
   );
-  node.ledger.conclude(call, end);
+  if (call.key !== undefined) {
+    node.ledger.conclude(call, end);
+  }
 }
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -1,72 +1,62 @@
 import { match } from "ts-pattern";
 import type { CallsRuntimeOptions } from "../../calls/calls_runtime_options.ts";
-import { CallsControlMethod } from "../../calls/calls_control_method.ts";
-import { createKeptMap } from "../../calls/create_kept_map.ts";
-import { decodeKeySettlement } from "../../calls/decode_key_settlement.ts";
-import { extendRefusedContact } from "../../calls/extend_refused_contact.ts";
 import { getAttemptIdentifier } from "../../calls/get_attempt_identifier.ts";
 import { getPredecessors } from "../../calls/get_predecessors.ts";
 import { getRequestFingerprint } from "../../calls/get_request_fingerprint.ts";
-import type { KeptMap } from "../../calls/kept_map.ts";
 import type { KeySettlement } from "../../calls/key_settlement.ts";
-import type { LedgerContext } from "../../calls/ledger_context.ts";
 import type { LedgerEffect } from "../../calls/ledger_effect.ts";
 import { LedgerEffectKind } from "../../calls/ledger_effect_kind.ts";
-import type { LedgerEntry } from "../../calls/ledger_entry.ts";
-import { LedgerEntryKind } from "../../calls/ledger_entry_kind.ts";
 import type { LedgerEvent } from "../../calls/ledger_event.ts";
 import { LedgerEventKind } from "../../calls/ledger_event_kind.ts";
+import type { LedgerRegister } from "../../calls/ledger_register.ts";
 import type { LedgerServer } from "../../calls/ledger_server.ts";
 import type { RefusedContact } from "../../calls/refused_contact.ts";
 import { RefusalReason } from "../../calls/refusal_reason.ts";
 import { SettlementKind } from "../../calls/settlement_kind.ts";
 import { stepLedger } from "../../calls/step_ledger.ts";
-import type { BackendServer } from "../../configuration/backend_server.ts";
+import { updateLedgerRegister } from "../../calls/update_ledger_register.ts";
+import { askLedger } from "./ask_ledger.ts";
 import type { CallLedger } from "./call_ledger.ts";
+import { createLedgerEntries } from "./create_ledger_entries.ts";
 
 type Callbacks = Parameters<CallLedger["request"]>[1];
 
-const keptAnswerBytes = 16 * 1024 * 1024;
 /** Beyond this, calls with new keys are refused: a forgotten key could run twice. */
 const maximumKeys = 200_000;
-/** How long another ledger may take to answer. */
-const questionMilliseconds = 1000;
+const unknownSettlement: KeySettlement = { kind: SettlementKind.Unknown };
 
 /** Creates the ledger of the backend server beside this node. */
 export function createCallLedger(options: CallsRuntimeOptions): CallLedger {
-  const { settings, environment, controlClient } = options;
-  const { clock } = environment;
-  const self = settings.backendServer?.name ?? "";
-  const startedAt = clock.now();
+  const { clock } = options.environment;
+  const { keyLifetimeMilliseconds, clockSkewMilliseconds } =
+    options.settings.timing;
+  const self = options.settings.backendServer?.name ?? "";
   const refusedContacts = new Map<string, RefusedContact>();
   const waiting = new Map<string, Callbacks>();
   let entries = createLedgerEntries();
-  let ownServer: BackendServer | undefined;
-  let ownService: string | undefined;
-  let servers: readonly LedgerServer[] = [];
-  let removed: ReadonlyMap<string, RemovedServer> = new Map();
-  let ledgerSince = startedAt;
+  let register: LedgerRegister = {
+    service: undefined,
+    own: undefined,
+    servers: [],
+    removed: [],
+    ledgerSince: clock.now(),
+  };
 
-  const createContext = (): LedgerContext => ({
-    now: clock.now(),
-    ledgerSince,
-    keyLifetimeMilliseconds: settings.timing.keyLifetimeMilliseconds,
-    clockSkewMilliseconds: settings.timing.clockSkewMilliseconds,
-  });
   const apply = (key: string, event: LedgerEvent): readonly LedgerEffect[] => {
-    const context = createContext();
-    const step = stepLedger(entries.get(key, context.now), event, context);
+    const now = clock.now();
+    const step = stepLedger(entries.get(key, now), event, {
+      now,
+      ledgerSince: register.ledgerSince,
+      keyLifetimeMilliseconds,
+      clockSkewMilliseconds,
+    });
     if (step.entry === undefined) {
       entries.delete(key);
     } else {
-      entries.set(
-        key,
-        step.entry,
-        context.now + context.keyLifetimeMilliseconds +
-          context.clockSkewMilliseconds,
-      );
+      const keptUntil = now + keyLifetimeMilliseconds + clockSkewMilliseconds;
+      entries.set(key, step.entry, keptUntil);
     }
-    step.effects.forEach((effect) => carryOut(key, event, effect));
+    step.effects.forEach((effect) => carryOut(key, event, { effect }));
     return step.effects;
   };
   const take = (attemptIdentifier: string): Callbacks | undefined => {
@@ -74,133 +64,105 @@
     waiting.delete(attemptIdentifier);
     return callbacks;
   };
-  const carryOut = (key: string, event: LedgerEvent, effect: LedgerEffect) => {
+  const carryOut = (
+    key: string,
+    event: LedgerEvent,
+    { effect }: { readonly effect: LedgerEffect },
+  ) =>
     match(effect)
       .with({ kind: LedgerEffectKind.Ask }, ({ server }) => {
         if ("attemptIdentifier" in event) {
           void ask(key, event.attemptIdentifier, { server });
         }
       })
-      .with(
-        { kind: LedgerEffectKind.Allow },
-        ({ attemptIdentifier }) => take(attemptIdentifier)?.onAllowed(),
-      )
+      .with({ kind: LedgerEffectKind.Allow }, ({ attemptIdentifier }) => {
+        take(attemptIdentifier)?.onAllowed();
+      })
       .with(
         { kind: LedgerEffectKind.AnswerWith },
-        ({ attemptIdentifier, answer }) =>
-          take(attemptIdentifier)?.onAnswered(answer),
+        ({ attemptIdentifier, answer }) => {
+          take(attemptIdentifier)?.onAnswered(answer);
+        },
       )
       .with(
         { kind: LedgerEffectKind.Refuse },
-        ({ attemptIdentifier, reason, mayHaveRun }) =>
-          take(attemptIdentifier)?.onRefused({ reason, mayHaveRun }),
+        ({ attemptIdentifier, reason, mayHaveRun }) => {
+          take(attemptIdentifier)?.onRefused({ reason, mayHaveRun });
+        },
       )
       .with({ kind: LedgerEffectKind.Reply }, () => undefined)
       .exhaustive();
-  };
   const ask = async (
     key: string,
     attemptIdentifier: string,
     { server }: { readonly server: LedgerServer },
   ) => {
-    const begunAt = clock.now();
-    const answer = await controlClient.call({
-      address: server.nodeAddress,
-      method: CallsControlMethod.SettleKey,
-      parameters: {
-        service: ownServer?.service ?? "",
+    const { own, service } = register;
+    if (own !== undefined && service !== undefined) {
+      const answer = await askLedger(options, {
+        server,
+        by: own,
+        service,
         key,
-        backendServer: server.name,
-        by: getLedgerServer(ownServer!),
-      },
-      deadline: clock.now() + questionMilliseconds,
-      freshConnection: true,
+        attemptIdentifier,
+        refusedContacts,
+      });
+      apply(key, answer);
+    }
+  };
+  const findPredecessors = (key: string, firstAttemptAt?: number) => {
+    const gone = options.getGoneVms();
+    const isGone = ({ vm }: LedgerServer) =>
+      firstAttemptAt !== undefined &&
+      firstAttemptAt > (gone.get(vm) ?? Infinity) + clockSkewMilliseconds;
+    const former = register.removed.map(({ server }) => server);
+    return getPredecessors([...register.servers, ...former], key, {
+      self,
+      firstAttemptAt,
+      ledgerSince: register.ledgerSince,
+      isGone,
     });
-    const refused = answer.isErr && answer.error.refused === true
-      ? extendRefusedContact(refusedContacts.get(server.name), {
-        begunAt,
-        refusedAt: clock.now(),
-      })
-      : undefined;
-    if (refused === undefined) {
-      refusedContacts.delete(server.name);
-    } else {
-      refusedContacts.set(server.name, refused);
+  };
+  const findObstacle = (key: string): RefusalReason | undefined => {
+    if (register.own === undefined) {
+      return RefusalReason.BackendServerUnknown;
     }
-    const settlement = answer.isOk
-      ? decodeKeySettlement(answer.value)
+    const isNew = entries.get(key, clock.now()) === undefined;
+    return isNew && entries.size >= maximumKeys
+      ? RefusalReason.Full
       : undefined;
-    apply(
-      key,
-      settlement === undefined
-        ? {
-          kind: LedgerEventKind.Unanswered,
-          from: server.name,
-          attemptIdentifier,
-          goneAt: options.getGoneVms().get(server.vm),
-          refused,
-        }
-        : {
-          kind: LedgerEventKind.Answered,
-          from: server.name,
-          attemptIdentifier,
-          settlement,
-        },
-    );
   };
-  const getFormerServers = (): readonly LedgerServer[] =>
-    Array.from(removed.values()).map(({ server }) => server);
 
   return {
     request: (call, callbacks) => {
-      const { now } = createContext();
-      entries.sweep(now);
-      if (ownServer === undefined || call.key === undefined) {
-        callbacks.onRefused({
-          reason: RefusalReason.BackendServerUnknown,
-          mayHaveRun: false,
-        });
-        return;
-      }
-      const { value, firstAttemptAt } = call.key;
-      const isNew = entries.get(value, now) === undefined;
-      if (isNew && entries.size >= maximumKeys) {
-        callbacks.onRefused({ reason: RefusalReason.Full, mayHaveRun: false });
+      const { value, firstAttemptAt } = call.key!;
+      entries.sweep(clock.now());
+      const obstacle = findObstacle(value);
+      if (obstacle !== undefined) {
+        callbacks.onRefused({ reason: obstacle, mayHaveRun: false });
         return;
       }
       const attemptIdentifier = getAttemptIdentifier(call);
-      const gone = options.getGoneVms();
-      const isGone = ({ vm }: LedgerServer) =>
-        firstAttemptAt !== undefined &&
-        firstAttemptAt > (gone.get(vm) ?? Infinity) +
-            settings.timing.clockSkewMilliseconds;
       waiting.set(attemptIdentifier, callbacks);
       apply(value, {
         kind: LedgerEventKind.Requested,
         fingerprint: getRequestFingerprint(call),
         attemptIdentifier,
         firstAttemptAt,
-        predecessors: getPredecessors(
-          [...servers, ...getFormerServers()],
-          value,
-          { self, firstAttemptAt, ledgerSince, isGone },
-        ),
+        predecessors: findPredecessors(value, firstAttemptAt),
       });
     },
     conclude: (call, end) => {
-      if (call.key === undefined) {
-        return;
-      }
       const attemptIdentifier = getAttemptIdentifier(call);
       waiting.delete(attemptIdentifier);
-      apply(call.key.value, {
+      apply(call.key!.value, {
         kind: LedgerEventKind.Concluded,
         attemptIdentifier,
         ...end,
       });
     },
     settle: ({ service, key }, by) => {
-      if (service !== (ownService ?? service)) {
+      if (register.service !== undefined && register.service !== service) {
         return unknownSettlement;
       }
       const effects = apply(key, { kind: LedgerEventKind.Asked, by });
@@ -212,77 +174,18 @@
         : unknownSettlement;
     },
     applySnapshot: (snapshot) => {
-      const now = clock.now();
-      const found = snapshot.backendServers.get(self);
-      const registered = found === undefined
-        ? []
-        : snapshot.services.get(found.service)?.backendServers ?? [];
-      removed = updateRemoved(removed, servers, {
-        registered,
-        now,
-        keptMilliseconds: settings.timing.keyLifetimeMilliseconds,
+      const former = register;
+      register = updateLedgerRegister(former, snapshot, {
+        self,
+        now: clock.now(),
+        keyLifetimeMilliseconds,
       });
-      servers = registered.map(getLedgerServer);
-      // While the backend server was not in the register, nobody asked here
-      // before running a key elsewhere.
-      if (found !== undefined && ownServer === undefined) {
-        ledgerSince = now;
-      }
       // Keys belong to a service.
-      if (found !== undefined && found.service !== ownService) {
-        ledgerSince = now;
+      if (
+        former.service !== undefined && former.service !== register.service
+      ) {
         entries = createLedgerEntries();
-        ownService = found.service;
       }
-      ownServer = found;
     },
   };
 }
-
-function createLedgerEntries(): KeptMap<LedgerEntry> {
-  return createKeptMap<LedgerEntry>({
-    maximumBytes: keptAnswerBytes,
-    getBytes: (entry) =>
-      entry.kind === LedgerEntryKind.Finished
-        ? entry.answer?.body.byteLength ?? 0
-        : 0,
-    strip: (entry) =>
-      entry.kind === LedgerEntryKind.Finished
-        ? { ...entry, answer: undefined }
-        : entry,
-  });
-}
-
-interface RemovedServer {
-  readonly server: LedgerServer;
-  /** In milliseconds since the Unix epoch. */
-  readonly removedAt: number;
-}
-
-const unknownSettlement: KeySettlement = { kind: SettlementKind.Unknown };
-
-function getLedgerServer(server: BackendServer): LedgerServer {
-  const { name, vm, nodeAddress } = server;
-  return { name, vm, nodeAddress };
-}
-
-/** Adds the servers that have left the register, and drops those that are back or that no kept key can have run at. */
-function updateRemoved(
-  removed: ReadonlyMap<string, RemovedServer>,
-  former: readonly LedgerServer[],
-  current: {
-    readonly registered: readonly { readonly name: string }[];
-    readonly now: number;
-    readonly keptMilliseconds: number;
-  },
-): ReadonlyMap<string, RemovedServer> {
-  const names = new Set(current.registered.map(({ name }) => name));
-  return new Map([
-    ...removed,
-    ...former.map((server) =>
-      [server.name, { server, removedAt: current.now }] as const
-    ),
-  ].filter(([name, { removedAt }]) =>
-    !names.has(name) && current.now < removedAt + current.keptMilliseconds
-  ));
-}
--- a/src/daemon/calls/lost_contact_test.ts
+++ b/src/daemon/calls/lost_contact_test.ts
@@ -1,5 +1,9 @@
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import { encodeForwardedCall } from "../../calls/encode_forwarded_call.ts";
+import { SettlementKind } from "../../calls/settlement_kind.ts";
+import { CallPriority } from "../../configuration/call_priority.ts";
 import { callNode } from "../../testing/calls/call_node.ts";
 import type { CallsBench } from "../../testing/calls/calls_bench.ts";
 import { countRuns } from "../../testing/calls/count_runs.ts";
@@ -80,6 +84,39 @@
   t.is(countRuns(bench.nodes) - before, 0);
 });
 
+test("a try that arrives twice is cut the second time, and its outcome stays known", async (t) => {
+  const bench = await useCallsBench(t, 1);
+  const { nodes, name, runtime } = bench.nodes[0]!;
+  const deadline = Date.now() + 60_000;
+  const send = () =>
+    request(`http://${nodes.host}:${nodes.port}/call`, {
+      method: "POST",
+      headers: encodeForwardedCall({
+        callIdentifier: "call-1",
+        attempt: 1,
+        backendServer: name,
+        method: "POST",
+        path: "/encomendas/x",
+        headers: [],
+        body: undefined,
+        deadline,
+        priority: CallPriority.High,
+        idempotent: false,
+        key: undefined,
+      }),
+      body: "one cake",
+    });
+  t.is(await (await send()).body.text(), "POST one cake");
+  await t.throwsAsync(send);
+  await delay(300);
+  const settlement = await runtime.handleControlMethod("settleCall", {
+    attemptIdentifier: "call-1/1",
+    deadline,
+  });
+  t.like(settlement, { kind: SettlementKind.Finished });
+  t.is(countRuns(bench.nodes), 1);
+});
+
 test("a call to a node that is gone runs elsewhere, and later calls avoid that node", async (t) => {
   const bench = await useCallsBench(t, 3, { slots, retryBudgetPercent: 200 });
   await warmUp(bench);
