--- a/src/daemon/calls/create_calls_runtime_test.ts
+++ b/src/daemon/calls/create_calls_runtime_test.ts
@@ -55,7 +55,7 @@
   t.is(countRuns(bench.nodes), 6);
 });
 
-test("a cut, malformed, unframed or crossed answer becomes a refusal whose outcome is unknown", async (t) => {
+test("[point 6: answer rubbish] [point 6: answer cut] a cut, malformed, unframed or crossed answer becomes a refusal whose outcome is unknown", async (t) => {
   const bench = await useCallsBench(t, 2);
   const names = ["cut", "rubbish", "unframed", "crossed"];
   const answers = await Promise.all(
--- /dev/null
+++ b/src/daemon/calls/graceful_shutdown_test.ts
@@ -0,0 +1,64 @@
+import test from "ava";
+import { Pool } from "undici";
+import { callNode } from "../../testing/calls/call_node.ts";
+import { countRuns } from "../../testing/calls/count_runs.ts";
+import { useCallsBench } from "../../testing/calls/use_calls_bench.ts";
+import { waitUntil } from "../../testing/calls/wait_until.ts";
+
+const deadlineMilliseconds = 30_000;
+const longBytes = 2 * 64 * 1024 + "the end".length;
+
+test("[point 10: long answers] [point 10: peers still sending] a node that drains finishes long answers, and its peers' calls run elsewhere", async (t) => {
+  const bench = await useCallsBench(t, 3, {
+    deadlineMilliseconds,
+    retryBudgetPercent: 200,
+  });
+  const [asked, draining] = bench.nodes;
+  const running = Array.from(
+    { length: 12 },
+    () => callNode(asked!, "/encomendas/long-slow"),
+  );
+  t.true(await waitUntil(() => countRuns(bench.nodes) === 12));
+  t.true(draining!.backendServer.runs.length > 0);
+
+  const drained = draining!.runtime.drain();
+  const before = draining!.backendServer.runs.length;
+  const later = await Promise.all(
+    Array.from(
+      { length: 24 },
+      (_, index) =>
+        callNode(asked!, "/encomendas/x", { method: "POST", body: `${index}` }),
+    ),
+  );
+  later.forEach((answer, index) => t.is(answer.body, `POST ${index}`));
+  t.is(draining!.backendServer.runs.length, before);
+  (await Promise.all(running)).forEach((answer) => {
+    t.is(answer.status, 200);
+    t.is(answer.body.length, longBytes);
+  });
+  await drained;
+  t.is(await draining!.runtime.stop(), 0);
+});
+
+test("[point 10: keep-alive connections] an answer that a draining node finishes closes its keep-alive connection", async (t) => {
+  const bench = await useCallsBench(t, 1, { deadlineMilliseconds });
+  const node = bench.nodes[0]!;
+  const { host, port } = node.callers;
+  const caller = new Pool(`http://${host}:${port}`, { connections: 1 });
+  t.teardown(() => caller.close());
+  const ask = async (path: string) => {
+    const answer = await caller.request({ method: "GET", path });
+    await answer.body.text();
+    return { status: answer.statusCode, connection: answer.headers.connection };
+  };
+  t.deepEqual(await ask("/encomendas/x"), {
+    status: 200,
+    connection: "keep-alive",
+  });
+  const running = ask("/encomendas/slow");
+  t.true(await waitUntil(() => countRuns(bench.nodes) === 2));
+  const drained = node.runtime.drain();
+  t.deepEqual(await running, { status: 200, connection: "close" });
+  await drained;
+  t.deepEqual(await ask("/encomendas/x"), { status: 503, connection: "close" });
+});
--- a/src/testing/calls/start_scripted_backend_server.ts
+++ b/src/testing/calls/start_scripted_backend_server.ts
@@ -36,6 +36,13 @@
     response.write(Buffer.alloc(longPieceBytes, "a"));
     response.end(Buffer.alloc(longPieceBytes, "b"));
   },
+  "long-slow": (_, response) => {
+    response.write(Buffer.alloc(longPieceBytes, "a"));
+    setTimeout(() => {
+      response.write(Buffer.alloc(longPieceBytes, "b"));
+      setTimeout(() => response.end("the end"), slowMilliseconds);
+    }, slowMilliseconds);
+  },
   "long-cut": (_, response) => {
     response.write(Buffer.alloc(2 * longPieceBytes, "a"));
     setTimeout(() => response.destroy(), 20);
