--- a/stand_ins/demo/demo_result.ts
+++ b/stand_ins/demo/demo_result.ts
@@ -14,8 +14,8 @@
   readonly cutByShutdown: number;
   /** The longest time from the platform's acceptance of a good change to in force on every live node. */
   readonly convergenceMilliseconds: number;
-  /** VMs whose node had the bad version in force at any time. */
-  readonly badVersionAppliedBy: readonly string[];
+  /** How many nodes had the bad version in force at any time. */
+  readonly badVersionAppliedBy: number;
   /** The versions in force at the end on the live nodes, each once. */
   readonly versionsInForce: readonly string[];
   readonly platformReads: number;
--- a/stand_ins/demo/run_demo.ts
+++ b/stand_ins/demo/run_demo.ts
@@ -116,7 +116,7 @@
     ...getEndings(facts, cutByShutdown),
     cutByShutdown,
     convergenceMilliseconds: Math.max(...convergences),
-    badVersionAppliedBy: [...badVersionAppliedBy],
+    badVersionAppliedBy: badVersionAppliedBy.size,
     versionsInForce: [
       ...new Set(
         live.map((vm) => {
