Say in the refusal of a starting node what holds for keys too

Cause: a node that serves but whose ledger is younger than 2 s refuses a key with the reason node-starting; the detail said it had no configuration.

--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -1,6 +1,6 @@
 /** Why a call was not answered by a backend server. */
 export enum RefusalReason {
-  /** The node has no configuration in force yet. */
+  /** The node has no configuration in force yet, or its ledger is too young to run a key. */
   NodeStarting = "node-starting",
   /** The node was paused and is checking its view. */
   ConfirmingView = "confirming-view",
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -8,7 +8,7 @@
   [RefusalReason.NodeStarting]: {
     status: 503,
     title: "Node starting",
-    detail: "The node has no configuration in force yet",
+    detail: "The node has started and does not run such a request yet",
     retryMilliseconds: 1000,
   },
   [RefusalReason.ConfirmingView]: {
