--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -23,6 +23,8 @@
  * configuration causes, and far below the deadline of a usual call.
  */
 const silenceMilliseconds = 500;
+/** How long a call may wait for a connection; opening one fails well before. */
+const connectionMilliseconds = 2000;
 /** How long the outcome of a lost try may stay unanswered. */
 const settlementMilliseconds = 1000;
 /** How long to wait before asking again for the outcome of a try that runs. */
@@ -50,8 +52,7 @@
     .with({ kind: CallEventKind.Started }, () => tryNext(state, context, []))
     .with(
       { kind: CallEventKind.Sent },
-      ({ backendServer, remote }) =>
-        sent(state, context, { backendServer, remote }),
+      (sending) => sent(state, context, sending),
     )
     .with(
       { kind: CallEventKind.NoneChosen },
@@ -135,14 +136,18 @@
 function sent(
   state: CallState,
   context: CallContext,
-  sending: { readonly backendServer: string; readonly remote: boolean },
+  sending: Extract<CallEvent, { kind: CallEventKind.Sent }>,
 ): CallStep {
   return {
     state: {
       ...state,
       phase: CallPhase.Sent,
       backendServer: sending.backendServer,
-      wakeAt: sending.remote ? getSilentAt(state, context) : state.deadline,
+      wakeAt: !sending.remote
+        ? state.deadline
+        : sending.awaitsConnection === true
+        ? Math.min(state.deadline, context.now + connectionMilliseconds)
+        : getSilentAt(state, context),
     },
     effects: [],
   };
