--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -20,6 +20,8 @@
   readonly decreaseFactor: number;
   /** How many times the former service time takes back a raise. */
   readonly raiseLatencyTolerance: number;
+  /** The least number of answered calls between two steps of the cold-start ramp. */
+  readonly rampStepAnswers: number;
   /** The least time between two steps of the cold-start ramp. */
   readonly rampStepMilliseconds: number;
   /**
--- a/src/admission/climb_ramp.ts
+++ b/src/admission/climb_ramp.ts
@@ -8,8 +8,9 @@
 const maximumDoublings = 3;
 
 /**
- * Counts an answered call in a cold start. One step of the ramp takes as many
- * answers as the limit allows calls at once, and a least time.
+ * Counts an answered call in a cold start. One step of the ramp takes a least
+ * time and a least number of answers, and at least as many answers as the limit
+ * allows calls at once.
  */
 export function climbRamp(
   state: AdmissionState,
@@ -27,7 +28,8 @@
       answeredWhenFull: limit.answeredWhenFull + (isFull ? 1 : 0),
     },
   };
-  const isDue = counted.limit.answered >= Math.floor(limit.current) &&
+  const isDue = counted.limit.answered >=
+      Math.max(context.policy.rampStepAnswers, Math.floor(limit.current)) &&
     context.now >= getStepInstant(counted, outcome);
   return isDue ? climbStep(counted, context.now) : counted;
 }
--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -18,6 +18,7 @@
     lingeringMilliseconds: 5_000,
     decreaseFactor: 0.7,
     raiseLatencyTolerance: 1.25,
+    rampStepAnswers: 10,
     rampStepMilliseconds: 250,
     cautiousStepMilliseconds: 1_000,
     cautiousSlowdown: 1.5,
--- a/src/admission/step_admission_test.ts
+++ b/src/admission/step_admission_test.ts
@@ -165,6 +165,18 @@
   ]);
 });
 
+test("a step of the ramp takes ten answers, however long they take", (t) => {
+  const { driver, getLimit, probe, report, request } = createFixture();
+  probe("ready");
+  const limits = Array.from({ length: 11 }, (_, place) => {
+    request(`call-${place}`);
+    driver.now += 900;
+    report(`call-${place}`);
+    return getLimit();
+  });
+  t.deepEqual(limits, [2, 2, 2, 2, 2, 2, 2, 2, 2, 3, 3]);
+});
+
 test("a probe that says ready ends no ramp", (t) => {
   const fixture = createFixture();
   Array.from({ length: 50 }, () => {
