--- a/src/admission/create_admission_runtime.ts
+++ b/src/admission/create_admission_runtime.ts
@@ -20,7 +20,7 @@
   options: AdmissionRuntimeOptions,
 ): AdmissionRuntime {
   const { environment, prober, settings } = options;
-  const { clock, timers, random, auditTrail } = environment;
+  const { auditTrail, clock, log, random, timers } = environment;
   const policy = options.policy ?? createAdmissionPolicy(settings);
   const undecided = new Map<string, (decision: AdmissionDecision) => void>();
   const events: AdmissionEvent[] = [];
@@ -74,11 +74,12 @@
         if (isStopped) return;
         void prober?.probe({ deadline: probe.deadline }).then((result) => {
           if (isStopped) return;
-          send(
-            result.isOk
-              ? { kind: AdmissionEventKind.ProbeAnswered, probe: result.value }
-              : { kind: AdmissionEventKind.ProbeFailed },
-          );
+          if (result.isOk) {
+            const probe = result.value;
+            return send({ kind: AdmissionEventKind.ProbeAnswered, probe });
+          }
+          log.debug({ diagnostic: result.error }, "Probe failed");
+          send({ kind: AdmissionEventKind.ProbeFailed });
         });
       })
       .with(
--- a/src/admission/create_admission_runtime_test.ts
+++ b/src/admission/create_admission_runtime_test.ts
@@ -3,6 +3,8 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallPriority } from "../configuration/call_priority.ts";
 import { ZoneState } from "../configuration/zone_state.ts";
+import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
+import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { BackendServerState } from "../health/backend_server_state.ts";
 import type { AdmissionDecision } from "./admission_decision.ts";
 import { AdmissionDecisionKind } from "./admission_decision_kind.ts";
@@ -148,3 +150,42 @@
   runtime.stop();
   t.is(environment.countTimers(), 0);
 });
+
+test("stop() refuses what is queued", (t) => {
+  const fixture = createFixture();
+  fixture.runtime.applySnapshot(createTestSnapshot());
+  ["one", "two", "three"].forEach((name) => ask(fixture, name));
+  fixture.runtime.stop();
+  t.like(fixture.decisions.get("three"), {
+    reason: RefusalReason.NodeDraining,
+  });
+});
+
+test("a probe that fails is logged and makes the backend server down", async (t) => {
+  const environment = createTestEnvironment(1);
+  const messages: string[] = [];
+  const runtime = createAdmissionRuntime({
+    settings: createTestSettings(),
+    environment: {
+      ...environment,
+      log: {
+        ...environment.log,
+        debug: (_fields, message) => messages.push(message),
+      },
+    },
+    prober: {
+      probe: () =>
+        Promise.resolve(
+          Result.err(
+            createDiagnostic(DiagnosticCode.BackendServerUnreachable, {}),
+          ),
+        ),
+      close: () => Promise.resolve(),
+    },
+  });
+  runtime.applySnapshot(createTestSnapshot());
+  runtime.start();
+  await environment.advanceTo(environment.clock.now());
+  t.deepEqual(messages, ["Probe failed"]);
+  t.is(runtime.getStatus().backendServerState, BackendServerState.Down);
+});
--- a/src/admission/is_overload.ts
+++ b/src/admission/is_overload.ts
@@ -1,3 +1,4 @@
+import { match } from "ts-pattern";
 import type { AdmissionState } from "./admission_state.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import { DispatchResult } from "./dispatch_result.ts";
@@ -14,9 +15,13 @@
   outcome: CallOutcome,
 ): boolean {
   const { call, context, report } = outcome;
-  if (report.result === DispatchResult.Shed) return true;
-  if (report.result !== DispatchResult.Broken) return false;
   const ran = context.now - report.dispatchedAt;
-  return context.now < call.deadline ||
+  const hadTime = context.now < call.deadline ||
     ran >= fairFactor * state.serviceTime.recentMilliseconds;
+  return match(report.result)
+    // One refused connection among answered calls: it has no more to give.
+    .with(DispatchResult.Shed, DispatchResult.ConnectionRefused, () => true)
+    .with(DispatchResult.Broken, () => hadTime)
+    .with(DispatchResult.Answered, DispatchResult.Cancelled, () => false)
+    .exhaustive();
 }
--- a/src/admission/step_admission_test.ts
+++ b/src/admission/step_admission_test.ts
@@ -539,3 +539,15 @@
   t.true(new Set(instants).size > 50);
   t.true(instants.every((instant) => instant > driver.now + 500));
 });
+
+test("a refused connection among answered calls lowers the limit", (t) => {
+  const { driver, getLimit, report, request, warmUp } = createFixture();
+  warmUp();
+  request("one");
+  driver.now += 1;
+  request("two");
+  report("two");
+  report("one", DispatchResult.ConnectionRefused);
+  t.is(driver.getState().backendServerState, BackendServerState.Ready);
+  t.true(getLimit() < slots);
+});
