--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -94,6 +94,31 @@
       },
     })),
   },
+  {
+    name: "given-up calls",
+    variants: [
+      { name: "hold until let go", policy: {} },
+      {
+        name: "hold until the next usual probe",
+        policy: {
+          lingeringProbeIntervalMilliseconds: Number.POSITIVE_INFINITY,
+        },
+      },
+      { name: "free at once", policy: { lingeringMilliseconds: 0 } },
+    ],
+    scenarios: [10, 100, 400].map((letGoMilliseconds) => ({
+      name: `the server goes on for ${letGoMilliseconds} ms`,
+      options: {
+        ...usual,
+        classes: createClasses(100).map((caller) => ({
+          ...caller,
+          abandoned: 0.8,
+        })),
+        server: { ...warmSoon, serviceMilliseconds: 150, letGoMilliseconds },
+        countFromMilliseconds: changeAt,
+      },
+    })),
+  },
   {
     name: "cold start",
     variants: [
