--- a/src/command_line/node_command.ts
+++ b/src/command_line/node_command.ts
@@ -88,6 +88,8 @@
     reportDiagnostics([daemon.error], output);
     return ExitStatus.Failure;
   }
+  // Signals are heard before anybody learns that the node listens.
+  const stopped = waitForStop(daemon.value);
   const { callers, nodes, operators } = daemon.value.addresses;
   output.write(`${
     JSON.stringify({
@@ -98,6 +100,6 @@
       },
     })
   }\n`);
-  const cut = await waitForStop(daemon.value);
+  const cut = await stopped;
   return cut === 0 ? ExitStatus.Success : ExitStatus.Failure;
 }
