--- a/src/daemon/calls/graceful_shutdown_test.ts
+++ b/src/daemon/calls/graceful_shutdown_test.ts
@@ -21,7 +21,9 @@
   t.true(await waitUntil(() => countRuns(bench.nodes) === 12));
   t.true(draining!.backendServer.runs.length > 0);
 
-  const drained = draining!.runtime.drain();
+  const runningAfterDrain = draining!.runtime.drain().then(() =>
+    draining!.admission.getRunning()
+  );
   const before = draining!.backendServer.runs.length;
   const later = await Promise.all(
     Array.from(
@@ -36,7 +38,7 @@
     t.is(answer.status, 200);
     t.is(answer.body.length, longBytes);
   });
-  await drained;
+  t.is(await runningAfterDrain, 0);
   t.is(await draining!.runtime.stop(), 0);
 });
 
