Count refusals and failures of calls that were out together once

Cause: docs/CAPACITY.md works out that records of free slots are minutes old in a large fleet, and getView() let them replace the load of the last answer; a record that said draining or down shut a node out until the next one came, were its message lost; and several calls that failed together raised the backoff once each.

--- a/src/calls/backend_server_view.ts
+++ b/src/calls/backend_server_view.ts
@@ -8,10 +8,14 @@
   readonly reportedAt: number;
   /** The peer record that the estimate has taken in. */
   readonly record: PeerRecord | undefined;
+  /** When that record came, in milliseconds since the Unix epoch. */
+  readonly recordReceivedAt: number;
   /** No call is sent before this instant, in milliseconds since the Unix epoch. */
   readonly avoidedUntil: number;
   /** Failed contacts in a row. */
   readonly failures: number;
+  /** Refusals of all work in a row. */
+  readonly workRefusals: number;
   /** Whether no process listened there at the last contact. */
   readonly processGone: boolean;
   /** Until this instant no second call is sent while the probing call is out. */
--- a/src/calls/create_backend_server_view.ts
+++ b/src/calls/create_backend_server_view.ts
@@ -6,8 +6,10 @@
     freeSlots: slots,
     reportedAt: 0,
     record: undefined,
+    recordReceivedAt: 0,
     avoidedUntil: 0,
     failures: 0,
+    workRefusals: 0,
     processGone: false,
     probingUntil: 0,
   };
--- a/src/calls/view_event.ts
+++ b/src/calls/view_event.ts
@@ -15,5 +15,6 @@
       | ViewEventKind.CallSent
       | ViewEventKind.CallEnded
       | ViewEventKind.ContactMade
-      | ViewEventKind.WorkRefused;
+      | ViewEventKind.WorkRefused
+      | ViewEventKind.WorkAccepted;
   };
--- a/src/calls/view_event_kind.ts
+++ b/src/calls/view_event_kind.ts
@@ -11,4 +11,6 @@
   ContactFailed = "contact-failed",
   /** The node beside it takes no new work for now. */
   WorkRefused = "work-refused",
+  /** After it had refused all work it answered a call, or the rules changed. */
+  WorkAccepted = "work-accepted",
 }
--- a/src/daemon/calls/choose_server.ts
+++ b/src/daemon/calls/choose_server.ts
@@ -2,6 +2,7 @@
 import { chooseBackendServer } from "../../calls/choose_backend_server.ts";
 import { chooseKeyOwner } from "../../calls/choose_key_owner.ts";
 import { getBackendServerObstacle } from "../../calls/get_backend_server_obstacle.ts";
+import { getTrustedRecord } from "../../calls/get_trusted_record.ts";
 import { selectCandidates } from "../../calls/select_candidates.ts";
 import type { BackendServer } from "../../configuration/backend_server.ts";
 import type { Service } from "../../configuration/service.ts";
@@ -23,11 +24,13 @@
   const { environment, settings, getGoneVms } = node.options;
   const now = environment.clock.now();
   const gone = getGoneVms();
-  const peers = node.options.getPeers();
   const eligible = options.service.backendServers.filter((server) =>
     !gone.has(server.vm) && !isOwnUnfit(node, server) &&
-    getBackendServerObstacle(server, snapshot, peers.get(server.vm)) ===
-      undefined
+    getBackendServerObstacle(
+        server,
+        snapshot,
+        getTrustedRecord(getView(node, server), now),
+      ) === undefined
   );
   const selection = {
     now,
--- a/src/daemon/calls/create_calls_runtime.ts
+++ b/src/daemon/calls/create_calls_runtime.ts
@@ -5,6 +5,7 @@
 import { retryBudgetCapacity } from "../../calls/retry_budget_capacity.ts";
 import type { Settlement } from "../../calls/settlement.ts";
 import { SettlementKind } from "../../calls/settlement_kind.ts";
+import { ViewEventKind } from "../../calls/view_event_kind.ts";
 import type { Snapshot } from "../../configuration/snapshot.ts";
 import type { NetworkAddress } from "../../runtime/network_address.ts";
 import type { CallsNode } from "./calls_node.ts";
@@ -15,6 +16,7 @@
 import { handleCallsControlMethod } from "./handle_calls_control_method.ts";
 import { serveCallerRequest } from "./serve_caller_request.ts";
 import { serveForwardedCall } from "./serve_forwarded_call.ts";
+import { updateView } from "./update_view.ts";
 
 const keptAnswerBytes = 8 * 1024 * 1024;
 
@@ -46,6 +48,12 @@
       Array.from(node.views.keys())
         .filter((name) => !snapshot.backendServers.has(name))
         .forEach((name) => node.views.delete(name));
+      // Whoever refused work under the old rules may take it under the new ones.
+      Array.from(snapshot.backendServers.values())
+        .filter(({ name }) => (node.views.get(name)?.workRefusals ?? 0) > 0)
+        .forEach((server) =>
+          updateView(node, server, { kind: ViewEventKind.WorkAccepted })
+        );
       node.ledger.applySnapshot(snapshot);
     },
     setConfirmingView: (confirming) => {
--- a/src/daemon/calls/create_try_receiver.ts
+++ b/src/daemon/calls/create_try_receiver.ts
@@ -37,6 +37,7 @@
     },
     onWhole: (answer) => {
       if (isCurrent()) {
+        noteAcceptance(run);
         run.answer = answer;
         finish({ kind: CallEventKind.AnswerWhole });
       }
@@ -70,6 +71,13 @@
   updateTriedView(run, { kind: ViewEventKind.LoadReported, freeSlots });
 }
 
+function noteAcceptance(run: CallerRun): void {
+  const view = run.node.views.get(run.server?.name ?? "");
+  if (view !== undefined && view.workRefusals > 0) {
+    updateTriedView(run, { kind: ViewEventKind.WorkAccepted });
+  }
+}
+
 /** A young ledger refuses keys alone. */
 function refusesAllWork(run: CallerRun, reason: RefusalReason): boolean {
   return isWorkRefused(reason) &&
