Free the slot of a given-up call only after two probes in a row

Cause: a call whose answer was on its way to the node was missing in the count of the backend server, and a slot that was still held was freed. The test asked for one probe and now asks for two, and for two in a row.

--- a/src/admission/handle_probe_answer.ts
+++ b/src/admission/handle_probe_answer.ts
@@ -64,7 +64,9 @@
 /**
  * Frees slots of given-up calls that the backend server has let go of. What it
  * counted beyond the calls that it must have counted are given-up ones at
- * most. A smaller count proves that the endpoint lags, and frees nothing.
+ * most. A smaller count proves that the endpoint lags, and frees nothing. A
+ * call whose answer is on its way here is missing in one count, so that two
+ * probes in a row must show it.
  */
 function releaseLingering(
   state: AdmissionState,
@@ -74,11 +76,13 @@
   if (givenUp < 0) return state;
   const older = state.lingering.filter((slot) => slot.since < probe.sentAt);
   const younger = state.lingering.filter((slot) => slot.since >= probe.sentAt);
-  const kept = Math.min(older.length, givenUp);
-  return {
-    ...state,
-    lingering: [...older.slice(older.length - kept), ...younger],
-  };
+  const endedCount = Math.max(0, older.length - givenUp);
+  const ended = older.slice(0, endedCount)
+    .filter((slot) => !slot.isShownFree)
+    .map((slot) => ({ ...slot, isShownFree: true }));
+  const kept = older.slice(endedCount)
+    .map((slot) => ({ ...slot, isShownFree: false }));
+  return { ...state, lingering: [...ended, ...kept, ...younger] };
 }
 
 /**
@@ -114,6 +118,7 @@
   if (inherited <= 0) return state;
   const slot = {
     since: context.now,
+    isShownFree: false,
     until: context.now + context.policy.lingeringMilliseconds,
   };
   return {
--- a/src/admission/handle_report.ts
+++ b/src/admission/handle_report.ts
@@ -58,6 +58,7 @@
     running,
     lingering: [...state.lingering, {
       since: context.now,
+      isShownFree: false,
       until: context.now + context.policy.lingeringMilliseconds,
     }],
   };
--- a/src/admission/step_admission_test.ts
+++ b/src/admission/step_admission_test.ts
@@ -297,7 +297,7 @@
   t.is(getReason("past"), RefusalReason.DeadlinePassed);
 });
 
-test("the slot of a cancelled call is free only once a later probe shows it", (t) => {
+test("the slot of a cancelled call is free only once two later probes show it", (t) => {
   const { driver, isAdmitted, probe, report, request } = createFixture();
   ["one", "two", "three"].forEach((name) => request(name));
   driver.now += 10;
@@ -313,6 +313,14 @@
   t.false(isAdmitted("three"), "The count lags: call two still runs");
   driver.now += 10;
   probe("cold", 1);
+  t.false(isAdmitted("three"), "An answer on its way may be missing in it");
+  driver.now += 10;
+  probe("cold", 2);
+  driver.now += 10;
+  probe("cold", 1);
+  t.false(isAdmitted("three"), "The probe before showed the contrary");
+  driver.now += 10;
+  probe("cold", 1);
   t.true(isAdmitted("three"));
 });
 
