--- a/measurements/admission/compare.ts
+++ b/measurements/admission/compare.ts
@@ -1,7 +1,6 @@
 import type { ClassResult } from "./class_result.ts";
 import type { Comparison } from "./comparison.ts";
 import type { ComparisonRow } from "./comparison_row.ts";
-import { createSpread } from "./create_spread.ts";
 import { runAdmission } from "./run_admission.ts";
 import type { RunResult } from "./run_result.ts";
 
@@ -45,8 +44,7 @@
 ): Omit<ComparisonRow, "comparison" | "scenario" | "variant"> {
   const names = [...new Set(runs.flatMap((run) => Object.keys(run.classes)))]
     .sort();
-  const spread = (value: (run: RunResult) => number) =>
-    createSpread(runs.map(value));
+  const each = (value: (run: RunResult) => number) => runs.map(value);
   const getWhole = (results: readonly (ClassResult | undefined)[]) =>
     sum(results, (result) => result.whole) /
     sum(results, (result) => result.sent);
@@ -54,24 +52,24 @@
     whole: Object.fromEntries([
       ...names.map((name) => [
         name,
-        spread((run) => getWhole([run.classes[name]])),
+        each((run) => getWhole([run.classes[name]])),
       ]),
-      ["all", spread((run) => getWhole(Object.values(run.classes)))],
+      ["all", each((run) => getWhole(Object.values(run.classes)))],
     ]),
-    failedInThousand: spread((run) => {
+    failedInThousand: each((run) => {
       const results = Object.values(run.classes);
       return 1_000 * sum(results, (result) => result.failed) /
         sum(results, (result) => result.sent);
     }),
-    wholeMilliseconds: spread((run) => {
+    wholeMilliseconds: each((run) => {
       const results = Object.values(run.classes);
       return sum(results, (result) => result.wholeMilliseconds) /
         Math.max(1, sum(results, (result) => result.whole));
     }),
-    shed: spread((run) => run.server.shed),
-    falls: spread((run) => run.server.falls),
-    peakRunning: spread((run) => run.server.peakRunning),
-    fullLimitAfterMilliseconds: spread((run) =>
+    shed: each((run) => run.server.shed),
+    falls: each((run) => run.server.falls),
+    peakRunning: each((run) => run.server.peakRunning),
+    fullLimitAfterMilliseconds: each((run) =>
       Math.min(runMilliseconds, run.fullLimitAfterMilliseconds)
     ),
   };
--- /dev/null
+++ b/measurements/admission/create_table.ts
@@ -0,0 +1,33 @@
+import { formatSpread } from "../format_spread.ts";
+import type { MeasureTable } from "../measure_table.ts";
+import type { ComparisonRow } from "./comparison_row.ts";
+
+/** Returns the rows of one comparison as a table. */
+export function createTable(rows: readonly ComparisonRow[]): MeasureTable {
+  const classes = Object.keys(rows[0]?.whole ?? {});
+  const scale = (values: readonly number[] | undefined, factor: number) =>
+    formatSpread((values ?? []).map((value) => value * factor));
+  return {
+    title: rows[0]?.comparison ?? "",
+    columns: [
+      "load",
+      "variant",
+      ...classes.map((name) => `${name}, % whole`),
+      "failed in 1,000",
+      "ms to answer",
+      "sheds",
+      "falls",
+      "s to the full limit",
+    ],
+    rows: rows.map((row) => [
+      row.scenario,
+      row.variant,
+      ...classes.map((name) => scale(row.whole[name], 100)),
+      scale(row.failedInThousand, 1),
+      scale(row.wholeMilliseconds, 1),
+      scale(row.shed, 1),
+      scale(row.falls, 1),
+      scale(row.fullLimitAfterMilliseconds, 0.001),
+    ]),
+  };
+}
--- a/measurements/admission/main.ts
+++ b/measurements/admission/main.ts
@@ -5,10 +5,11 @@
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { formatTable } from "../format_table.ts";
 import { compare } from "./compare.ts";
 import type { ComparisonRow } from "./comparison_row.ts";
 import { comparisons } from "./comparisons.ts";
-import { formatRows } from "./format_rows.ts";
+import { createTable } from "./create_table.ts";
 
 const seeds = [1, 2, 3, 4, 5];
 const quickSeeds = [1];
@@ -39,6 +40,10 @@
     `${JSON.stringify({ seeds: usedSeeds, rows: tables.flat() })}\n`,
   );
 } else {
-  process.stdout.write(`seeds ${usedSeeds.join(", ")}; mean (range)\n`);
-  tables.forEach((rows) => process.stdout.write(formatRows(rows)));
+  process.stdout.write(
+    `Seeds ${usedSeeds.join(", ")}; median (lowest to highest)\n`,
+  );
+  tables.map(createTable).forEach((table) =>
+    process.stdout.write(`\n${table.title}\n\n${formatTable(table)}\n`)
+  );
 }
