Hold the slots of given-up calls shortly where the load endpoint misleads

Cause: a load endpoint that counts calls which cannot be there, or does not answer, held each given-up call's slot for 5 s; with callers who mostly leave that would have closed the backend server. Where it is proved wrong or fails, a slot is held for four service times: by then the call has ended even if its cancellation was ignored. Not covered: an endpoint that always counts a plausible number too many.

--- a/src/admission/handle_probe_answer.ts
+++ b/src/admission/handle_probe_answer.ts
@@ -4,6 +4,8 @@
 import type { AdmissionContext } from "./admission_context.ts";
 import type { AdmissionState } from "./admission_state.ts";
 import { enterColdStart } from "./enter_cold_start.ts";
+import { getOccupiedSlots } from "./get_occupied_slots.ts";
+import { shortenLingering } from "./shorten_lingering.ts";
 
 /** The longest time that a call is on its way to the backend server beside the node. */
 const arrivalMilliseconds = 5;
@@ -72,6 +74,7 @@
   state: AdmissionState,
   probe: BackendServerProbe,
 ): AdmissionState {
+  if (isTooMany(state, probe)) return shortenLingering(state);
   const givenUp = probe.running - countCertain(state, probe);
   if (givenUp < 0) return state;
   const older = state.lingering.filter((slot) => slot.since < probe.sentAt);
@@ -85,6 +88,16 @@
   return { ...state, lingering: [...ended, ...kept, ...younger] };
 }
 
+/**
+ * Tells whether the load endpoint counts calls that cannot be there. Only this
+ * node sends calls, and few can have ended while the probe was under way.
+ */
+function isTooMany(state: AdmissionState, probe: BackendServerProbe): boolean {
+  const slots = state.backendServer?.slots ?? 0;
+  return probe.running > slots ||
+    probe.running > getOccupiedSlots(state) + slots / 2;
+}
+
 /**
  * Returns how many running calls a probe must have counted. A ready backend
  * server counted at some instant since the probe was sent, and so at least the
--- a/src/admission/handle_probe_failure.ts
+++ b/src/admission/handle_probe_failure.ts
@@ -2,6 +2,7 @@
 import type { AdmissionContext } from "./admission_context.ts";
 import type { AdmissionState } from "./admission_state.ts";
 import { enterDown } from "./enter_down.ts";
+import { shortenLingering } from "./shorten_lingering.ts";
 
 /** Holds the backend server to be down after enough failed probes, unless calls were answered since. */
 export function handleProbeFailure(
@@ -14,7 +15,7 @@
     ? probing.sentAt
     : probing.failingSince;
   const failed: AdmissionState = {
-    ...state,
+    ...shortenLingering(state),
     probing: { ...probing, underWay: false, failuresInARow, failingSince },
   };
   const callsShowOtherwise = contact.answeredDispatchAt >= failingSince;
--- a/src/admission/step_admission_test.ts
+++ b/src/admission/step_admission_test.ts
@@ -337,6 +337,25 @@
   t.true(isAdmitted("three"));
 });
 
+["counts calls that cannot be there", "does not answer"].forEach((fault) =>
+  test(`a load endpoint that ${fault} holds no slot for long`, (t) => {
+    const { driver, failProbe, isAdmitted, probe, report, request, warmUp } =
+      createFixture();
+    warmUp();
+    const names = Array.from({ length: slots }, (_, place) => `call-${place}`);
+    names.forEach((name) => request(name));
+    names.forEach((name) => report(name, DispatchResult.Cancelled));
+    request("waiting");
+    Array.from({ length: 2 }, () => {
+      driver.now += 2.5 * serviceMilliseconds;
+      if (fault === "does not answer") return failProbe();
+      probe("ready", slots + 1);
+    });
+    driver.send({ kind: AdmissionEventKind.InstantReached });
+    t.true(isAdmitted("waiting"));
+  })
+);
+
 test("a probe before the first snapshot is sent again after it", (t) => {
   const driver = createAdmissionDriver();
   driver.send({ kind: AdmissionEventKind.Started });
