Measure a burst of calls at the return of a zone

Cause: under an even load the first slow calls show a cold server before the slots are full, so the ramp on return changed one shed at most.

--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -171,10 +171,10 @@
         events: zoneLeavesAndReturns,
       },
       {
-        name: "cold, says ready, falls over at 8 sheds, load 3 times",
+        name: "cold, says ready, 100 calls at once, falls over at 8 sheds",
         server: { ...warmSlowly, ...saysReady, fallSheds: 8 },
         events: zoneLeavesAndReturns,
-        classes: createClasses(900),
+        burst: { atMilliseconds: returnAt, calls: 100 },
       },
       {
         name: "stayed warm",
--- a/measurements/admission/run_admission.ts
+++ b/measurements/admission/run_admission.ts
@@ -22,6 +22,7 @@
 /** Runs callers against one admission and one fake backend server, in virtual time. */
 export async function runAdmission(options: RunOptions): Promise<RunResult> {
   const environment = createTestEnvironment(options.seed);
+  const { burst } = options;
   const { clock, timers } = environment;
   const startedAt = clock.now();
   const endsAt = startedAt + options.runMilliseconds;
@@ -192,6 +193,16 @@
       () => event.run({ runtime, server }),
     )
   );
+  if (burst !== undefined) {
+    timers.at(
+      startedAt + burst.atMilliseconds,
+      () =>
+        Array.from(
+          { length: burst.calls },
+          (_, place) => options.classes[place % options.classes.length],
+        ).forEach((caller) => caller !== undefined && call(caller)),
+    );
+  }
   watchLimit();
   await environment.advanceTo(endsAt);
   runtime.stop();
--- a/measurements/admission/run_options.ts
+++ b/measurements/admission/run_options.ts
@@ -21,6 +21,8 @@
       },
     ) => void;
   }[];
+  /** Calls that arrive at one instant, by the classes in turn. */
+  readonly burst?: { readonly atMilliseconds: number; readonly calls: number };
   /** Only calls that arrive from here on are counted, in milliseconds. */
   readonly countFromMilliseconds?: number;
 }
