--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -199,25 +199,8 @@
         policy: { limitController: LimitController.AdditiveIncrease },
       },
       {
-        name: "step back, 1.1",
-        policy: {
-          limitController: LimitController.StepBack,
-          raiseLatencyTolerance: 1.1,
-        },
-      },
-      {
-        name: "step back, 1.25",
-        policy: {
-          limitController: LimitController.StepBack,
-          raiseLatencyTolerance: 1.25,
-        },
-      },
-      {
-        name: "step back by sheds alone",
-        policy: {
-          limitController: LimitController.StepBack,
-          raiseLatencyTolerance: Number.POSITIVE_INFINITY,
-        },
+        name: "step back",
+        policy: { limitController: LimitController.StepBack },
       },
     ],
     scenarios: [
--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -18,8 +18,6 @@
   readonly lingeringMilliseconds: number;
   /** What the limit is multiplied by when the backend server sheds or breaks a call. */
   readonly decreaseFactor: number;
-  /** How many times the former service time takes back a raise. */
-  readonly raiseLatencyTolerance: number;
   /** The least number of answered calls between two steps of the cold-start ramp. */
   readonly rampStepAnswers: number;
   /** The least time between two steps of the cold-start ramp. */
--- a/src/admission/create_admission_policy.ts
+++ b/src/admission/create_admission_policy.ts
@@ -17,7 +17,6 @@
     lingeringProbeIntervalMilliseconds: 20,
     lingeringMilliseconds: 5_000,
     decreaseFactor: 0.7,
-    raiseLatencyTolerance: 1.25,
     rampStepAnswers: 10,
     rampStepMilliseconds: 250,
     cautiousStepMilliseconds: 1_000,
--- a/src/admission/create_limit_state.ts
+++ b/src/admission/create_limit_state.ts
@@ -14,7 +14,6 @@
     judgement: {
       limitBefore: current,
       raised: false,
-      latencyMilliseconds: 0,
       holdUntil: 0,
       takenBack: 0,
     },
--- a/src/admission/empty_limit_period.ts
+++ b/src/admission/empty_limit_period.ts
@@ -4,5 +4,4 @@
 export const emptyLimitPeriod: LimitPeriod = {
   answered: 0,
   whenFull: 0,
-  answeredMilliseconds: 0,
 };
--- a/src/admission/judge_raise.ts
+++ b/src/admission/judge_raise.ts
@@ -1,15 +1,14 @@
 import type { AdmissionState } from "./admission_state.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import { emptyLimitPeriod } from "./empty_limit_period.ts";
-import { holdLimit } from "./hold_limit.ts";
 import type { LimitPeriod } from "./limit_period.ts";
 
 /** A period has as many answers as this many rounds at the limit. */
 const roundsInPeriod = 4;
 
 /**
- * Counts an answered call and, at the end of a period without a shed, judges
- * the last raise by the latency: it is taken back, or the next one follows.
+ * Counts an answered call. At the end of a period without a shed the last raise
+ * has proved good, and the next one follows where the calls fill the limit.
  */
 export function judgeRaise(
   state: AdmissionState,
@@ -23,11 +22,6 @@
     return { ...state, limit: { ...limit, period } };
   }
   const { judgement } = limit;
-  const latencyMilliseconds = period.answeredMilliseconds / period.answered;
-  const isSlower = judgement.raised &&
-    latencyMilliseconds >
-      context.policy.raiseLatencyTolerance * judgement.latencyMilliseconds;
-  if (isSlower) return { ...state, limit: holdLimit(limit, context) };
   const slots = state.backendServer?.slots ?? 1;
   const raised = period.whenFull > 0 && limit.current < slots &&
     context.now >= judgement.holdUntil;
@@ -44,7 +38,6 @@
         ...judgement,
         raised,
         limitBefore: limit.current,
-        latencyMilliseconds,
         takenBack: judgement.raised ? 0 : judgement.takenBack,
       },
     },
@@ -56,12 +49,9 @@
   outcome: CallOutcome,
 ): LimitPeriod {
   const { current, period } = state.limit;
-  const { call, context, report } = outcome;
-  const isFull = call.occupiedSlots >= Math.floor(current);
+  const isFull = outcome.call.occupiedSlots >= Math.floor(current);
   return {
     answered: period.answered + 1,
     whenFull: period.whenFull + (isFull ? 1 : 0),
-    answeredMilliseconds: period.answeredMilliseconds +
-      context.now - report.dispatchedAt,
   };
 }
--- a/src/admission/limit_controller.ts
+++ b/src/admission/limit_controller.ts
@@ -4,6 +4,6 @@
   Fixed = "fixed",
   /** Rises by one for each full round of answers and falls by a factor on overload. */
   AdditiveIncrease = "additive-increase",
-  /** Judges its last step by latency and shed rate, and takes back a step that did not help. */
+  /** Remembers its last step, and takes back a raise that a shed followed. */
   StepBack = "step-back",
 }
--- a/src/admission/limit_judgement.ts
+++ b/src/admission/limit_judgement.ts
@@ -4,8 +4,6 @@
   readonly limitBefore: number;
   /** Whether the last step raised the limit. */
   readonly raised: boolean;
-  /** The mean time of the calls answered in the period before the step, in milliseconds. */
-  readonly latencyMilliseconds: number;
   /** No raise before this instant, in milliseconds since the Unix epoch. */
   readonly holdUntil: number;
   /** Raises taken back in a row. */
--- a/src/admission/limit_period.ts
+++ b/src/admission/limit_period.ts
@@ -3,6 +3,4 @@
   readonly answered: number;
   /** Calls that were admitted to the last slot under the limit. */
   readonly whenFull: number;
-  /** The time that the answered calls took together, in milliseconds. */
-  readonly answeredMilliseconds: number;
 }
