--- /dev/null
+++ b/scenarios/processes_test.ts
@@ -0,0 +1,264 @@
+import test from "ava";
+import type { CallerService } from "../stand_ins/caller/caller_service.ts";
+import { gatherFacts } from "../stand_ins/deployment/gather_facts.ts";
+import { pause } from "../stand_ins/deployment/pause.ts";
+import { sumRuns } from "../stand_ins/deployment/sum_runs.ts";
+import { watchVersions } from "../stand_ins/deployment/watch_versions.ts";
+import { assertInForce } from "./processes/assert_in_force.ts";
+import { assertSafe } from "./processes/assert_safe.ts";
+import { countBegun } from "./processes/count_begun.ts";
+import { withDeployment } from "./processes/with_deployment.ts";
+
+const fewSecondsMilliseconds = 4000;
+const observationMilliseconds = 2000;
+const loadMilliseconds = 2500;
+const sleepMilliseconds = 4000;
+
+test.serial(
+  "[point 11: herd of nodes killed and reconnecting] [point 8: owner dead] [point 8: counted at the backend server] [point 7: counted at the backend server] [point 6: counted at the caller] half of the nodes are killed under load and come back at once",
+  withDeployment({}, async (deployment, assert) => {
+    const caller = deployment.startCaller({ seed: 11 });
+    await pause(loadMilliseconds);
+    const herd = deployment.vms.filter((_, index) => index % 2 === 0);
+    herd.forEach((vm) => deployment.getNode(vm).process.kill("SIGKILL"));
+    await Promise.all(herd.map((vm) => deployment.getNode(vm).ended));
+    const since = await deployment.publish({
+      number: 2,
+      retryBudgetPercent: 20,
+    });
+    herd.forEach((vm) => deployment.startNode(vm));
+    await assertInForce(assert, {
+      deployment,
+      vms: deployment.vms,
+      number: 2,
+      since,
+    });
+    await pause(loadMilliseconds);
+    assertSafe(assert, await gatherFacts(deployment, caller));
+  }),
+);
+
+test.serial(
+  "[point 1: restart with the platform stale] nodes killed one after the other never come back with an older version",
+  withDeployment({}, async (deployment, assert) => {
+    const since = await deployment.publish({ number: 2 });
+    const { vms } = deployment;
+    await assertInForce(assert, { deployment, vms, number: 2, since });
+    await deployment.setPlatformFaults({ staleRevision: 1 });
+    const restarted = vms.slice(0, 3);
+    await restarted.reduce(async (before, vm) => {
+      await before;
+      deployment.getNode(vm).process.kill("SIGKILL");
+      await deployment.getNode(vm).ended;
+      deployment.startNode(vm);
+      const at = Date.now();
+      await assertInForce(assert, { deployment, vms, number: 2, since: at });
+    }, Promise.resolve());
+  }),
+);
+
+test.serial(
+  "[point 5: node that slept through the change] [point 5: retried and repeated calls] [point 5: counted at the backend server] [point 8: process paused after dispatch] [point 7: request in a frozen process] a node sleeps while its zone is taken out under load",
+  withDeployment({}, async (deployment, assert) => {
+    const caller = deployment.startCaller({ seed: 5, repeatShare: 0.6 });
+    const inZone = deployment.vms.filter((vm) => vm.zone === "sul-b");
+    const others = deployment.vms.filter((vm) => vm.zone !== "sul-b");
+    await pause(loadMilliseconds);
+    const sleeper = deployment.getNode(inZone[0]!);
+    sleeper.process.kill("SIGSTOP");
+    const since = await deployment.publish({
+      number: 2,
+      zonesTakenOut: ["sul-b"],
+    });
+    await assertInForce(assert, {
+      deployment,
+      vms: others,
+      number: 2,
+      since,
+    });
+    await pause(sleepMilliseconds);
+    const asleep = await countBegun(deployment, inZone);
+    sleeper.process.kill("SIGCONT");
+    await assertInForce(assert, {
+      deployment,
+      vms: deployment.vms,
+      number: 2,
+      since: Date.now(),
+    });
+    await pause(observationMilliseconds);
+    assert.is(await countBegun(deployment, inZone) - asleep, 0);
+    assertSafe(assert, await gatherFacts(deployment, caller));
+  }),
+);
+
+test.serial(
+  "[point 11: connection gone silent] [point 7: contact lost after hand-over] [point 8: tries by the mesh] open connections to two nodes go silent under load while new ones work",
+  withDeployment(
+    { hasRelay: (vm) => vm.vm === "vm-1" || vm.vm === "vm-4" },
+    async (deployment, assert) => {
+      const caller = deployment.startCaller({ seed: 13 });
+      const { vms } = deployment;
+      await pause(loadMilliseconds);
+      await deployment.setRelayMode(vms[0]!, { openConnections: "silent" });
+      await deployment.setRelayMode(vms[3]!, { openConnections: "silent" });
+      const since = await deployment.publish({
+        number: 2,
+        retryBudgetPercent: 20,
+      });
+      await assertInForce(assert, { deployment, vms, number: 2, since });
+      await pause(loadMilliseconds);
+      await deployment.setRelayMode(vms[0]!, { openConnections: "cut" });
+      await pause(loadMilliseconds);
+      const facts = await gatherFacts(deployment, caller);
+      assertSafe(assert, facts);
+      assert.is(facts.report.cut, 0, "calls that were cut at their caller");
+    },
+  ),
+);
+
+test.serial(
+  "[point 9: list of VMs lagging] [point 9: counted at the backend server] a leaving backend server receives nothing while the list of VMs lags",
+  withDeployment({}, async (deployment, assert) => {
+    const caller = deployment.startCaller({ seed: 9 });
+    await pause(loadMilliseconds);
+    await deployment.setPlatformFaults({ vmListLagMilliseconds: 600_000 });
+    const leaving = deployment.vms.slice(3, 4);
+    const names = leaving.map((vm) => vm.backendServerName);
+    await deployment.publish({ number: 2, backendServersLeaving: names });
+    await pause(fewSecondsMilliseconds);
+    const before = await countBegun(deployment, leaving);
+    await pause(observationMilliseconds);
+    assert.true(before > 0, "it had no calls before");
+    assert.is(await countBegun(deployment, leaving) - before, 0);
+    assertSafe(assert, await gatherFacts(deployment, caller));
+  }),
+);
+
+test.serial(
+  "[point 10: several nodes stopping in turn while the configuration changes] [point 10: keep-alive connections] [point 10: peers still sending] [point 10: long answers] three nodes are stopped in turn under load",
+  withDeployment(
+    {
+      backendServer: { workMilliseconds: [20, 400] },
+      timing: { drainMilliseconds: 3000 },
+    },
+    async (deployment, assert) => {
+      const caller = deployment.startCaller({
+        seed: 10,
+        abandonShare: 0.2,
+        services: createLongAnswerServices(),
+      });
+      await pause(loadMilliseconds);
+      const stopping = [0, 4, 2].map((index) => deployment.vms[index]!);
+      const statuses = await stopping.reduce(
+        async (before, vm, index) => {
+          const ended = await before;
+          await deployment.publish({
+            number: 2 + index,
+            retryBudgetPercent: 11 + index,
+          });
+          const node = deployment.getNode(vm);
+          node.process.kill("SIGTERM");
+          return [...ended, await node.ended];
+        },
+        Promise.resolve<(number | null)[]>([]),
+      );
+      assert.deepEqual(statuses, [0, 0, 0]);
+      await pause(loadMilliseconds);
+      const facts = await gatherFacts(deployment, caller);
+      assertSafe(assert, facts);
+      // A call may cross the closing of an idle connection, which HTTP/1.1 cannot
+      // rule out; none that a node had taken may be cut.
+      const ran = sumRuns(facts.runs, "tokens");
+      const cut = facts.report.cutTokens.filter((token) => ran.has(token));
+      assert.deepEqual(cut, [], "calls that were cut");
+      assert.is(
+        facts.report.unknownFirstAttempts,
+        0,
+        "first attempts with unknown outcome",
+      );
+    },
+  ),
+);
+
+test.serial(
+  "[point 4: counted at the backend server] every backend server relapses unannounced under load and lies about it",
+  withDeployment({}, async (deployment, assert) => {
+    const caller = deployment.startCaller({ seed: 4, callsPerSecond: 150 });
+    await pause(loadMilliseconds);
+    await Promise.all(deployment.vms.map(async (vm) => {
+      await deployment.setBackendServerFaults(vm, { reportedState: "ready" });
+      await deployment.setBackendServerState(vm, { cold: true });
+    }));
+    await pause(fewSecondsMilliseconds);
+    const facts = await gatherFacts(deployment, caller);
+    assertSafe(assert, facts);
+    assert.deepEqual(facts.runs.map((one) => one.falls), [0, 0, 0, 0, 0, 0]);
+  }),
+);
+
+test.serial(
+  "[point 6: answer cut] [point 6: answer rubbish] [point 6: answer after its caller left] backend servers cut, garble and delay answers while callers hang up",
+  withDeployment({}, async (deployment, assert) => {
+    const { vms } = deployment;
+    const faults = ["cut", "rubbish", "slow"];
+    await Promise.all(
+      vms.map((vm, index) =>
+        deployment.setBackendServerFaults(vm, {
+          answers: faults[index % faults.length],
+          every: 5,
+        })
+      ),
+    );
+    const caller = deployment.startCaller({ seed: 6, abandonShare: 0.6 });
+    await pause(loadMilliseconds * 2);
+    const facts = await gatherFacts(deployment, caller);
+    assertSafe(assert, facts);
+    assert.true(facts.report.unknown > 0, "no broken answer was reported");
+  }),
+);
+
+test.serial(
+  "[point 11: platform down right after publishing] [point 11: reader killed] the platform goes down and nodes die right after a publication",
+  withDeployment({}, async (deployment, assert) => {
+    const [killed, ...live] = deployment.vms;
+    const since = await deployment.publish({
+      number: 2,
+      retryBudgetPercent: 20,
+    });
+    const readBy = async (): Promise<void> => {
+      const versions = await watchVersions(deployment, live);
+      const isRead = [...versions.values()].some((one) => one.number === 2);
+      return isRead || Date.now() > since + fewSecondsMilliseconds
+        ? undefined
+        : await readBy();
+    };
+    await readBy();
+    await deployment.setPlatformFaults({ outage: true });
+    deployment.getNode(killed!).process.kill("SIGKILL");
+    await assertInForce(assert, { deployment, vms: live, number: 2, since });
+  }),
+);
+
+/** Catalogue pages beyond what a node buffers, and orders. */
+function createLongAnswerServices(): CallerService[] {
+  return [
+    {
+      service: "vitrine",
+      priority: "normal",
+      method: "GET",
+      weight: 1,
+      bytes: 400_000,
+      keyed: false,
+      path: "/vitrine/page",
+    },
+    {
+      service: "encomendas",
+      priority: "high",
+      method: "POST",
+      weight: 3,
+      bytes: 500,
+      keyed: true,
+      path: "/encomendas/page",
+    },
+  ];
+}
--- a/stand_ins/caller/caller_report.ts
+++ b/stand_ins/caller/caller_report.ts
@@ -10,6 +10,8 @@
   readonly whole: number;
   readonly notRun: number;
   readonly unknown: number;
+  /** Those among `unknown` that were first attempts. */
+  readonly unknownFirstAttempts: number;
   readonly abandoned: number;
   readonly wrong: number;
   readonly cut: number;
@@ -20,6 +22,8 @@
   readonly reasons: Readonly<Record<string, number>>;
   /** Cut calls by address of the node that was asked. */
   readonly cutByNode: Readonly<Record<string, number>>;
+  /** Tokens of cut calls. */
+  readonly cutTokens: readonly string[];
   /** Tokens whose every attempt was refused as not run, or found no listener. */
   readonly neverRunTokens: readonly string[];
   /** Keys that were sent. */
--- a/stand_ins/caller/create_caller_report.ts
+++ b/stand_ins/caller/create_caller_report.ts
@@ -43,6 +43,10 @@
     whole: endings[CallEnding.Whole] ?? 0,
     notRun: endings[CallEnding.NotRun] ?? 0,
     unknown: endings[CallEnding.Unknown] ?? 0,
+    unknownFirstAttempts:
+      records.filter(({ call, result }) =>
+        result.ending === CallEnding.Unknown && call.attempt === 1
+      ).length,
     abandoned: endings[CallEnding.Abandoned] ?? 0,
     wrong: endings[CallEnding.Wrong] ?? 0,
     cut: cut.length,
@@ -56,6 +60,7 @@
       cut,
       (record) => settings.nodes[record.call.node] ?? "",
     ),
+    cutTokens: cut.map((record) => record.call.token),
     neverRunTokens: getNeverRunTokens(records),
     keys: [
       ...new Set(records.flatMap((record) => record.call.key ?? [])),
