--- /dev/null
+++ b/traces/replay_trail.ts
@@ -0,0 +1,34 @@
+import type { AuditEntry } from "../src/telemetry/audit_entry.ts";
+import { stepTrail } from "./step_trail.ts";
+import type { TrailOutcome } from "./trail_outcome.ts";
+import type { TrailState } from "./trail_state.ts";
+
+const start: TrailState = {
+  inForce: new Map(),
+  highest: new Map(),
+  refused: new Map(),
+  conflicts: new Map(),
+  zonesTakenOut: new Map(),
+  refusedDigests: new Set(),
+  faults: [],
+};
+
+/** Replays the audit trails of a whole deployment, in the order of their instants. */
+export function replayTrail(entries: readonly AuditEntry[]): TrailOutcome {
+  const end = entries.reduce(stepTrail, start);
+  const versions = [...end.inForce].sort(([left], [right]) =>
+    left.localeCompare(right)
+  );
+  const digests = versions.map(([, version]) => version.digest);
+  const zones = [...end.zonesTakenOut].filter(([, list]) => list.length > 0);
+  return {
+    inForce: Object.fromEntries(
+      versions.map(([vm, version]) => [vm, version.number]),
+    ),
+    contentsInForce: new Set(digests).size,
+    refusedBy: Object.fromEntries(end.refused),
+    conflictSeenBy: Object.fromEntries(end.conflicts),
+    zonesTakenOut: Object.fromEntries(zones),
+    faults: end.faults,
+  };
+}
