--- /dev/null
+++ b/measurements/cost/call_path_titles.ts
@@ -0,0 +1,9 @@
+import { CallPath } from "./call_path.ts";
+
+/** What tables call each path. */
+export const callPathTitles: Readonly<Record<CallPath, string>> = {
+  [CallPath.Direct]: "direct (baseline)",
+  [CallPath.Plain]: "plain node (baseline)",
+  [CallPath.OneHop]: "one hop",
+  [CallPath.TwoHops]: "two hops",
+};
--- /dev/null
+++ b/measurements/cost/check_cost_target.ts
@@ -0,0 +1,50 @@
+import { formatSpread } from "../format_spread.ts";
+import type { TargetCheck } from "../target_check.ts";
+import { TargetVerdict } from "../target_verdict.ts";
+import { CallPath } from "./call_path.ts";
+import { callPathTitles } from "./call_path_titles.ts";
+import type { CostFigures } from "./cost_figures.ts";
+
+const targetMilliseconds = 0.75;
+
+/**
+ * A block in which half of the calls already exceed the target shows that it is
+ * missed. Otherwise a run decides only where a plain node, which does nothing
+ * but pass calls on, stays within the target itself.
+ */
+export function checkCostTarget(
+  path: CallPath,
+  figures: readonly CostFigures[],
+): TargetCheck {
+  const of = (chosen: CallPath, read: (entry: CostFigures) => number) =>
+    figures.filter((entry) => entry.path === chosen).map(read);
+  const added = of(path, (entry) => entry.addedPercentile99);
+  const plain = of(CallPath.Plain, (entry) => entry.addedPercentile99);
+  const lowestMedian = Math.min(...of(path, (entry) => entry.addedMedian));
+  return {
+    target: `0.75 ms added for 99 calls in 100, ${callPathTitles[path]}`,
+    measured: `${formatSpread(added)} ms; a plain node adds ${
+      formatSpread(plain)
+    } ms on this machine`,
+    verdict: getVerdict({
+      added: Math.max(...added),
+      plain: Math.max(...plain),
+      lowestMedian,
+    }),
+  };
+}
+
+function getVerdict(
+  milliseconds: {
+    readonly added: number;
+    readonly plain: number;
+    readonly lowestMedian: number;
+  },
+): TargetVerdict {
+  if (milliseconds.added <= targetMilliseconds) {
+    return TargetVerdict.Met;
+  }
+  const isDecided = milliseconds.lowestMedian > targetMilliseconds ||
+    milliseconds.plain <= targetMilliseconds;
+  return isDecided ? TargetVerdict.Missed : TargetVerdict.Undecided;
+}
--- a/measurements/cost/cost_measure.ts
+++ b/measurements/cost/cost_measure.ts
@@ -6,20 +6,17 @@
 import { loopback } from "../../stand_ins/deployment/loopback.ts";
 import { plainNodeProgram } from "../fleet/plain_node_program.ts";
 import { withDeployment } from "../fleet/with_deployment.ts";
-import { formatSpread } from "../format_spread.ts";
 import type { MeasureContext } from "../measure_context.ts";
 import type { MeasureResult } from "../measure_result.ts";
 import type { Measure } from "../measure.ts";
 import { runInTurn } from "../run_in_turn.ts";
-import { TargetVerdict } from "../target_verdict.ts";
 import { wait } from "../wait.ts";
 import { CallPath } from "./call_path.ts";
 import type { CallTarget } from "./call_target.ts";
 import { computeCostFigures } from "./compute_cost_figures.ts";
-import type { CostFigures } from "./cost_figures.ts";
+import { createCostResult } from "./create_cost_result.ts";
 import { costPlan } from "./cost_plan.ts";
 import { measureProcessorCost } from "./measure_processor_cost.ts";
-import type { ProcessorCost } from "./processor_cost.ts";
 import { runCostBlock } from "./run_cost_block.ts";
 
 const blocks = 10;
@@ -32,19 +29,11 @@
 /** An abandoned call takes a hundred times as long as an answered one. */
 const callsForOneAbandoned = 4;
 const settleMilliseconds = 2000;
-const targetMilliseconds = 0.75;
 const warmBackendServers = {
   startsCold: false,
   workMilliseconds: [0, 0] as [number, number],
 };
 
-const titles: Readonly<Record<CallPath, string>> = {
-  [CallPath.Direct]: "direct (baseline)",
-  [CallPath.Plain]: "plain node (baseline)",
-  [CallPath.OneHop]: "one hop",
-  [CallPath.TwoHops]: "two hops",
-};
-
 interface MeasuredPath {
   readonly target: CallTarget;
   readonly nodes: readonly Child[];
@@ -147,114 +136,5 @@
     );
   });
   await Promise.all(targets.map(({ pool }) => pool.destroy()));
-  return createResult(measured.flat(), processorCosts.flat());
-}
-
-function createResult(
-  figures: readonly CostFigures[],
-  processorCosts: readonly ProcessorCost[],
-): MeasureResult {
-  const of = (path: CallPath, read: (entry: CostFigures) => number) =>
-    figures.filter((entry) => entry.path === path).map(read);
-  const processorOf = (path: CallPath, abandoned: boolean) =>
-    processorCosts.filter((entry) =>
-      entry.path === path && entry.abandoned === abandoned
-    );
-  const meshPaths = [CallPath.OneHop, CallPath.TwoHops];
-  return {
-    tables: [
-      {
-        title: "Milliseconds of a call",
-        columns: [
-          "path",
-          "median",
-          "99th percentile",
-          "added, median",
-          "added, 99th percentile",
-          "ratio, median",
-          "ratio, 99th percentile",
-        ],
-        rows: Object.values(CallPath).map((path) => [
-          titles[path],
-          formatSpread(of(path, (entry) => entry.median)),
-          formatSpread(of(path, (entry) => entry.percentile99)),
-          formatSpread(of(path, (entry) => entry.addedMedian)),
-          formatSpread(of(path, (entry) => entry.addedPercentile99)),
-          formatSpread(of(path, (entry) => entry.ratioMedian)),
-          formatSpread(of(path, (entry) => entry.ratioPercentile99)),
-        ]),
-      },
-      {
-        title: "Processor time of the nodes for one call",
-        columns: [
-          "path",
-          "answered: milliseconds, all nodes on the way",
-          "answered: calls a second meanwhile",
-          "abandoned: milliseconds, all nodes on the way",
-        ],
-        rows: Object.values(CallPath)
-          .filter((path) => processorOf(path, false).length > 0)
-          .map((path) => [
-            titles[path],
-            formatSpread(
-              processorOf(path, false).map((entry) => entry.milliseconds),
-            ),
-            formatSpread(
-              processorOf(path, false).map((entry) => entry.callsPerSecond),
-            ),
-            formatSpread(
-              processorOf(path, true).map((entry) => entry.milliseconds),
-            ),
-          ]),
-      },
-    ],
-    charts: [],
-    targets: meshPaths.map((path) => createCheck(path, figures)),
-    notes: [
-      "The caller, the nodes and the backend server share one machine and loopback; the network between VMs is not in the figures.",
-      "A difference of two 99th percentiles is not the 99th percentile of the added time; it is given beside the ratio since the machine's own disturbances meet both paths.",
-      "Calls are idempotent and carry no key.",
-      "An abandoned call works for 20 ms at the backend server and its caller closes the connection after 5 ms; the caller's next call needs a new connection.",
-    ],
-    data: { figures, processorCosts },
-  };
-}
-
-/**
- * A block in which half of the calls already exceed the target shows that it is
- * missed. Otherwise a run decides only where a plain node, which does nothing
- * but pass calls on, stays within the target itself.
- */
-function createCheck(path: CallPath, figures: readonly CostFigures[]) {
-  const of = (chosen: CallPath, read: (entry: CostFigures) => number) =>
-    figures.filter((entry) => entry.path === chosen).map(read);
-  const added = of(path, (entry) => entry.addedPercentile99);
-  const plain = of(CallPath.Plain, (entry) => entry.addedPercentile99);
-  const lowestMedian = Math.min(...of(path, (entry) => entry.addedMedian));
-  return {
-    target: `0.75 ms added for 99 calls in 100, ${titles[path]}`,
-    measured: `${formatSpread(added)} ms; a plain node adds ${
-      formatSpread(plain)
-    } ms on this machine`,
-    verdict: getVerdict({
-      added: Math.max(...added),
-      plain: Math.max(...plain),
-      lowestMedian,
-    }),
-  };
-}
-
-function getVerdict(
-  milliseconds: {
-    readonly added: number;
-    readonly plain: number;
-    readonly lowestMedian: number;
-  },
-): TargetVerdict {
-  if (milliseconds.added <= targetMilliseconds) {
-    return TargetVerdict.Met;
-  }
-  const isDecided = milliseconds.lowestMedian > targetMilliseconds ||
-    milliseconds.plain <= targetMilliseconds;
-  return isDecided ? TargetVerdict.Missed : TargetVerdict.Undecided;
+  return createCostResult(measured.flat(), processorCosts.flat());
 }
--- a/measurements/create_bar_chart.ts
+++ b/measurements/create_bar_chart.ts
@@ -1,7 +1,6 @@
+import { createChart } from "./create_chart.ts";
 import type { MeasureChart } from "./measure_chart.ts";
 
-const chartWidth = 640;
-
 /** Creates a chart with a group of horizontal bars for each `group`. */
 export function createBarChart(
   name: string,
@@ -15,22 +14,18 @@
     }[];
   },
 ): MeasureChart {
-  return {
-    name,
-    title: options.title,
-    specification: {
-      $schema: "https://vega.github.io/schema/vega-lite/v6.json",
-      title: options.title,
-      width: chartWidth,
-      background: "white",
-      data: { values: options.bars.map((bar) => ({ ...bar })) },
+  const { title, value, bars } = options;
+  return createChart(name, {
+    title,
+    drawing: {
+      data: { values: bars },
       mark: "bar",
       encoding: {
         y: { field: "group", type: "nominal", title: "" },
         yOffset: { field: "series" },
-        x: { field: "value", type: "quantitative", title: options.value },
+        x: { field: "value", type: "quantitative", title: value },
         color: { field: "series", type: "nominal", title: "" },
       },
     },
-  };
+  });
 }
--- /dev/null
+++ b/measurements/create_chart.ts
@@ -0,0 +1,22 @@
+import type { TopLevelSpec } from "vega-lite";
+import type { MeasureChart } from "./measure_chart.ts";
+
+const chartWidth = 640;
+
+/** Creates a chart of the common width and ground; `drawing` adds data, mark and encoding. */
+export function createChart(
+  name: string,
+  options: { readonly title: string; readonly drawing: object },
+): MeasureChart {
+  return {
+    name,
+    title: options.title,
+    specification: {
+      $schema: "https://vega.github.io/schema/vega-lite/v6.json",
+      title: options.title,
+      width: chartWidth,
+      background: "white",
+      ...options.drawing,
+    } as TopLevelSpec,
+  };
+}
--- a/measurements/create_line_chart.ts
+++ b/measurements/create_line_chart.ts
@@ -1,6 +1,6 @@
+import { createChart } from "./create_chart.ts";
 import type { MeasureChart } from "./measure_chart.ts";
 
-const chartWidth = 640;
 const chartHeight = 280;
 
 /** Creates a chart with one line for each `series`. */
@@ -17,26 +17,18 @@
     }[];
   },
 ): MeasureChart {
-  return {
-    name,
-    title: options.title,
-    specification: {
-      $schema: "https://vega.github.io/schema/vega-lite/v6.json",
-      title: options.title,
-      width: chartWidth,
+  const { title, horizontal, vertical, points } = options;
+  return createChart(name, {
+    title,
+    drawing: {
       height: chartHeight,
-      background: "white",
-      data: { values: options.points.map((point) => ({ ...point })) },
+      data: { values: points },
       mark: { type: "line", point: true },
       encoding: {
-        x: {
-          field: "horizontal",
-          type: "quantitative",
-          title: options.horizontal,
-        },
-        y: { field: "vertical", type: "quantitative", title: options.vertical },
+        x: { field: "horizontal", type: "quantitative", title: horizontal },
+        y: { field: "vertical", type: "quantitative", title: vertical },
         color: { field: "series", type: "nominal", title: "" },
       },
     },
-  };
+  });
 }
--- a/measurements/measures.ts
+++ b/measurements/measures.ts
@@ -1,3 +1,4 @@
+import { admissionMeasure } from "./admission_measure.ts";
 import { compileMeasure } from "./compile/compile_measure.ts";
 import { costMeasure } from "./cost/cost_measure.ts";
 import { convergenceMeasure } from "./convergence/convergence_measure.ts";
@@ -13,6 +14,7 @@
   compileMeasure,
   peersMeasure,
   ledgerMeasure,
+  admissionMeasure,
   costMeasure,
   convergenceMeasure,
   serviceMeasure,
