--- a/measurements/service/service_measure.ts
+++ b/measurements/service/service_measure.ts
@@ -13,7 +13,7 @@
 import type { ServiceTimeline } from "./service_timeline.ts";
 
 const plans: readonly DeploymentPlan[] = [boloFestaSulPlan, koloretePlan];
-const warmUpMilliseconds = 6000;
+const warmUpMilliseconds = 15_000;
 const quickWarmUpMilliseconds = 2000;
 const fullTimeline: ServiceTimeline = {
   outSecond: 6,
