--- a/measurements/service/create_service_chart.ts
+++ b/measurements/service/create_service_chart.ts
@@ -2,12 +2,17 @@
 import type { MeasureChart } from "../measure_chart.ts";
 import { computeServiceShare } from "./compute_service_share.ts";
 import { getSystemName } from "./get_system_name.ts";
+import type { ServiceChartFigure } from "./service_chart_figure.ts";
 import type { ServiceRun } from "./service_run.ts";
 
-/** Draws, second by second, the share of the staying callers of one service that got a whole answer. */
+/** Draws one figure of a service second by second, for nodes and baseline. */
 export function createServiceChart(
   runs: readonly ServiceRun[],
-  options: { readonly deployment: string; readonly service: string },
+  options: {
+    readonly deployment: string;
+    readonly service: string;
+    readonly figure: ServiceChartFigure;
+  },
 ): MeasureChart {
   const chosen = runs.filter((run) => run.deployment === options.deployment);
   const seconds = [
@@ -25,15 +30,16 @@
         );
       return buckets.length === 0 ? [] : [{
         horizontal: second,
-        vertical: computeServiceShare(buckets).whole * 100,
+        vertical: options.figure.read(computeServiceShare(buckets)),
         series: getSystemName(isBaseline),
       }];
     })
   );
-  return createLineChart(`service_${options.deployment}_${options.service}`, {
-    title: `${options.deployment}, ${options.service}: whole answers, percent`,
+  const { deployment, service, figure } = options;
+  return createLineChart(`service_${deployment}_${service}_${figure.suffix}`, {
+    title: `${deployment}, ${service}: ${figure.title}`,
     horizontal: "second",
-    vertical: "percent of the callers that stayed, all repeats",
+    vertical: figure.unit,
     points,
   });
 }
--- /dev/null
+++ b/measurements/service/service_chart_figure.ts
@@ -0,0 +1,10 @@
+import type { ServiceShare } from "./service_share.ts";
+
+/** A figure that the charts of the service draw second by second. */
+export interface ServiceChartFigure {
+  /** The end of the file name. */
+  readonly suffix: string;
+  readonly title: string;
+  readonly unit: string;
+  readonly read: (share: ServiceShare) => number;
+}
--- /dev/null
+++ b/measurements/service/service_chart_figures.ts
@@ -0,0 +1,17 @@
+import type { ServiceChartFigure } from "./service_chart_figure.ts";
+
+/** What is drawn of each service. */
+export const serviceChartFigures: readonly ServiceChartFigure[] = [
+  {
+    suffix: "whole",
+    title: "whole answers",
+    unit: "percent of the callers that stayed, all repeats",
+    read: (share) => share.whole * 100,
+  },
+  {
+    suffix: "latency",
+    title: "time to a whole answer",
+    unit: "milliseconds, worst 99th percentile of the repeats",
+    read: (share) => share.worstPercentile99Milliseconds,
+  },
+];
--- a/measurements/service/service_measure.ts
+++ b/measurements/service/service_measure.ts
@@ -8,6 +8,7 @@
 import { TargetVerdict } from "../target_verdict.ts";
 import { createServiceChart } from "./create_service_chart.ts";
 import { createServiceTables } from "./create_service_tables.ts";
+import { serviceChartFigures } from "./service_chart_figures.ts";
 import { runService } from "./run_service.ts";
 import type { ServiceRun } from "./service_run.ts";
 import type { ServiceTimeline } from "./service_timeline.ts";
@@ -91,11 +92,14 @@
   return {
     tables: chosenPlans.flatMap((plan) => createServiceTables(plan, runs)),
     charts: chosenPlans.flatMap((plan) =>
-      plan.services.map((service) =>
-        createServiceChart(runs, {
-          deployment: plan.name,
-          service: service.name,
-        })
+      plan.services.flatMap((service) =>
+        serviceChartFigures.map((figure) =>
+          createServiceChart(runs, {
+            deployment: plan.name,
+            service: service.name,
+            figure,
+          })
+        )
       )
     ),
     targets: [
