--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -56,21 +56,23 @@
   { atMilliseconds: changeAt, run: ({ server }) => server.setSlots(6) },
   { atMilliseconds: returnAt, run: ({ server }) => server.setSlots(12) },
 ];
-const zoneLeavesAndReturns: RunOptions["events"] = [
+const zoneLeavesAndReturnsWarm: RunOptions["events"] = [
   {
     atMilliseconds: changeAt,
-    run: ({ runtime, server }) => {
+    run: ({ runtime }) =>
       runtime.applySnapshot(
         createTestSnapshot({ ...register, zoneState: ZoneState.TakenOut }),
-      );
-      server.relapse();
-    },
+      ),
   },
   {
     atMilliseconds: returnAt,
     run: ({ runtime }) => runtime.applySnapshot(createTestSnapshot(register)),
   },
 ];
+const zoneLeavesAndReturns: RunOptions["events"] = [
+  ...zoneLeavesAndReturnsWarm,
+  ...relapse,
+];
 const saysReady = { report: () => "ready" as const };
 const saysCold = { report: () => "cold" as const };
 
@@ -92,6 +94,31 @@
       },
     })),
   },
+  {
+    name: "given-up calls",
+    variants: [
+      { name: "hold until let go", policy: {} },
+      {
+        name: "hold until the next usual probe",
+        policy: {
+          lingeringProbeIntervalMilliseconds: Number.POSITIVE_INFINITY,
+        },
+      },
+      { name: "free at once", policy: { lingeringMilliseconds: 0 } },
+    ],
+    scenarios: [10, 100, 400].map((letGoMilliseconds) => ({
+      name: `the server goes on for ${letGoMilliseconds} ms`,
+      options: {
+        ...usual,
+        classes: createClasses(100).map((caller) => ({
+          ...caller,
+          abandoned: 0.8,
+        })),
+        server: { ...warmSoon, serviceMilliseconds: 150, letGoMilliseconds },
+        countFromMilliseconds: changeAt,
+      },
+    })),
+  },
   {
     name: "cold start",
     variants: [
@@ -133,18 +160,32 @@
       { name: "no ramp", policy: { returnRamp: false } },
     ],
     scenarios: [
-      { name: "says cold", server: warmSlowly },
-      { name: "says ready", server: { ...warmSlowly, ...saysReady } },
       {
-        name: "says ready, never falls over",
-        server: { ...warmSlowly, ...saysReady, ...neverFalls },
+        name: "cold, says so",
+        server: warmSlowly,
+        events: zoneLeavesAndReturns,
+      },
+      {
+        name: "cold, says ready",
+        server: { ...warmSlowly, ...saysReady },
+        events: zoneLeavesAndReturns,
       },
-    ].map(({ name, server }) => ({
+      {
+        name: "cold, says ready, 100 calls at once, falls over at 8 sheds",
+        server: { ...warmSlowly, ...saysReady, fallSheds: 8 },
+        events: zoneLeavesAndReturns,
+        burst: { atMilliseconds: returnAt, calls: 100 },
+      },
+      {
+        name: "stayed warm",
+        server: { ...warmSlowly, ...saysReady },
+        events: zoneLeavesAndReturnsWarm,
+      },
+    ].map(({ name, ...rest }) => ({
       name,
       options: {
         ...usual,
-        server,
-        events: zoneLeavesAndReturns,
+        ...rest,
         countFromMilliseconds: returnAt,
       },
     })),
@@ -168,6 +209,13 @@
         name: "slower above 8 of 12 slots",
         options: { ...usual, server: { ...warmSoon, kneeSlots: 8 } },
       },
+      {
+        name: "loses throughput above 6 of 12 slots",
+        options: {
+          ...usual,
+          server: { ...warmSoon, kneeSlots: 6, crowdingPower: 2 },
+        },
+      },
       {
         name: "bears 6 of 12 slots for 10 s",
         options: {
--- /dev/null
+++ b/measurements/fleet/run_fleet_cases.ts
@@ -0,0 +1,36 @@
+import type { MeasureContext } from "../measure_context.ts";
+import { runCases } from "../run_cases.ts";
+import type { FleetCase } from "./fleet_case.ts";
+import type { FleetRun } from "./fleet_run.ts";
+import { runFleet } from "./run_fleet.ts";
+
+/** Runs every case and its baseline in turn, as often as the context asks for. */
+export function runFleetCases(
+  cases: readonly FleetCase[],
+  context: MeasureContext,
+): Promise<readonly FleetRun[]> {
+  const count = context.repeats;
+  const plans = Array.from(
+    { length: count },
+    (_, repeat) =>
+      cases.flatMap((fleetCase) => [
+        { fleetCase, repeat, isBaseline: false },
+        { fleetCase, repeat, isBaseline: true },
+      ]),
+  ).flat();
+  return runCases(plans, context, ({ fleetCase, repeat, isBaseline }) => {
+    context.progress(
+      `${fleetCase.label}${isBaseline ? " as baseline" : ""}, repeat ${
+        repeat + 1
+      } of ${count}`,
+    );
+    return runFleet(fleetCase, {
+      repeat,
+      isBaseline,
+      settleMilliseconds: context.quick ? 500 : 3000,
+      restMilliseconds: context.quick ? 1500 : 8000,
+      stormMilliseconds: context.quick ? 2000 : 8000,
+      changes: context.quick ? 1 : 4,
+    });
+  });
+}
--- a/src/admission/admission_policy.ts
+++ b/src/admission/admission_policy.ts
@@ -18,6 +18,8 @@
   readonly lingeringMilliseconds: number;
   /** What the limit is multiplied by when the backend server sheds or breaks a call. */
   readonly decreaseFactor: number;
+  /** The least number of answered calls between two steps of the cold-start ramp. */
+  readonly rampStepAnswers: number;
   /** The least time between two steps of the cold-start ramp. */
   readonly rampStepMilliseconds: number;
   /**
--- a/src/admission/create_admission_runtime.ts
+++ b/src/admission/create_admission_runtime.ts
@@ -20,7 +20,7 @@
   options: AdmissionRuntimeOptions,
 ): AdmissionRuntime {
   const { environment, prober, settings } = options;
-  const { clock, timers, random, auditTrail } = environment;
+  const { auditTrail, clock, log, random, timers } = environment;
   const policy = options.policy ?? createAdmissionPolicy(settings);
   const undecided = new Map<string, (decision: AdmissionDecision) => void>();
   const events: AdmissionEvent[] = [];
@@ -71,13 +71,15 @@
         });
       })
       .with({ kind: AdmissionEffectKind.Probe }, (probe) => {
+        if (isStopped) return;
         void prober?.probe({ deadline: probe.deadline }).then((result) => {
           if (isStopped) return;
-          send(
-            result.isOk
-              ? { kind: AdmissionEventKind.ProbeAnswered, probe: result.value }
-              : { kind: AdmissionEventKind.ProbeFailed },
-          );
+          if (result.isOk) {
+            const probe = result.value;
+            return send({ kind: AdmissionEventKind.ProbeAnswered, probe });
+          }
+          log.debug({ diagnostic: result.error }, "Probe failed");
+          send({ kind: AdmissionEventKind.ProbeFailed });
         });
       })
       .with(
@@ -137,9 +139,9 @@
       return drained;
     },
     stop() {
+      isStopped = true;
       // The queue is refused, since nothing will decide it later.
       send({ kind: AdmissionEventKind.DrainRequested });
-      isStopped = true;
       timer?.handle.cancel();
       timer = null;
     },
