Let a node that no message reaches read the platform; offer no waiting candidate

(2) A starting node that knew of a newer version at a peer, but could not pull it yet, offered the platform's older one, and another starting node put that in force. Change: (1) after three exchange intervals without a message a node reads the platform itself, with full jitter, at most every 2 s. (2) A candidate is offered only once it no longer waits for the start's question.

--- a/src/distribution/create_distribution_runtime_test.ts
+++ b/src/distribution/create_distribution_runtime_test.ts
@@ -230,6 +230,18 @@
   t.deepEqual(getNumbers(fleet.getNodes()), everywhere(2));
 });
 
+test("a node that no message reaches reads the platform itself", async (t) => {
+  const fleet = await startDistributionFleet({ ...shape, seed: 27 });
+  await fleet.advanceBy(15_000);
+  const others = fleet.getNodes().filter(({ runtime }) =>
+    !runtime.getStatus().isReader
+  );
+  fleet.network.partition(others.map(({ address }) => [address]));
+  publishSample(fleet, { number: 2 });
+  await fleet.advanceBy(11_000);
+  t.deepEqual(getNumbers(fleet.getNodes()), everywhere(2));
+});
+
 test("a herd that restarts asks its peers and leaves the platform alone", async (t) => {
   const fleet = await startDistributionFleet({ ...shape, seed: 13 });
   publishSample(fleet, { number: 2 });
--- a/src/distribution/create_distribution_state.ts
+++ b/src/distribution/create_distribution_state.ts
@@ -66,6 +66,7 @@
       nextReadAt: now + distributionLimits.platformSilenceMilliseconds *
           (1 + random.next()),
       isReading: false,
+      notBefore: 0,
       revision: undefined,
       reachable: undefined,
       failures: 0,
@@ -76,6 +77,7 @@
     },
     exchange: {
       nextExchangeAt: now + random.next() * exchangeIntervalMilliseconds,
+      heardAt: now,
       nextReconcileAt: now,
     },
     pull: undefined,
--- a/src/distribution/distribution_limits.ts
+++ b/src/distribution/distribution_limits.ts
@@ -24,7 +24,11 @@
   platformRetryMilliseconds: 500,
   maxPlatformRetryMilliseconds: 30_000,
   /** What other nodes than the readers may take together of the platform's 2,000 reads a second. */
-  platformReadsPerSecond: 100,
+  platformReadsPerSecond: 500,
+  /** Exchanges that fail in a row before a node counts as cut off from its peers. */
+  isolatedExchanges: 3,
+  /** The least time between two reads of a node that is cut off. */
+  isolatedReadMilliseconds: 2_000,
   /** The interval of reading the VM list: a floor, and a span for each VM listed. */
   readerListMilliseconds: 2_000,
   readerListMillisecondsPerVm: 50,
--- a/src/distribution/get_fallback_read_instant.ts
+++ b/src/distribution/get_fallback_read_instant.ts
@@ -1,9 +1,7 @@
 import type { RandomSource } from "../runtime/random_source.ts";
 import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
-
-const millisecondsPerSecond = 1000;
-const minWindowMilliseconds = 2000;
+import { getFallbackWindow } from "./get_fallback_window.ts";
 
 /**
  * Returns when a node that is no reader reads the platform, if until then no
@@ -15,12 +13,7 @@
   state: DistributionState,
   options: { readonly heardAt: number; readonly random: RandomSource },
 ): number {
-  const fleetSize = state.peers.known.size + 1;
-  const window = Math.max(
-    minWindowMilliseconds,
-    fleetSize / distributionLimits.platformReadsPerSecond *
-      millisecondsPerSecond,
-  );
+  const window = getFallbackWindow(state);
   return options.heardAt + distributionLimits.platformSilenceMilliseconds +
     options.random.next() * window;
 }
--- a/src/distribution/get_offered_configuration.ts
+++ b/src/distribution/get_offered_configuration.ts
@@ -1,16 +1,19 @@
 import type { CompiledConfiguration } from "../configuration/compiled_configuration.ts";
+import { CandidateStage } from "./candidate_stage.ts";
 import type { DistributionState } from "./distribution_state.ts";
 
 /**
- * Returns the highest version that this node offers its peers. A node that has
- * not ended the question of its start offers none: what it read from the
- * platform may be older than what the fleet had in force, and another starting
- * node would take its word for a version that is safe to begin with.
+ * Returns the highest version that this node offers its peers. A candidate
+ * that waits for the question of the node's start is not offered: what came
+ * from the platform may be older than what the fleet has in force, and another
+ * starting node would take it for a version that is safe to begin with.
  */
 export function getOfferedConfiguration(
-  { startup, versions }: DistributionState,
+  { versions }: DistributionState,
 ): CompiledConfiguration | undefined {
-  return startup.decided
-    ? versions.candidate?.compiled ?? versions.inForce
-    : undefined;
+  const { candidate, inForce } = versions;
+  return candidate === undefined ||
+      candidate.stage === CandidateStage.AwaitingStartup
+    ? inForce
+    : candidate.compiled;
 }
--- a/src/distribution/platform_state.ts
+++ b/src/distribution/platform_state.ts
@@ -5,6 +5,8 @@
   readonly isReader: boolean;
   /** When the node reads or watches next; Infinity where it has no need to. */
   readonly nextReadAt: number;
+  /** No node but a reader reads again before this instant. */
+  readonly notBefore: number;
   readonly isReading: boolean;
   /** The revision of the value last read here. */
   readonly revision: number | undefined;
--- a/src/distribution/run_due_work.ts
+++ b/src/distribution/run_due_work.ts
@@ -3,6 +3,7 @@
 import type { DistributionContext } from "./distribution_context.ts";
 import type { DistributionState } from "./distribution_state.ts";
 import { listVms } from "./list_vms.ts";
+import { noteIsolation } from "./note_isolation.ts";
 import { readPlatform } from "./read_platform.ts";
 import { refreshRecord } from "./refresh_record.ts";
 import { runExchange } from "./run_exchange.ts";
@@ -23,7 +24,10 @@
         : stay(current),
     (current) =>
       current.exchange.nextExchangeAt <= now
-        ? runExchange(updateReader(current, context), context)
+        ? runExchange(
+          noteIsolation(updateReader(current, context), context),
+          context,
+        )
         : stay(current),
     (current) =>
       current.platform.nextListAt <= now
--- a/src/distribution/take_exchange_message.ts
+++ b/src/distribution/take_exchange_message.ts
@@ -24,6 +24,7 @@
     (current) =>
       stay({
         ...current,
+        exchange: { ...current.exchange, heardAt: context.now },
         peers: mergeSightings(
           mergeRecords(
             notePeerAnswered(current.peers, record.nodeAddress, {
--- a/src/distribution/take_platform_answer.ts
+++ b/src/distribution/take_platform_answer.ts
@@ -41,6 +41,7 @@
       ...forConfirmation ? {} : {
         isReading: false,
         failures: 0,
+        notBefore: context.now + distributionLimits.isolatedReadMilliseconds,
         nextReadAt: getNextReadAt(state, value, context),
       },
     },
--- a/src/distribution/take_platform_failure.ts
+++ b/src/distribution/take_platform_failure.ts
@@ -25,6 +25,7 @@
         isReading: false,
         reachable: false,
         failures: platform.failures + 1,
+        notBefore: now + span,
         nextReadAt: now + span * random.next() +
           (platform.isReader
             ? 0
