--- a/measurements/admission_measure.ts
+++ b/measurements/admission_measure.ts
@@ -1,11 +1,8 @@
 import { compare } from "./admission/compare.ts";
-import type { ComparisonRow } from "./admission/comparison_row.ts";
 import { comparisons } from "./admission/comparisons.ts";
-import type { Spread } from "./admission/spread.ts";
-import { formatNumber } from "./format_number.ts";
+import { createTable } from "./admission/create_table.ts";
 import type { MeasureContext } from "./measure_context.ts";
 import type { MeasureResult } from "./measure_result.ts";
-import type { MeasureTable } from "./measure_table.ts";
 import type { Measure } from "./measure.ts";
 import { runInTurn } from "./run_in_turn.ts";
 
@@ -21,7 +18,7 @@
   baseline:
     "Each policy beside a plain one, under the same calls: the variants of each table.",
   spread:
-    `Mean over ${seedCount} seeds (one in a quick run), and in brackets the least and the most.`,
+    `Median over ${seedCount} seeds (one in a quick run), and in brackets the lowest and the highest.`,
   run,
 };
 
@@ -47,38 +44,3 @@
     data: { seeds, rows: results.flat() },
   };
 }
-
-function createTable(rows: readonly ComparisonRow[]): MeasureTable {
-  const classes = Object.keys(rows[0]?.whole ?? {});
-  return {
-    title: rows[0]?.comparison ?? "",
-    columns: [
-      "scenario",
-      "variant",
-      ...classes.map((name) => `${name}, whole, %`),
-      "failed in 1,000",
-      "ms to answer",
-      "shed",
-      "falls",
-      "s to the full limit",
-    ],
-    rows: rows.map((row) => [
-      row.scenario,
-      row.variant,
-      ...classes.map((name) => format(row.whole[name], 100)),
-      format(row.failedInThousand),
-      format(row.wholeMilliseconds),
-      format(row.shed),
-      format(row.falls),
-      format(row.fullLimitAfterMilliseconds, 0.001),
-    ]),
-  };
-}
-
-function format(spread: Spread | undefined, factor = 1): string {
-  return spread === undefined
-    ? ""
-    : `${formatNumber(spread.mean * factor)} (${
-      formatNumber(spread.least * factor)
-    } to ${formatNumber(spread.most * factor)})`;
-}
