Merge records and sightings in any order; outrank records of a former process

Cause: of two records of one VM in one message the later in the list won, newer or not; a process whose clock had gone back could not replace its former record. Change: the newest of a message is picked first; a node that hears of a newer record of its own VM raises its incarnation above it. Seen failing first: the property that records end the same in whatever order they arrive.

--- a/src/peers/merge_records.ts
+++ b/src/peers/merge_records.ts
@@ -1,3 +1,4 @@
+import { pickBest } from "../collections/pick_best.ts";
 import { formatAddress } from "../runtime/format_address.ts";
 import { isNewerRecord } from "./is_newer_record.ts";
 import type { PeerRecord } from "./peer_record.ts";
@@ -10,12 +11,17 @@
   state: PeersState,
   records: readonly PeerRecord[],
 ): PeersState {
-  const newer = records.filter((record) =>
+  const newer = pickBest(records, {
+    getKey: ({ vm }) => vm,
+    replaces: isNewerRecord,
+  }).filter((record) =>
     record.vm !== state.own.vm &&
     isNewerRecord(record, state.records.get(record.vm))
   );
-  return newer.length === 0 ? state : {
+  const own = outrankOwnRecords(state.own, records);
+  return newer.length === 0 && own === state.own ? state : {
     ...state,
+    own,
     records: new Map([
       ...state.records,
       ...newer.map((record) => [record.vm, record] as const),
@@ -41,3 +47,21 @@
   return formatAddress(record.nodeAddress) ===
     formatAddress(state.own.nodeAddress);
 }
+
+/**
+ * A record of this VM that is newer than the node's own comes from a former
+ * process whose clock ran ahead. The own one has to outrank it, or no peer
+ * would take it.
+ */
+function outrankOwnRecords(
+  own: PeerRecord,
+  records: readonly PeerRecord[],
+): PeerRecord {
+  const newer = records.filter((record) =>
+    record.vm === own.vm && isNewerRecord(record, own)
+  );
+  return newer.length === 0 ? own : {
+    ...own,
+    incarnation: Math.max(...newer.map(({ incarnation }) => incarnation)) + 1,
+  };
+}
--- a/src/peers/merge_sightings.ts
+++ b/src/peers/merge_sightings.ts
@@ -1,3 +1,4 @@
+import { pickBest } from "../collections/pick_best.ts";
 import type { PeersState } from "./peers_state.ts";
 import { sendsOfChange } from "./sends_of_change.ts";
 import type { VmSighting } from "./vm_sighting.ts";
@@ -7,7 +8,10 @@
   state: PeersState,
   sightings: readonly VmSighting[],
 ): PeersState {
-  const later = sightings.filter((sighting) =>
+  const later = pickBest(sightings, {
+    getKey: ({ vm }) => vm,
+    replaces: (sighting, other) => sighting.at > other.at,
+  }).filter((sighting) =>
     sighting.at > (state.sightings.get(sighting.vm)?.at ?? -Infinity)
   );
   return later.length === 0 ? state : {
