--- a/src/distribution/distribution_limits.ts
+++ b/src/distribution/distribution_limits.ts
@@ -32,6 +32,8 @@
   /** The interval of reading the VM list: a floor, and a span for each VM listed. */
   readerListMilliseconds: 2_000,
   readerListMillisecondsPerVm: 50,
+  /** A node that starts in a fleet too large for one answer puts off its first reading within this span. */
+  largeFleetListMilliseconds: 6_000,
   listMilliseconds: 10_000,
   listMillisecondsPerVm: 1_000,
   /** Changes of a record that can wait are spread over this span for each node known. */
--- a/src/distribution/take_reconcile_answer.ts
+++ b/src/distribution/take_reconcile_answer.ts
@@ -10,29 +10,57 @@
 export function takeReconcileAnswer(
   state: DistributionState,
   answer: z.infer<typeof reconcileAnswerSchema>,
-  { now }: DistributionContext,
+  context: DistributionContext,
 ): DistributionState {
   const { peers, exchange } = state;
+  const { now } = context;
   const merged = mergeSightings(
     mergeRecords(peers, answer.records),
     answer.sightings,
   );
+  return noteLearntPeers(
+    {
+      ...state,
+      // What a comparison brings is known to most nodes, so it is not passed on.
+      peers: {
+        ...merged,
+        recordSends: peers.recordSends,
+        sightingSends: peers.sightingSends,
+      },
+      exchange: answer.hasMore
+        ? {
+          ...exchange,
+          nextReconcileAt: now + distributionLimits.reconcileMoreMilliseconds,
+        }
+        : exchange,
+    },
+    answer,
+    context,
+  );
+}
+
+/**
+ * A starting node that has learnt of its peers asks them at once. It does not
+ * need the platform's list for that, which a herd would read all together.
+ */
+function noteLearntPeers(
+  state: DistributionState,
+  answer: Pick<z.infer<typeof reconcileAnswerSchema>, "hasMore">,
+  { now, random }: DistributionContext,
+): DistributionState {
+  const { startup, platform } = state;
+  if (startup.decided || startup.learntPeers) {
+    return state;
+  }
   return {
     ...state,
-    // What a comparison brings is known to most nodes, so it is not passed on.
-    peers: {
-      ...merged,
-      recordSends: peers.recordSends,
-      sightingSends: peers.sightingSends,
-    },
-    startup: state.startup.decided || state.startup.learntPeers
-      ? state.startup
-      : { ...state.startup, learntPeers: true, nextWaveAt: now },
-    exchange: answer.hasMore
+    startup: { ...startup, learntPeers: true, nextWaveAt: now },
+    platform: answer.hasMore && !platform.isListing
       ? {
-        ...exchange,
-        nextReconcileAt: now + distributionLimits.reconcileMoreMilliseconds,
+        ...platform,
+        nextListAt: now +
+          distributionLimits.largeFleetListMilliseconds * random.next(),
       }
-      : exchange,
+      : platform,
   };
 }
