Know a peer by the address that was called, and once for all its addresses

Cause: behind a relay a node listens on another address than the one called; a starting node noted the answer under the former, waited for the latter for ever and never became ready. One node under two addresses counted as two replicas. Change: the answer counts at the address called; replicas and the peers of a first start are counted by VM; an address that leads back to the node is dropped. Seen failing first: the process test of two nodes whose open connections go silent (not ready within 20 s).

--- a/src/distribution/decide_startup.ts
+++ b/src/distribution/decide_startup.ts
@@ -1,3 +1,4 @@
+import { getDistinctPeers } from "../peers/get_distinct_peers.ts";
 import { NodeState } from "../peers/node_state.ts";
 import type { KnownPeer } from "../peers/known_peer.ts";
 import { formatAddress } from "../runtime/format_address.ts";
@@ -35,7 +36,7 @@
 
 function isFirstStart(state: DistributionState): boolean {
   const { startup, peers } = state;
-  const known = [...peers.known.values()];
+  const known = getDistinctPeers(peers.known.values());
   const holdsNone = known.filter((peer) => isWithoutVersion(state, peer));
   const isSettled = ({ address, failures }: KnownPeer) =>
     startup.answers.get(formatAddress(address)) !== StartupAnswer.Failed ||
--- a/src/distribution/is_replicated.ts
+++ b/src/distribution/is_replicated.ts
@@ -1,3 +1,5 @@
+import { getDistinctPeers } from "../peers/get_distinct_peers.ts";
+import type { KnownPeer } from "../peers/known_peer.ts";
 import type { Candidate } from "./candidate.ts";
 import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
@@ -10,10 +12,12 @@
   { peers }: DistributionState,
   { replication: { stored } }: Candidate,
 ): boolean {
-  const isElsewhere = (key: string) =>
-    peers.known.get(key)?.zone !== peers.own.zone;
-  const needed = Math.min(distributionLimits.replicas, peers.known.size);
-  const hasElsewhere = [...peers.known.keys()].some(isElsewhere);
-  return stored.size >= needed &&
-    (!hasElsewhere || [...stored].some(isElsewhere));
+  const isElsewhere = ({ zone }: KnownPeer) => zone !== peers.own.zone;
+  const known = getDistinctPeers(peers.known.values());
+  const holders = getDistinctPeers(
+    [...stored].flatMap((key) => peers.known.get(key) ?? []),
+  );
+  const needed = Math.min(distributionLimits.replicas, known.length);
+  return holders.length >= needed &&
+    (!known.some(isElsewhere) || holders.some(isElsewhere));
 }
--- a/src/distribution/take_call_answer.ts
+++ b/src/distribution/take_call_answer.ts
@@ -1,13 +1,18 @@
 import { match } from "ts-pattern";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { notePeerAnswered } from "../peers/note_peer_answered.ts";
+import { notePeerIdentity } from "../peers/note_peer_identity.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
 import { chainSteps } from "./chain_steps.ts";
 import type { DistributionAnswer } from "./distribution_answer.ts";
 import type { DistributionContext } from "./distribution_context.ts";
 import { DistributionEffectKind } from "./distribution_effect_kind.ts";
 import { DistributionMethod } from "./distribution_method.ts";
 import type { DistributionState } from "./distribution_state.ts";
+import type { ExchangeMessage } from "./exchange_message.ts";
 import { noteConfirmationAnswer } from "./note_confirmation_answer.ts";
+import { noteStartupAnswer } from "./note_startup_answer.ts";
 import { parseDistributionAnswer } from "./parse_distribution_answer.ts";
 import type { PeerCall } from "./peer_call.ts";
 import { startReconcile } from "./start_reconcile.ts";
@@ -55,6 +60,8 @@
       ({ result }) =>
         chainSteps(state, [
           (current) => takeExchangeMessage(current, result, context),
+          (current) =>
+            stay(noteAnswerAt(current, address, { result, context })),
           (current) =>
             stay(noteConfirmationAnswer(current, {
               purpose,
@@ -95,6 +102,25 @@
     .exhaustive();
 }
 
+/** The node may listen on another address than the one that was called. */
+function noteAnswerAt(
+  state: DistributionState,
+  address: NetworkAddress,
+  { result: { record, heldVersion }, context }: {
+    readonly result: ExchangeMessage;
+    readonly context: DistributionContext;
+  },
+): DistributionState {
+  const peers = notePeerAnswered(state.peers, address, {
+    at: context.now,
+    heldVersion,
+  });
+  return noteStartupAnswer({
+    ...state,
+    peers: notePeerIdentity(peers, address, record),
+  }, { address, heldVersion });
+}
+
 function reportBrokenAnswer(
   state: DistributionState,
   call: PeerCall,
--- a/src/peers/merge_records.ts
+++ b/src/peers/merge_records.ts
@@ -18,6 +18,8 @@
     record.vm !== state.own.vm &&
     isNewerRecord(record, state.records.get(record.vm))
   );
+  // A node that is known may be behind a relay, and what it calls its address out of reach.
+  const knownVms = new Set([...state.known.values()].map(({ vm }) => vm));
   const own = outrankOwnRecords(state.own, records);
   return newer.length === 0 && own === state.own ? state : {
     ...state,
@@ -33,7 +35,9 @@
     known: upsertKnownPeers(
       state.known,
       newer
-        .filter((record) => !isOwnAddress(state, record))
+        .filter((record) =>
+          !isOwnAddress(state, record) && !knownVms.has(record.vm)
+        )
         .map(({ vm, zone, nodeAddress }) => ({
           vm,
           zone,
--- a/src/peers/note_peer_answered.ts
+++ b/src/peers/note_peer_answered.ts
@@ -4,23 +4,20 @@
 import type { PeersState } from "./peers_state.ts";
 import { upsertKnownPeers } from "./upsert_known_peers.ts";
 
-/** Notes that the node at an address is there, and the version that it says it holds. */
+/** Notes that the node at a known address is there, and the version that it says it holds. */
 export function notePeerAnswered(
   state: PeersState,
   address: NetworkAddress,
   heard: { readonly at: number; readonly heldVersion: Version | undefined },
 ): PeersState {
-  return formatAddress(address) ===
-      formatAddress(state.own.nodeAddress)
-    ? state
-    : {
-      ...state,
-      known: upsertKnownPeers(state.known, [{
-        address,
-        failures: 0,
-        avoidUntil: 0,
-        heardAt: heard.at,
-        heldVersion: heard.heldVersion,
-      }]),
-    };
+  return !state.known.has(formatAddress(address)) ? state : {
+    ...state,
+    known: upsertKnownPeers(state.known, [{
+      address,
+      failures: 0,
+      avoidUntil: 0,
+      heardAt: heard.at,
+      heldVersion: heard.heldVersion,
+    }]),
+  };
 }
