Note what a peer offers at the address at which it is known

Cause: a message from a node behind a relay counted for the address that the node listens on, so that what it offered was not pulled; the first message of a node that was not known yet counted for nothing. Change: records are merged first, and the sender is found by its VM; a message of this node itself, through an address that leads back, is dropped.

--- a/src/distribution/take_exchange_message.ts
+++ b/src/distribution/take_exchange_message.ts
@@ -1,3 +1,4 @@
+import { findPeerAddress } from "../peers/find_peer_address.ts";
 import { mergeRecords } from "../peers/merge_records.ts";
 import { mergeSightings } from "../peers/merge_sightings.ts";
 import { notePeerAnswered } from "../peers/note_peer_answered.ts";
@@ -19,22 +20,25 @@
   context: DistributionContext,
 ): Transition {
   const { record, heldVersion } = message;
+  if (record.vm === state.peers.own.vm) {
+    // Sent by this node itself, through an address that leads back to it.
+    return stay(state);
+  }
   const source = record.vm;
+  const merged = mergeSightings(
+    mergeRecords(state.peers, [record, ...message.records]),
+    message.sightings,
+  );
+  const address = findPeerAddress(merged, record);
   return chainSteps(state, [
     (current) =>
       stay({
         ...current,
         exchange: { ...current.exchange, heardAt: context.now },
-        peers: mergeSightings(
-          mergeRecords(
-            notePeerAnswered(current.peers, record.nodeAddress, {
-              at: context.now,
-              heldVersion,
-            }),
-            [record, ...message.records],
-          ),
-          message.sightings,
-        ),
+        peers: notePeerAnswered(merged, address, {
+          at: context.now,
+          heldVersion,
+        }),
       }),
     (current) =>
       stay(notePlatformHeard(current, {
@@ -43,7 +47,7 @@
       })),
     (current) =>
       stay(noteStartupAnswer(current, {
-        address: record.nodeAddress,
+        address,
         heldVersion,
       })),
     (current) => noteVersionOffered(current, { version: heldVersion, source }),
