Run tests with real processes by themselves, one file at a time

Cause: processes_test and lost_contact_test failed now and then beside ten other test files on a busy machine; their bounds are real time. Change: the check runs the tests in virtual time first and those with processes and sockets after them.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -23,44 +23,67 @@
   },
   { name: "lint", program: `${binaries}/deno`, parameters: ["lint"] },
 ];
-const tests: CheckStep = {
-  name: "tests and scenarios",
-  program: `${binaries}/ava`,
-  parameters: ["--tap"],
-};
+const allTests = "dist/**/*_test.js";
+/** Tests that wait for real processes or sockets; nothing else runs beside them. */
+const realTimeTests = [
+  "dist/scenarios/processes_test.js",
+  "dist/src/daemon/**/*_test.js",
+];
+const testSteps: readonly CheckStep[] = [
+  {
+    name: "tests and scenarios in virtual time",
+    program: `${binaries}/ava`,
+    parameters: [
+      "--tap",
+      allTests,
+      ...realTimeTests.map((pattern) => `!${pattern}`),
+    ],
+  },
+  {
+    name: "tests with real processes and sockets",
+    program: `${binaries}/ava`,
+    parameters: ["--tap", "--concurrency", "1", ...realTimeTests],
+  },
+];
 
 function runChecks(): number {
   const steps = formatAndLint.map((step) => ({ step, ...runStep(step) }));
-  const testRun = runStep(tests);
-  const report = parseTestReport(testRun.output);
+  const reports = testSteps.map((step) => {
+    const run = runStep(step);
+    return { step, run, report: parseTestReport(run.output) };
+  });
+  const passedTests = reports.flatMap(({ report }) => report.passed);
+  const failedTests = reports.flatMap(({ report }) => report.failed);
   const knownRed = existsSync(knownRedFile)
     ? parseKnownRed(readFileSync(knownRedFile, "utf8"))
     : [];
   const isKnownRed = (title: string) =>
     knownRed.some((entry) => entry.title === title);
-  const expected = report.failed.filter(isKnownRed);
-  const unexpected = report.failed.filter((title) => !isKnownRed(title));
-  const runnerFailed = !report.complete || report.passed.length === 0 ||
-    (!testRun.passed && report.failed.length === 0);
+  const expected = failedTests.filter(isKnownRed);
+  const unexpected = failedTests.filter((title) => !isKnownRed(title));
+  const brokenRuns = reports.filter(({ run, report }) =>
+    !report.complete || report.passed.length === 0 ||
+    (!run.passed && report.failed.length === 0)
+  );
   const failedSteps = steps.filter((step) => !step.passed).map((step) =>
     step.step.name
   );
 
   expected.forEach((title) => process.stdout.write(`known red: ${title}\n`));
   knownRed
-    .filter((entry) => !report.failed.includes(entry.title))
+    .filter((entry) => !failedTests.includes(entry.title))
     .forEach((entry) =>
       process.stdout.write(`known red, but not failing now: ${entry.title}\n`)
     );
   unexpected.forEach((title) => process.stdout.write(`failed: ${title}\n`));
   failedSteps.forEach((name) => process.stdout.write(`failed: ${name}\n`));
-  if (runnerFailed) {
-    process.stdout.write("failed: the test runner did not come to its end\n");
-  }
+  brokenRuns.forEach(({ step }) =>
+    process.stdout.write(`failed: ${step.name} did not come to their end\n`)
+  );
 
-  const passed = report.passed.length + steps.length - failedSteps.length;
+  const passed = passedTests.length + steps.length - failedSteps.length;
   const failed = unexpected.length + failedSteps.length +
-    (runnerFailed ? 1 : 0);
+    brokenRuns.length;
   process.stdout.write(`${passed} passed, ${failed} failed\n`);
   return failed === 0 ? 0 : 1;
 }
