--- a/src/distribution/distribution_limits.ts
+++ b/src/distribution/distribution_limits.ts
@@ -3,9 +3,12 @@
   /** Peers told at once of news, in the own zone and elsewhere. */
   pushOwnZone: 2,
   pushOtherZones: 1,
-  /** Peers asked at a time by a node that starts or was paused. */
-  questionOwnZone: 3,
-  questionOtherZones: 2,
+  /** Peers asked by a node that starts: all of a small fleet, and some of most zones of a large one. */
+  startupOwnZone: 4,
+  startupOtherZones: 12,
+  /** Peers asked at a time by a node that was paused. */
+  confirmationOwnZone: 3,
+  confirmationOtherZones: 2,
   /** Peers that hold a version before a reader of the platform puts it in force. */
   replicas: 2,
   replicationMilliseconds: 2_000,
@@ -21,7 +24,11 @@
   platformRetryMilliseconds: 500,
   maxPlatformRetryMilliseconds: 30_000,
   /** What other nodes than the readers may take together of the platform's 2,000 reads a second. */
-  platformReadsPerSecond: 100,
+  platformReadsPerSecond: 500,
+  /** Exchanges that fail in a row before a node counts as cut off from its peers. */
+  isolatedExchanges: 3,
+  /** The least time between two reads of a node that is cut off. */
+  isolatedReadMilliseconds: 2_000,
   /** The interval of reading the VM list: a floor, and a span for each VM listed. */
   readerListMilliseconds: 2_000,
   readerListMillisecondsPerVm: 50,
