Watch a process that is gone, so that keys of a service with few calls run

Cause: each call with a key of a dead owner was the first one to find its process gone where calls come more than 2 s apart, and was refused until the platform's list dropped the VM.

Ruled out: a longer quiet time, which a starting fleet would pay for.

Change: a node that finds connections refused, also by a call without a key, tries again once a second while the register and the list have the server. The new test fails without the repeated check.

--- a/src/daemon/calls/ask_ledger.ts
+++ b/src/daemon/calls/ask_ledger.ts
@@ -1,11 +1,10 @@
 import { CallsControlMethod } from "../../calls/calls_control_method.ts";
 import { decodeKeySettlement } from "../../calls/decode_key_settlement.ts";
-import { extendRefusedContact } from "../../calls/extend_refused_contact.ts";
 import type { LedgerEvent } from "../../calls/ledger_event.ts";
 import { LedgerEventKind } from "../../calls/ledger_event_kind.ts";
 import type { LedgerServer } from "../../calls/ledger_server.ts";
-import type { RefusedContact } from "../../calls/refused_contact.ts";
 import type { CallsRuntimeOptions } from "../../calls/calls_runtime_options.ts";
+import type { RefusedContacts } from "./refused_contacts.ts";
 
 /** How long another ledger may take to answer. */
 const questionMilliseconds = 1000;
@@ -19,8 +18,7 @@
     readonly service: string;
     readonly key: string;
     readonly attemptIdentifier: string;
-    /** By name of the server asked; updated. */
-    readonly refusedContacts: Map<string, RefusedContact>;
+    readonly refusedContacts: RefusedContacts;
   },
 ): Promise<LedgerEvent> {
   const { server, by, service, key, attemptIdentifier, refusedContacts } =
@@ -38,16 +36,10 @@
   const settlement = answer.isOk
     ? decodeKeySettlement(answer.value)
     : undefined;
-  const refused = answer.isErr && answer.error.refused === true
-    ? extendRefusedContact(refusedContacts.get(from), {
-      begunAt,
-      refusedAt: clock.now(),
-    })
-    : undefined;
-  if (refused === undefined) {
-    refusedContacts.delete(from);
+  if (answer.isErr && answer.error.refused === true) {
+    refusedContacts.note(server, { begunAt, refusedAt: clock.now() });
   } else {
-    refusedContacts.set(from, refused);
+    refusedContacts.forget(server);
   }
   return settlement === undefined
     ? {
@@ -55,7 +47,7 @@
       from,
       attemptIdentifier,
       goneAt: options.getGoneVms().get(server.vm),
-      refused,
+      refused: refusedContacts.get(server),
     }
     : { kind: LedgerEventKind.Answered, from, attemptIdentifier, settlement };
 }
--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -37,6 +37,13 @@
     question: { readonly service: string; readonly key: string },
     by: LedgerServer,
   ): KeySettlement;
+  /** A connection to the node beside a server was refused; both instants are in milliseconds since the Unix epoch. */
+  noteRefusedContact(
+    server: LedgerServer,
+    refusal: { readonly begunAt: number; readonly refusedAt: number },
+  ): void;
+  /** Ends all timers. */
+  stop(): void;
   /** Learns which servers the register has. */
   applySnapshot(snapshot: Snapshot): void;
 }
--- a/src/daemon/calls/caller_run.ts
+++ b/src/daemon/calls/caller_run.ts
@@ -23,6 +23,8 @@
   currentTry: CallerTry | undefined;
   /** The backend server of the last try. */
   server: BackendServer | undefined;
+  /** When that try began, in milliseconds since the Unix epoch. */
+  triedAt: number;
   /** The held answer, or the head of a long one. */
   answer: StoredAnswer | undefined;
 }
--- a/src/daemon/calls/carry_out_call_effect.ts
+++ b/src/daemon/calls/carry_out_call_effect.ts
@@ -40,6 +40,9 @@
     })
     .with({ kind: CallEffectKind.AvoidNode }, ({ processGone }) => {
       updateTriedView(run, { kind: ViewEventKind.ContactFailed, processGone });
+      if (processGone) {
+        noteRefusedContact(run);
+      }
     })
     .with({ kind: CallEffectKind.StopAvoiding }, () => {
       updateTriedView(run, { kind: ViewEventKind.ContactMade });
@@ -75,6 +78,13 @@
     .exhaustive();
 }
 
+function noteRefusedContact({ node, server, triedAt }: CallerRun): void {
+  node.ledger.noteRefusedContact(server!, {
+    begunAt: triedAt,
+    refusedAt: node.options.environment.clock.now(),
+  });
+}
+
 function getEnd({ call, receivedAt }: CallerRun) {
   return {
     service: call.service.name,
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -10,7 +10,6 @@
 import { LedgerEventKind } from "../../calls/ledger_event_kind.ts";
 import type { LedgerRegister } from "../../calls/ledger_register.ts";
 import type { LedgerServer } from "../../calls/ledger_server.ts";
-import type { RefusedContact } from "../../calls/refused_contact.ts";
 import { RefusalReason } from "../../calls/refusal_reason.ts";
 import { SettlementKind } from "../../calls/settlement_kind.ts";
 import { stepLedger } from "../../calls/step_ledger.ts";
@@ -18,6 +17,7 @@
 import { askLedger } from "./ask_ledger.ts";
 import type { CallLedger } from "./call_ledger.ts";
 import { createLedgerEntries } from "./create_ledger_entries.ts";
+import { createRefusedContacts } from "./create_refused_contacts.ts";
 
 type Callbacks = Parameters<CallLedger["request"]>[1];
 
@@ -31,7 +31,12 @@
   const { keyLifetimeMilliseconds, clockSkewMilliseconds } =
     options.settings.timing;
   const self = options.settings.backendServer?.name ?? "";
-  const refusedContacts = new Map<string, RefusedContact>();
+  const refusedContacts = createRefusedContacts(
+    options,
+    (server) => isRegistered(server) && !options.getGoneVms().has(server.vm),
+  );
+  const isRegistered = (server: LedgerServer) =>
+    register.servers.some(({ name }) => name === server.name);
   const waiting = new Map<string, Callbacks>();
   let entries = createLedgerEntries();
   let register: LedgerRegister = {
@@ -173,6 +178,12 @@
         ? reply.settlement
         : unknownSettlement;
     },
+    noteRefusedContact: (server, refusal) => {
+      if (isRegistered(server) && server.name !== self) {
+        refusedContacts.note(server, refusal);
+      }
+    },
+    stop: refusedContacts.stop,
     applySnapshot: (snapshot) => {
       const former = register;
       register = updateLedgerRegister(former, snapshot, {
--- a/src/daemon/calls/create_calls_runtime.ts
+++ b/src/daemon/calls/create_calls_runtime.ts
@@ -72,6 +72,7 @@
     },
     stop: async () => {
       node.draining = true;
+      node.ledger.stop();
       const dispatches = Array.from(node.dispatches.values());
       const calls = Array.from(node.callerCalls);
       calls.forEach((cutCall) => cutCall());
--- a/src/daemon/calls/lost_contact_test.ts
+++ b/src/daemon/calls/lost_contact_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import { encodeForwardedCall } from "../../calls/encode_forwarded_call.ts";
+import { ledgerQuietMilliseconds } from "../../calls/ledger_quiet_milliseconds.ts";
 import { SettlementKind } from "../../calls/settlement_kind.ts";
 import { CallPriority } from "../../configuration/call_priority.ts";
 import { callNode } from "../../testing/calls/call_node.ts";
@@ -170,3 +171,32 @@
   t.true(repeated.some(isAnswered));
   t.is(countRuns(bench.nodes), answered - repeated.filter(isAnswered).length);
 });
+
+test("keys of a service with few calls run at the next owner too", async (t) => {
+  const bench = await useCallsBench(t, 3, { retryBudgetPercent: 200 });
+  await bench.nodes[2]!.closeListeners();
+  const keys = Array.from({ length: 12 }, (_, index) => `order-${index}`);
+  // Long enough apart that no call shows that the process was gone all along.
+  const askAll = async (round: number) => {
+    await delay(1.5 * ledgerQuietMilliseconds);
+    return Promise.all(
+      keys.map((key) =>
+        callNode(bench.nodes[0]!, "/encomendas/x", {
+          ...checkout,
+          headers: {
+            "idempotency-key": `${key}-${round}`,
+            "idempotency-attempt": "1",
+          },
+        })
+      ),
+    );
+  };
+  let answers = await askAll(0);
+  let round = 1;
+  // A loop, since each round follows the one before; the first one finds out.
+  while (!answers.every(({ status }) => status === 200) && round < 6) {
+    answers = await askAll(round);
+    round += 1;
+  }
+  t.true(answers.every(({ status }) => status === 200));
+});
--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -50,6 +50,7 @@
     }),
     currentTry: undefined,
     server: undefined,
+    triedAt: 0,
     answer: undefined,
   };
   node.budget = depositCall(node.budget, call.snapshot.retryBudgetPercent);
--- a/src/daemon/calls/start_caller_try.ts
+++ b/src/daemon/calls/start_caller_try.ts
@@ -36,6 +36,7 @@
   const started: CallerTry = { exchange: undefined, loadReported: false };
   run.currentTry = started;
   run.server = server;
+  run.triedAt = node.options.environment.clock.now();
   updateTriedView(run, { kind: ViewEventKind.CallSent });
   const remote = server.name !== node.options.settings.backendServer?.name;
   run.apply({
