--- /dev/null
+++ b/measurements/admission_measure.ts
@@ -0,0 +1,46 @@
+import { compare } from "./admission/compare.ts";
+import { comparisons } from "./admission/comparisons.ts";
+import { createTable } from "./admission/create_table.ts";
+import type { MeasureContext } from "./measure_context.ts";
+import type { MeasureResult } from "./measure_result.ts";
+import type { Measure } from "./measure.ts";
+import { runInTurn } from "./run_in_turn.ts";
+
+const seedCount = 8;
+const quickComparisons = 1;
+
+/** The admission's policies beside plain ones, in virtual time. */
+export const admissionMeasure: Measure = {
+  name: "admission",
+  title: "Policies of the admission",
+  question:
+    "What do the queue's order, the ramp of the cold start and the controller of the limit bring, for one backend server under bursts, relapses and the return of its zone?",
+  baseline:
+    "Each policy beside a plain one, under the same calls: the variants of each table.",
+  spread:
+    `Median over ${seedCount} seeds (one in a quick run), and in brackets the lowest and the highest.`,
+  run,
+};
+
+async function run(context: MeasureContext): Promise<MeasureResult> {
+  const seeds = Array.from(
+    { length: context.quick ? 1 : seedCount },
+    (_, index) => context.seed + index,
+  );
+  const chosen = context.quick
+    ? comparisons.slice(0, quickComparisons)
+    : comparisons;
+  const results = await runInTurn(chosen, (comparison) => {
+    context.progress(comparison.name);
+    return compare(comparison, { seeds });
+  });
+  return {
+    tables: results.map(createTable),
+    charts: [],
+    targets: [],
+    notes: [
+      "The runs are in virtual time, so the load of the machine does not change them; the backend server is a fake whose cold start, relapse and shedding follow its options.",
+    ],
+    data: { seeds, rows: results.flat() },
+  };
+}
