Read what has come before a silence counts

Cause: timers run before connections are read, so a process that was held up for most of the bound, and woke just after it, took a sign that waited in a socket buffer for silence. Two loopback tests failed once that way, at load 35 on 10 cores (HEAD and shed calls were refused).

Change: the first wake-up only suspects; 50 ms later, with nothing read meanwhile, the connection counts as silent. Deadlines of loopback tests are wide.

--- a/src/calls/call_state.ts
+++ b/src/calls/call_state.ts
@@ -19,6 +19,8 @@
   readonly mayHaveRun: boolean;
   /** Why the last try was refused. */
   readonly lastRefusal: NodeRefusal | undefined;
+  /** Whether the bound on silence has passed once, without a look at what has come meanwhile. */
+  readonly silenceSuspected: boolean;
   /** How many settlement questions found the try running. */
   readonly questionsAsked: number;
   /** When the next wake-up is due, in milliseconds since the Unix epoch. */
--- a/src/calls/create_call_state.ts
+++ b/src/calls/create_call_state.ts
@@ -13,6 +13,7 @@
     excluded: [],
     mayHaveRun: false,
     lastRefusal: undefined,
+    silenceSuspected: false,
     questionsAsked: 0,
     wakeAt: options.deadline,
   };
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -29,6 +29,8 @@
 const settlementMilliseconds = 1000;
 /** How long to wait before asking again for the outcome of a try that runs. */
 const nextQuestionMilliseconds = 100;
+/** How long a process may take to read what has come before silence counts. */
+const readingMilliseconds = 50;
 /** A wake-up this late shows that this process was held up. */
 const heldUpMilliseconds = 100;
 const maximumAttempts = 4;
@@ -142,6 +144,7 @@
     state: {
       ...state,
       phase: CallPhase.Sent,
+      silenceSuspected: false,
       backendServer: sending.backendServer,
       wakeAt: !sending.remote
         ? state.deadline
@@ -159,10 +162,33 @@
 
 function heard(state: CallState, context: CallContext): CallStep {
   return state.phase === CallPhase.Sent
-    ? { state: { ...state, wakeAt: getSilentAt(state, context) }, effects: [] }
+    ? {
+      state: {
+        ...state,
+        silenceSuspected: false,
+        wakeAt: getSilentAt(state, context),
+      },
+      effects: [],
+    }
     : { state, effects: [] };
 }
 
+/**
+ * Gives this process the time to read what has come: timers run before
+ * connections are read, so a process that was held up would take a sign that
+ * waits in a socket buffer for silence.
+ */
+function suspectSilence(state: CallState, context: CallContext): CallStep {
+  return {
+    state: {
+      ...state,
+      silenceSuspected: true,
+      wakeAt: Math.min(state.deadline, context.now + readingMilliseconds),
+    },
+    effects: [],
+  };
+}
+
 /** Tries elsewhere after a try that did not run, or that may run again. */
 function tryElsewhere(
   state: CallState,
@@ -354,10 +380,12 @@
     .with(
       CallPhase.Sent,
       () =>
-        heldUp ? heard(state, context) : lost(state, context, [cancel, {
-          kind: CallEffectKind.AvoidNode,
-          processGone: false,
-        }, { kind: CallEffectKind.RenewConnections }]),
+        heldUp || !state.silenceSuspected
+          ? suspectSilence(state, context)
+          : lost(state, context, [cancel, {
+            kind: CallEffectKind.AvoidNode,
+            processGone: false,
+          }, { kind: CallEffectKind.RenewConnections }]),
     )
     .with(CallPhase.AwaitingOutcome, () => ask(state, context, []))
     .with(
