--- a/src/calls/decode_forwarded_call.ts
+++ b/src/calls/decode_forwarded_call.ts
@@ -77,7 +77,8 @@
 
 function getKey(headers: Headers): CallKey | undefined {
   const value = headers[ForwardedHeader.Key];
-  return typeof value === "string"
+  const idempotent = headers[ForwardedHeader.Idempotent] === "true";
+  return typeof value === "string" && !idempotent
     ? {
       value,
       callerAttempt: getNumber(headers, ForwardedHeader.CallerAttempt),
