Read peers at most every 250 ms

Cause: each choice of a backend server read the peers once for each server of the service, and each reading walks all sightings of VMs.

Ruled out: caching in the distribution, which is another's module; the bound holds whatever the source costs.

--- a/src/daemon/calls/create_calls_runtime.ts
+++ b/src/daemon/calls/create_calls_runtime.ts
@@ -13,6 +13,7 @@
 import { createCallLedger } from "./create_call_ledger.ts";
 import { createCallPool } from "./create_call_pool.ts";
 import { createCallPools } from "./create_call_pools.ts";
+import { createPeerCache } from "./create_peer_cache.ts";
 import { handleCallsControlMethod } from "./handle_calls_control_method.ts";
 import { serveCallerRequest } from "./serve_caller_request.ts";
 import { serveForwardedCall } from "./serve_forwarded_call.ts";
@@ -25,7 +26,10 @@
   options: CallsRuntimeOptions,
   choicePolicy: ChoicePolicy = ChoicePolicy.TwoChoicesByFreeSlots,
 ): CallsRuntime {
-  const node = createCallsNode(options, choicePolicy);
+  const node = createCallsNode(
+    { ...options, ...createPeerCache(options) },
+    choicePolicy,
+  );
   const isIdle = () =>
     node.callerCalls.size === 0 && node.dispatches.size === 0;
 
