--- /dev/null
+++ b/src/admission/hold_inherited_calls.ts
@@ -0,0 +1,30 @@
+import type { BackendServerProbe } from "../health/backend_server_probe.ts";
+import type { AdmissionContext } from "./admission_context.ts";
+import type { AdmissionState } from "./admission_state.ts";
+
+/** Holds slots for calls that a former process of this node left behind. */
+export function holdInheritedCalls(
+  state: AdmissionState,
+  options: {
+    readonly probe: BackendServerProbe;
+    readonly context: AdmissionContext;
+  },
+): AdmissionState {
+  const { context, probe } = options;
+  const slots = state.backendServer?.slots ?? 0;
+  const inherited = Math.min(slots, probe.running) -
+    state.running.length - state.lingering.length;
+  if (inherited <= 0) return state;
+  const slot = {
+    since: context.now,
+    isShownFree: false,
+    until: context.now + context.policy.lingeringMilliseconds,
+  };
+  return {
+    ...state,
+    lingering: [
+      ...state.lingering,
+      ...Array.from({ length: inherited }, () => slot),
+    ],
+  };
+}
