Split the measured run into its parts

The parts, the results by class, one call and the look at the limit are modules now; two results that no table used are gone.

--- a/measurements/admission/comparisons.ts
+++ b/measurements/admission/comparisons.ts
@@ -5,9 +5,9 @@
 import { ZoneState } from "../../src/configuration/zone_state.ts";
 import type { CallerClass } from "./caller_class.ts";
 import type { Comparison } from "./comparison.ts";
+import { registered } from "./registered.ts";
 import type { RunOptions } from "./run_options.ts";
 
-const register = { slots: 12, coldSlots: 2 };
 const changeAt = 15_000;
 const returnAt = 25_000;
 const runMilliseconds = 45_000;
@@ -61,12 +61,12 @@
     atMilliseconds: changeAt,
     run: ({ runtime }) =>
       runtime.applySnapshot(
-        createTestSnapshot({ ...register, zoneState: ZoneState.TakenOut }),
+        createTestSnapshot({ ...registered, zoneState: ZoneState.TakenOut }),
       ),
   },
   {
     atMilliseconds: returnAt,
-    run: ({ runtime }) => runtime.applySnapshot(createTestSnapshot(register)),
+    run: ({ runtime }) => runtime.applySnapshot(createTestSnapshot(registered)),
   },
 ];
 const zoneLeavesAndReturns: RunOptions["events"] = [
--- /dev/null
+++ b/measurements/admission/create_class_results.ts
@@ -0,0 +1,33 @@
+import type { ClassResult } from "./class_result.ts";
+import type { RunParts } from "./run_parts.ts";
+
+const empty: ClassResult = {
+  sent: 0,
+  whole: 0,
+  failed: 0,
+  wholeMilliseconds: 0,
+};
+
+/** Creates the count of results by class, for calls that arrive at `countFrom` or later. */
+export function createClassResults(
+  countFrom: number,
+): {
+  readonly count: RunParts["count"];
+  readonly getResults: () => Readonly<Record<string, ClassResult>>;
+} {
+  const results = new Map<string, ClassResult>();
+  return {
+    count(className, arrivedAt, change) {
+      if (arrivedAt < countFrom) return;
+      const result = results.get(className) ?? empty;
+      results.set(className, {
+        sent: result.sent + (change.sent ?? 0),
+        whole: result.whole + (change.whole ?? 0),
+        failed: result.failed + (change.failed ?? 0),
+        wholeMilliseconds: result.wholeMilliseconds +
+          (change.wholeMilliseconds ?? 0),
+      });
+    },
+    getResults: () => Object.fromEntries(results),
+  };
+}
--- /dev/null
+++ b/measurements/admission/run_parts.ts
@@ -0,0 +1,20 @@
+import type { AdmissionRuntime } from "../../src/admission/admission_runtime.ts";
+import type { FakeBackendServer } from "../../src/admission/testing/fake_backend_server.ts";
+import type { TestEnvironment } from "../../src/admission/testing/test_environment.ts";
+import type { RandomSource } from "../../src/runtime/random_source.ts";
+import type { ClassResult } from "./class_result.ts";
+
+/** What the callers of one run work with. */
+export interface RunParts {
+  readonly environment: TestEnvironment;
+  readonly server: FakeBackendServer;
+  readonly runtime: AdmissionRuntime;
+  /** Decides when callers arrive and leave. */
+  readonly random: RandomSource;
+  /** Adds to the result of a class, for a call that arrived at `arrivedAt`. */
+  readonly count: (
+    className: string,
+    arrivedAt: number,
+    change: Partial<ClassResult>,
+  ) => void;
+}
--- a/measurements/admission/run_result.ts
+++ b/measurements/admission/run_result.ts
@@ -7,11 +7,4 @@
   readonly server: FakeBackendServerCounts;
   /** When the limit first stood at the registered slots after the last event, in milliseconds; infinite where it never did. */
   readonly fullLimitAfterMilliseconds: number;
-  /** Queued calls that were refused only after they had waited, and how long they waited, in milliseconds. */
-  readonly refusedWaiting: {
-    readonly calls: number;
-    readonly milliseconds: number;
-  };
-  /** The most refused callers that were asked to return within one tenth of a second. */
-  readonly peakReturns: number;
 }
