Put more load on the proofs that count at the backend servers

Cause: taking out the cold-start ramp, or the ledger's refusals, left them green: too few calls ran at once, and too few keys were repeated after a death.

--- a/scenarios/processes_test.ts
+++ b/scenarios/processes_test.ts
@@ -17,7 +17,12 @@
 test.serial(
   "[point 11: herd of nodes killed and reconnecting] [point 8: owner dead] [point 8: counted at the backend server] [point 7: counted at the backend server] [point 6: counted at the caller] half of the nodes are killed under load and come back at once",
   withDeployment({}, async (deployment, assert) => {
-    const caller = deployment.startCaller({ seed: 11 });
+    const caller = deployment.startCaller({
+      seed: 11,
+      callsPerSecond: 100,
+      repeatShare: 0.9,
+      repeatMilliseconds: [0, 2500],
+    });
     await pause(loadMilliseconds);
     const herd = deployment.vms.filter((_, index) => index % 2 === 0);
     herd.forEach((vm) => deployment.getNode(vm).process.kill("SIGKILL"));
@@ -182,18 +187,25 @@
 
 test.serial(
   "[point 4: counted at the backend server] every backend server relapses unannounced under load and lies about it",
-  withDeployment({}, async (deployment, assert) => {
-    const caller = deployment.startCaller({ seed: 4, callsPerSecond: 150 });
-    await pause(loadMilliseconds);
-    await Promise.all(deployment.vms.map(async (vm) => {
-      await deployment.setBackendServerFaults(vm, { reportedState: "ready" });
-      await deployment.setBackendServerState(vm, { cold: true });
-    }));
-    await pause(fewSecondsMilliseconds);
-    const facts = await gatherFacts(deployment, caller);
-    assertSafe(assert, facts);
-    assert.deepEqual(facts.runs.map((one) => one.falls), [0, 0, 0, 0, 0, 0]);
-  }),
+  withDeployment(
+    { backendServer: { workMilliseconds: [100, 200] } },
+    async (deployment, assert) => {
+      const caller = deployment.startCaller({
+        seed: 4,
+        callsPerSecond: 200,
+        abandonMilliseconds: [1, 150],
+      });
+      await pause(loadMilliseconds);
+      await Promise.all(deployment.vms.map(async (vm) => {
+        await deployment.setBackendServerFaults(vm, { reportedState: "ready" });
+        await deployment.setBackendServerState(vm, { cold: true });
+      }));
+      await pause(fewSecondsMilliseconds);
+      const facts = await gatherFacts(deployment, caller);
+      assertSafe(assert, facts);
+      assert.deepEqual(facts.runs.map((one) => one.falls), [0, 0, 0, 0, 0, 0]);
+    },
+  ),
 );
 
 test.serial(
