--- a/measurements/capacity/capacity_figures.ts
+++ b/measurements/capacity/capacity_figures.ts
@@ -1,6 +1,7 @@
 import type { CostFigures } from "../cost/cost_figures.ts";
 import type { ProcessorCost } from "../cost/processor_cost.ts";
 import type { FleetRun } from "../fleet/fleet_run.ts";
+import type { QuestionSample } from "../question/question_sample.ts";
 import type { LedgerSample } from "../ledger/ledger_sample.ts";
 
 /** The figures of earlier runs that the capacity page needs; undefined where a measure was not run. */
@@ -38,5 +39,8 @@
     readonly figures: readonly CostFigures[];
     readonly processorCosts: readonly ProcessorCost[];
   } | undefined;
+  readonly question:
+    | { readonly samples: readonly QuestionSample[] }
+    | undefined;
   readonly ledger: { readonly samples: readonly LedgerSample[] } | undefined;
 }
--- a/measurements/capacity/read_capacity_figures.ts
+++ b/measurements/capacity/read_capacity_figures.ts
@@ -9,6 +9,7 @@
     compile: readData(folder, "compile"),
     peers: readData(folder, "peers"),
     cost: readData(folder, "cost"),
+    question: readData(folder, "question"),
     ledger: readData(folder, "ledger"),
   };
 }
--- a/measurements/capacity/update_capacity_page.ts
+++ b/measurements/capacity/update_capacity_page.ts
@@ -3,6 +3,7 @@
 import { computeCallRows } from "./compute_call_rows.ts";
 import { computeDecisionRows } from "./compute_decision_rows.ts";
 import { computeFleetRows } from "./compute_fleet_rows.ts";
+import { computeQuestionRows } from "./compute_question_rows.ts";
 import { readCapacityFigures } from "./read_capacity_figures.ts";
 import { replaceMarkedBlock } from "./replace_marked_block.ts";
 
@@ -16,6 +17,7 @@
     ...computeFleetRows(figures.fleet?.runs),
     ...computeDecisionRows(figures),
     ...computeCallRows(figures),
+    ...computeQuestionRows(figures),
   ];
   const table = formatTable({
     title: "",
--- a/measurements/cost/create_cost_result.ts
+++ b/measurements/cost/create_cost_result.ts
@@ -57,7 +57,7 @@
               processorOf(path, false).map((entry) => entry.milliseconds),
             ),
             formatSpread(
-              processorOf(path, false).map((entry) => entry.callsPerSecond),
+              processorOf(path, false).map((entry) => entry.requestsPerSecond),
             ),
             formatSpread(
               processorOf(path, true).map((entry) => entry.milliseconds),
--- a/measurements/cost/measure_processor_cost.ts
+++ b/measurements/cost/measure_processor_cost.ts
@@ -1,16 +1,11 @@
 import type { Child } from "../../stand_ins/deployment/child.ts";
-import { readProcessUse } from "../fleet/read_process_use.ts";
-import { runInTurn } from "../run_in_turn.ts";
-import { wait } from "../wait.ts";
+import { measureProcessorTime } from "../fleet/measure_processor_time.ts";
 import { abandonMeasuredCall } from "./abandon_measured_call.ts";
 import type { CallTarget } from "./call_target.ts";
 import type { ProcessorCost } from "./processor_cost.ts";
 import { sendMeasuredCall } from "./send_measured_call.ts";
 
-const concurrentCalls = 4;
-const millisecondsPerSecond = 1000;
-
-/** Sends calls by one path and divides the processor time that the nodes took, less their time at rest, by the number of calls. */
+/** Measures the processor time of the nodes on one path, for calls that are answered or that their caller abandons. */
 export async function measureProcessorCost(
   target: CallTarget,
   options: {
@@ -23,38 +18,9 @@
   const send: (target: CallTarget) => Promise<unknown> = abandoned
     ? abandonMeasuredCall
     : sendMeasuredCall;
-  const first = readNodes(nodes);
-  const perSender = Array.from({
-    length: Math.ceil(calls / concurrentCalls),
+  const time = await measureProcessorTime(nodes, {
+    count: calls,
+    send: () => send(target),
   });
-  await Promise.all(
-    Array.from(
-      { length: concurrentCalls },
-      () => runInTurn(perSender, () => send(target)),
-    ),
-  );
-  const second = readNodes(nodes);
-  const span = second.at - first.at;
-  await wait(span);
-  const third = readNodes(nodes);
-  const shareAtRest = (third.processorMilliseconds -
-    second.processorMilliseconds) / (third.at - second.at);
-  const spent = second.processorMilliseconds - first.processorMilliseconds;
-  const sent = perSender.length * concurrentCalls;
-  return {
-    path: target.path,
-    abandoned,
-    milliseconds: (spent - shareAtRest * span) / sent,
-    callsPerSecond: sent * millisecondsPerSecond / span,
-  };
-}
-
-function readNodes(nodes: readonly Child[]) {
-  return {
-    at: Date.now(),
-    processorMilliseconds: nodes.map(readProcessUse).reduce(
-      (sum, use) => sum + use.processorMilliseconds,
-      0,
-    ),
-  };
+  return { path: target.path, abandoned, ...time };
 }
--- a/measurements/measures.ts
+++ b/measurements/measures.ts
@@ -7,6 +7,7 @@
 import { peersMeasure } from "./peers/peers_measure.ts";
 import { serviceMeasure } from "./service/service_measure.ts";
 import { ledgerMeasure } from "./ledger/ledger_measure.ts";
+import { questionMeasure } from "./question/question_measure.ts";
 import type { Measure } from "./measure.ts";
 
 /** Every measure, in the order in which they run. */
@@ -16,6 +17,7 @@
   ledgerMeasure,
   admissionMeasure,
   costMeasure,
+  questionMeasure,
   convergenceMeasure,
   serviceMeasure,
   controlMeasure,
--- /dev/null
+++ b/measurements/question/ask_about_key.ts
@@ -0,0 +1,48 @@
+import { Client } from "undici";
+import type { Dispatcher } from "undici";
+import { CallsControlMethod } from "../../src/calls/calls_control_method.ts";
+import type { DeploymentVm } from "../../stand_ins/deployment/deployment_vm.ts";
+import { loopback } from "../../stand_ins/deployment/loopback.ts";
+import { InvalidRun } from "../invalid_run.ts";
+
+/** Asks the node on a VM what became of a key, as an owner asks its predecessor; on a connection of its own where none is given. */
+export async function askAboutKey(
+  vm: DeploymentVm,
+  options: {
+    readonly key: string;
+    readonly by: DeploymentVm;
+    readonly connection: Dispatcher | undefined;
+  },
+): Promise<void> {
+  const { key, by } = options;
+  const origin = `http://${loopback}:${vm.nodesPort}`;
+  const connection = options.connection ?? new Client(origin);
+  const answer = await connection.request({
+    origin,
+    method: "POST",
+    path: "/control",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify({
+      jsonrpc: "2.0",
+      id: 1,
+      method: CallsControlMethod.SettleKey,
+      params: {
+        service: vm.service.name,
+        key,
+        backendServer: vm.backendServerName,
+        by: {
+          name: by.backendServerName,
+          vm: by.vm,
+          nodeAddress: { host: loopback, port: by.advertisedNodesPort },
+        },
+      },
+    }),
+  });
+  const text = await answer.body.text();
+  if (connection !== options.connection) {
+    await connection.close();
+  }
+  if (!("result" in JSON.parse(text))) {
+    throw new InvalidRun(`a question about a key was answered ${text}`);
+  }
+}
