Go on with the other measures where one has no result

A run of processes that could not be carried out ended the whole program, and the measures after it were lost. It is named, the others run, and the exit status is 1.

--- a/measurements/main.ts
+++ b/measurements/main.ts
@@ -10,6 +10,7 @@
 import type { MeasureReport } from "./measure_report.ts";
 import { measures } from "./measures.ts";
 import { parseMeasureOptions } from "./parse_measure_options.ts";
+import { runInTurn } from "./run_in_turn.ts";
 import { runMeasure } from "./run_measure.ts";
 import { writeReport } from "./write_report.ts";
 
@@ -29,6 +30,9 @@
   --output PATH  folder for the pages (docs/measurements)
   --help         print this text
 
+Exit status: 0 where every measure has a result, 1 where one has none, 2 for
+wrong arguments.
+
 Measures:
 ${measures.map((measure) => `  ${measure.name}: ${measure.title}`).join("\n")}
 `;
@@ -52,22 +56,24 @@
     measureOptions.only.includes(measure.name)
   );
   const progress = (message: string) => process.stderr.write(`${message}\n`);
-  const reports = await selected.reduce<Promise<readonly MeasureReport[]>>(
-    async (earlier, measure) => {
-      const done = await earlier;
+  const outcomes = await runInTurn(selected, async (measure) => {
+    try {
       const report = await runMeasure(measure, { measureOptions, progress });
       if (measureOptions.output !== undefined) {
         await writeReport(report, measureOptions.output);
       }
-      return [...done, report];
-    },
-    Promise.resolve([]),
-  );
+      return report;
+    } catch (error) {
+      progress(`${measure.name}: no result: ${String(error)}`);
+      return undefined;
+    }
+  });
+  const reports = outcomes.filter((report) => report !== undefined);
   if (measureOptions.output !== undefined && !measureOptions.quick) {
     updateCapacityPage(measureOptions.output, capacityPage);
   }
   printReports(reports, measureOptions.json);
-  return 0;
+  return reports.length === selected.length ? 0 : failureExitCode;
 }
 
 function printReports(reports: readonly MeasureReport[], json: boolean): void {
@@ -95,7 +101,4 @@
   }
 }
 
-process.exitCode = await main().catch((error: unknown) => {
-  process.stderr.write(`The measurements failed: ${String(error)}\n`);
-  return failureExitCode;
-});
+process.exitCode = await main();
