--- /dev/null
+++ b/src/daemon/format_raw_refusal.ts
@@ -0,0 +1,25 @@
+import { createProblemDocument } from "../calls/create_problem_document.ts";
+import { ForwardedHeader } from "../calls/forwarded_header.ts";
+import { getRetryAfterSeconds } from "../calls/get_retry_after_seconds.ts";
+import type { Refusal } from "../calls/refusal.ts";
+import { refusalTable } from "../calls/refusal_table.ts";
+import { formatRawResponse } from "./format_raw_response.ts";
+
+/** Returns the bytes of a refusal towards a caller; `now` in milliseconds since the Unix epoch. */
+export function formatRawRefusal(
+  refusal: Refusal,
+  options: { readonly now: number },
+): string {
+  return formatRawResponse({
+    status: refusalTable[refusal.reason].status,
+    headers: [
+      "content-type",
+      "application/problem+json",
+      "retry-after",
+      String(getRetryAfterSeconds(refusal.retryAt, options.now)),
+      ForwardedHeader.Outcome,
+      refusal.outcome,
+    ],
+    body: createProblemDocument(refusal),
+  });
+}
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -3,8 +3,11 @@
 /** A bound HTTP listener. */
 export interface Listener {
   readonly address: NetworkAddress;
-  /** Stops accepting connections and closes idle ones; resolves when the last one is closed. */
-  close(): Promise<void>;
+  /**
+   * Stops accepting connections, and closes each one once it is idle, after
+   * writing `finalAnswer` to it; resolves when the last one is closed.
+   */
+  close(finalAnswer: string): Promise<void>;
   /** Destroys every connection at once. */
   destroy(): void;
 }
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -1,5 +1,5 @@
 import { createServer, type RequestListener } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server } from "node:net";
 import type { Duplex } from "node:stream";
 import { Result } from "true-myth";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
@@ -7,11 +7,13 @@
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
+import { createConnectionTracker } from "./create_connection_tracker.ts";
 import type { Listener } from "./listener.ts";
 
 /** How long an idle connection is kept for the next request. */
 const keepAliveMilliseconds = 30_000;
-const sweepMilliseconds = 50;
+/** How often a closing listener looks for connections that have become idle. */
+const sweepMilliseconds = 20;
 
 /** What `openListener` binds and how it answers. */
 interface ListenerOptions {
@@ -29,25 +31,34 @@
 export function openListener(
   options: ListenerOptions,
 ): Promise<Result<Listener, Diagnostic>> {
+  const tracker = createConnectionTracker();
   const server = createServer({
     maxHeaderSize: options.requestHeaderBytes,
     keepAliveTimeout: keepAliveMilliseconds,
     noDelay: true,
-  }, options.onRequest);
+  }, (request, response) => {
+    const socket = request.socket;
+    if (!tracker.tryBegin(socket)) {
+      return;
+    }
+    response.once("close", () => tracker.end(socket));
+    options.onRequest(request, response);
+  });
+  server.on("connection", tracker.add);
   server.on("clientError", options.onBrokenRequest);
 
-  function close(): Promise<void> {
+  function close(finalAnswer: string): Promise<void> {
     return new Promise((resolve) => {
-      // A connection becomes idle only after its last answer, so idle ones are closed again and again until all are gone.
       const sweep = setInterval(
-        () => server.closeIdleConnections(),
+        () => tracker.finishIdle(finalAnswer),
         sweepMilliseconds,
       );
-      server.close(() => {
+      // The HTTP server's own close would destroy idle connections without an answer.
+      Server.prototype.close.call(server, () => {
         clearInterval(sweep);
         resolve();
       });
-      server.closeIdleConnections();
+      tracker.finishIdle(finalAnswer);
     });
   }
 
--- /dev/null
+++ b/src/daemon/open_listener_test.ts
@@ -0,0 +1,60 @@
+import { connect, type Socket } from "node:net";
+import { once } from "node:events";
+import test from "ava";
+import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
+import type { Listener } from "./listener.ts";
+import { openListener } from "./open_listener.ts";
+import { refuseBrokenRequest } from "./refuse_broken_request.ts";
+
+const request = "POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+const finalAnswer =
+  "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 7\r\nconnection: close\r\n\r\nnot-run";
+
+async function open(onRequest: () => void): Promise<Listener> {
+  const opened = await openListener({
+    address: { host: "127.0.0.1", port: 0 },
+    requestHeaderBytes: 16_384,
+    onBrokenRequest: refuseBrokenRequest,
+    onRequest: (_request, response) => {
+      onRequest();
+      response.end("ran");
+    },
+  });
+  if (opened.isErr) {
+    throw new DiagnosticFailure(opened.error);
+  }
+  return opened.value;
+}
+
+async function openIdleConnection(listener: Listener): Promise<Socket> {
+  const socket = connect(listener.address.port, listener.address.host);
+  socket.write(request);
+  await once(socket, "data");
+  return socket;
+}
+
+test("a request that crosses the closing of an idle connection is answered and not handled", async (t) => {
+  let handled = 0;
+  const listener = await open(() => {
+    handled += 1;
+  });
+  const socket = await openIdleConnection(listener);
+  const closed = listener.close(finalAnswer);
+  socket.write(request);
+  const received: string[] = [];
+  socket.on("data", (data) => received.push(String(data)));
+  const [withError] = await once(socket, "close");
+  t.false(withError);
+  t.is(received.join(""), finalAnswer);
+  t.is(handled, 1);
+  await closed;
+});
+
+test("a closing listener ends although its peers keep idle connections open", async (t) => {
+  const listener = await open(() => {});
+  const socket = await openIdleConnection(listener);
+  socket.pause();
+  await listener.close(finalAnswer);
+  socket.destroy();
+  t.pass();
+});
--- a/src/daemon/refuse_broken_request.ts
+++ b/src/daemon/refuse_broken_request.ts
@@ -1,7 +1,12 @@
+import { STATUS_CODES } from "node:http";
 import type { Duplex } from "node:stream";
+import { ForwardedHeader } from "../calls/forwarded_header.ts";
 import { Outcome } from "../calls/outcome.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { formatRawResponse } from "./format_raw_response.ts";
 
+const badRequestStatus = 400;
+const headerTooLargeStatus = 431;
 const headerOverflowCode = "HPE_HEADER_OVERFLOW";
 
 /** Answers bytes that are not an HTTP request, or a header over the limit, and closes the connection. */
@@ -14,29 +19,26 @@
     return;
   }
   const tooLarge = error.code === headerOverflowCode;
-  const status = tooLarge ? 431 : 400;
-  const title = tooLarge ? "Request Header Fields Too Large" : "Bad Request";
-  const body = JSON.stringify({
-    type: "about:blank",
-    title,
+  const status = tooLarge ? headerTooLargeStatus : badRequestStatus;
+  socket.end(formatRawResponse({
     status,
-    detail: tooLarge
-      ? "The request header is larger than the node accepts"
-      : "The request is not valid HTTP/1.1",
-    outcome: Outcome.NotRun,
-    reason: tooLarge
-      ? RefusalReason.RequestTooLarge
-      : RefusalReason.RequestInvalid,
-  });
-  socket.end(
-    [
-      `HTTP/1.1 ${status} ${title}`,
-      "Content-Type: application/problem+json",
-      `Content-Length: ${Buffer.byteLength(body)}`,
-      `Catkinquay-Outcome: ${Outcome.NotRun}`,
-      "Connection: close",
-      "",
-      body,
-    ].join("\r\n"),
-  );
+    headers: [
+      "content-type",
+      "application/problem+json",
+      ForwardedHeader.Outcome,
+      Outcome.NotRun,
+    ],
+    body: JSON.stringify({
+      type: "about:blank",
+      title: STATUS_CODES[status],
+      status,
+      detail: tooLarge
+        ? "The request header is larger than the node accepts"
+        : "The request is not valid HTTP/1.1",
+      outcome: Outcome.NotRun,
+      reason: tooLarge
+        ? RefusalReason.RequestTooLarge
+        : RefusalReason.RequestInvalid,
+    }),
+  }));
 }
--- a/src/daemon/shut_down.ts
+++ b/src/daemon/shut_down.ts
@@ -1,5 +1,10 @@
+import { createRefusal } from "../calls/create_refusal.ts";
+import { Outcome } from "../calls/outcome.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
 import type { NodeEnvironment } from "../runtime/node_environment.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
+import { formatRawNodeRefusal } from "./format_raw_node_refusal.ts";
+import { formatRawRefusal } from "./format_raw_refusal.ts";
 import type { NodeListeners } from "./node_listeners.ts";
 import type { NodeRuntimes } from "./node_runtimes.ts";
 
@@ -27,8 +32,16 @@
       environment.timers.at(lateArrivalsEnd, resolve);
     }),
   ]);
-  await listeners.callers.close();
-  await listeners.nodes.close();
+  const now = environment.clock.now();
+  const refusal = createRefusal(
+    RefusalReason.NodeDraining,
+    Outcome.NotRun,
+    { now },
+  );
+  await Promise.all([
+    listeners.callers.close(formatRawRefusal(refusal, { now })),
+    listeners.nodes.close(formatRawNodeRefusal(refusal)),
+  ]);
 }
 
 /** Finishes the calls; resolves early at the deadline or when aborted. */
