Refuse requests that are not whole at their deadline or when their node drains

Cause: a drain waited for a caller that had sent half a request, up to the server's own bound of minutes (found by reading; the new test does not end without the change).

--- a/src/daemon/calls/calls_node.ts
+++ b/src/daemon/calls/calls_node.ts
@@ -26,6 +26,8 @@
   readonly dispatches: Map<string, DispatchControl>;
   /** Calls from callers under way; each entry cuts its call. */
   readonly callerCalls: Set<() => void>;
+  /** Requests that are not whole yet; each entry refuses its request. */
+  readonly uploads: Set<() => void>;
   readonly counters: CallCounters;
   snapshot: Snapshot | undefined;
   confirmingView: boolean;
--- a/src/daemon/calls/create_calls_runtime.ts
+++ b/src/daemon/calls/create_calls_runtime.ts
@@ -65,6 +65,7 @@
     },
     drain: () => {
       node.draining = true;
+      Array.from(node.uploads).forEach((refuse) => refuse());
       return new Promise((resolve) => {
         node.onEnded = () => {
           if (isIdle()) {
@@ -125,6 +126,7 @@
     ledger: createCallLedger(options),
     dispatches: new Map(),
     callerCalls: new Set(),
+    uploads: new Set(),
     counters: {
       received: 0,
       answeredWhole: 0,
--- a/src/daemon/calls/graceful_shutdown_test.ts
+++ b/src/daemon/calls/graceful_shutdown_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { request as createRequest } from "node:http";
 import { Pool } from "undici";
 import { callNode } from "../../testing/calls/call_node.ts";
 import { countRuns } from "../../testing/calls/count_runs.ts";
@@ -64,3 +65,33 @@
   await drained;
   t.deepEqual(await ask("/encomendas/x"), { status: 503, connection: "close" });
 });
+
+test("a request that is not whole is refused at its deadline, and when its node drains", async (t) => {
+  const bench = await useCallsBench(t, 1, { deadlineMilliseconds });
+  const node = bench.nodes[0]!;
+  const upload = (headers: Record<string, string>) => {
+    const { host, port } = node.callers;
+    const request = createRequest({
+      host,
+      port,
+      method: "POST",
+      path: "/encomendas/x",
+      headers: { "content-length": "10", ...headers },
+    });
+    request.on("error", () => undefined);
+    request.write("half");
+    return new Promise<number | undefined>((resolve) => {
+      request.on("response", (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      });
+    });
+  };
+  const late = upload({ "request-deadline": String(Date.now() + 1000) });
+  t.is(await late, 504);
+  const half = upload({});
+  t.true(await waitUntil(() => node.runtime.getStatus().running === 1));
+  await node.runtime.drain();
+  t.is(await half, 503);
+  t.is(countRuns(bench.nodes), 0);
+});
--- a/src/daemon/calls/refuse_caller_call.ts
+++ b/src/daemon/calls/refuse_caller_call.ts
@@ -16,6 +16,8 @@
     /** In milliseconds since the Unix epoch. */
     readonly receivedAt: number;
     readonly refusal: Refusal;
+    /** Whether the connection cannot be used again, because the request was not read to its end. */
+    readonly unread?: boolean;
   },
 ): void {
   const { counters } = node;
@@ -31,7 +33,7 @@
   );
   writeRefusal(response, end.refusal, {
     now: node.options.environment.clock.now(),
-    close: node.draining,
+    close: node.draining || end.unread === true,
   });
   observeCall(node, { ...end, result: reason });
 }
--- a/src/daemon/calls/serve_caller_request.ts
+++ b/src/daemon/calls/serve_caller_request.ts
@@ -24,12 +24,13 @@
   const receivedAt = clock.now();
   node.counters.received += 1;
   let ended = false;
-  const refuse = (refusal: Refusal) => {
+  const refuse = (refusal: Refusal, unread = false) => {
     ended = true;
     refuseCallerCall(node, response, {
       ...unrouted,
       receivedAt,
       refusal,
+      unread,
     });
   };
   const refuseFor = (reason: RefusalReason) =>
@@ -64,15 +65,52 @@
     refuse(parsed.error);
     return;
   }
+  const { deadline } = parsed.value;
   readBody(request, {
     maximumBytes: limits.requestBodyBytes,
     onTooLarge: () => refuseFor(RefusalReason.RequestTooLarge),
     onWhole: (body) => {
+      if (ended) {
+        return;
+      }
       ended = true;
       node.callerCalls.delete(cut);
       runCallerCall(node, parsed.value, { body, receivedAt, response });
     },
   });
+  if (!ended) {
+    followUpload(node, response, {
+      deadline,
+      refuse: (reason) => {
+        if (!ended) {
+          const now = clock.now();
+          refuse(createRefusal(reason, Outcome.NotRun, { now }), true);
+        }
+      },
+    });
+  }
+}
+
+/** Refuses a request that is still not whole at its deadline, or when the node begins to drain. */
+function followUpload(
+  node: CallsNode,
+  response: ServerResponse,
+  upload: {
+    /** In milliseconds since the Unix epoch. */
+    readonly deadline: number;
+    readonly refuse: (reason: RefusalReason) => void;
+  },
+): void {
+  const refuseDraining = () => upload.refuse(RefusalReason.NodeDraining);
+  const timer = node.options.environment.timers.at(
+    upload.deadline,
+    () => upload.refuse(RefusalReason.DeadlinePassed),
+  );
+  node.uploads.add(refuseDraining);
+  response.on("close", () => {
+    timer.cancel();
+    node.uploads.delete(refuseDraining);
+  });
 }
 
 function getObstacle(node: CallsNode): RefusalReason | undefined {
