--- a/src/distribution/create_distribution_state.ts
+++ b/src/distribution/create_distribution_state.ts
@@ -57,6 +57,7 @@
       decided: false,
       nextWaveAt: now + random.next() * startJitterMilliseconds,
       settleAt: now + startupQuestionMilliseconds,
+      learntPeers: false,
       answers: new Map(),
       floor: undefined,
     },
@@ -65,6 +66,7 @@
       nextReadAt: now + distributionLimits.platformSilenceMilliseconds *
           (1 + random.next()),
       isReading: false,
+      notBefore: 0,
       revision: undefined,
       reachable: undefined,
       failures: 0,
@@ -75,6 +77,7 @@
     },
     exchange: {
       nextExchangeAt: now + random.next() * exchangeIntervalMilliseconds,
+      heardAt: now,
       nextReconcileAt: now,
     },
     pull: undefined,
