--- a/scenarios/processes_test.ts
+++ b/scenarios/processes_test.ts
@@ -1,9 +1,11 @@
 import test from "ava";
+import { AuditEntryKind } from "../src/telemetry/audit_entry_kind.ts";
 import type { CallerService } from "../stand_ins/caller/caller_service.ts";
 import { gatherFacts } from "../stand_ins/deployment/gather_facts.ts";
 import { pause } from "../stand_ins/deployment/pause.ts";
 import { sumRuns } from "../stand_ins/deployment/sum_runs.ts";
 import { watchVersions } from "../stand_ins/deployment/watch_versions.ts";
+import { parseTrail } from "../traces/parse_trail.ts";
 import { assertInForce } from "./processes/assert_in_force.ts";
 import { assertSafe } from "./processes/assert_safe.ts";
 import { countBegun } from "./processes/count_begun.ts";
@@ -58,6 +60,10 @@
       deployment.startNode(vm);
       const at = Date.now();
       await assertInForce(assert, { deployment, vms, number: 2, since: at });
+      const applied = parseTrail(await deployment.getTrail(vm))
+        .filter((entry) => entry.kind === AuditEntryKind.ConfigurationApplied)
+        .map((entry) => entry.toVersion?.number);
+      assert.deepEqual(applied, [2], "versions in force since the restart");
     }, Promise.resolve());
   }),
 );
--- a/stand_ins/deployment/deployment.ts
+++ b/stand_ins/deployment/deployment.ts
@@ -31,6 +31,8 @@
   setRelayMode(vm: DeploymentVm, mode: Partial<RelayMode>): Promise<void>;
   /** Undefined where the node does not answer. */
   getStatus(vm: DeploymentVm): Promise<NodeStatus | undefined>;
+  /** The audit trail that the node on a VM holds, as JSON lines; empty where it does not answer. */
+  getTrail(vm: DeploymentVm): Promise<string>;
   isReady(vm: DeploymentVm): Promise<boolean>;
   getRuns(vm: DeploymentVm): Promise<BackendServerRuns>;
   getPlatformCounters(): Promise<PlatformCounters>;
--- a/stand_ins/deployment/start_deployment.ts
+++ b/stand_ins/deployment/start_deployment.ts
@@ -17,6 +17,7 @@
 import type { NodeStatus } from "./node_status.ts";
 import type { ProcessGroup } from "./process_group.ts";
 import { requestJson } from "./request_json.ts";
+import { requestText } from "./request_text.ts";
 
 interface Announcement {
   readonly listening: number;
@@ -145,6 +146,7 @@
       await put(port, "/stand-in/mode", JSON.stringify(mode));
     },
     getStatus: (vm) => requestJson<NodeStatus>(vm.operatorsPort, "/status"),
+    getTrail: (vm) => requestText(vm.operatorsPort, "/trail"),
     async isReady(vm) {
       const health = await requestJson<{ ready: boolean }>(
         vm.operatorsPort,
