Let every command of the command line share one frame

Cause: parsing, usage errors and help stood five times alike. Change: a command is a plain definition (help, options, operands, run) and runCommand does the rest. The recorded outputs are unchanged.

--- a/src/command_line/check_command.ts
+++ b/src/command_line/check_command.ts
@@ -5,13 +5,12 @@
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
 import { tryParseAddress } from "../runtime/try_parse_address.ts";
+import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { loadConfiguration } from "./load_configuration.ts";
-import { parseCommandLine } from "./parse_command_line.ts";
 import type { ParsedCommandLine } from "./parsed_command_line.ts";
-import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
 
 const usage =
@@ -40,30 +39,24 @@
   readonly json: boolean;
 }
 
-/** Runs `catkinquay check`; `parameters` are the arguments after the name of the command. */
-export async function runCheckCommand(
-  parameters: readonly string[],
+/** `catkinquay check`: checks documents before they are published. */
+export const checkCommand: Command = {
+  help,
+  options: {
+    against: { type: "string" },
+    expect: { type: "string", multiple: true },
+    json: { type: "boolean" },
+  },
+  operandsMinimum: 1,
+  operandsMaximum: Infinity,
+  usage,
+  run,
+};
+
+async function run(
+  { values, operands }: ParsedCommandLine,
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const commandLine = parseCommandLine(parameters, {
-    options: {
-      against: { type: "string" },
-      expect: { type: "string", multiple: true },
-      json: { type: "boolean" },
-    },
-    operandsMinimum: 1,
-    operandsMaximum: Infinity,
-    usage,
-  });
-  if (commandLine.isErr) {
-    reportDiagnostics([commandLine.error], output);
-    return ExitStatus.Usage;
-  }
-  const { values, operands } = commandLine.value;
-  if (values["help"] === true) {
-    output.write(help);
-    return ExitStatus.Success;
-  }
   const against = getText(values["against"]);
   const inForce = against === undefined
     ? undefined
--- a/src/command_line/command.ts
+++ b/src/command_line/command.ts
@@ -1,8 +1,15 @@
+import type { CommandLineShape } from "./command_line_shape.ts";
 import type { CommandOutput } from "./command_output.ts";
 import type { ExitStatus } from "./exit_status.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
-/** Runs one command with the arguments after its name. */
-export type Command = (
-  parameters: readonly string[],
-  output: CommandOutput,
-) => Promise<ExitStatus>;
+/** One command of the command line. */
+export interface Command extends CommandLineShape {
+  /** What `--help` shows. */
+  readonly help: string;
+  /** Runs the command with arguments that fit its shape. */
+  readonly run: (
+    commandLine: ParsedCommandLine,
+    output: CommandOutput,
+  ) => Promise<ExitStatus>;
+}
--- a/src/command_line/commands_test.ts
+++ b/src/command_line/commands_test.ts
@@ -3,15 +3,16 @@
 import type { AddressInfo } from "node:net";
 import test from "ava";
 import { readBaseline } from "../testing/read_baseline.ts";
-import { runCheckCommand } from "./check_command.ts";
+import { checkCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
-import { runRoutesCommand } from "./routes_command.ts";
+import { runCommand } from "./run_command.ts";
+import { routesCommand } from "./routes_command.ts";
 
 const directory = "src/command_line/baselines";
 
 async function run(command: Command, parameters: readonly string[]) {
   const written: string[] = [];
-  const status = await command(parameters, {
+  const status = await runCommand(command, parameters, {
     write: (text) => void written.push(text),
     writeError: (text) => void written.push(`standard error: ${text}`),
   });
@@ -25,51 +26,51 @@
   readonly command: Command;
   readonly parameters: readonly string[];
 }[] = [
-  { name: "check_help", command: runCheckCommand, parameters: ["--help"] },
-  { name: "check_no_file", command: runCheckCommand, parameters: [] },
+  { name: "check_help", command: checkCommand, parameters: ["--help"] },
+  { name: "check_no_file", command: checkCommand, parameters: [] },
   {
     name: "check_unknown_option",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: ["--fast"],
   },
   {
     name: "check_valid",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("valid")],
   },
   {
     name: "check_valid_json",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("valid"), "--json"],
   },
   {
     name: "check_several",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("valid"), `${directory}/half.part`, file("absent")],
   },
   {
     name: "check_wrong_types",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("wrong_types")],
   },
   {
     name: "check_unknown_names",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("unknown_names")],
   },
   {
     name: "check_wrong_digest",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("wrong_digest")],
   },
   {
     name: "check_undoing",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [file("undoing"), "--against", file("valid")],
   },
   {
     name: "check_undoing_partly_expected",
-    command: runCheckCommand,
+    command: checkCommand,
     parameters: [
       file("undoing"),
       "--against",
@@ -80,21 +81,21 @@
       "vitrine-1",
     ],
   },
-  { name: "routes_help", command: runRoutesCommand, parameters: ["--help"] },
-  { name: "routes_no_file", command: runRoutesCommand, parameters: [] },
+  { name: "routes_help", command: routesCommand, parameters: ["--help"] },
+  { name: "routes_no_file", command: routesCommand, parameters: [] },
   {
     name: "routes_valid",
-    command: runRoutesCommand,
+    command: routesCommand,
     parameters: [file("valid")],
   },
   {
     name: "routes_valid_json",
-    command: runRoutesCommand,
+    command: routesCommand,
     parameters: [file("valid"), "--json"],
   },
   {
     name: "routes_unknown_names",
-    command: runRoutesCommand,
+    command: routesCommand,
     parameters: [file("unknown_names")],
   },
 ];
@@ -115,7 +116,7 @@
   t.teardown(() => server.close());
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
-  const { status, text } = await run(runCheckCommand, [
+  const { status, text } = await run(checkCommand, [
     file("valid"),
     "--against",
     `127.0.0.1:${port}`,
@@ -125,7 +126,7 @@
 });
 
 test("check --against fails where the node does not answer", async (t) => {
-  const { status, text } = await run(runCheckCommand, [
+  const { status, text } = await run(checkCommand, [
     file("valid"),
     "--against",
     "127.0.0.1:1",
--- a/src/command_line/node_command.ts
+++ b/src/command_line/node_command.ts
@@ -4,11 +4,12 @@
 import { parseNodeSettings } from "../daemon/parse_node_settings.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatAddress } from "../runtime/format_address.ts";
+import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
-import { parseCommandLine } from "./parse_command_line.ts";
 import { readTextFile } from "./read_text_file.ts";
 import { reportDiagnostics } from "./report_diagnostics.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
 const usage = "catkinquay node --settings FILE [--check-settings]";
 
@@ -41,29 +42,23 @@
   });
 }
 
-/** Runs `catkinquay node`. */
-export async function nodeCommand(
-  parameters: readonly string[],
+/** `catkinquay node`: runs one node. */
+export const nodeCommand: Command = {
+  help,
+  options: {
+    settings: { type: "string" },
+    "check-settings": { type: "boolean" },
+  },
+  operandsMinimum: 0,
+  operandsMaximum: 0,
+  usage,
+  run,
+};
+
+async function run(
+  { values }: ParsedCommandLine,
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const commandLine = parseCommandLine(parameters, {
-    options: {
-      settings: { type: "string" },
-      "check-settings": { type: "boolean" },
-    },
-    operandsMinimum: 0,
-    operandsMaximum: 0,
-    usage,
-  });
-  if (commandLine.isErr) {
-    reportDiagnostics([commandLine.error], output);
-    return ExitStatus.Usage;
-  }
-  const values = commandLine.value.values;
-  if (values["help"] === true) {
-    output.write(help);
-    return ExitStatus.Success;
-  }
   const path = values["settings"];
   if (typeof path !== "string") {
     output.writeError(`Usage: ${usage}\n`);
--- a/src/command_line/parse_command_line.ts
+++ b/src/command_line/parse_command_line.ts
@@ -1,20 +1,11 @@
-import type { ParseArgsConfig } from "node:util";
 import { Result } from "true-myth";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
+import type { CommandLineShape } from "./command_line_shape.ts";
 import type { ParsedCommandLine } from "./parsed_command_line.ts";
 import { tryParseArguments } from "./try_parse_arguments.ts";
 
-/** The options and the number of operands that a command takes. */
-interface CommandLineShape {
-  readonly options: NonNullable<ParseArgsConfig["options"]>;
-  readonly operandsMinimum: number;
-  readonly operandsMaximum: number;
-  /** What the usage diagnostic says is allowed. */
-  readonly usage: string;
-}
-
 function findOperandFault(
   operands: readonly string[],
   shape: CommandLineShape,
--- a/src/command_line/routes_command.ts
+++ b/src/command_line/routes_command.ts
@@ -3,12 +3,12 @@
 import type { Snapshot } from "../configuration/snapshot.ts";
 import { formatVersion } from "../configuration/format_version.ts";
 import { ZoneState } from "../configuration/zone_state.ts";
+import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { loadConfiguration } from "./load_configuration.ts";
-import { parseCommandLine } from "./parse_command_line.ts";
-import { reportDiagnostics } from "./report_diagnostics.ts";
 import { writeDiagnostics } from "./write_diagnostics.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
 const usage = "catkinquay routes FILE [--json]";
 
@@ -24,26 +24,20 @@
 Exit status: 0 where the document is valid, 1 where it is not, 2 for bad usage.
 `;
 
-/** Runs `catkinquay routes`; `parameters` are the arguments after the name of the command. */
-export async function runRoutesCommand(
-  parameters: readonly string[],
+/** `catkinquay routes`: shows what a document compiles to. */
+export const routesCommand: Command = {
+  help,
+  options: { json: { type: "boolean" } },
+  operandsMinimum: 1,
+  operandsMaximum: 1,
+  usage,
+  run,
+};
+
+async function run(
+  { values, operands: [path = ""] }: ParsedCommandLine,
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const commandLine = parseCommandLine(parameters, {
-    options: { json: { type: "boolean" } },
-    operandsMinimum: 1,
-    operandsMaximum: 1,
-    usage,
-  });
-  if (commandLine.isErr) {
-    reportDiagnostics([commandLine.error], output);
-    return ExitStatus.Usage;
-  }
-  const { values, operands: [path = ""] } = commandLine.value;
-  if (values["help"] === true) {
-    output.write(help);
-    return ExitStatus.Success;
-  }
   const loaded = await loadConfiguration(path);
   return loaded.match({
     Ok: ({ snapshot }) => {
--- /dev/null
+++ b/src/command_line/run_command.ts
@@ -0,0 +1,23 @@
+import type { Command } from "./command.ts";
+import type { CommandOutput } from "./command_output.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { parseCommandLine } from "./parse_command_line.ts";
+import { reportDiagnostics } from "./report_diagnostics.ts";
+
+/** Runs a command with the arguments after its name; `--help` and wrong usage are handled here. */
+export async function runCommand(
+  command: Command,
+  parameters: readonly string[],
+  output: CommandOutput,
+): Promise<ExitStatus> {
+  const commandLine = parseCommandLine(parameters, command);
+  if (commandLine.isErr) {
+    reportDiagnostics([commandLine.error], output);
+    return ExitStatus.Usage;
+  }
+  if (commandLine.value.values["help"] === true) {
+    output.write(command.help);
+    return ExitStatus.Success;
+  }
+  return await command.run(commandLine.value, output);
+}
--- a/src/command_line/run_command_line.ts
+++ b/src/command_line/run_command_line.ts
@@ -1,10 +1,11 @@
-import { runCheckCommand } from "./check_command.ts";
+import { checkCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { getPackageVersion } from "./get_package_version.ts";
 import { nodeCommand } from "./node_command.ts";
-import { runRoutesCommand } from "./routes_command.ts";
+import { routesCommand } from "./routes_command.ts";
+import { runCommand } from "./run_command.ts";
 import { statusCommand } from "./status_command.ts";
 import { trailCommand } from "./trail_command.ts";
 
@@ -23,8 +24,8 @@
 
 const commands: ReadonlyMap<string, Command> = new Map([
   ["node", nodeCommand],
-  ["check", runCheckCommand],
-  ["routes", runRoutesCommand],
+  ["check", checkCommand],
+  ["routes", routesCommand],
   ["status", statusCommand],
   ["trail", trailCommand],
 ]);
@@ -50,5 +51,5 @@
     );
     return ExitStatus.Usage;
   }
-  return await command(rest, output);
+  return await runCommand(command, rest, output);
 }
--- a/src/command_line/status_command.ts
+++ b/src/command_line/status_command.ts
@@ -1,11 +1,12 @@
 import type { NodeStatus } from "../daemon/node_status.ts";
+import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { formatNodeStatus } from "./format_node_status.ts";
 import { getFailureStatus } from "./get_failure_status.ts";
-import { parseCommandLine } from "./parse_command_line.ts";
 import { reportDiagnostics } from "./report_diagnostics.ts";
 import { requestOperatorPage } from "./request_operator_page.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
 const usage = "catkinquay status ADDRESS [--json]";
 
@@ -18,26 +19,20 @@
   -h, --help   show this text
 `;
 
-/** Runs `catkinquay status`. */
-export async function statusCommand(
-  parameters: readonly string[],
+/** `catkinquay status`: shows the state of a node. */
+export const statusCommand: Command = {
+  help,
+  options: { json: { type: "boolean" } },
+  operandsMinimum: 1,
+  operandsMaximum: 1,
+  usage,
+  run,
+};
+
+async function run(
+  { values, operands }: ParsedCommandLine,
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const commandLine = parseCommandLine(parameters, {
-    options: { json: { type: "boolean" } },
-    operandsMinimum: 1,
-    operandsMaximum: 1,
-    usage,
-  });
-  if (commandLine.isErr) {
-    reportDiagnostics([commandLine.error], output);
-    return ExitStatus.Usage;
-  }
-  const { values, operands } = commandLine.value;
-  if (values["help"] === true) {
-    output.write(help);
-    return ExitStatus.Success;
-  }
   const page = await requestOperatorPage(operands[0] ?? "", "/status");
   if (page.isErr) {
     reportDiagnostics([page.error], output);
--- a/src/command_line/trail_command.ts
+++ b/src/command_line/trail_command.ts
@@ -1,12 +1,13 @@
 import { createInterface } from "node:readline";
 import type { AuditEntry } from "../telemetry/audit_entry.ts";
+import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { formatAuditEntry } from "./format_audit_entry.ts";
 import { getFailureStatus } from "./get_failure_status.ts";
-import { parseCommandLine } from "./parse_command_line.ts";
 import { reportDiagnostics } from "./report_diagnostics.ts";
 import { requestOperatorPage } from "./request_operator_page.ts";
+import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
 const usage = "catkinquay trail ADDRESS [--once] [--json]";
 
@@ -21,26 +22,20 @@
   -h, --help   show this text
 `;
 
-/** Runs `catkinquay trail`. */
-export async function trailCommand(
-  parameters: readonly string[],
+/** `catkinquay trail`: shows the audit trail of a node. */
+export const trailCommand: Command = {
+  help,
+  options: { once: { type: "boolean" }, json: { type: "boolean" } },
+  operandsMinimum: 1,
+  operandsMaximum: 1,
+  usage,
+  run,
+};
+
+async function run(
+  { values, operands }: ParsedCommandLine,
   output: CommandOutput,
 ): Promise<ExitStatus> {
-  const commandLine = parseCommandLine(parameters, {
-    options: { once: { type: "boolean" }, json: { type: "boolean" } },
-    operandsMinimum: 1,
-    operandsMaximum: 1,
-    usage,
-  });
-  if (commandLine.isErr) {
-    reportDiagnostics([commandLine.error], output);
-    return ExitStatus.Usage;
-  }
-  const { values, operands } = commandLine.value;
-  if (values["help"] === true) {
-    output.write(help);
-    return ExitStatus.Success;
-  }
   const path = values["once"] === true ? "/trail" : "/trail?follow";
   const page = await requestOperatorPage(operands[0] ?? "", path);
   if (page.isErr) {
