--- a/measurements/fleet/read_under_load.ts
+++ b/measurements/fleet/read_under_load.ts
@@ -4,7 +4,7 @@
 import type { ControlUse } from "./control_use.ts";
 import { readFleet } from "./read_fleet.ts";
 
-const settleMilliseconds = 1000;
+const settleMilliseconds = 500;
 
 /** Runs callers against a deployment and returns what control used meanwhile; resolves once they have ended. */
 export async function readUnderLoad(
