Start a deployment again where another program took one of its ports

Cause: a proof in real processes failed once because a port that was found free was bound by another program before the node bound it (EADDRINUSE, machine load 29): a verdict that is not about the mesh. Ruled out: ports that the nodes choose themselves, since the register has to name them beforehand.

--- a/scenarios/processes/with_deployment.ts
+++ b/scenarios/processes/with_deployment.ts
@@ -1,8 +1,7 @@
 import type { ExecutionContext } from "ava";
-import { awaitReadiness } from "../../stand_ins/deployment/await_readiness.ts";
 import type { Deployment } from "../../stand_ins/deployment/deployment.ts";
 import type { DeploymentOptions } from "../../stand_ins/deployment/deployment_options.ts";
-import { startDeployment } from "../../stand_ins/deployment/start_deployment.ts";
+import { startReadyDeployment } from "../../stand_ins/deployment/start_ready_deployment.ts";
 import { smallPlan } from "./small_plan.ts";
 
 const timeoutMilliseconds = 90_000;
@@ -14,9 +13,8 @@
 ): (assert: ExecutionContext) => Promise<void> {
   return async (assert) => {
     assert.timeout(timeoutMilliseconds);
-    const deployment = await startDeployment(smallPlan, options);
+    const deployment = await startReadyDeployment(smallPlan, options);
     try {
-      await awaitReadiness(deployment);
       await run(deployment, assert);
     } finally {
       await deployment.end();
--- a/stand_ins/demo/main.ts
+++ b/stand_ins/demo/main.ts
@@ -10,7 +10,7 @@
 import type { Deployment } from "../deployment/deployment.ts";
 import type { DeploymentPlan } from "../deployment/deployment_plan.ts";
 import { koloretePlan } from "../deployment/kolorete_plan.ts";
-import { startDeployment } from "../deployment/start_deployment.ts";
+import { startReadyDeployment } from "../deployment/start_ready_deployment.ts";
 import { createDemoTable } from "./create_demo_table.ts";
 import type { DemoResult } from "./demo_result.ts";
 import { runDemo } from "./run_demo.ts";
@@ -59,7 +59,7 @@
   const table = createDemoTable((text) => output.write(text));
   let deployment: Deployment | undefined;
   try {
-    deployment = await startDeployment(plan);
+    deployment = await startReadyDeployment(plan);
     const result = await runDemo(plan, deployment, table);
     Object.entries(result).forEach(([name, value]) =>
       table.row(name, String(value))
--- a/stand_ins/demo/run_demo.ts
+++ b/stand_ins/demo/run_demo.ts
@@ -1,4 +1,3 @@
-import { awaitReadiness } from "../deployment/await_readiness.ts";
 import type { BackendServerRuns } from "../deployment/backend_server_runs.ts";
 import type { BlackBoxFacts } from "../deployment/black_box_facts.ts";
 import type { ConfigurationChange } from "../deployment/configuration_change.ts";
@@ -63,7 +62,6 @@
   const getRunsOf = (vms: readonly DeploymentVm[]) =>
     Promise.all(vms.map(deployment.getRuns));
 
-  await awaitReadiness(deployment);
   table.row("start", `${live.length} nodes ready`);
   const caller = deployment.startCaller(hastyCallers);
   await pause(settleMilliseconds);
--- a/stand_ins/deployment/await_readiness.ts
+++ b/stand_ins/deployment/await_readiness.ts
@@ -5,7 +5,7 @@
 
 const readyMilliseconds = 20_000;
 
-/** Resolves once every node is ready; fails with the output of the first that is late. */
+/** Resolves once every node is ready; fails with the output of one that is late. */
 export async function awaitReadiness(deployment: Deployment): Promise<void> {
   const deadline = Date.now() + readyMilliseconds;
   const ready = await Promise.all(
@@ -19,9 +19,10 @@
   const late = deployment.vms.filter((vm, index) =>
     !ready[index] || hasEnded(deployment, vm)
   );
-  if (late[0] !== undefined) {
+  const shown = late.find((vm) => hasEnded(deployment, vm)) ?? late[0];
+  if (shown !== undefined) {
     const names = late.map((vm) => vm.vm).join(", ");
-    const output = deployment.getNode(late[0]).getOutput().join("\n");
+    const output = deployment.getNode(shown).getOutput().join("\n");
     throw new DeploymentFailure(
       `Not ready within ${readyMilliseconds} ms: ${names}\n${output}`,
     );
