Close the backend server of a VM listed as leaving, bound the control methods

Cause: (1) the platform's list named this VM as leaving and other nodes avoided it, but its own node still gave it the calls of its callers. (2) The control listener kept a handler for every method name that a peer sent.

--- a/src/daemon/create_control_listener.ts
+++ b/src/daemon/create_control_listener.ts
@@ -4,19 +4,18 @@
   createJSONRPCErrorResponse,
   isJSONRPCRequest,
   JSONRPCErrorCode,
-  type JSONRPCRequest,
   type JSONRPCResponse,
   JSONRPCServer,
 } from "json-rpc-2.0";
 import { tryOrElse } from "true-myth/result";
+import { CallsControlMethod } from "../calls/calls_control_method.ts";
 import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
 import { formatDiagnostic } from "../diagnostics/format_diagnostic.ts";
+import { DistributionMethod } from "../distribution/distribution_method.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { ControlHandler } from "./control_handler.ts";
 import type { ServedControlTraffic } from "./served_control_traffic.ts";
 
-/** The control methods that the calls answer; all others belong to the distribution. */
-const callMethods: readonly string[] = ["settleCall", "settleKey"];
 const okStatus = 200;
 const payloadTooLargeStatus = 413;
 
@@ -45,20 +44,18 @@
         : "The node failed to answer",
     );
 
-  function answerRequest(
-    request: JSONRPCRequest,
-  ): Promise<JSONRPCResponse | null> {
-    if (!server.hasMethod(request.method)) {
-      const handler = callMethods.includes(request.method)
-        ? options.calls
-        : options.distribution;
-      server.addMethod(
-        request.method,
-        (parameters: unknown) => handler(request.method, parameters),
-      );
-    }
-    return Promise.resolve(server.receive(request));
-  }
+  Object.values(CallsControlMethod).forEach((method) =>
+    server.addMethod(
+      method,
+      (parameters: unknown) => options.calls(method, parameters),
+    )
+  );
+  Object.values(DistributionMethod).forEach((method) =>
+    server.addMethod(
+      method,
+      (parameters: unknown) => options.distribution(method, parameters),
+    )
+  );
 
   function answerText(body: string): Promise<JSONRPCResponse | null> {
     const parsed = tryOrElse(
@@ -84,7 +81,7 @@
         ),
       );
     }
-    return answerRequest(parsed.value);
+    return Promise.resolve(server.receive(parsed.value));
   }
 
   return (request, response) => {
--- a/src/daemon/create_control_listener_test.ts
+++ b/src/daemon/create_control_listener_test.ts
@@ -24,7 +24,7 @@
     onRequest: createControlListener({
       calls: (method) => Promise.resolve(`calls ${method}`),
       distribution: (method, parameters) =>
-        method === "fail"
+        method === "readManifest"
           ? Promise.reject(
             new DiagnosticFailure(
               createDiagnostic(DiagnosticCode.ControlMessageInvalid, {
@@ -79,8 +79,12 @@
   t.like(await ask("null"), { error: { code: -32600 } });
 });
 
+test("createControlListener() knows no other methods", async (t) => {
+  t.like(await ask(encode("fly")), { error: { code: -32601 } });
+});
+
 test("createControlListener() answers wrong parameters with the diagnostic", async (t) => {
-  t.like(await ask(encode("fail")), {
+  t.like(await ask(encode("readManifest")), {
     error: {
       code: -32602,
       message:
--- a/src/daemon/create_node_daemon.ts
+++ b/src/daemon/create_node_daemon.ts
@@ -115,6 +115,7 @@
   pauseWatch.start();
   runtimes.admission.start();
   runtimes.distribution.start();
+  runtimes.leavingWatch.start();
 
   let abort = () => {};
   const aborted = new Promise<void>((resolve) => {
@@ -130,6 +131,7 @@
   async function stopOnce(): Promise<number> {
     lifecycle.notify(NodeEventKind.StopRequested);
     pauseWatch.stop();
+    runtimes.leavingWatch.stop();
     const cut = await shutDown({
       runtimes,
       listeners,
--- a/src/daemon/create_node_runtimes.ts
+++ b/src/daemon/create_node_runtimes.ts
@@ -1,5 +1,6 @@
 import { createAdmissionRuntime } from "../admission/create_admission_runtime.ts";
 import type { Snapshot } from "../configuration/snapshot.ts";
+import { markLeavingVm } from "../configuration/mark_leaving_vm.ts";
 import { createDistributionRuntime } from "../distribution/create_distribution_runtime.ts";
 import { addControlTraffic } from "../peers/add_control_traffic.ts";
 import type { NodeState } from "../peers/node_state.ts";
@@ -8,6 +9,7 @@
 import { createCallsRuntime } from "./calls/create_calls_runtime.ts";
 import { createBackendServerProber } from "./create_backend_server_prober.ts";
 import { createControlClient } from "./create_control_client.ts";
+import { createLeavingWatch } from "./create_leaving_watch.ts";
 import { createPlatformClient } from "./create_platform_client.ts";
 import type { NodeRuntimes } from "./node_runtimes.ts";
 import type { NodeSettings } from "./node_settings.ts";
@@ -56,10 +58,23 @@
     prepareSnapshot: (snapshot) => calls.prepareSnapshot(snapshot),
     applySnapshot: (snapshot) => {
       calls.applySnapshot(snapshot);
-      admission.applySnapshot(snapshot);
+      admission.applySnapshot(seeForAdmission(snapshot));
       options.onSnapshot(snapshot);
     },
   });
+  const isLeaving = () => distribution.getLeavingVms().has(settings.vm);
+  const seeForAdmission = (snapshot: Snapshot) =>
+    isLeaving() ? markLeavingVm(snapshot, settings.vm) : snapshot;
+  const leavingWatch = createLeavingWatch({
+    environment,
+    isLeaving,
+    onChange: () => {
+      const snapshot = distribution.getSnapshot();
+      if (snapshot !== undefined) {
+        admission.applySnapshot(seeForAdmission(snapshot));
+      }
+    },
+  });
   const calls = createCallsRuntime({
     settings,
     environment,
@@ -73,6 +88,7 @@
     admission,
     calls,
     distribution,
+    leavingWatch,
     closeClients: async () => {
       await Promise.all([
         controlClient.close(),
--- /dev/null
+++ b/src/daemon/leaving_watch.ts
@@ -0,0 +1,5 @@
+/** Looks at regular instants whether the platform lists this VM as leaving. */
+export interface LeavingWatch {
+  start(): void;
+  stop(): void;
+}
