--- a/scenarios/convergence.feature
+++ b/scenarios/convergence.feature
@@ -62,3 +62,10 @@
     And version 2 is published
     And 11000 ms pass
     Then version 2 is in force everywhere
+
+  Scenario: [point 11: herd of nodes killed and reconnecting] a fleet starts for the first time while one VM of the list is dead
+    Given twelve nodes in three zones that have not started
+    When version 1 is published
+    And the nodes "all but vm-12" start
+    And 60000 ms pass
+    Then version 1 is in force on "all but vm-12"
--- a/scenarios/processes_test.ts
+++ b/scenarios/processes_test.ts
@@ -257,6 +257,21 @@
   }),
 );
 
+test.serial(
+  "[point 11: listed address differs from the node's own] nodes become ready where the list of VMs names a relay before two of them",
+  withDeployment(
+    {
+      hasRelay: (vm) => vm.vm === "vm-1" || vm.vm === "vm-4",
+      listsRelay: true,
+    },
+    async (deployment, assert) => {
+      const { vms } = deployment;
+      const since = await deployment.publish({ number: 2 });
+      await assertInForce(assert, { deployment, vms, number: 2, since });
+    },
+  ),
+);
+
 /** Catalogue pages beyond what a node buffers, and orders. */
 function createLongAnswerServices(): CallerService[] {
   return [
--- a/stand_ins/deployment/deployment_options.ts
+++ b/stand_ins/deployment/deployment_options.ts
@@ -9,6 +9,8 @@
   readonly backendServer?: Partial<BackendServerSettings>;
   /** VMs whose node is reached by the others through a relay. */
   readonly hasRelay?: (vm: DeploymentVm) => boolean;
+  /** Whether the list of VMs and the seed peers name the relay too, as the register does. */
+  readonly listsRelay?: boolean;
   /** The program that runs in a node's place, below the root of the build. */
   readonly nodeProgram?: string;
 }
--- a/stand_ins/deployment/start_deployment.ts
+++ b/stand_ins/deployment/start_deployment.ts
@@ -84,6 +84,10 @@
   const vms = await Promise.all(planned.map(startRelay));
   await Promise.all(vms.map(startBackendServer));
   const platformPort = platform.listening;
+  const reach = (vm: DeploymentVm): DeploymentVm =>
+    options.listsRelay === true
+      ? vm
+      : { ...vm, advertisedNodesPort: vm.nodesPort };
 
   const put = async (port: number, path: string, body: string) => {
     const answer = expectValue(
@@ -99,7 +103,7 @@
       program: options.nodeProgram ?? nodeProgram,
       parameters: ["node"],
       settings: createNodeSettings(vm, {
-        vms,
+        vms: vms.map(reach),
         platformPort,
         ...(options.timing === undefined ? {} : { timing: options.timing }),
       }),
@@ -127,7 +131,9 @@
     publish: (change) =>
       publishText(createConfigurationText(plan, vms, change)),
     async listVms(live, leaving = []) {
-      const list = createVmList(plan, live, leaving);
+      const isLeaving = (vm: DeploymentVm) =>
+        leaving.some((other) => other.vm === vm.vm);
+      const list = createVmList(plan, live.map(reach), isLeaving);
       await put(platformPort, "/stand-in/vms", JSON.stringify({ vms: list }));
     },
     async setPlatformFaults(faults) {
@@ -180,14 +186,14 @@
 function createVmList(
   plan: DeploymentPlan,
   live: readonly DeploymentVm[],
-  leaving: readonly DeploymentVm[],
+  isLeaving: (vm: DeploymentVm) => boolean,
 ): readonly object[] {
   return live.map((vm) => ({
     vm: vm.vm,
     zone: vm.zone,
     region: plan.region,
     nodeAddress: { host: loopback, port: vm.advertisedNodesPort },
-    state: leaving.includes(vm) ? "leaving" : "live",
+    state: isLeaving(vm) ? "leaving" : "live",
   }));
 }
 
