--- a/measurements/fleet/with_deployment.ts
+++ b/measurements/fleet/with_deployment.ts
@@ -7,6 +7,7 @@
 import { awaitVersionEverywhere } from "./await_version_everywhere.ts";
 
 const firstNumber = 1;
+const startAttempts = 3;
 
 /** Starts a deployment, runs `work` once every node has version 1 in force, and ends it whatever happens. */
 export async function withDeployment<Value>(
@@ -14,15 +15,46 @@
   options: DeploymentOptions,
   work: (deployment: Deployment) => Promise<Value>,
 ): Promise<Value> {
+  const deployment = await startUntilReady(plan, {
+    options,
+    attempts: startAttempts,
+  });
+  try {
+    return await work(deployment);
+  } finally {
+    await deployment.end();
+  }
+}
+
+/** Another program may take one of the free ports before its process binds it; then the deployment is started anew. */
+async function startUntilReady(
+  plan: DeploymentPlan,
+  start: { readonly options: DeploymentOptions; readonly attempts: number },
+): Promise<Deployment> {
+  try {
+    return await startOnce(plan, start.options);
+  } catch (error) {
+    if (start.attempts <= 1) {
+      throw error;
+    }
+    return startUntilReady(plan, { ...start, attempts: start.attempts - 1 });
+  }
+}
+
+async function startOnce(
+  plan: DeploymentPlan,
+  options: DeploymentOptions,
+): Promise<Deployment> {
   const deployment = await startDeployment(plan, options);
   try {
     await Promise.race([
       awaitVersionEverywhere(deployment.vms, firstNumber),
       ...deployment.vms.map((vm) => failOnEnd(deployment.getNode(vm))),
     ]);
-    return await work(deployment);
-  } finally {
+    return deployment;
+  } catch (error) {
     await deployment.end();
+    throw error;
   }
 }
 
