--- a/measurements/fleet/with_deployment.ts
+++ b/measurements/fleet/with_deployment.ts
@@ -26,7 +26,12 @@
   }
 }
 
-/** Another program may take one of the free ports before its process binds it; then the deployment is started anew. */
+/**
+ * Another program may take one of the free ports before its process binds it;
+ * then the deployment is started anew. `startReadyDeployment` does the same for
+ * small deployments: it asks every node each 20 ms and gives up after 20 s,
+ * which a hundred nodes on one machine may need for their start.
+ */
 async function startUntilReady(
   plan: DeploymentPlan,
   start: { readonly options: DeploymentOptions; readonly attempts: number },
