--- a/src/mod.ts
+++ b/src/mod.ts
@@ -13,6 +13,7 @@
 export { parseConfiguration } from "./configuration/parse_configuration.ts";
 export { splitConfiguration } from "./configuration/split_configuration.ts";
 export { compileSnapshot } from "./configuration/compile_snapshot.ts";
+export { joinConfiguration } from "./configuration/join_configuration.ts";
 export { compareConfigurations } from "./configuration/compare_configurations.ts";
 export { CallPriority } from "./configuration/call_priority.ts";
 export { ZoneState } from "./configuration/zone_state.ts";
@@ -31,19 +32,35 @@
 export { getDiagnosticMessage } from "./diagnostics/get_diagnostic_message.ts";
 
 // Decisions: (state, event, context) gives (state, effects).
+export { AdmissionEffectKind } from "./admission/admission_effect_kind.ts";
+export { AdmissionEventKind } from "./admission/admission_event_kind.ts";
+export { createAdmissionState } from "./admission/create_admission_state.ts";
 export { stepAdmission } from "./admission/step_admission.ts";
+export type { AdmissionEffect } from "./admission/admission_effect.ts";
+export type { AdmissionEvent } from "./admission/admission_event.ts";
 export { stepCall } from "./calls/step_call.ts";
 export { stepDispatch } from "./calls/step_dispatch.ts";
 export { stepLedger } from "./calls/step_ledger.ts";
+export { createDistributionState } from "./distribution/create_distribution_state.ts";
 export { stepDistribution } from "./distribution/step_distribution.ts";
+export type { DistributionEffect } from "./distribution/distribution_effect.ts";
+export type { DistributionEvent } from "./distribution/distribution_event.ts";
 export { stepPauseDetector } from "./health/step_pause_detector.ts";
 
 // Loops: each holds the state of one kind of decision and works on ports.
+export { createAdmissionPolicy } from "./admission/create_admission_policy.ts";
 export { createAdmissionRuntime } from "./admission/create_admission_runtime.ts";
 export { createDistributionRuntime } from "./distribution/create_distribution_runtime.ts";
 export { createPauseWatch } from "./health/create_pause_watch.ts";
+export { LimitController } from "./admission/limit_controller.ts";
+export { QueueOrder } from "./admission/queue_order.ts";
+export type { AdmissionPolicy } from "./admission/admission_policy.ts";
 export type { AdmissionRuntime } from "./admission/admission_runtime.ts";
 export type { AdmissionRuntimeOptions } from "./admission/admission_runtime_options.ts";
+export type { PauseWatch } from "./health/pause_watch.ts";
+export type { ProcessPause } from "./health/process_pause.ts";
+export { ChoicePolicy } from "./calls/choice_policy.ts";
+export type { CallsStatus } from "./calls/calls_status.ts";
 export type { CallsRuntime } from "./calls/calls_runtime.ts";
 export type { CallsRuntimeOptions } from "./calls/calls_runtime_options.ts";
 export type { DistributionRuntime } from "./distribution/distribution_runtime.ts";
@@ -65,6 +82,7 @@
 export type { Clock } from "./runtime/clock.ts";
 export type { NetworkAddress } from "./runtime/network_address.ts";
 export type { NodeEnvironment } from "./runtime/node_environment.ts";
+export { createRandomSource } from "./runtime/create_random_source.ts";
 export type { RandomSource } from "./runtime/random_source.ts";
 export type { TimerHandle } from "./runtime/timer_handle.ts";
 export type { Timers } from "./runtime/timers.ts";
@@ -80,6 +98,8 @@
 
 // Daemon: one node in this process.
 export { createCallsRuntime } from "./daemon/calls/create_calls_runtime.ts";
+export { createControlClient } from "./daemon/create_control_client.ts";
+export { createPlatformClient } from "./daemon/create_platform_client.ts";
 export { createNodeDaemon } from "./daemon/create_node_daemon.ts";
 export { parseNodeSettings } from "./daemon/parse_node_settings.ts";
 export type { NodeDaemon } from "./daemon/node_daemon.ts";
