Let calls of high priority try again without waiting for the retry budget

Cause: while a zone was out, most refusals of checkouts had the reason retry-budget-spent: a keyed call goes to the owner of its key, which may be full while others have room, and the budget of 10% was spent. Change: the budget binds normal and low priority; tries stay bounded by four.

--- a/src/daemon/calls/run_caller_call.ts
+++ b/src/daemon/calls/run_caller_call.ts
@@ -31,7 +31,7 @@
   const apply = (event: CallEvent) => {
     const step = stepCall(run.state, event, {
       now: clock.now(),
-      retryAllowed: isRetryAllowed(node.budget),
+      retryAllowed: isRetryAllowed(node.budget, call.route.priority),
     });
     run.state = step.state;
     step.effects.forEach((effect) => carryOutCallEffect(run, effect));
