Spread the records of a large fleet over three times the span

Cause: at 1,200 nodes the records that can wait are passed on at 4 changes a second, which costs a node about the whole 8 KB a second. Tried: 1.5 s for each node in every fleet. Change: only above 100 nodes, where a record is too old to choose by in any case (calls believe one for 30 s). By count 1.3 changes a second in place of 4. Not run at that size. The new test fixes both rates.

--- a/src/distribution/distribution_limits.ts
+++ b/src/distribution/distribution_limits.ts
@@ -38,6 +38,9 @@
   listMillisecondsPerVm: 1_000,
   /** Changes of a record that can wait are spread over this span for each node known. */
   refreshMillisecondsPerPeer: 500,
+  refreshMillisecondsPerPeerOfLargeFleet: 1_500,
+  /** A fleet of more nodes counts as large. */
+  largeFleetNodes: 100,
   recordsPerMessage: 32,
   recordsPerReconcile: 64,
   reconcileBuckets: 128,
--- /dev/null
+++ b/src/distribution/get_refresh_span_test.ts
@@ -0,0 +1,16 @@
+import test from "ava";
+import { getRefreshSpan } from "./get_refresh_span.ts";
+
+const millisecondsPerSecond = 1_000;
+
+function getChangesPerSecond(nodes: number): number {
+  // Each node waits half of the span on average.
+  return nodes / (getRefreshSpan(nodes) / 2 / millisecondsPerSecond);
+}
+
+test("getRefreshSpan() bounds the changes of a fleet a second, whatever its size", (t) => {
+  t.deepEqual([12, 48, 100].map(getChangesPerSecond), [4, 4, 4]);
+  [101, 1_200, 12_000].forEach((nodes) =>
+    t.true(getChangesPerSecond(nodes) < 1.4)
+  );
+});
--- a/src/distribution/note_record_change.ts
+++ b/src/distribution/note_record_change.ts
@@ -1,7 +1,7 @@
 import type { PeerRecord } from "../peers/peer_record.ts";
 import type { DistributionContext } from "./distribution_context.ts";
-import { distributionLimits } from "./distribution_limits.ts";
 import type { DistributionState } from "./distribution_state.ts";
+import { getRefreshSpan } from "./get_refresh_span.ts";
 
 type ChangeableFields = Pick<
   PeerRecord,
@@ -28,7 +28,7 @@
   if (!isChanged) {
     return state;
   }
-  const span = distributionLimits.refreshMillisecondsPerPeer * (known.size + 1);
+  const span = getRefreshSpan(known.size + 1);
   return {
     ...state,
     peers: {
