--- a/src/telemetry/create_node_metrics.ts
+++ b/src/telemetry/create_node_metrics.ts
@@ -8,8 +8,13 @@
 const answeredResult = "answered";
 /** Longest time that the histograms tell apart, in microseconds. */
 const longestMicroseconds = 3_600_000_000;
-const quantiles = [50, 90, 99, 99.9] as const;
-const percent = 100;
+/** Labels of the quantiles with their percentiles. */
+const quantiles = [
+  { label: "0.5", percentile: 50 },
+  { label: "0.9", percentile: 90 },
+  { label: "0.99", percentile: 99 },
+  { label: "0.999", percentile: 99.9 },
+] as const;
 
 const gaugeTexts: Readonly<
   Record<keyof NodeGauges, readonly [string, string]>
@@ -107,10 +112,10 @@
       const values = readGauges();
       gauges.forEach(({ field, gauge }) => gauge.set(Number(values[field])));
       histograms.forEach((histogram, service) =>
-        quantiles.forEach((quantile) =>
+        quantiles.forEach(({ label, percentile }) =>
           latency.set(
-            { service, quantile: String(quantile / percent) },
-            histogram.getValueAtPercentile(quantile) /
+            { service, quantile: label },
+            histogram.getValueAtPercentile(percentile) /
               microsecondsPerMillisecond,
           )
         )
--- a/src/telemetry/create_node_metrics_test.ts
+++ b/src/telemetry/create_node_metrics_test.ts
@@ -37,6 +37,7 @@
     text,
     /catkinquay_call_milliseconds\{service="vitrine",quantile="0.5"\} 2/,
   );
+  t.regex(text, /quantile="0.999"\} 3/);
   t.is(metrics.getLatencies()[0]?.count, 3);
 });
 
