Let a repeat of a running request wait for its answer

Ruled out: running it elsewhere (it could run twice); a shorter time to come back (another refusal as long as the run lasts). Change: an attempt whose request is the one that runs joins it in the ledger and gets the answer at its end. Nothing is held back: until the run ends there is no answer to give, and at the joined attempt's own deadline, on a stop or a lost connection it ends as unknown, never as not run. Another request with the key is refused as before; so is a repeat at an owner that only settles the key.

--- a/scenarios/ledger/step_ledger_node.ts
+++ b/scenarios/ledger/step_ledger_node.ts
@@ -1,4 +1,4 @@
-import { match } from "ts-pattern";
+import { match, P } from "ts-pattern";
 import type { LedgerEffect } from "../../src/calls/ledger_effect.ts";
 import { LedgerEffectKind } from "../../src/calls/ledger_effect_kind.ts";
 import type { LedgerEvent } from "../../src/calls/ledger_event.ts";
@@ -65,6 +65,9 @@
       ({ attemptIdentifier, reason }) =>
         void world.outcomes.set(attemptIdentifier, reason),
     )
-    .with({ kind: LedgerEffectKind.Reply }, () => {})
+    .with(
+      { kind: P.union(LedgerEffectKind.Join, LedgerEffectKind.Reply) },
+      () => {},
+    )
     .exhaustive();
 }
--- a/src/calls/create_dispatch_state.ts
+++ b/src/calls/create_dispatch_state.ts
@@ -17,6 +17,7 @@
     keyed,
     deadline,
     keySettled: false,
+    joinsRun: false,
     dispatchedAt: 0,
     cancelAt: Infinity,
     signAt: remote ? now + signIntervalMilliseconds : Infinity,
--- a/src/calls/dispatch_event.ts
+++ b/src/calls/dispatch_event.ts
@@ -38,6 +38,7 @@
   | {
     readonly kind:
       | DispatchEventKind.KeyAllowed
+      | DispatchEventKind.KeyJoined
       | DispatchEventKind.Admitted
       | DispatchEventKind.AnswerStreams
       | DispatchEventKind.StreamEnded
--- a/src/calls/dispatch_event_kind.ts
+++ b/src/calls/dispatch_event_kind.ts
@@ -5,6 +5,8 @@
   KeyAllowed = "key-allowed",
   /** The ledger has the answer of an earlier attempt. */
   KeyAnswered = "key-answered",
+  /** The call repeats one that is running, and waits for its end. */
+  KeyJoined = "key-joined",
   KeyRefused = "key-refused",
   Admitted = "admitted",
   AdmissionRefused = "admission-refused",
--- a/src/calls/dispatch_state.ts
+++ b/src/calls/dispatch_state.ts
@@ -9,6 +9,8 @@
   readonly deadline: number;
   /** Whether the ledger has shown that no earlier attempt with the key ran. */
   readonly keySettled: boolean;
+  /** Whether the try waits for the run of an earlier attempt with the key. */
+  readonly joinsRun: boolean;
   /** When the call was given to the backend server; 0 before. */
   readonly dispatchedAt: number;
   /**
--- /dev/null
+++ b/src/calls/join_run_test.ts
@@ -0,0 +1,138 @@
+import test from "ava";
+import { createDispatchState } from "./create_dispatch_state.ts";
+import { DispatchEffectKind } from "./dispatch_effect_kind.ts";
+import type { DispatchEvent } from "./dispatch_event.ts";
+import { DispatchEventKind } from "./dispatch_event_kind.ts";
+import type { LedgerContext } from "./ledger_context.ts";
+import { LedgerEffectKind } from "./ledger_effect_kind.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
+import { LedgerEntryKind } from "./ledger_entry_kind.ts";
+import type { LedgerEvent } from "./ledger_event.ts";
+import { LedgerEventKind } from "./ledger_event_kind.ts";
+import { Outcome } from "./outcome.ts";
+import { RefusalReason } from "./refusal_reason.ts";
+import { SettlementKind } from "./settlement_kind.ts";
+import { stepDispatch } from "./step_dispatch.ts";
+import { stepLedger } from "./step_ledger.ts";
+
+const deadline = 1_000;
+const context: LedgerContext = {
+  now: 0,
+  ledgerSince: 0,
+  keyLifetimeMilliseconds: 600_000,
+  clockSkewMilliseconds: 0,
+};
+const running: LedgerEntry = {
+  kind: LedgerEntryKind.Running,
+  fingerprint: "one cake",
+  attemptIdentifier: "first",
+  joined: ["second", "third"],
+};
+
+/** Returns the state and effects of a try that joined a run, after one more event at an instant. */
+function stepJoined(event: DispatchEvent, now: number) {
+  const created = createDispatchState({
+    idempotent: false,
+    keyed: true,
+    deadline,
+    now: 0,
+    remote: true,
+  });
+  const arrived = stepDispatch(
+    created,
+    { kind: DispatchEventKind.Arrived, obstacle: undefined },
+    { now: 0 },
+  );
+  const joined = stepDispatch(
+    arrived.state,
+    { kind: DispatchEventKind.KeyJoined },
+    { now: 0 },
+  );
+  return stepDispatch(joined.state, event, { now }).effects;
+}
+
+function conclude(outcome: SettlementKind.NotRun | SettlementKind.Unknown) {
+  const event: LedgerEvent = {
+    kind: LedgerEventKind.Concluded,
+    attemptIdentifier: "first",
+    outcome,
+    answer: undefined,
+  };
+  return stepLedger(running, event, context);
+}
+
+test("a try that waits for a run is never refused as not run", (t) => {
+  [
+    { event: DispatchEventKind.Woke, now: deadline } as const,
+    { event: DispatchEventKind.Stopped, now: 1 } as const,
+  ].forEach(({ event, now }) => {
+    const [concluded, refused] = stepJoined({ kind: event }, now);
+    t.like(concluded, {
+      kind: DispatchEffectKind.Conclude,
+      outcome: SettlementKind.Unknown,
+    });
+    t.like(refused, {
+      kind: DispatchEffectKind.Refuse,
+      refusal: { refusal: { outcome: Outcome.Unknown } },
+    });
+  });
+});
+
+test("a try that waits for a run and loses its connection leaves an unknown outcome", (t) => {
+  [DispatchEventKind.CallerLeft, DispatchEventKind.ContactLost].forEach((
+    kind,
+  ) =>
+    t.deepEqual(stepJoined({ kind } as DispatchEvent, 1), [{
+      kind: DispatchEffectKind.Conclude,
+      outcome: SettlementKind.Unknown,
+      withAnswer: false,
+    }])
+  );
+});
+
+test("the end of a run is told to every attempt that joined it", (t) => {
+  const unknown = conclude(SettlementKind.Unknown);
+  t.is(unknown.entry?.kind, LedgerEntryKind.Unknown);
+  t.deepEqual(
+    unknown.effects,
+    ["second", "third"].map((attemptIdentifier) => ({
+      kind: LedgerEffectKind.Refuse,
+      attemptIdentifier,
+      reason: RefusalReason.KeyUnsettled,
+      mayHaveRun: true,
+    })),
+  );
+  const notRun = conclude(SettlementKind.NotRun);
+  t.is(notRun.entry, undefined);
+  t.deepEqual(
+    notRun.effects.map((effect) =>
+      effect.kind === LedgerEffectKind.Refuse && effect.mayHaveRun
+    ),
+    [false, false],
+  );
+});
+
+test("an attempt that leaves a run ends neither the run nor what others wait for", (t) => {
+  const { entry, effects } = stepLedger(running, {
+    kind: LedgerEventKind.Concluded,
+    attemptIdentifier: "second",
+    outcome: SettlementKind.Unknown,
+    answer: undefined,
+  }, context);
+  t.deepEqual(entry, { ...running, joined: ["third"] });
+  t.deepEqual(effects, []);
+});
+
+test("another request with the key of a run is refused and does not join", (t) => {
+  const { effects } = stepLedger(running, {
+    kind: LedgerEventKind.Requested,
+    fingerprint: "two cakes",
+    attemptIdentifier: "fourth",
+    firstAttemptAt: 0,
+    predecessors: [],
+  }, context);
+  t.like(effects[0], {
+    kind: LedgerEffectKind.Refuse,
+    reason: RefusalReason.KeyMismatch,
+  });
+});
--- a/src/calls/ledger_effect.ts
+++ b/src/calls/ledger_effect.ts
@@ -8,7 +8,7 @@
 export type LedgerEffect =
   | { readonly kind: LedgerEffectKind.Ask; readonly server: LedgerServer }
   | {
-    readonly kind: LedgerEffectKind.Allow;
+    readonly kind: LedgerEffectKind.Allow | LedgerEffectKind.Join;
     readonly attemptIdentifier: string;
   }
   | {
--- a/src/calls/ledger_effect_kind.ts
+++ b/src/calls/ledger_effect_kind.ts
@@ -6,6 +6,8 @@
   Allow = "allow",
   /** Give the waiting call the answer of an earlier attempt. */
   AnswerWith = "answer-with",
+  /** Let the call wait for the end of the run that it repeats. */
+  Join = "join",
   Refuse = "refuse",
   /** Answer the owner that asked. */
   Reply = "reply",
--- a/src/calls/ledger_entry.ts
+++ b/src/calls/ledger_entry.ts
@@ -26,6 +26,8 @@
     readonly kind: LedgerEntryKind.Running;
     readonly fingerprint: string;
     readonly attemptIdentifier: string;
+    /** Attempts that repeat the request and wait for the end of the run. */
+    readonly joined: readonly string[];
   }
   | {
     readonly kind: LedgerEntryKind.Finished;
--- a/src/calls/step_dispatch.ts
+++ b/src/calls/step_dispatch.ts
@@ -54,6 +54,10 @@
       { kind: DispatchEventKind.KeyAllowed },
       () => queue({ ...state, keySettled: true }, context),
     )
+    .with({ kind: DispatchEventKind.KeyJoined }, () => ({
+      state: { ...state, joinsRun: true },
+      effects: [],
+    }))
     .with(
       { kind: DispatchEventKind.KeyAnswered },
       ({ answer }) =>
@@ -198,7 +202,7 @@
   return match(state.phase)
     .with(
       DispatchPhase.AwaitingLedger,
-      () => end(state, [conclude(SettlementKind.NotRun, false)]),
+      () => end(state, [conclude(getWaitingOutcome(state), false)]),
     )
     .with(DispatchPhase.Queued, () =>
       end(state, [
@@ -258,7 +262,10 @@
   return match(state.phase)
     .with(
       DispatchPhase.AwaitingLedger,
-      () => concludeNotRun(state, reason, context),
+      () =>
+        state.joinsRun
+          ? leaveRun(state, reason, context)
+          : concludeNotRun(state, reason, context),
     )
     .with(DispatchPhase.Queued, () => {
       const step = concludeNotRun(state, reason, context);
@@ -285,6 +292,24 @@
     .exhaustive();
 }
 
+/** A try that waits for an earlier attempt did not run, but the request is running. */
+function getWaitingOutcome(
+  state: DispatchState,
+): SettlementKind.NotRun | SettlementKind.Unknown {
+  return state.joinsRun ? SettlementKind.Unknown : SettlementKind.NotRun;
+}
+
+function leaveRun(
+  state: DispatchState,
+  reason: RefusalReason,
+  context: DispatchContext,
+): DispatchStep {
+  return end(state, [
+    conclude(getWaitingOutcome(state), false),
+    refusal(state, reason, { now: context.now, outcome: Outcome.Unknown }),
+  ]);
+}
+
 function cutRun(
   state: DispatchState,
   effects: readonly DispatchEffect[],
--- a/src/calls/step_ledger.ts
+++ b/src/calls/step_ledger.ts
@@ -2,6 +2,7 @@
 import { isKeyWithinLedger } from "./is_key_within_ledger.ts";
 import type { KeySettlement } from "./key_settlement.ts";
 import type { LedgerContext } from "./ledger_context.ts";
+import type { LedgerEffect } from "./ledger_effect.ts";
 import { LedgerEffectKind } from "./ledger_effect_kind.ts";
 import type { LedgerEntry } from "./ledger_entry.ts";
 import { LedgerEntryKind } from "./ledger_entry_kind.ts";
@@ -18,6 +19,7 @@
 type Unanswered = Extract<LedgerEvent, { kind: LedgerEventKind.Unanswered }>;
 type Concluded = Extract<LedgerEvent, { kind: LedgerEventKind.Concluded }>;
 type Settling = Extract<LedgerEntry, { kind: LedgerEntryKind.Settling }>;
+type Running = Extract<LedgerEntry, { kind: LedgerEntryKind.Running }>;
 
 /**
  * Advances one key of a ledger.
@@ -68,11 +70,10 @@
       (fenced) => requestUnseen(fenced?.fencers ?? [], event, context),
     )
     .with(
-      {
-        kind: P.union(LedgerEntryKind.Settling, LedgerEntryKind.Running),
-      },
+      { kind: LedgerEntryKind.Settling },
       (seen) => refuseSeen(seen, event, RefusalReason.KeyRunning),
     )
+    .with({ kind: LedgerEntryKind.Running }, (seen) => joinRun(seen, event))
     .with(
       { kind: LedgerEntryKind.Unknown },
       (seen) => refuseSeen(seen, event, RefusalReason.KeyUnsettled),
@@ -96,6 +97,17 @@
     .exhaustive();
 }
 
+/** Lets a repeat of a running request wait for its answer, which is on its way. */
+function joinRun(entry: Running, event: Requested): LedgerStep {
+  const { attemptIdentifier } = event;
+  return entry.fingerprint === event.fingerprint
+    ? {
+      entry: { ...entry, joined: [...entry.joined, attemptIdentifier] },
+      effects: [{ kind: LedgerEffectKind.Join, attemptIdentifier }],
+    }
+    : refuseSeen(entry, event, RefusalReason.KeyMismatch);
+}
+
 function refuseSeen(
   entry: LedgerEntry & { readonly fingerprint: string },
   event: Requested,
@@ -190,7 +202,12 @@
 ): LedgerStep {
   const { fingerprint, attemptIdentifier } = call;
   return {
-    entry: { kind: LedgerEntryKind.Running, fingerprint, attemptIdentifier },
+    entry: {
+      kind: LedgerEntryKind.Running,
+      fingerprint,
+      attemptIdentifier,
+      joined: [],
+    },
     effects: [{ kind: LedgerEffectKind.Allow, attemptIdentifier }],
   };
 }
@@ -351,34 +368,72 @@
   entry: LedgerEntry | undefined,
   event: Concluded,
 ): LedgerStep {
-  if (
-    (entry?.kind !== LedgerEntryKind.Running &&
-      entry?.kind !== LedgerEntryKind.Settling) ||
-    entry.attemptIdentifier !== event.attemptIdentifier
-  ) {
-    return { entry, effects: [] };
-  }
-  const { fingerprint } = entry;
-  const next = match(event.outcome)
+  return match(entry)
     .with(
-      SettlementKind.Finished,
-      () => ({
-        kind: LedgerEntryKind.Finished as const,
-        fingerprint,
-        answer: event.answer,
-      }),
+      { kind: LedgerEntryKind.Running },
+      (running) =>
+        running.attemptIdentifier === event.attemptIdentifier
+          ? concludeRun(running, event)
+          : { entry: leaveRun(running, event), effects: [] },
     )
+    .with({ kind: LedgerEntryKind.Settling }, (settling) => ({
+      entry: settling.attemptIdentifier === event.attemptIdentifier
+        ? createConcluded(settling, event) ?? createFence(settling.fencers)
+        : settling,
+      effects: [],
+    }))
+    .otherwise(() => ({ entry, effects: [] }));
+}
+
+function leaveRun(
+  entry: Running,
+  { attemptIdentifier }: { readonly attemptIdentifier: string },
+): Running {
+  const joined = entry.joined.filter((joiner) => joiner !== attemptIdentifier);
+  return { ...entry, joined };
+}
+
+/** Ends a run and tells every attempt that joined it what came of it. */
+function concludeRun(entry: Running, event: Concluded): LedgerStep {
+  const isAnswered = event.outcome === SettlementKind.Finished;
+  const { answer } = event;
+  return {
+    entry: createConcluded(entry, event),
+    effects: entry.joined.map((attemptIdentifier): LedgerEffect =>
+      isAnswered && answer !== undefined
+        ? { kind: LedgerEffectKind.AnswerWith, attemptIdentifier, answer }
+        : {
+          kind: LedgerEffectKind.Refuse,
+          attemptIdentifier,
+          ...getJoinedRefusal(event.outcome),
+        }
+    ),
+  };
+}
+
+function getJoinedRefusal(
+  outcome: Concluded["outcome"],
+): { readonly reason: RefusalReason; readonly mayHaveRun: boolean } {
+  return outcome === SettlementKind.NotRun
+    ? { reason: RefusalReason.KeyRunning, mayHaveRun: false }
+    : { reason: RefusalReason.KeyUnsettled, mayHaveRun: true };
+}
+
+/** Returns what is known of a key after its attempt ended; undefined where it did not run. */
+function createConcluded(
+  { fingerprint }: { readonly fingerprint: string },
+  event: Concluded,
+): LedgerEntry | undefined {
+  return match(event.outcome)
+    .with(SettlementKind.Finished, () => ({
+      kind: LedgerEntryKind.Finished as const,
+      fingerprint,
+      answer: event.answer,
+    }))
     .with(SettlementKind.Unknown, () => ({
       kind: LedgerEntryKind.Unknown as const,
       fingerprint,
     }))
-    .with(
-      SettlementKind.NotRun,
-      () =>
-        entry.kind === LedgerEntryKind.Settling
-          ? createFence(entry.fencers)
-          : undefined,
-    )
+    .with(SettlementKind.NotRun, () => undefined)
     .exhaustive();
-  return { entry: next, effects: [] };
 }
--- a/src/daemon/calls/call_ledger.ts
+++ b/src/daemon/calls/call_ledger.ts
@@ -8,11 +8,13 @@
 
 /** Keeps the keys that the backend server beside this node owns. */
 export interface CallLedger {
-  /** Asks whether a call may run, which must have a key; exactly one of the callbacks is called, at once or later. */
+  /** Asks whether a call may run, which must have a key; exactly one of the callbacks is called, at once or later, and perhaps `onJoined` before it. */
   request(
     call: ForwardedCall,
     callbacks: {
       readonly onAllowed: () => void;
+      /** The call repeats one that is running; another callback follows its end. */
+      readonly onJoined: () => void;
       readonly onAnswered: (answer: StoredAnswer) => void;
       readonly onRefused: (refused: {
         readonly reason: RefusalReason;
--- a/src/daemon/calls/carry_out_dispatch_effect.ts
+++ b/src/daemon/calls/carry_out_dispatch_effect.ts
@@ -105,6 +105,7 @@
   const { node, call, apply } = run;
   node.ledger.request(call, {
     onAllowed: () => apply({ kind: DispatchEventKind.KeyAllowed }),
+    onJoined: () => apply({ kind: DispatchEventKind.KeyJoined }),
     onAnswered: (answer) =>
       apply({ kind: DispatchEventKind.KeyAnswered, answer }),
     onRefused: (refused) =>
--- a/src/daemon/calls/create_call_ledger.ts
+++ b/src/daemon/calls/create_call_ledger.ts
@@ -83,6 +83,9 @@
       .with({ kind: LedgerEffectKind.Allow }, ({ attemptIdentifier }) => {
         take(attemptIdentifier)?.onAllowed();
       })
+      .with({ kind: LedgerEffectKind.Join }, ({ attemptIdentifier }) => {
+        waiting.get(attemptIdentifier)?.onJoined();
+      })
       .with(
         { kind: LedgerEffectKind.AnswerWith },
         ({ attemptIdentifier, answer }) => {
--- a/src/daemon/calls/create_calls_runtime_test.ts
+++ b/src/daemon/calls/create_calls_runtime_test.ts
@@ -175,6 +175,25 @@
   t.is(countRuns(bench.nodes), 1);
 });
 
+test("repeats of a running request get its answer, whichever node is asked", async (t) => {
+  const bench = await useCallsBench(t, 3);
+  const first = String(Date.now());
+  const answers = await Promise.all(
+    bench.nodes.map((node, index) =>
+      callNode(node, "/encomendas/slow", {
+        method: "POST",
+        headers: {
+          "idempotency-key": "order-8",
+          "idempotency-attempt": String(index + 1),
+          "idempotency-first-attempt": first,
+        },
+      })
+    ),
+  );
+  answers.forEach((answer) => t.is(answer.body, "slow answer"));
+  t.is(countRuns(bench.nodes), 1);
+});
+
 test("a request that breaks a rule is refused as not run", async (t) => {
   const bench = await useCallsBench(t, 1);
   const node = bench.nodes[0]!;
