--- a/src/daemon/create_node_daemon.ts
+++ b/src/daemon/create_node_daemon.ts
@@ -5,11 +5,11 @@
 import { createPauseWatch } from "../health/create_pause_watch.ts";
 import { NodeEventKind } from "../lifecycle/node_event_kind.ts";
 import { NodeState } from "../peers/node_state.ts";
-import { AuditEntryKind } from "../telemetry/audit_entry_kind.ts";
 import { createNodeMetrics } from "../telemetry/create_node_metrics.ts";
 import { createControlListener } from "./create_control_listener.ts";
 import { createNodeLifecycle } from "./create_node_lifecycle.ts";
 import { createNodeRuntimes } from "./create_node_runtimes.ts";
+import { createNodeStop } from "./create_node_stop.ts";
 import { createOperatorApplication } from "./create_operator_application.ts";
 import { createReporting } from "./create_reporting.ts";
 import { createServedControlTraffic } from "./create_served_control_traffic.ts";
@@ -19,7 +19,6 @@
 import type { NodeSettings } from "./node_settings.ts";
 import type { NodeStatus } from "./node_status.ts";
 import { openNodeListeners } from "./open_node_listeners.ts";
-import { shutDown } from "./shut_down.ts";
 
 const callPath = "/call";
 
@@ -117,44 +116,21 @@
   runtimes.distribution.start();
   runtimes.leavingWatch.start();
 
-  let abort = () => {};
-  const aborted = new Promise<void>((resolve) => {
-    abort = resolve;
-  });
-  let stopping: Promise<number> | undefined;
-
-  function stop(): Promise<number> {
-    stopping ??= stopOnce();
-    return stopping;
-  }
-
-  async function stopOnce(): Promise<number> {
-    lifecycle.notify(NodeEventKind.StopRequested);
-    pauseWatch.stop();
-    runtimes.leavingWatch.stop();
-    const cut = await shutDown({
-      runtimes,
-      listeners,
-      environment,
-      aborted,
-      deadline: environment.clock.now() + settings.timing.drainMilliseconds,
-    });
-    auditTrail.record({
-      kind: AuditEntryKind.NodeStopped,
-      source: "self",
-      subject: `${cut} calls cut`,
-      reasons: [],
-    });
-    return cut;
-  }
-
   return Result.ok({
     addresses: {
       callers: listeners.callers.address,
       nodes: listeners.nodes.address,
       operators: listeners.operators.address,
     },
-    stop,
-    abort,
+    ...createNodeStop({
+      runtimes,
+      listeners,
+      environment,
+      drainMilliseconds: settings.timing.drainMilliseconds,
+      onStop: () => {
+        lifecycle.notify(NodeEventKind.StopRequested);
+        pauseWatch.stop();
+      },
+    }),
   });
 }
