--- /dev/null
+++ b/src/balancing/gate_view.ts
@@ -0,0 +1,20 @@
+import type { GateLoad } from "./gate_load.ts";
+
+/** What this node has seen of the node beside one backend server. Changed in place. */
+export interface GateView {
+  /** Calls of this node that are there now. */
+  inFlight: number;
+  load: GateLoad | undefined;
+  /** When `load` was told, in milliseconds since the Unix epoch. */
+  loadAt: number;
+  /** `inFlight` at that instant. */
+  loadInFlight: number;
+  /** Until when it is only asked where nobody else is left, in milliseconds since the Unix epoch. */
+  avoidUntil: number;
+  /** Losses of contact in a row. */
+  contactFailures: number;
+  /** Moving average of failed calls, 0 to 1. */
+  failureShare: number;
+  /** Moving average of the time to an answer in milliseconds, by route. */
+  readonly answerMilliseconds: Map<string, number>;
+}
--- /dev/null
+++ b/src/balancing/note_contact_failure.ts
@@ -0,0 +1,14 @@
+import type { GateView } from "./gate_view.ts";
+
+const firstAvoidMilliseconds = 200;
+const avoidMillisecondsMaximum = 2_000;
+
+/** Avoids a node that could not be reached, longer after each failure in a row. */
+export function noteContactFailure(view: GateView, now: number): void {
+  const span = Math.min(
+    avoidMillisecondsMaximum,
+    firstAvoidMilliseconds * 2 ** view.contactFailures,
+  );
+  view.contactFailures += 1;
+  view.avoidUntil = Math.max(view.avoidUntil, now + span);
+}
--- /dev/null
+++ b/src/gate/refill_cold_tokens.ts
@@ -0,0 +1,15 @@
+import { coldBurstCalls } from "./cold_burst_calls.ts";
+import type { GateState } from "./gate_state.ts";
+
+const millisecondsPerSecond = 1_000;
+
+/** Adds the requests that the cold backend server can bear since the last call of this function. */
+export function refillColdTokens(state: GateState, now: number): void {
+  const elapsed = Math.max(0, now - state.coldTokensAt);
+  state.coldTokens = Math.min(
+    coldBurstCalls,
+    state.coldTokens +
+      elapsed * state.coldCallsPerSecond / millisecondsPerSecond,
+  );
+  state.coldTokensAt = now;
+}
--- /dev/null
+++ b/src/mesh/backend_exchange.ts
@@ -0,0 +1,19 @@
+import type { IncomingMessage } from "node:http";
+import type { BackendAnswerHead } from "./backend_answer_head.ts";
+import type { BackendExchangeKind } from "./backend_exchange_kind.ts";
+
+/** The end of an exchange with the backend server of this VM, up to the head of its answer. */
+export type BackendExchange =
+  | {
+    readonly kind: BackendExchangeKind.Answered;
+    readonly answer: IncomingMessage;
+    readonly head: BackendAnswerHead;
+  }
+  | {
+    readonly kind:
+      | BackendExchangeKind.TurnedAway
+      | BackendExchangeKind.Misdirected;
+    readonly head: BackendAnswerHead;
+  }
+  | { readonly kind: BackendExchangeKind.NotConnected; readonly found: string }
+  | { readonly kind: BackendExchangeKind.Broken; readonly found: string };
--- /dev/null
+++ b/src/mesh/belief_change.ts
@@ -0,0 +1,10 @@
+import type { BeliefChangeKind } from "./belief_change_kind.ts";
+
+/** One change of what a node believes, for the log. */
+export interface BeliefChange {
+  readonly kind: BeliefChangeKind;
+  /** The version, zone, backend server or key concerned. */
+  readonly subject: string;
+  /** Revision of the source that brought the change. */
+  readonly revision: number;
+}
--- /dev/null
+++ b/src/mesh/belief_change_kind.ts
@@ -0,0 +1,12 @@
+/** A change of what a node believes. */
+export enum BeliefChangeKind {
+  RulesInForce = "rules-in-force",
+  RulesOlderIgnored = "rules-older-ignored",
+  ZoneTakenOut = "zone-taken-out",
+  ZoneReturned = "zone-returned",
+  BackendServerAdded = "backend-server-added",
+  BackendServerDraining = "backend-server-draining",
+  BackendServerCold = "backend-server-cold",
+  BackendServerVanished = "backend-server-vanished",
+  ForeignItem = "foreign-item",
+}
--- /dev/null
+++ b/src/mesh/call_end.ts
@@ -0,0 +1,21 @@
+import type { Outcome } from "../calls/outcome.ts";
+import type { RefusalReason } from "../calls/refusal_reason.ts";
+import type { AnswerBody } from "./answer_body.ts";
+import type { CallEndKind } from "./call_end_kind.ts";
+
+/** The final answer to a caller. */
+export type CallEnd =
+  | {
+    readonly kind: CallEndKind.Answered;
+    readonly status: number;
+    /** Names and values in turn. */
+    readonly headers: readonly string[];
+    readonly body: AnswerBody;
+    readonly backendServer: string;
+  }
+  | {
+    readonly kind: CallEndKind.Refused;
+    readonly reason: RefusalReason;
+    readonly outcome: Outcome;
+    readonly retryMilliseconds: number;
+  };
--- /dev/null
+++ b/src/mesh/collect_answer_body.ts
@@ -0,0 +1,35 @@
+import type { Readable } from "node:stream";
+import { Result } from "true-myth";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import type { AnswerBody } from "./answer_body.ts";
+
+/** An answer up to this size reaches the caller only when it is whole. */
+const heldBytesMaximum = 1_048_576;
+
+/** Reads an answer to its end, or up to the bound; fails where it breaks off before. */
+export function collectAnswerBody(
+  body: Readable,
+): Promise<Result<AnswerBody, RefusalReason>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    function onData(chunk: Buffer): void {
+      chunks.push(chunk);
+      bytes += chunk.byteLength;
+      if (bytes <= heldBytesMaximum) return;
+      body.off("data", onData);
+      body.pause();
+      resolve(Result.ok({ held: Buffer.concat(chunks), rest: body }));
+    }
+    const onBroken = () => resolve(Result.err(RefusalReason.AnswerBroken));
+    body.on("data", onData);
+    body.once(
+      "end",
+      () =>
+        resolve(Result.ok({ held: Buffer.concat(chunks), rest: undefined })),
+    );
+    body.once("error", onBroken);
+    body.once("aborted", onBroken);
+    body.once("close", onBroken);
+  });
+}
--- /dev/null
+++ b/src/mesh/connect_timeout.ts
@@ -0,0 +1,7 @@
+/** A connection that was not established in time. */
+export class ConnectTimeout extends Error {
+  constructor(milliseconds: number) {
+    super(`Cannot connect within ${milliseconds} ms`);
+    this.name = "ConnectTimeout";
+  }
+}
--- /dev/null
+++ b/src/mesh/decode_offer.ts
@@ -0,0 +1,46 @@
+import { tryParseJson } from "../daemon/try_parse_json.ts";
+import type { GateOffer } from "./gate_offer.ts";
+import type { OfferMessage } from "./offer_message.ts";
+
+/** Returns the offer of a header, or undefined where it is not one. */
+export function decodeOffer(
+  text: string | undefined,
+  now: number,
+): GateOffer | undefined {
+  if (text === undefined) return undefined;
+  const message = tryParseJson(text);
+  if (!isOfferMessage(message)) return undefined;
+  return {
+    callIdentifier: message.call,
+    service: message.service,
+    identifier: message.identifier,
+    callerService: message.callerService,
+    route: message.route,
+    priority: message.priority,
+    deadline: now + message.remainingMilliseconds,
+    goalDeadline: now + message.goalMilliseconds,
+    waitDeadline: now + message.waitMilliseconds,
+    slots: message.slots,
+  };
+}
+
+function isOfferMessage(input: unknown): input is OfferMessage {
+  if (typeof input !== "object" || input === null) return false;
+  const message = input as Partial<Record<keyof OfferMessage, unknown>>;
+  const texts = [
+    message.call,
+    message.service,
+    message.identifier,
+    message.callerService,
+    message.route,
+  ];
+  const numbers = [
+    message.priority,
+    message.remainingMilliseconds,
+    message.goalMilliseconds,
+    message.waitMilliseconds,
+    message.slots,
+  ];
+  return texts.every((text) => typeof text === "string") &&
+    numbers.every((number) => Number.isFinite(number));
+}
--- /dev/null
+++ b/src/mesh/encode_offer.ts
@@ -0,0 +1,19 @@
+import type { GateOffer } from "./gate_offer.ts";
+import type { OfferMessage } from "./offer_message.ts";
+
+/** Returns the value of the offer header. */
+export function encodeOffer(offer: GateOffer, now: number): string {
+  const message: OfferMessage = {
+    call: offer.callIdentifier,
+    service: offer.service,
+    identifier: offer.identifier,
+    callerService: offer.callerService,
+    route: offer.route,
+    priority: offer.priority,
+    remainingMilliseconds: Math.round(offer.deadline - now),
+    goalMilliseconds: Math.round(offer.goalDeadline - now),
+    waitMilliseconds: Math.round(offer.waitDeadline - now),
+    slots: offer.slots,
+  };
+  return JSON.stringify(message);
+}
--- /dev/null
+++ b/src/mesh/get_gate_load.ts
@@ -0,0 +1,14 @@
+import type { GateLoad } from "../balancing/gate_load.ts";
+import { isCold } from "../gate/is_cold.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Returns the load of this VM's backend server, as replies carry it. */
+export function getGateLoad(node: MeshNode): GateLoad {
+  const { gate } = node;
+  return {
+    running: gate.running.size,
+    queued: gate.queue.length,
+    slots: gate.slots,
+    cold: isCold(gate, node.clock.now()),
+  };
+}
--- /dev/null
+++ b/src/mesh/make_offer.ts
@@ -0,0 +1,43 @@
+import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { CallKind } from "../routing/call_kind.ts";
+import type { CallPlan } from "./call_plan.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { offerToNode } from "./offer_to_node.ts";
+import { offerToOwnServer } from "./offer_to_own_server.ts";
+
+/** Offers a call to a backend server: directly where it stands on this VM, else through the node beside it. */
+export function makeOffer(
+  node: MeshNode,
+  plan: CallPlan,
+  options: {
+    readonly candidate: GateCandidate;
+    readonly waitDeadline: number;
+  },
+): Promise<OfferOutcome> {
+  const { entry } = options.candidate;
+  const offer = {
+    callIdentifier: plan.callIdentifier,
+    service: plan.service,
+    identifier: entry.identifier,
+    callerService: node.settings.service,
+    route: plan.route.name,
+    priority: plan.route.priority,
+    deadline: plan.deadline,
+    goalDeadline: plan.goalDeadline,
+    waitDeadline: options.waitDeadline,
+    slots: entry.slots,
+  };
+  const { signal, request } = plan;
+  const { backendServer, listeners } = node.settings;
+  const isOwn = entry.address.host === backendServer.host &&
+    entry.address.port === backendServer.port;
+  return isOwn
+    ? offerToOwnServer(node, request, { offer, signal })
+    : offerToNode(node, request, {
+      offer,
+      signal,
+      address: { host: entry.address.host, port: listeners.nodes.port },
+      mayRepeat: plan.route.kind === CallKind.Idempotent,
+    });
+}
--- /dev/null
+++ b/src/mesh/mesh_settings.ts
@@ -0,0 +1,23 @@
+import type { RetryAllowance } from "../retries/retry_allowance.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+
+/** What a node needs to know before it starts. */
+export interface MeshSettings {
+  readonly vm: string;
+  readonly zone: string;
+  /** The service of the backend server on this VM. */
+  readonly service: string;
+  readonly backendServer: NetworkAddress;
+  readonly listeners: {
+    /** Callers on this VM, and its backend server. */
+    readonly callers: NetworkAddress;
+    /** Other nodes; the same port on every VM. */
+    readonly nodes: NetworkAddress;
+    readonly readiness: NetworkAddress;
+    readonly metrics: NetworkAddress | undefined;
+  };
+  readonly source: NetworkAddress;
+  readonly retryAllowance: RetryAllowance;
+  /** How long a stopping process may take before it is killed. */
+  readonly stopMilliseconds: number;
+}
--- /dev/null
+++ b/src/mesh/note_answer_bytes.ts
@@ -0,0 +1,16 @@
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Share of the newest observation in the moving average. */
+const newestShare = 0.1;
+
+/** Takes the size of an answer into the average of its route. */
+export function noteAnswerBytes(
+  node: MeshNode,
+  options: { readonly route: string; readonly bytes: number },
+): void {
+  const known = node.answerBytes.get(options.route) ?? options.bytes;
+  node.answerBytes.set(
+    options.route,
+    known + (options.bytes - known) * newestShare,
+  );
+}
--- /dev/null
+++ b/src/mesh/offer_to_node.ts
@@ -0,0 +1,130 @@
+import { type IncomingMessage, request as sendRequest } from "node:http";
+import type { Socket } from "node:net";
+import { match } from "ts-pattern";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
+import type { CallRequest } from "./call_request.ts";
+import { decodeReply } from "./decode_reply.ts";
+import { encodeOffer } from "./encode_offer.ts";
+import type { GateOffer } from "./gate_offer.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { OfferHeader } from "./offer_header.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import { watchConnect } from "./watch_connect.ts";
+
+/** A node that lives says at once that it has an offer. */
+const noticeMilliseconds = 500;
+const unreachableRetryMilliseconds = 300;
+
+/**
+ * Offers a call to the node beside a backend server on another VM.
+ *
+ * Where no connection came about the call has not run. After that, contact
+ * that ends without a reply leaves open whether it ran. With `mayRepeat`, a
+ * node that gives no sign of having the offer is given up on early.
+ */
+export function offerToNode(
+  node: MeshNode,
+  request: CallRequest,
+  options: {
+    readonly offer: GateOffer;
+    readonly address: NetworkAddress;
+    readonly signal: AbortSignal;
+    readonly mayRepeat: boolean;
+  },
+): Promise<OfferOutcome> {
+  const { offer, address, signal } = options;
+  return new Promise((resolve) => {
+    let connected = false;
+    const outgoing = sendRequest({
+      agent: node.nodesAgent,
+      host: address.host,
+      port: address.port,
+      method: request.method,
+      path: request.url,
+      headers: [
+        ...request.headers,
+        OfferHeader.Offer,
+        encodeOffer(offer, node.clock.now()),
+        ...(request.body.length > 0
+          ? ["content-length", String(request.body.length)]
+          : []),
+      ] as unknown as string[],
+      signal,
+    });
+    const notice = node.timers.at(
+      node.clock.now() + noticeMilliseconds,
+      () => {
+        if (options.mayRepeat || !connected) outgoing.destroy();
+      },
+    );
+    outgoing.once("socket", (socket: Socket) =>
+      watchConnect(socket, {
+        onConnected: () => {
+          connected = true;
+        },
+      }));
+    outgoing.once("information", () => notice.cancel());
+    outgoing.once("response", (answer) => {
+      notice.cancel();
+      resolve(readOutcome(answer));
+    });
+    outgoing.on("error", () => {
+      notice.cancel();
+      resolve(connected ? createLoss() : createUnreachable());
+    });
+    outgoing.end(request.body.length > 0 ? request.body : undefined);
+  });
+}
+
+function createLoss(): OfferOutcome {
+  return {
+    kind: OfferOutcomeKind.Lost,
+    reason: RefusalReason.ContactLost,
+    load: undefined,
+  };
+}
+
+function createUnreachable(): OfferOutcome {
+  return {
+    kind: OfferOutcomeKind.Refused,
+    reason: RefusalReason.ContactLost,
+    retryMilliseconds: unreachableRetryMilliseconds,
+    reachedBackendServer: false,
+    load: undefined,
+  };
+}
+
+function readOutcome(answer: IncomingMessage): OfferOutcome {
+  const reply = decodeReply(answer.headers[OfferHeader.Reply]);
+  if (reply === undefined) {
+    answer.destroy();
+    return createLoss();
+  }
+  const { load } = reply;
+  if (reply.kind !== OfferOutcomeKind.Answered) answer.resume();
+  return match(reply.kind)
+    .returnType<OfferOutcome>()
+    .with(OfferOutcomeKind.Answered, (kind) => ({
+      kind,
+      status: answer.statusCode ?? 0,
+      headers: selectPassedHeaders(answer.rawHeaders),
+      body: answer,
+      load,
+    }))
+    .with(OfferOutcomeKind.Refused, (kind) => ({
+      kind,
+      reason: reply.reason ?? RefusalReason.Full,
+      retryMilliseconds: reply.retryMilliseconds ?? 0,
+      reachedBackendServer: reply.reachedBackendServer ?? false,
+      load,
+    }))
+    .with(OfferOutcomeKind.Lost, (kind) => ({
+      kind,
+      reason: reply.reason ?? RefusalReason.ContactLost,
+      load,
+    }))
+    .exhaustive();
+}
--- /dev/null
+++ b/src/mesh/read_request_body.ts
@@ -0,0 +1,34 @@
+import type { IncomingMessage } from "node:http";
+import { Result } from "true-myth";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+
+const noBody = Buffer.alloc(0);
+
+/** Reads a whole body; fails where it is too large or breaks off. */
+export function readRequestBody(
+  request: IncomingMessage,
+  options: { readonly bytesMaximum: number },
+): Promise<Result<Buffer, RefusalReason>> {
+  const declared = request.headers["content-length"];
+  const isChunked = request.headers["transfer-encoding"] !== undefined;
+  if (!isChunked && (declared === undefined || declared === "0")) {
+    request.resume();
+    return Promise.resolve(Result.ok(noBody));
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.byteLength;
+      if (bytes <= options.bytesMaximum) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      resolve(Result.err(RefusalReason.RequestTooLarge));
+    });
+    request.once("end", () => resolve(Result.ok(Buffer.concat(chunks))));
+    request.once("close", () => resolve(Result.err(RefusalReason.CallerLeft)));
+    request.once("error", () => resolve(Result.err(RefusalReason.CallerLeft)));
+  });
+}
--- /dev/null
+++ b/src/mesh/send_to_backend_server.ts
@@ -0,0 +1,106 @@
+import { type IncomingMessage, request as sendRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { BackendAnswerHead } from "./backend_answer_head.ts";
+import type { BackendExchange } from "./backend_exchange.ts";
+import { BackendExchangeKind } from "./backend_exchange_kind.ts";
+import type { CallRequest } from "./call_request.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { watchConnect } from "./watch_connect.ts";
+
+const successStatusMinimum = 200;
+const successStatusMaximum = 299;
+
+/**
+ * Sends a request to the backend server of this VM.
+ *
+ * An answer counts only if it names this call and, where it is a success, is
+ * signed: a backend server may send a second answer, or an old one late.
+ * Aborting `signal` closes the connection, which tells the backend server to
+ * stop.
+ */
+export function sendToBackendServer(
+  node: MeshNode,
+  request: CallRequest,
+  options: { readonly callIdentifier: string; readonly signal: AbortSignal },
+): Promise<BackendExchange> {
+  const { backendServer } = node.settings;
+  return new Promise((resolve) => {
+    let connected = false;
+    const outgoing = sendRequest({
+      agent: node.backendAgent,
+      host: backendServer.host,
+      port: backendServer.port,
+      method: request.method,
+      path: request.url,
+      headers: [
+        ...request.headers,
+        ...getLengthHeaders(request),
+      ] as unknown as string[],
+      signal: options.signal,
+    });
+    outgoing.once("socket", (socket: Socket) =>
+      watchConnect(socket, {
+        onConnected: () => {
+          connected = true;
+        },
+      }));
+    outgoing.once("response", (answer) => {
+      const head = node.dialect.readBackendAnswerHead(answer);
+      const kind = judgeAnswer(answer, {
+        head,
+        callIdentifier: options.callIdentifier,
+      });
+      if (kind === BackendExchangeKind.Answered) {
+        // The rest of a request that was answered early must not meet another one.
+        if (!outgoing.writableFinished) outgoing.shouldKeepAlive = false;
+        resolve({ kind, answer, head });
+        return;
+      }
+      if (kind === BackendExchangeKind.Broken) {
+        answer.destroy();
+        resolve({ kind, found: `answer with status ${answer.statusCode}` });
+        return;
+      }
+      answer.resume();
+      resolve({ kind, head });
+    });
+    // Later errors reach the answer's own stream.
+    outgoing.on("error", (error) =>
+      resolve({
+        kind: connected
+          ? BackendExchangeKind.Broken
+          : BackendExchangeKind.NotConnected,
+        found: error.message,
+      }));
+    outgoing.end(request.body.length > 0 ? request.body : undefined);
+  });
+}
+
+function getLengthHeaders(request: CallRequest): readonly string[] {
+  const bodyless = request.body.length === 0 &&
+    (request.method === "GET" || request.method === "HEAD");
+  return bodyless ? [] : ["content-length", String(request.body.length)];
+}
+
+function judgeAnswer(
+  answer: IncomingMessage,
+  options: {
+    readonly head: BackendAnswerHead;
+    readonly callIdentifier: string;
+  },
+) {
+  const { head, callIdentifier } = options;
+  const isOther = head.callIdentifier !== undefined &&
+    head.callIdentifier !== callIdentifier;
+  if (isOther) return BackendExchangeKind.Broken;
+  if (head.misdirected) return BackendExchangeKind.Misdirected;
+  if (head.notRun) return BackendExchangeKind.TurnedAway;
+  const status = answer.statusCode ?? 0;
+  const isSuccess = status >= successStatusMinimum &&
+    status <= successStatusMaximum;
+  const isTrusted = head.signed && head.callIdentifier === callIdentifier &&
+    !head.encoded;
+  return isSuccess && !isTrusted
+    ? BackendExchangeKind.Broken
+    : BackendExchangeKind.Answered;
+}
--- /dev/null
+++ b/src/mesh/serve_offer.ts
@@ -0,0 +1,110 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { match } from "ts-pattern";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
+import { decodeOffer } from "./decode_offer.ts";
+import type { GateOffer } from "./gate_offer.ts";
+import { getGateLoad } from "./get_gate_load.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { OfferHeader } from "./offer_header.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import { offerToOwnServer } from "./offer_to_own_server.ts";
+import { readRequestBody } from "./read_request_body.ts";
+import type { ReplyMessage } from "./reply_message.ts";
+
+const refusedStatus = 503;
+const lostStatus = 502;
+const invalidStatus = 400;
+
+/** Serves a call that another node offers to the backend server of this VM. */
+export function serveOffer(
+  node: MeshNode,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const offerText = request.headers[OfferHeader.Offer];
+  const offer = decodeOffer(
+    typeof offerText === "string" ? offerText : undefined,
+    node.clock.now(),
+  );
+  if (offer === undefined) {
+    request.resume();
+    response.writeHead(invalidStatus).end();
+    return;
+  }
+  const cancellation = new AbortController();
+  // The other node closes the connection when its caller has left.
+  response.once("close", () => {
+    if (!response.writableFinished) cancellation.abort();
+  });
+  // Tells the other node that this one is there, long before the answer.
+  response.writeProcessing();
+  runServedOffer(node, request, { offer, signal: cancellation.signal })
+    .then((outcome) => writeOutcome(node, response, outcome));
+}
+
+async function runServedOffer(
+  node: MeshNode,
+  request: IncomingMessage,
+  options: { readonly offer: GateOffer; readonly signal: AbortSignal },
+): Promise<OfferOutcome> {
+  const body = await readRequestBody(request, {
+    bytesMaximum: Number.POSITIVE_INFINITY,
+  });
+  if (body.isErr) {
+    return {
+      kind: OfferOutcomeKind.Refused,
+      reason: RefusalReason.CallerLeft,
+      retryMilliseconds: 0,
+      reachedBackendServer: false,
+      load: getGateLoad(node),
+    };
+  }
+  return await offerToOwnServer(node, {
+    method: request.method ?? "GET",
+    url: request.url ?? "/",
+    headers: selectPassedHeaders(request.rawHeaders),
+    body: body.value,
+  }, options);
+}
+
+function writeOutcome(
+  node: MeshNode,
+  response: ServerResponse,
+  outcome: OfferOutcome,
+): void {
+  const load = getGateLoad(node);
+  match(outcome)
+    .with({ kind: OfferOutcomeKind.Answered }, ({ status, headers, body }) => {
+      response.writeHead(status, [
+        ...headers,
+        ...formatReply({ kind: OfferOutcomeKind.Answered, load }),
+      ]);
+      // A broken answer must not look complete to the other node.
+      body.once("error", () => response.destroy());
+      body.once("aborted", () => response.destroy());
+      body.pipe(response);
+    })
+    .with({ kind: OfferOutcomeKind.Refused }, (refused) => {
+      const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
+      response.writeHead(
+        refusedStatus,
+        formatReply({
+          kind,
+          reason,
+          retryMilliseconds,
+          reachedBackendServer,
+          load,
+        }),
+      ).end();
+    })
+    .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
+      response.writeHead(lostStatus, formatReply({ kind, reason, load })).end();
+    })
+    .exhaustive();
+}
+
+function formatReply(message: ReplyMessage): string[] {
+  return [OfferHeader.Reply, JSON.stringify(message)];
+}
--- /dev/null
+++ b/src/mesh/start_mesh_node.ts
@@ -0,0 +1,161 @@
+import { Result } from "true-myth";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { openListener } from "../daemon/open_listener.ts";
+import { refuseBrokenRequest } from "../daemon/refuse_broken_request.ts";
+import type { Listener } from "../daemon/listener.ts";
+import { createGateState } from "../gate/create_gate_state.ts";
+import type { Clock } from "../runtime/clock.ts";
+import type { RandomSource } from "../runtime/random_source.ts";
+import type { Timers } from "../runtime/timers.ts";
+import { followSource } from "../source/follow_source.ts";
+import type { SourceClient } from "../source/source_client.ts";
+import type { CallDialect } from "./call_dialect.ts";
+import { createConnectionAgent } from "./create_connection_agent.ts";
+import { createMeshView } from "./create_mesh_view.ts";
+import { forgetVanished } from "../register/forget_vanished.ts";
+import type { MeshDaemon } from "./mesh_daemon.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import type { MeshReport } from "./mesh_report.ts";
+import type { MeshSettings } from "./mesh_settings.ts";
+import { probeBackendServer } from "./probe_backend_server.ts";
+import { serveCallerRequest } from "./serve_caller_request.ts";
+import { serveOffer } from "./serve_offer.ts";
+import { serveReadiness } from "./serve_readiness.ts";
+import { stopMeshNode } from "./stop_mesh_node.ts";
+import { takeSourceReading } from "./take_source_reading.ts";
+import { updateGate } from "./update_gate.ts";
+
+/** Below the shortest idle time of a usual backend server, so that this side closes first. */
+const backendIdleMilliseconds = 4_000;
+/** Below the idle time of the listeners of other nodes. */
+const nodeIdleMilliseconds = 20_000;
+const headerBytesMaximum = 65_536;
+/** How often checks and ages are looked at. */
+const upkeepMilliseconds = 50;
+
+/** Starts a node; fails where a listener cannot be bound. */
+export async function startMeshNode(
+  settings: MeshSettings,
+  options: {
+    readonly dialect: CallDialect;
+    readonly source: SourceClient;
+    readonly clock: Clock;
+    readonly timers: Timers;
+    readonly random: RandomSource;
+    readonly report: MeshReport;
+  },
+): Promise<Result<MeshDaemon, Diagnostic>> {
+  const node = createNode(settings, options);
+  const opened = await openListeners(node);
+  if (opened.isErr) return Result.err(opened.error);
+  const follower = followSource({
+    client: options.source,
+    random: options.random,
+    wait: (milliseconds) =>
+      new Promise((resolve) =>
+        node.timers.at(node.clock.now() + milliseconds, resolve)
+      ),
+    handler: {
+      onReading: (reading, { complete }) => {
+        const now = node.clock.now();
+        takeSourceReading(node.view, reading, { complete, now })
+          .forEach(node.report.belief);
+        updateGate(node);
+      },
+      onLost: (failure) => {
+        node.view.sourceSoundSince = Number.POSITIVE_INFINITY;
+        node.report.state("source", { state: "lost", ...failure });
+        updateGate(node);
+      },
+      onRegained: () => {
+        node.view.sourceSoundSince = node.clock.now();
+        node.report.state("source", { state: "regained" });
+      },
+    },
+  });
+  const upkeep = setInterval(() => {
+    probeBackendServer(node);
+    forgetVanished(node.view.register, node.clock.now());
+    updateGate(node);
+  }, upkeepMilliseconds);
+  return Result.ok({
+    stop: async () => {
+      const cut = await stopMeshNode(node);
+      clearInterval(upkeep);
+      follower.stop();
+      opened.value.forEach((listener) => listener.destroy());
+      node.backendAgent.destroy();
+      node.nodesAgent.destroy();
+      return cut;
+    },
+  });
+}
+
+function createNode(
+  settings: MeshSettings,
+  options: Pick<
+    MeshNode,
+    "dialect" | "clock" | "timers" | "random" | "report"
+  >,
+): MeshNode {
+  const { dialect, clock, timers, random, report } = options;
+  return {
+    settings,
+    dialect,
+    clock,
+    timers,
+    random,
+    report,
+    view: createMeshView(),
+    gate: createGateState(clock.now()),
+    slotWaiters: new Map(),
+    gateTimer: undefined,
+    serverWatch: {
+      probedIdentifier: undefined,
+      probedAt: 0,
+      nextProbeAt: 0,
+      probing: false,
+    },
+    backendAgent: createConnectionAgent(backendIdleMilliseconds),
+    nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
+    gateViews: new Map(),
+    splits: new Map(),
+    retryCounts: new Map(),
+    answerBytes: new Map(),
+    callerCalls: 0,
+    stopping: false,
+  };
+}
+
+async function openListeners(
+  node: MeshNode,
+): Promise<Result<readonly Listener[], Diagnostic>> {
+  const { callers, nodes, readiness } = node.settings.listeners;
+  const common = {
+    requestHeaderBytes: headerBytesMaximum,
+    onBrokenRequest: refuseBrokenRequest,
+  };
+  const opened = await Promise.all([
+    openListener({
+      ...common,
+      address: callers,
+      onRequest: (request, response) =>
+        serveCallerRequest(node, request, response),
+    }),
+    openListener({
+      ...common,
+      address: nodes,
+      onRequest: (request, response) => serveOffer(node, request, response),
+    }),
+    openListener({
+      ...common,
+      address: readiness,
+      onRequest: (_request, response) => serveReadiness(node, response),
+    }),
+  ]);
+  const failed = opened.find((result) => result.isErr);
+  if (failed?.isErr) return Result.err(failed.error);
+  return Result.ok(
+    opened.flatMap((result) => result.isOk ? [result.value] : []),
+  );
+}
--- /dev/null
+++ b/src/mesh/stop_mesh_node.ts
@@ -0,0 +1,38 @@
+import type { MeshNode } from "./mesh_node.ts";
+import { updateGate } from "./update_gate.ts";
+
+/** The platform notices within this time that the node is not ready, and sends its callers elsewhere. */
+const noticeMilliseconds = 2_600;
+/** Time left before the process would be killed. */
+const reserveMilliseconds = 300;
+const pollMilliseconds = 50;
+
+/**
+ * Stops gracefully: says at once that it is not ready and closes the gate,
+ * goes on serving callers through other nodes until they have left, and ends
+ * when nothing runs any more. Resolves with the number of calls still running
+ * at the last moment.
+ */
+export function stopMeshNode(node: MeshNode): Promise<number> {
+  const stoppedAt = node.clock.now();
+  const earliest = stoppedAt + noticeMilliseconds;
+  const latest = stoppedAt + node.settings.stopMilliseconds -
+    reserveMilliseconds;
+  node.stopping = true;
+  node.report.state("process", { state: "stopping" });
+  updateGate(node);
+  return new Promise((resolve) => {
+    function look(): void {
+      const now = node.clock.now();
+      const running = node.callerCalls + node.gate.running.size;
+      const isDone = now >= earliest && running === 0;
+      if (!isDone && now < latest) {
+        node.timers.at(now + pollMilliseconds, look);
+        return;
+      }
+      node.report.state("process", { state: "stopped", cut: running });
+      resolve(running);
+    }
+    look();
+  });
+}
--- /dev/null
+++ b/src/mesh/try_spend_call_repeat.ts
@@ -0,0 +1,13 @@
+import { trySpendRepeat } from "../retries/try_spend_repeat.ts";
+import { getRetryCounts } from "./get_retry_counts.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Books one repeated send to a service, or returns false where this node's part of the budget is spent. */
+export function trySpendCallRepeat(node: MeshNode, service: string): boolean {
+  return trySpendRepeat(getRetryCounts(node, service), {
+    allowance: node.settings.retryAllowance,
+    // Each registered backend server has one node beside it.
+    nodes: node.view.register.size,
+    now: node.clock.now(),
+  });
+}
--- /dev/null
+++ b/src/mesh/update_gate.ts
@@ -0,0 +1,27 @@
+import { getStandingRefusal } from "../gate/get_standing_refusal.ts";
+import { findOwnRecord } from "./find_own_record.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { settleWaitingCalls } from "./settle_waiting_calls.ts";
+
+/** Brings the gate up to date with the view: slots, cold start, and whether it is open. */
+export function updateGate(node: MeshNode): void {
+  const { gate, settings, view } = node;
+  const now = node.clock.now();
+  const record = findOwnRecord(node);
+  if (record !== undefined) {
+    gate.slots = Math.max(1, record.entry.slots);
+    gate.coldUntil = Math.max(gate.coldUntil, record.entry.coldUntil);
+  }
+  const service = view.rules?.services.get(settings.service);
+  if (service !== undefined) {
+    gate.coldCallsPerSecond = service.coldCallsPerSecond;
+  }
+  gate.closedFor = getStandingRefusal({
+    record,
+    zoneTakenOut: view.zonesTakenOut.has(settings.zone),
+    stopping: node.stopping,
+    sourceSoundSince: view.sourceSoundSince,
+    probedIdentifier: node.serverWatch.probedIdentifier,
+  }, now);
+  settleWaitingCalls(node);
+}
--- /dev/null
+++ b/src/mesh/write_call_end.ts
@@ -0,0 +1,69 @@
+import type { ServerResponse } from "node:http";
+import { match } from "ts-pattern";
+import { createProblemDocument } from "../calls/create_problem_document.ts";
+import { refusalTable } from "../calls/refusal_table.ts";
+import type { AnswerBody } from "./answer_body.ts";
+import type { CallEnd } from "./call_end.ts";
+import { CallEndKind } from "./call_end_kind.ts";
+import { getRefusalStatus } from "./get_refusal_status.ts";
+
+const millisecondsPerSecond = 1_000;
+
+/** Writes the final answer of a call to its caller. With `closing`, the connection ends after it. */
+export function writeCallEnd(
+  response: ServerResponse,
+  end: CallEnd,
+  options: { readonly closing: boolean; readonly now: number },
+): void {
+  const closeHeaders = options.closing ? ["connection", "close"] : [];
+  match(end)
+    .with(
+      { kind: CallEndKind.Answered },
+      ({ status, headers, body }) =>
+        writeBody(response, body, {
+          status,
+          headers: [...headers, ...closeHeaders],
+        }),
+    )
+    .with({ kind: CallEndKind.Refused }, (refused) => {
+      const status = getRefusalStatus(refused.reason, refused.outcome);
+      const seconds = refused.retryMilliseconds / millisecondsPerSecond;
+      const document = createProblemDocument({
+        reason: refused.reason,
+        outcome: refused.outcome,
+        retryAt: Math.round(options.now + refused.retryMilliseconds),
+        detail: refusalTable[refused.reason].detail,
+      });
+      response.writeHead(status, [
+        "content-type",
+        "application/problem+json",
+        "content-length",
+        String(Buffer.byteLength(document)),
+        "retry-after",
+        seconds.toFixed(3),
+        ...closeHeaders,
+      ]).end(document);
+    })
+    .exhaustive();
+}
+
+function writeBody(
+  response: ServerResponse,
+  body: AnswerBody,
+  options: { readonly status: number; readonly headers: readonly string[] },
+): void {
+  const { held, rest } = body;
+  if (rest === undefined) {
+    response.writeHead(options.status, [
+      ...options.headers,
+      "content-length",
+      String(held.byteLength),
+    ]).end(held);
+    return;
+  }
+  response.writeHead(options.status, [...options.headers]);
+  response.write(held);
+  // What breaks off must not look complete.
+  rest.once("error", () => response.destroy());
+  rest.pipe(response);
+}
--- /dev/null
+++ b/src/register/put_entry.ts
@@ -0,0 +1,17 @@
+import type { RegisterEntry } from "./register_entry.ts";
+import type { RegisterState } from "./register_state.ts";
+
+/**
+ * Takes over an entry. A backend server that registers an address replaces
+ * whoever was registered there, since an address has one owner at a time.
+ */
+export function putEntry(state: RegisterState, entry: RegisterEntry): void {
+  Array.from(state.values())
+    .filter(({ entry: other, vanishedAt }) =>
+      vanishedAt > 0 && other.identifier !== entry.identifier &&
+      other.address.host === entry.address.host &&
+      other.address.port === entry.address.port
+    )
+    .forEach(({ entry: other }) => state.delete(other.identifier));
+  state.set(entry.identifier, { entry, vanishedAt: 0 });
+}
--- /dev/null
+++ b/src/register/remove_entry.ts
@@ -0,0 +1,11 @@
+import type { RegisterState } from "./register_state.ts";
+
+/** Marks an entry as removed. The record is kept: the node beside the backend server may still take work. */
+export function removeEntry(
+  state: RegisterState,
+  options: { readonly identifier: string; readonly now: number },
+): void {
+  const record = state.get(options.identifier);
+  if (record === undefined || record.vanishedAt > 0) return;
+  state.set(options.identifier, { ...record, vanishedAt: options.now });
+}
--- /dev/null
+++ b/src/retries/count_retry_request.ts
@@ -0,0 +1,11 @@
+import { getRetrySlice } from "./get_retry_slice.ts";
+import type { RetryAllowance } from "./retry_allowance.ts";
+import type { RetryCounts } from "./retry_counts.ts";
+
+/** Counts a request for a service. */
+export function countRetryRequest(
+  counts: RetryCounts,
+  options: { readonly allowance: RetryAllowance; readonly now: number },
+): void {
+  getRetrySlice(counts, options).requests += 1;
+}
--- /dev/null
+++ b/src/routing/call_kind.ts
@@ -0,0 +1,5 @@
+/** Whether a request may be sent to a backend server more than once. */
+export enum CallKind {
+  Idempotent = "idempotent",
+  NonIdempotent = "non-idempotent",
+}
--- /dev/null
+++ b/src/source/follow_source.ts
@@ -0,0 +1,84 @@
+import type { RandomSource } from "../runtime/random_source.ts";
+import { SourceFailureKind } from "./source_failure_kind.ts";
+import type { SourceClient } from "./source_client.ts";
+import type { SourceFollower } from "./source_follower.ts";
+import type { SourceHandler } from "./source_handler.ts";
+
+/** Least time between two reads: changes of this span arrive with one read. */
+const readIntervalMilliseconds = 900;
+/** Keeps a source whose history is always too short from being read without end. */
+const historyLostMilliseconds = 50;
+const backoffMilliseconds = 150;
+const backoffMillisecondsMaximum = 1_000;
+
+/**
+ * Keeps a node's view current: reads everything once, then the changes after
+ * the last revision. Reads everything again where the history is lost, where
+ * an answer makes no sense, and where a source with backend servers shows no
+ * change at all although these publish all the time.
+ */
+export function followSource(
+  options: {
+    readonly client: SourceClient;
+    readonly handler: SourceHandler;
+    readonly random: RandomSource;
+    /** Resolves after a span in milliseconds. */
+    readonly wait: (milliseconds: number) => Promise<void>;
+  },
+): SourceFollower {
+  const { client, handler, random, wait } = options;
+  let revision: number | undefined;
+  let failures = 0;
+  let sound = false;
+  let stopped = false;
+
+  async function readOnce(): Promise<number> {
+    const complete = revision === undefined;
+    const result = revision === undefined
+      ? await client.readAll()
+      : await client.readChanges(revision);
+    if (stopped) return 0;
+    if (result.isErr) return takeFailure(result.error.kind, result.error.found);
+    failures = 0;
+    if (!sound) {
+      sound = true;
+      handler.onRegained();
+    }
+    const reading = result.value;
+    handler.onReading(reading, { complete });
+    const isSilent = !complete && reading.items.length === 0;
+    revision = isSilent ? undefined : reading.revision;
+    return complete ? 0 : readIntervalMilliseconds;
+  }
+
+  function takeFailure(kind: SourceFailureKind, found: string): number {
+    if (kind === SourceFailureKind.HistoryLost) {
+      revision = undefined;
+      return historyLostMilliseconds;
+    }
+    if (kind === SourceFailureKind.Malformed) revision = undefined;
+    if (sound || failures === 0) handler.onLost({ kind, found });
+    sound = false;
+    failures += 1;
+    const span = Math.min(
+      backoffMillisecondsMaximum,
+      backoffMilliseconds * 2 ** Math.min(failures, 8),
+    );
+    return span * (0.5 + random.next() / 2);
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped) {
+      const pause = await readOnce();
+      if (pause > 0 && !stopped) await wait(pause);
+    }
+  }
+
+  void run();
+  return {
+    stop: () => {
+      stopped = true;
+      client.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/source/source_fact.ts
@@ -0,0 +1,13 @@
+import type { RegisterEntry } from "../register/register_entry.ts";
+import type { Rules } from "../routing/rules.ts";
+import type { SourceFactKind } from "./source_fact_kind.ts";
+
+/** One published item, decoded. */
+export type SourceFact =
+  | { readonly kind: SourceFactKind.Rules; readonly rules: Rules }
+  | { readonly kind: SourceFactKind.ZoneTakenOut; readonly zone: string }
+  | {
+    readonly kind: SourceFactKind.BackendServer;
+    readonly entry: RegisterEntry;
+  }
+  | { readonly kind: SourceFactKind.Foreign; readonly found: string };
--- /dev/null
+++ b/src/source/source_follower.ts
@@ -0,0 +1,4 @@
+/** Follows the source until it is stopped. */
+export interface SourceFollower {
+  stop(): void;
+}
