--- /dev/null
+++ b/src/gate/request_slot_test.ts
@@ -0,0 +1,149 @@
+import test from "ava";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createGateState } from "./create_gate_state.ts";
+import type { GateState } from "./gate_state.ts";
+import { getNextGateInstant } from "./get_next_gate_instant.ts";
+import { releaseSlot } from "./release_slot.ts";
+import { requestSlot } from "./request_slot.ts";
+import { ServerCondition } from "./server_condition.ts";
+import { settleGateQueue } from "./settle_gate_queue.ts";
+import { SlotDecisionKind } from "./slot_decision_kind.ts";
+import type { SlotRequest } from "./slot_request.ts";
+
+const start = 1_000_000;
+/** What the users allow a backend server in cold start that bears 14 requests a second. */
+const coldCallsPerSecond = 14;
+const coldBoundInOneSecond = coldCallsPerSecond * 1.5 + 5;
+
+function createGate(slots: number): GateState {
+  const gate = createGateState(start);
+  gate.slots = slots;
+  gate.condition = ServerCondition.Up;
+  gate.serviceMilliseconds = 100;
+  return gate;
+}
+
+function createRequest(
+  callIdentifier: string,
+  change: Partial<SlotRequest> = {},
+): SlotRequest {
+  return {
+    callIdentifier,
+    priority: 2,
+    goalDeadline: start + 400,
+    deadline: start + 1_200,
+    waitDeadline: start + 1_200,
+    ...change,
+  };
+}
+
+test("more calls than slots: the slots are granted, the next call waits", (t) => {
+  const gate = createGate(2);
+  const kinds = ["a", "b", "c"].map((name) =>
+    requestSlot(gate, createRequest(name), start).kind
+  );
+  t.deepEqual(kinds, [
+    SlotDecisionKind.Granted,
+    SlotDecisionKind.Granted,
+    SlotDecisionKind.Queued,
+  ]);
+  releaseSlot(gate, { callIdentifier: "a", answered: true, now: start + 50 });
+  const { granted } = settleGateQueue(gate, start + 50);
+  t.deepEqual(granted.map(({ request }) => request.callIdentifier), ["c"]);
+});
+
+test("a call that may not wait is refused at once and told when to come back", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("a"), start);
+  const decision = requestSlot(
+    gate,
+    createRequest("b", { waitDeadline: start }),
+    start,
+  );
+  t.like(decision, {
+    kind: SlotDecisionKind.Refused,
+    reason: RefusalReason.Full,
+  });
+  t.true(
+    decision.kind === SlotDecisionKind.Refused &&
+      decision.retryMilliseconds > 0,
+  );
+});
+
+test("overload: a call that would end after its deadline is refused before it waits", (t) => {
+  const gate = createGate(1);
+  gate.serviceMilliseconds = 500;
+  requestSlot(gate, createRequest("a"), start);
+  requestSlot(gate, createRequest("b"), start);
+  const decision = requestSlot(gate, createRequest("c"), start);
+  t.is(decision.kind, SlotDecisionKind.Refused);
+});
+
+test("the more urgent call gets the free slot, and late calls come after those in time", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("a"), start);
+  requestSlot(
+    gate,
+    createRequest("late", { goalDeadline: start - 1, priority: 0 }),
+    start,
+  );
+  requestSlot(gate, createRequest("usual"), start);
+  requestSlot(gate, createRequest("urgent", { priority: 1 }), start);
+  const order = ["a", "urgent", "usual"].flatMap((callIdentifier) => {
+    releaseSlot(gate, { callIdentifier, answered: true, now: start });
+    return settleGateQueue(gate, start).granted
+      .map(({ request }) => request.callIdentifier);
+  });
+  t.deepEqual(order, ["urgent", "usual", "late"]);
+});
+
+test("a waiting call that can no longer be served is refused before its deadline", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("a"), start);
+  requestSlot(gate, createRequest("b"), start);
+  const instant = getNextGateInstant(gate, start);
+  t.true(instant < start + 1_200);
+  const { refused } = settleGateQueue(gate, instant);
+  t.deepEqual(refused.map(({ request }) => request.callIdentifier), ["b"]);
+});
+
+test("cold start: in no second more calls than the backend server bears", (t) => {
+  const gate = createGate(12);
+  gate.coldUntil = start + 10_000;
+  gate.coldCallsPerSecond = coldCallsPerSecond;
+  gate.coldTokensAt = start;
+  const grants = Array.from({ length: 5_000 }, (_, millisecond) => {
+    const now = start + millisecond;
+    const callIdentifier = `call-${millisecond}`;
+    const decision = requestSlot(
+      gate,
+      createRequest(callIdentifier, { waitDeadline: now }),
+      now,
+    );
+    releaseSlot(gate, { callIdentifier, answered: true, now });
+    return decision.kind === SlotDecisionKind.Granted ? now : 0;
+  }).filter((now) => now > 0);
+  const busiest = Math.max(
+    ...grants.map((from) =>
+      grants.filter((now) => now >= from && now < from + 1_000).length
+    ),
+  );
+  t.true(busiest <= coldBoundInOneSecond);
+  t.true(grants.length >= 5 * coldCallsPerSecond - 1);
+});
+
+test("a backend server that is down or closed gets nothing, and its queue is refused", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("a"), start);
+  requestSlot(gate, createRequest("b"), start);
+  gate.condition = ServerCondition.Down;
+  const settlement = settleGateQueue(gate, start);
+  t.is(settlement.refused.length, 1);
+  t.is(settlement.reason, RefusalReason.BackendServerDown);
+  gate.condition = ServerCondition.Up;
+  gate.closedFor = RefusalReason.ZoneTakenOut;
+  t.like(requestSlot(gate, createRequest("c"), start), {
+    kind: SlotDecisionKind.Refused,
+    reason: RefusalReason.ZoneTakenOut,
+  });
+});
--- /dev/null
+++ b/src/retries/try_spend_repeat_test.ts
@@ -0,0 +1,42 @@
+import test from "ava";
+import fc from "fast-check";
+import { countRetryRequest } from "./count_retry_request.ts";
+import type { RetryAllowance } from "./retry_allowance.ts";
+import type { RetryCounts } from "./retry_counts.ts";
+import { trySpendRepeat } from "./try_spend_repeat.ts";
+
+const allowance: RetryAllowance = {
+  ratio: 0.2,
+  slack: 60,
+  windowMilliseconds: 10_000,
+};
+
+test("retry storm: the repeats of all nodes together stay within the allowance", (t) => {
+  fc.assert(fc.property(
+    fc.integer({ min: 1, max: 40 }),
+    fc.integer({ min: 0, max: 200 }),
+    (nodes, requestsOfNode) => {
+      const repeats = Array.from({ length: nodes }, () => {
+        const counts: RetryCounts = [];
+        return Array.from({ length: requestsOfNode }, (_, index) => {
+          const now = 1_000_000 + index * 40;
+          countRetryRequest(counts, { allowance, now });
+          return trySpendRepeat(counts, { allowance, nodes, now });
+        }).filter((spent) => spent).length;
+      }).reduce((sum, count) => sum + count, 0);
+      return repeats <=
+        allowance.ratio * nodes * requestsOfNode + allowance.slack;
+    },
+  ));
+  t.pass();
+});
+
+test("the budget comes back when the window has passed", (t) => {
+  const counts: RetryCounts = [];
+  const spend = (now: number) =>
+    trySpendRepeat(counts, { allowance, nodes: 12, now });
+  const first = Array.from({ length: 5 }, () => spend(1_000_000));
+  t.deepEqual(first, [true, true, false, false, false]);
+  t.false(spend(1_009_000));
+  t.true(spend(1_012_000));
+});
--- /dev/null
+++ b/src/routing/choose_target_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import fc from "fast-check";
+import { groupBy } from "../collections/group_by.ts";
+import { CallKind } from "./call_kind.ts";
+import type { CallRoute } from "./call_route.ts";
+import { chooseTarget } from "./choose_target.ts";
+import type { SplitState } from "./split_state.ts";
+
+const requests = 300;
+/** The users' bound on the distance of a share from its weight. */
+const shareTolerance = 0.1;
+
+function createRoute(weights: readonly number[]): CallRoute {
+  return {
+    name: "split",
+    host: "shop.example",
+    pathPrefix: "/",
+    kind: CallKind.Idempotent,
+    attemptsMaximum: 2,
+    timeoutMilliseconds: 1_000,
+    goalMilliseconds: 400,
+    priority: 2,
+    targets: weights.map((weight, index) => ({
+      service: `service-${index}`,
+      weight,
+    })),
+  };
+}
+
+test("each target gets its share of any 300 requests", (t) => {
+  fc.assert(fc.property(
+    fc.array(fc.integer({ min: 1, max: 100 }), { minLength: 1, maxLength: 4 }),
+    fc.integer({ min: 0, max: 50 }),
+    (weights, skipped) => {
+      const route = createRoute(weights);
+      const state: SplitState = new Map();
+      Array.from({ length: skipped }, () => chooseTarget(route, state));
+      const chosen = Array.from(
+        { length: requests },
+        () => chooseTarget(route, state),
+      );
+      const counts = groupBy(chosen, (service) => service);
+      const total = weights.reduce((sum, weight) => sum + weight, 0);
+      return route.targets.every(({ service, weight }) =>
+        Math.abs(
+          (counts.get(service)?.length ?? 0) / requests - weight / total,
+        ) <= shareTolerance
+      );
+    },
+  ));
+  t.pass();
+});
+
+test("a target without weight gets nothing", (t) => {
+  const route = createRoute([0, 5]);
+  const state: SplitState = new Map();
+  const chosen = Array.from({ length: 20 }, () => chooseTarget(route, state));
+  t.true(chosen.every((service) => service === "service-1"));
+});
