--- /dev/null
+++ b/src/mesh/start_mesh_node_test.ts
@@ -0,0 +1,332 @@
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { CallKind } from "../routing/call_kind.ts";
+import { SourceFactKind } from "../source/source_fact_kind.ts";
+import { waitUntil } from "../testing/calls/wait_until.ts";
+import { answerWhole } from "../testing/mesh/answer_whole.ts";
+import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
+import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import type { MeshFleetOptions } from "../testing/mesh/mesh_fleet_options.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
+
+// Fleets share the hosts of the loopback interface.
+const testInTurn = test.serial;
+
+async function withFleet(
+  options: MeshFleetOptions,
+  run: (fleet: MeshFleet) => Promise<void>,
+): Promise<void> {
+  const fleet = await startMeshFleet(options);
+  try {
+    await run(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+const nonIdempotent = { kind: CallKind.NonIdempotent };
+
+function countRuns(fleet: MeshFleet): number {
+  return fleet.backends.reduce((sum, { runs }) => sum + runs.length, 0);
+}
+
+function scriptAll(fleet: MeshFleet, script: MeshBackend["script"]): void {
+  fleet.backends.forEach((backend) => {
+    backend.script = script;
+  });
+}
+
+testInTurn(
+  "a call gets the whole answer of a backend server, which learns whence it came",
+  async (t) => {
+    await withFleet({ vms: 3 }, async (fleet) => {
+      const answer = await fleet.call(0, { identifier: "order" });
+      t.is(answer.status, 200);
+      t.is(answer.body, "answer to order");
+      const served = fleet.backends.find(({ runs }) => runs.length > 0);
+      t.is(served?.lastHeaders[MeshHeader.CallerService], "vitrine");
+      t.is(served?.lastHeaders[MeshHeader.Target], served?.identifier);
+      t.is(served?.lastHeaders["catkinquay-offer"], undefined);
+    });
+  },
+);
+
+testInTurn("an unknown path is answered 404, and nothing runs", async (t) => {
+  await withFleet({ vms: 1 }, async (fleet) => {
+    t.is((await fleet.call(0, { path: "/bread/1" })).status, 404);
+    t.is(countRuns(fleet), 0);
+  });
+});
+
+const failures: ReadonlyMap<string, MeshBackend["script"]> = new Map([
+  ["a failure of its own", (request, response) => {
+    response.writeHead(500, {
+      [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
+      [MeshHeader.Signature]: "signed",
+    }).end("failed");
+  }],
+  ["a reset", (request) => request.socket.resetAndDestroy()],
+  ["an answer to another call", (_, response) => {
+    response.writeHead(200, {
+      [MeshHeader.Call]: "another",
+      [MeshHeader.Signature]: "signed",
+    }).end("crossed");
+  }],
+  ["an answer that breaks off", (request, response) => {
+    response.writeHead(200, {
+      [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
+      [MeshHeader.Signature]: "signed",
+      "content-length": "100",
+    });
+    response.write("part", () => response.destroy());
+  }],
+  ["an answer without a signature", (request, response) => {
+    response.writeHead(200, {
+      [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
+    }).end("unsigned");
+  }],
+  ["bytes that are no answer", (request) => {
+    request.socket.end("This is not HTTP\r\n\r\n");
+  }],
+]);
+
+Array.from(failures).forEach(([name, script]) => {
+  testInTurn(
+    `${name}: a non-idempotent call runs once and is not said to be unrun`,
+    async (t) => {
+      await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+        scriptAll(fleet, script);
+        const answer = await fleet.call(0, { method: "POST", body: "cake" });
+        t.is(countRuns(fleet), 1);
+        t.true(answer.status >= 500 && answer.status !== 503);
+        t.not(answer.body, "crossed");
+      });
+    },
+  );
+
+  testInTurn(
+    `${name}: an idempotent call is sent once more to another backend server`,
+    async (t) => {
+      await withFleet({ vms: 2 }, async (fleet) => {
+        let broken = false;
+        scriptAll(fleet, (request, response) => {
+          if (broken) return answerWhole(request, response);
+          broken = true;
+          script(request, response);
+        });
+        const answer = await fleet.call(0, { identifier: "look" });
+        t.is(answer.status, 200);
+        t.is(answer.body, "answer to look");
+        t.is(countRuns(fleet), 2);
+        t.deepEqual(fleet.backends.map(({ runs }) => runs.length), [1, 1]);
+      });
+    },
+  );
+});
+
+testInTurn(
+  "a backend server that states that it did not run the call is passed over, whatever the kind",
+  async (t) => {
+    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+      let shed = false;
+      scriptAll(fleet, (request, response) => {
+        if (shed) return answerWhole(request, response);
+        shed = true;
+        response.writeHead(503, { [MeshHeader.NotRun]: "1" }).end();
+      });
+      t.is((await fleet.call(0, { method: "POST" })).status, 200);
+    });
+  },
+);
+
+testInTurn("an extra answer never reaches the next caller", async (t) => {
+  await withFleet({ vms: 1 }, async (fleet) => {
+    scriptAll(fleet, (request, response) => {
+      answerWhole(request, response);
+      const call = request.headers[MeshHeader.Call];
+      setTimeout(() =>
+        request.socket.write(
+          `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\ncontent-length: 4\r\n\r\nlate`,
+        ), 20);
+    });
+    const first = await fleet.call(0, { identifier: "first" });
+    await delay(60);
+    const second = await fleet.call(0, { identifier: "second" });
+    t.is(first.body, "answer to first");
+    t.is(second.body, "answer to second");
+  });
+});
+
+testInTurn(
+  "a backend server that is gone costs a non-idempotent call nothing",
+  async (t) => {
+    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+      await fleet.backends[0]!.crash();
+      const answer = await fleet.call(0, { method: "POST" });
+      t.is(answer.status, 200);
+      t.is(fleet.backends[1]!.runs.length, 1);
+    });
+  },
+);
+
+testInTurn(
+  "without any backend server the caller is told at once that nothing ran, and when to come back",
+  async (t) => {
+    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+      await fleet.backends[0]!.crash();
+      const startedAt = performance.now();
+      const answer = await fleet.call(0, { method: "POST" });
+      t.is(answer.status, 503);
+      t.true(Number(answer.headers["retry-after"]) > 0);
+      t.true(performance.now() - startedAt < 700);
+    });
+  },
+);
+
+testInTurn(
+  "a caller that leaves stops its call at the backend server of another VM",
+  async (t) => {
+    await withFleet({ vms: 2 }, async (fleet) => {
+      await fleet.backends[0]!.crash();
+      scriptAll(fleet, () => undefined);
+      const leaving = new AbortController();
+      const call = fleet.call(0, { signal: leaving.signal });
+      const far = fleet.backends[1]!;
+      t.true(await waitUntil(() => far.runs.length === 1));
+      leaving.abort();
+      await call;
+      t.true(await waitUntil(() => far.cancelled === 1));
+    });
+  },
+);
+
+testInTurn(
+  "the route's timeout ends the wait for a silent backend server",
+  async (t) => {
+    await withFleet(
+      { vms: 1, route: { ...nonIdempotent, timeoutMilliseconds: 300 } },
+      async (fleet) => {
+        scriptAll(fleet, () => undefined);
+        const startedAt = performance.now();
+        const answer = await fleet.call(0, { method: "POST" });
+        t.is(answer.status, 504);
+        t.true(performance.now() - startedAt < 300 + 250);
+      },
+    );
+  },
+);
+
+testInTurn(
+  "more calls than slots: a backend server never has more calls than slots, and the others wait",
+  async (t) => {
+    await withFleet({ vms: 1, slots: 2 }, async (fleet) => {
+      let running = 0;
+      let most = 0;
+      scriptAll(fleet, (request, response) => {
+        running += 1;
+        most = Math.max(most, running);
+        setTimeout(() => {
+          running -= 1;
+          answerWhole(request, response);
+        }, 50);
+      });
+      const answers = await Promise.all(
+        Array.from({ length: 8 }, () => fleet.call(0)),
+      );
+      t.true(answers.every(({ status }) => status === 200));
+      t.is(most, 2);
+    });
+  },
+);
+
+testInTurn(
+  "a draining backend server gets no new call once its node has heard of it",
+  async (t) => {
+    await withFleet({ vms: 2 }, async (fleet) => {
+      fleet.publishServer(0, {
+        availability: BackendServerAvailability.Draining,
+      });
+      await delay(1_500);
+      const answers = await Promise.all(
+        [0, 0, 1, 1].map((vm) => fleet.call(vm)),
+      );
+      t.true(answers.every(({ status }) => status === 200));
+      t.is(fleet.backends[0]!.runs.length, 0);
+    });
+  },
+);
+
+testInTurn(
+  "a zone taken out gets no new call, and gets calls again when it is back",
+  async (t) => {
+    await withFleet({ vms: 2 }, async (fleet) => {
+      fleet.source.put("zones/sul-a", {
+        kind: SourceFactKind.ZoneTakenOut,
+        zone: "sul-a",
+      });
+      await delay(1_500);
+      await fleet.call(0);
+      t.is(fleet.backends[0]!.runs.length, 0);
+      fleet.source.remove("zones/sul-a");
+      await delay(1_500);
+      await fleet.call(0);
+      t.is(fleet.backends[0]!.runs.length, 1);
+    });
+  },
+);
+
+testInTurn(
+  "a backend server that comes back cold gets no more than it bears",
+  async (t) => {
+    await withFleet({ vms: 1, slots: 50 }, async (fleet) => {
+      const backend = fleet.backends[0]!;
+      await backend.crash();
+      await fleet.call(0);
+      backend.coldMilliseconds = 1_500;
+      await backend.recover();
+      await delay(500);
+      const before = backend.runs.length;
+      await Promise.all(
+        Array.from(
+          { length: 60 },
+          () => fleet.call(0, { remainingMilliseconds: 900 }),
+        ),
+      );
+      t.true(backend.runs.length - before <= 14 * 1.5 + 5);
+      t.true(backend.runs.length > before);
+    });
+  },
+);
+
+testInTurn(
+  "a stopping node is not ready, serves its callers through others and cuts nothing",
+  async (t) => {
+    await withFleet({ vms: 2 }, async (fleet) => {
+      scriptAll(fleet, (request, response) => {
+        setTimeout(() => answerWhole(request, response), 200);
+      });
+      const running = [fleet.call(0), fleet.call(1)];
+      await delay(50);
+      const stopped = fleet.daemons[0]!.stop();
+      t.is(await fleet.askReadiness(0), 503);
+      const late = await fleet.call(0);
+      t.is(late.status, 200);
+      t.is(late.headers["connection"], "close");
+      const answers = await Promise.all(running);
+      t.true(answers.every(({ status }) => status === 200));
+      t.is(await stopped, 0);
+    });
+  },
+);
+
+testInTurn("an outage of the source does not stop calls", async (t) => {
+  await withFleet({ vms: 2 }, async (fleet) => {
+    fleet.source.setDown(true);
+    fleet.source.remove("server/server-0");
+    fleet.source.remove("server/server-1");
+    await delay(700);
+    t.is((await fleet.call(0)).status, 200);
+  });
+});
--- /dev/null
+++ b/src/testing/mesh/answer_whole.ts
@@ -0,0 +1,14 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { MeshHeader } from "./mesh_header.ts";
+
+/** Answers a request with its own identifier, a signature and a whole body. */
+export function answerWhole(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.writeHead(200, {
+    [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
+    [MeshHeader.Signature]: "signed",
+  });
+  response.end(`answer to ${request.headers[MeshHeader.Call]}`);
+}
--- /dev/null
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -0,0 +1,218 @@
+import { createServer } from "node:net";
+import { startMeshNode } from "../../mesh/start_mesh_node.ts";
+import type { CallEvent } from "../../mesh/call_event.ts";
+import type { MeshDaemon } from "../../mesh/mesh_daemon.ts";
+import type { MeshSettings } from "../../mesh/mesh_settings.ts";
+import { BackendServerAvailability } from "../../register/backend_server_availability.ts";
+import type { RegisterEntry } from "../../register/register_entry.ts";
+import { CallKind } from "../../routing/call_kind.ts";
+import type { CallRoute } from "../../routing/call_route.ts";
+import { createRandomSource } from "../../runtime/create_random_source.ts";
+import { createSteadyClock } from "../../runtime/create_steady_clock.ts";
+import { createSystemTimers } from "../../runtime/create_system_timers.ts";
+import { SourceFactKind } from "../../source/source_fact_kind.ts";
+import { listenOnLoopback } from "../calls/listen_on_loopback.ts";
+import { waitUntil } from "../calls/wait_until.ts";
+import { createSourceFake } from "./create_source_fake.ts";
+import type { MeshBackend } from "./mesh_backend.ts";
+import type { MeshCall } from "./mesh_call.ts";
+import type { MeshFleet } from "./mesh_fleet.ts";
+import type { MeshFleetOptions } from "./mesh_fleet_options.ts";
+import { sendMeshCall } from "./send_mesh_call.ts";
+import { startMeshBackend } from "./start_mesh_backend.ts";
+import { testDialect } from "./test_dialect.ts";
+
+const service = "vitrine";
+const zones = ["sul-a", "sul-b", "sul-c"];
+const defaultSlots = 4;
+
+/** Starts a fleet and waits until each node knows the rules and every backend server. */
+export async function startMeshFleet(
+  options: MeshFleetOptions,
+): Promise<MeshFleet> {
+  const indexes = Array.from({ length: options.vms }, (_, index) => index);
+  const source = createSourceFake();
+  const backends = await Promise.all(
+    indexes.map((index) =>
+      startMeshBackend({
+        host: getHost(index),
+        identifier: `server-${index}`,
+      })
+    ),
+  );
+  const ports = await findFreePorts(3);
+  const settings = backends.map((backend, index) =>
+    createSettings(backend, { index, ports })
+  );
+  const events: CallEvent[] = [];
+  const entries = backends.map((backend, index) =>
+    createEntry(backend, { index, slots: options.slots ?? defaultSlots })
+  );
+  source.put("rules", {
+    kind: SourceFactKind.Rules,
+    rules: createRules(options.route ?? {}),
+  });
+  entries.forEach(publish);
+  const daemons = await Promise.all(
+    settings.map((settingsOfNode) => startNode(settingsOfNode)),
+  );
+  let calls = 0;
+
+  function publish(entry: RegisterEntry): void {
+    source.put(`server/${entry.identifier}`, {
+      kind: SourceFactKind.BackendServer,
+      entry,
+    });
+  }
+
+  async function startNode(own: MeshSettings): Promise<MeshDaemon> {
+    const clock = createSteadyClock();
+    const started = await startMeshNode(own, {
+      dialect: testDialect,
+      source: source.createClient(),
+      clock,
+      timers: createSystemTimers(clock),
+      random: createRandomSource(1),
+      report: {
+        call: (event) => void events.push(event),
+        belief: () => undefined,
+        state: () => undefined,
+      },
+    });
+    if (started.isErr) throw new Error("Cannot start a node of the test");
+    return started.value;
+  }
+
+  const fleet: MeshFleet = {
+    source,
+    backends,
+    settings,
+    daemons,
+    events,
+    publishServer: (index, change) => {
+      const entry = { ...entries[index]!, ...change };
+      entries[index] = { ...entry, sequence: entry.sequence + 1 };
+      publish(entries[index]);
+    },
+    call: (index, call: MeshCall = {}) => {
+      calls += 1;
+      return sendMeshCall(settings[index]!.listeners.callers, {
+        identifier: `call-${calls}`,
+        ...call,
+      });
+    },
+    askReadiness: async (index) => {
+      const { status } = await sendMeshCall(
+        settings[index]!.listeners.readiness,
+        { identifier: "readiness" },
+      );
+      return status;
+    },
+    close: async () => {
+      await Promise.all(daemons.map((daemon) => daemon.stop()));
+      await Promise.all(backends.map((backend) => backend.close()));
+    },
+  };
+  const ready = await Promise.all(
+    indexes.map(async (index) => {
+      let status = 0;
+      return await waitUntil(() => {
+        if (status === 200) return true;
+        void fleet.askReadiness(index).then((found) => {
+          status = found;
+        });
+        return false;
+      });
+    }),
+  );
+  if (!ready.every((isReady) => isReady)) {
+    throw new Error("A node of the test did not become ready");
+  }
+  return fleet;
+}
+
+function getHost(index: number): string {
+  return `127.0.0.${index + 1}`;
+}
+
+/** Ports that are free on the first host are taken to be free on the others. */
+async function findFreePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const addresses = await Promise.all(servers.map(listenOnLoopback));
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return addresses.map(({ port }) => port);
+}
+
+function createSettings(
+  backend: MeshBackend,
+  options: { readonly index: number; readonly ports: readonly number[] },
+): MeshSettings {
+  const host = getHost(options.index);
+  const [callers = 0, nodes = 0, readiness = 0] = options.ports;
+  return {
+    vm: `vm-${options.index}`,
+    zone: zones[options.index % zones.length]!,
+    service,
+    backendServer: backend.address,
+    listeners: {
+      callers: { host, port: callers },
+      nodes: { host, port: nodes },
+      readiness: { host, port: readiness },
+      metrics: undefined,
+    },
+    source: { host, port: 1 },
+    retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
+    stopMilliseconds: 1_000,
+  };
+}
+
+function createEntry(
+  backend: MeshBackend,
+  options: { readonly index: number; readonly slots: number },
+): RegisterEntry {
+  return {
+    identifier: backend.identifier,
+    service,
+    address: backend.address,
+    zone: zones[options.index % zones.length]!,
+    slots: options.slots,
+    availability: BackendServerAvailability.Ready,
+    coldUntil: 0,
+    bornAt: 1,
+    sequence: 1,
+  };
+}
+
+function createRules(change: Partial<CallRoute>) {
+  const route: CallRoute = {
+    name: "cakes",
+    host: "shop.example",
+    pathPrefix: "/cakes/",
+    kind: CallKind.Idempotent,
+    attemptsMaximum: 2,
+    timeoutMilliseconds: 1_500,
+    goalMilliseconds: 400,
+    priority: 2,
+    targets: [{ service, weight: 1 }],
+    ...change,
+  };
+  return {
+    version: 1,
+    routes: [route],
+    services: new Map([[service, {
+      name: service,
+      healthPath: "/health",
+      connectionsMaximum: 120,
+      coldMilliseconds: 500,
+      coldCallsPerSecond: 14,
+    }]]),
+    limits: {
+      headerBytesMaximum: 16_384,
+      bodyBytesMaximum: 65_536,
+      headerMilliseconds: 3_000,
+      idleMilliseconds: 15_000,
+    },
+  };
+}
--- /dev/null
+++ b/src/testing/mesh/test_dialect.ts
@@ -0,0 +1,37 @@
+import type { CallDialect } from "../../mesh/call_dialect.ts";
+import { MeshHeader } from "./mesh_header.ts";
+
+const misdirectedStatus = 421;
+
+/** The headers of tests. */
+export const testDialect: CallDialect = {
+  readCallerHead: ({ headers }) => {
+    const remaining = headers[MeshHeader.Remaining];
+    return {
+      callIdentifier: headers[MeshHeader.Call]?.toString(),
+      remainingMilliseconds: remaining === undefined
+        ? undefined
+        : Number(remaining),
+    };
+  },
+  markBackendRequest: (headers, marks) => [
+    ...headers,
+    MeshHeader.CallerService,
+    marks.callerService,
+    ...(marks.identifier === undefined
+      ? []
+      : [MeshHeader.Target, marks.identifier]),
+  ],
+  readBackendAnswerHead: ({ headers, statusCode }) => {
+    const cold = headers[MeshHeader.Cold];
+    return {
+      callIdentifier: headers[MeshHeader.Call]?.toString(),
+      notRun: headers[MeshHeader.NotRun] !== undefined,
+      signed: headers[MeshHeader.Signature] !== undefined,
+      encoded: headers["content-encoding"] !== undefined,
+      misdirected: statusCode === misdirectedStatus,
+      identifier: headers[MeshHeader.Identifier]?.toString(),
+      coldMilliseconds: cold === undefined ? undefined : Number(cold),
+    };
+  },
+};
