Refuse answers without a length that are reset

Ruled out: answers whose connection ends in order; these are whole. Change: an error of the exchange destroys the answer that it was reading.

--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -26,6 +26,7 @@
   const { backendServer } = node.settings;
   return new Promise((resolve) => {
     let connected = false;
+    let received: IncomingMessage | undefined;
     const outgoing = sendRequest({
       agent: node.backendAgent,
       host: backendServer.host,
@@ -45,6 +46,7 @@
         },
       }));
     outgoing.once("response", (answer) => {
+      received = answer;
       const head = node.dialect.readBackendAnswerHead(answer);
       const kind = judgeAnswer(answer, {
         head,
@@ -64,14 +66,17 @@
       answer.resume();
       resolve({ kind, head });
     });
-    // Later errors reach the answer's own stream.
-    outgoing.on("error", (error) =>
+    outgoing.on("error", (error) => {
+      // The parser takes any end of an answer without a length for its whole
+      // body, also a reset.
+      received?.destroy(error);
       resolve({
         kind: connected
           ? BackendExchangeKind.Broken
           : BackendExchangeKind.NotConnected,
         found: error.message,
-      }));
+      });
+    });
     outgoing.end(request.body.length > 0 ? request.body : undefined);
   });
 }
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -87,6 +87,13 @@
       [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
     }).end("unsigned");
   }],
+  ["an answer without a length that is reset", (request) => {
+    const call = request.headers[MeshHeader.Call];
+    request.socket.write(
+      `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\n\r\npart`,
+    );
+    setTimeout(() => request.socket.resetAndDestroy(), 50);
+  }],
   ["bytes that are no answer", (request) => {
     request.socket.end("This is not HTTP\r\n\r\n");
   }],
