--- a/src/balancing/create_gate_view.ts
+++ b/src/balancing/create_gate_view.ts
@@ -8,6 +8,8 @@
     loadAt: 0,
     loadInFlight: 0,
     avoidUntil: 0,
+    fullUntil: 0,
+    waitMilliseconds: 0,
     contactFailures: 0,
     failureShare: 0,
     answerMilliseconds: new Map(),
--- a/src/balancing/gate_view.ts
+++ b/src/balancing/gate_view.ts
@@ -11,6 +11,10 @@
   loadInFlight: number;
   /** Until when it is only asked where nobody else is left, in milliseconds since the Unix epoch. */
   avoidUntil: number;
+  /** Until when it is known to have no free slot, in milliseconds since the Unix epoch. */
+  fullUntil: number;
+  /** The wait for a slot that it told last. */
+  waitMilliseconds: number;
   /** Losses of contact in a row. */
   contactFailures: number;
   /** Moving average of failed calls, 0 to 1. */
--- a/src/balancing/note_gate_refusal.ts
+++ b/src/balancing/note_gate_refusal.ts
@@ -1,12 +1,14 @@
-import { RefusalReason } from "../calls/refusal_reason.ts";
+import { isFullReason } from "./is_full_reason.ts";
+import type { RefusalReason } from "../calls/refusal_reason.ts";
 import type { GateView } from "./gate_view.ts";
 
 /** A closed gate changes its mind only with the register, so it is not asked again at once. */
 const closedMilliseconds = 300;
-/** The least time for which a full gate is not asked without leave to wait. */
-const fullMilliseconds = 10;
+/** Part of a told wait for which the gate is taken to be full. */
+const fullShare = 0.5;
+const fullMillisecondsMaximum = 60;
 
-/** Avoids a node for a while that refused a call. */
+/** Takes over why a node refused a call: a full gate is known to be full for a while, a closed one is avoided. */
 export function noteGateRefusal(
   view: GateView,
   options: {
@@ -15,10 +17,12 @@
     readonly now: number;
   },
 ): void {
-  const isFull = options.reason === RefusalReason.Full ||
-    options.reason === RefusalReason.ColdStart;
-  const span = isFull
-    ? Math.min(fullMilliseconds, options.retryMilliseconds)
-    : closedMilliseconds;
-  view.avoidUntil = Math.max(view.avoidUntil, options.now + span);
+  const { now, retryMilliseconds } = options;
+  if (!isFullReason(options.reason)) {
+    view.avoidUntil = Math.max(view.avoidUntil, now + closedMilliseconds);
+    return;
+  }
+  view.waitMilliseconds = retryMilliseconds;
+  view.fullUntil = now +
+    Math.min(fullMillisecondsMaximum, retryMilliseconds * fullShare);
 }
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -9,7 +9,7 @@
     status: 503,
     title: "Node starting",
     detail: "The node has started and does not run such a request yet",
-    retryMilliseconds: 1000,
+    retryMilliseconds: 300,
   },
   [RefusalReason.ConfirmingView]: {
     status: 503,
--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -12,6 +12,7 @@
     closedFor: undefined,
     coldUntil: 0,
     coldCallsPerSecond: 1,
+    coldBurstCalls: 1,
     coldTokens: 1,
     coldTokensAt: now,
     running: new Map(),
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -10,8 +10,10 @@
   closedFor: RefusalReason | undefined;
   /** End of the cold start, in milliseconds since the Unix epoch; 0 for none. */
   coldUntil: number;
-  /** Requests a second that the backend server bears in cold start. */
+  /** Requests a second that the backend server gets in cold start. */
   coldCallsPerSecond: number;
+  /** Requests that it may get at once after a pause in cold start. */
+  coldBurstCalls: number;
   /** Requests that may be sent at once in cold start; fractions build up with time. */
   coldTokens: number;
   /** When `coldTokens` was last brought up to date, in milliseconds since the Unix epoch. */
--- a/src/gate/refill_cold_tokens.ts
+++ b/src/gate/refill_cold_tokens.ts
@@ -1,4 +1,3 @@
-import { coldBurstCalls } from "./cold_burst_calls.ts";
 import type { GateState } from "./gate_state.ts";
 
 const millisecondsPerSecond = 1_000;
@@ -7,7 +6,7 @@
 export function refillColdTokens(state: GateState, now: number): void {
   const elapsed = Math.max(0, now - state.coldTokensAt);
   state.coldTokens = Math.min(
-    coldBurstCalls,
+    state.coldBurstCalls,
     state.coldTokens +
       elapsed * state.coldCallsPerSecond / millisecondsPerSecond,
   );
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -2,20 +2,27 @@
 import { rankCandidates } from "../balancing/rank_candidates.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
+import { getWaitDeadline } from "./get_wait_deadline.ts";
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Returns the best backend server that was not asked yet in this round; undefined where none is left. */
+/**
+ * Returns the best backend server that is still to be asked in this round;
+ * undefined where none is left. Gates that are known to be full are asked
+ * only in the waiting round, and there only if the wait that they told would
+ * do.
+ */
 export function chooseCandidate(
   node: MeshNode,
   plan: CallPlan,
   run: CallRun,
 ): GateCandidate | undefined {
+  const now = node.clock.now();
   const candidates = listCandidates(node, plan.service).filter(({ entry }) =>
     !run.asked.has(entry.identifier)
   );
   const ranked = rankCandidates(candidates, {
-    now: node.clock.now(),
+    now,
     random: node.random,
     route: plan.route.name,
     goalMilliseconds: plan.route.goalMilliseconds,
@@ -23,8 +30,17 @@
     ownHost: node.settings.backendServer.host,
     answerBytes: node.answerBytes.get(plan.route.name) ?? 0,
   });
-  if (!run.mayWait) return ranked[0];
-  const getWait = ({ entry }: GateCandidate) =>
-    run.waits.get(entry.identifier) ?? 0;
-  return ranked.toSorted((left, right) => getWait(left) - getWait(right))[0];
+  if (!run.mayWait) {
+    return ranked.find(({ entry, view }) =>
+      view.fullUntil <= now && !run.waits.has(entry.identifier)
+    );
+  }
+  const getWait = ({ entry, view }: GateCandidate) =>
+    run.waits.get(entry.identifier) ??
+      (view.fullUntil > now ? view.waitMilliseconds : 0);
+  return ranked
+    .filter((candidate) =>
+      now + getWait(candidate) <= getWaitDeadline(plan, run, { candidate, now })
+    )
+    .toSorted((left, right) => getWait(left) - getWait(right))[0];
 }
--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -5,6 +5,7 @@
 import { CallEndKind } from "./call_end_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
+import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 const retryMillisecondsMinimum = 50;
@@ -21,11 +22,14 @@
   plan: CallPlan,
   run: CallRun,
 ): CallEnd {
-  const isLate = node.clock.now() >= plan.deadline;
-  const reason = isLate
+  const now = node.clock.now();
+  const reason = now >= plan.deadline
     ? RefusalReason.DeadlinePassed
-    : run.lastReason ?? RefusalReason.NoBackendServer;
-  const waits = Array.from(run.waits.values());
+    : run.lastReason ?? getUnaskedReason(node, plan);
+  const waits = listCandidates(node, plan.service)
+    .filter(({ view }) => view.fullUntil > now)
+    .map(({ view }) => view.waitMilliseconds)
+    .concat(...run.waits.values());
   const wait = waits.length > 0
     ? Math.min(...waits)
     : refusalTable[reason].retryMilliseconds / 2;
@@ -37,3 +41,10 @@
     retryMilliseconds: Math.max(retryMillisecondsMinimum, wait) * spread,
   };
 }
+
+/** No candidate was asked: there is none, or all are known to be full. */
+function getUnaskedReason(node: MeshNode, plan: CallPlan): RefusalReason {
+  return listCandidates(node, plan.service).length === 0
+    ? RefusalReason.NoBackendServer
+    : RefusalReason.Full;
+}
--- a/src/mesh/get_wait_deadline.ts
+++ b/src/mesh/get_wait_deadline.ts
@@ -1,16 +1,35 @@
+import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 
 /** Share of the goal that the best candidate may let a call wait before others are asked. */
 const firstWaitShare = 0.12;
+/** Share of the goal that a call may wait which is late anyway. */
+const lateWaitShare = 0.25;
+/** Share of the goal that an answer is assumed to take where none was seen. */
+const unknownAnswerShare = 0.3;
 
-/** Returns until when an offered call may wait for a slot; now for not at all. */
+/**
+ * Returns until when an offered call may wait for a slot; now for not at all.
+ *
+ * A call waits as long as it can still be answered within its goal. Waiting
+ * longer would hold it without a promise: its caller is told when to come
+ * back instead.
+ */
 export function getWaitDeadline(
   plan: CallPlan,
   run: CallRun,
-  now: number,
+  options: { readonly candidate: GateCandidate; readonly now: number },
 ): number {
-  if (run.mayWait) return plan.deadline;
-  if (run.asked.size > 0) return now;
-  return now + plan.route.goalMilliseconds * firstWaitShare;
+  const { candidate, now } = options;
+  const { goalMilliseconds, name } = plan.route;
+  if (!run.mayWait) {
+    const isFirst = run.asked.size === 0 && run.waits.size === 0;
+    return isFirst ? now + goalMilliseconds * firstWaitShare : now;
+  }
+  const answer = candidate.view.answerMilliseconds.get(name) ??
+    goalMilliseconds * unknownAnswerShare;
+  const latestInTime = plan.goalDeadline - answer;
+  const latestOfLate = now + goalMilliseconds * lateWaitShare;
+  return Math.min(plan.deadline, Math.max(latestInTime, latestOfLate));
 }
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -41,6 +41,8 @@
   readonly retryCounts: Map<string, RetryCounts>;
   /** Moving average of answers in bytes, by route. */
   readonly answerBytes: Map<string, number>;
+  /** The longest time that a caller of a route said it waits, in milliseconds, by route. */
+  readonly longestRemaining: Map<string, number>;
   /** Calls of callers that have no answer yet. */
   callerCalls: number;
   stopping: boolean;
--- a/src/mesh/mesh_settings.ts
+++ b/src/mesh/mesh_settings.ts
@@ -1,3 +1,4 @@
+import type { ColdAllowance } from "../gate/cold_allowance.ts";
 import type { RetryAllowance } from "../retries/retry_allowance.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 
@@ -18,6 +19,8 @@
   };
   readonly source: NetworkAddress;
   readonly retryAllowance: RetryAllowance;
+  /** By how much a backend server in cold start may get more than its rate, all nodes together. */
+  readonly coldAllowance: ColdAllowance;
   /** How long a stopping process may take before it is killed. */
   readonly stopMilliseconds: number;
 }
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -166,11 +166,13 @@
       }),
       reachedBackendServer: true,
     }))
-    .with(BackendExchangeKind.Misdirected, () =>
-      refuse(node, {
+    .with(BackendExchangeKind.Misdirected, () => ({
+      ...refuse(node, {
         reason: RefusalReason.BackendServerUnknown,
         retryMilliseconds: unknownRetryMilliseconds,
-      }))
+      }),
+      reachedBackendServer: true,
+    }))
     .with(BackendExchangeKind.NotConnected, () =>
       refuse(node, {
         reason: RefusalReason.BackendServerDown,
--- a/src/mesh/run_call.ts
+++ b/src/mesh/run_call.ts
@@ -2,6 +2,7 @@
 import { noteAnswer } from "../balancing/note_answer.ts";
 import { noteContactFailure } from "../balancing/note_contact_failure.ts";
 import { noteGateRefusal } from "../balancing/note_gate_refusal.ts";
+import { isFullReason } from "../balancing/is_full_reason.ts";
 import { noteLoad } from "../balancing/note_load.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
@@ -57,8 +58,8 @@
   while (!plan.signal.aborted) {
     const candidate = chooseCandidate(node, plan, run);
     if (candidate === undefined) {
-      if (run.mayWait || run.waits.size === 0) break;
-      startWaitingRound(run);
+      if (run.mayWait) break;
+      run.mayWait = true;
       continue;
     }
     const end = await askCandidate(node, plan, { run, candidate });
@@ -67,12 +68,6 @@
   return run.fallback ?? createCallRefusal(node, plan, run);
 }
 
-/** Only gates that were full are asked again. */
-function startWaitingRound(run: CallRun): void {
-  run.mayWait = true;
-  run.waits.forEach((_, identifier) => run.asked.delete(identifier));
-}
-
 /** Returns the end of the call, or undefined where the next candidate is to be asked. */
 async function askCandidate(
   node: MeshNode,
@@ -82,7 +77,10 @@
   const { run, candidate } = options;
   const { entry, view } = candidate;
   const offeredAt = node.clock.now();
-  const waitDeadline = getWaitDeadline(plan, run, offeredAt);
+  const waitDeadline = getWaitDeadline(plan, run, {
+    candidate,
+    now: offeredAt,
+  });
   run.asked.add(entry.identifier);
   view.inFlight += 1;
   const outcome = await makeOffer(node, plan, { candidate, waitDeadline });
@@ -172,9 +170,10 @@
   } else {
     noteGateRefusal(view, { reason, retryMilliseconds, now });
   }
-  const isFull = reason === RefusalReason.Full ||
-    reason === RefusalReason.ColdStart;
-  if (isFull) run.waits.set(entry.identifier, retryMilliseconds);
+  if (isFullReason(reason)) {
+    run.waits.set(entry.identifier, retryMilliseconds);
+    if (!run.mayWait) run.asked.delete(entry.identifier);
+  }
   if (!refused.reachedBackendServer) return undefined;
   run.attempts += 1;
   noteAnswer(view, {
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -12,6 +12,7 @@
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import { createCallIdentifier } from "./create_call_identifier.ts";
+import { getGoalDeadline } from "./get_goal_deadline.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { runCall } from "./run_call.ts";
@@ -93,7 +94,11 @@
       rulesVersion: node.view.rules?.version ?? 0,
       receivedAt,
       deadline,
-      goalDeadline: receivedAt + chosen.goalMilliseconds,
+      goalDeadline: getGoalDeadline(node, {
+        route: chosen,
+        remainingMilliseconds: head.remainingMilliseconds,
+        now: receivedAt,
+      }),
       signal: cancellation.signal,
     };
   }
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -122,6 +122,7 @@
     splits: new Map(),
     retryCounts: new Map(),
     answerBytes: new Map(),
+    longestRemaining: new Map(),
     callerCalls: 0,
     stopping: false,
   };
--- a/src/mesh/stop_mesh_node.ts
+++ b/src/mesh/stop_mesh_node.ts
@@ -4,7 +4,7 @@
 /** The platform notices within this time that the node is not ready, and sends its callers elsewhere. */
 const noticeMilliseconds = 2_600;
 /** Time left before the process would be killed. */
-const reserveMilliseconds = 300;
+const reserveMilliseconds = 700;
 const pollMilliseconds = 50;
 
 /**
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -1,3 +1,4 @@
+import { setColdRate } from "../gate/set_cold_rate.ts";
 import { getStandingRefusal } from "../gate/get_standing_refusal.ts";
 import { findOwnRecord } from "./find_own_record.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -14,7 +15,10 @@
   }
   const service = view.rules?.services.get(settings.service);
   if (service !== undefined) {
-    gate.coldCallsPerSecond = service.coldCallsPerSecond;
+    setColdRate(gate, {
+      callsPerSecond: service.coldCallsPerSecond,
+      allowance: settings.coldAllowance,
+    });
   }
   gate.closedFor = getStandingRefusal({
     record,
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -164,6 +164,7 @@
     },
     source: { host, port: 1 },
     retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
+    coldAllowance: { factor: 1.5, slack: 5 },
     stopMilliseconds: 1_000,
   };
 }
