--- a/src/mesh/call_event.ts
+++ b/src/mesh/call_event.ts
@@ -14,6 +14,8 @@
   /** Backend servers that the call was sent to so far. */
   readonly attempts?: number;
   readonly elapsedMilliseconds?: number;
+  /** How long the call waited for a slot. */
+  readonly waitedMilliseconds?: number;
   readonly retryMilliseconds?: number;
   /** Version of the rules that decided. */
   readonly rulesVersion?: number;
--- a/src/mesh/call_event_kind.ts
+++ b/src/mesh/call_event_kind.ts
@@ -12,6 +12,8 @@
   OfferLost = "offer-lost",
   /** The call is sent once more after it may have run. */
   Repeated = "call-repeated",
+  /** The exchange with the backend server of this VM ended. */
+  Exchanged = "call-exchanged",
   /** The call waits for a slot of the backend server of this VM. */
   Queued = "call-queued",
 }
--- /dev/null
+++ b/src/mesh/create_line_budget.ts
@@ -0,0 +1,25 @@
+import type { LineBudget } from "./line_budget.ts";
+
+const linesPerSecond = 60;
+const millisecondsPerSecond = 1_000;
+
+/** Creates a budget; `onDropped` hears at the next line how many lines a second lost. */
+export function createLineBudget(
+  onDropped: (dropped: number) => void,
+): LineBudget {
+  let second = 0;
+  let lines = 0;
+  return {
+    trySpend: (now) => {
+      const current = Math.floor(now / millisecondsPerSecond);
+      if (current !== second) {
+        const dropped = lines - linesPerSecond;
+        second = current;
+        lines = 0;
+        if (dropped > 0) onDropped(dropped);
+      }
+      lines += 1;
+      return lines <= linesPerSecond;
+    },
+  };
+}
--- /dev/null
+++ b/src/mesh/create_mesh_log.ts
@@ -0,0 +1,62 @@
+import pino from "pino";
+import { BackendExchangeKind } from "./backend_exchange_kind.ts";
+import type { CallEvent } from "./call_event.ts";
+import { CallEventKind } from "./call_event_kind.ts";
+import { createLineBudget } from "./create_line_budget.ts";
+import type { MeshReport } from "./mesh_report.ts";
+
+/** Lines are handed to the system in portions of this size. */
+const portionBytes = 4_096;
+/** Lines that nobody reads are held up to this size, and dropped beyond it. */
+const heldBytesMaximum = 1_048_576;
+const flushMilliseconds = 500;
+/** Of the calls that went well, one in so many is written. */
+const ordinarySample = 50;
+
+/**
+ * Creates the log of a node: JSON lines on standard output. Writing never
+ * blocks. Of ordinary calls a sample is written, the same calls on every
+ * node; failures and changes of belief are written up to a budget of lines a
+ * second, and what was dropped is counted.
+ */
+export function createMeshLog(
+  options: { readonly vm: string; readonly zone: string },
+): MeshReport {
+  const destination = pino.destination({
+    dest: 1,
+    sync: false,
+    minLength: portionBytes,
+    maxLength: heldBytesMaximum,
+    periodicFlush: flushMilliseconds,
+  });
+  const logger = pino({ base: options }, destination);
+  const budget = createLineBudget((dropped) =>
+    logger.warn({ dropped }, "Log lines were dropped")
+  );
+  return {
+    call: (event) => {
+      if (isOrdinary(event) && !isSampled(event.call)) return;
+      if (budget.trySpend(Date.now())) logger.info(event);
+    },
+    belief: (change) => {
+      if (budget.trySpend(Date.now())) logger.info(change);
+    },
+    state: (subject, fields) => logger.info({ subject, ...fields }),
+  };
+}
+
+function isOrdinary(event: CallEvent): boolean {
+  return event.kind === CallEventKind.Answered ||
+    event.kind === CallEventKind.Queued ||
+    (event.kind === CallEventKind.Exchanged &&
+      event.outcome === BackendExchangeKind.Answered);
+}
+
+/** Depends on the identifier alone, so that all nodes write the same calls. */
+function isSampled(callIdentifier: string): boolean {
+  const sum = Array.from(callIdentifier).reduce(
+    (total, letter) => total + letter.charCodeAt(0),
+    0,
+  );
+  return sum % ordinarySample === 0;
+}
--- /dev/null
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -0,0 +1,44 @@
+import test from "ava";
+import { CallEventKind } from "./call_event_kind.ts";
+import { createMeshMetrics } from "./create_mesh_metrics.ts";
+
+test("counters by reason, histograms by place, and gauges are rendered", async (t) => {
+  const metrics = createMeshMetrics();
+  metrics.observe({
+    kind: CallEventKind.Refused,
+    call: "a",
+    reason: "full",
+    outcome: "not-run",
+  });
+  metrics.observe({
+    kind: CallEventKind.Exchanged,
+    call: "b",
+    outcome: "answered",
+    waitedMilliseconds: 5,
+    elapsedMilliseconds: 120,
+  });
+  const text = await metrics.render({
+    rulesVersion: 7,
+    sourceSoundMilliseconds: -1,
+    registeredServers: 12,
+    zonesTakenOut: 0,
+    running: 1,
+    queued: 2,
+    slots: 12,
+    cold: true,
+    open: false,
+    callerCalls: 3,
+    stopping: false,
+  });
+  t.regex(
+    text,
+    /catkinquay_call_events_total\{kind="call-refused",reason="full",outcome="not-run"\} 1/,
+  );
+  t.regex(
+    text,
+    /catkinquay_latency_milliseconds\{place="queue",quantile="0.5"\} 5/,
+  );
+  t.regex(text, /catkinquay_rules_version 7/);
+  t.regex(text, /catkinquay_source_sound_milliseconds -1/);
+  t.regex(text, /catkinquay_cold 1/);
+});
--- /dev/null
+++ b/src/mesh/get_mesh_gauges.ts
@@ -0,0 +1,27 @@
+import { ServerCondition } from "../gate/server_condition.ts";
+import { getGateLoad } from "./get_gate_load.ts";
+import type { MeshGauges } from "./mesh_gauges.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Returns the gauges of a node as they are now. */
+export function getMeshGauges(node: MeshNode): MeshGauges {
+  const { gate, view } = node;
+  const { running, queued, slots, cold } = getGateLoad(node);
+  const soundSince = view.sourceSoundSince;
+  return {
+    rulesVersion: view.rules?.version ?? 0,
+    sourceSoundMilliseconds: Number.isFinite(soundSince)
+      ? Math.round(node.clock.now() - soundSince)
+      : -1,
+    registeredServers: view.register.size,
+    zonesTakenOut: view.zonesTakenOut.size,
+    running,
+    queued,
+    slots,
+    cold,
+    open: gate.closedFor === undefined &&
+      gate.condition !== ServerCondition.Down,
+    callerCalls: node.callerCalls,
+    stopping: node.stopping,
+  };
+}
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../runtime/clock.ts";
 import type { Timers } from "../runtime/timers.ts";
 import type { CallDialect } from "./call_dialect.ts";
+import type { MeshMetrics } from "./mesh_metrics.ts";
 import type { MeshReport } from "./mesh_report.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
@@ -16,12 +17,13 @@
 
 /** The state of one running node. */
 export interface MeshNode {
-  readonly settings: MeshSettings;
+  settings: MeshSettings;
   readonly dialect: CallDialect;
   readonly clock: Clock;
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly report: MeshReport;
+  readonly metrics: MeshMetrics;
   readonly view: MeshView;
   readonly gate: GateState;
   /** Calls that wait for a slot, by call identifier. */
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -39,11 +39,12 @@
       retryMilliseconds: unknownRetryMilliseconds,
     }));
   }
-  const decision = requestSlot(node.gate, offer, node.clock.now());
+  const offeredAt = node.clock.now();
+  const decision = requestSlot(node.gate, offer, offeredAt);
   return match(decision)
     .with(
       { kind: SlotDecisionKind.Granted },
-      () => runOffer(node, request, options),
+      () => runOffer(node, request, { ...options, offeredAt }),
     )
     .with(
       { kind: SlotDecisionKind.Refused },
@@ -52,7 +53,7 @@
     .with({ kind: SlotDecisionKind.Queued }, () => {
       reportQueued(node, offer);
       return waitForSlot(node, { offer, signal }).then((refused) =>
-        refused ?? runOffer(node, request, options)
+        refused ?? runOffer(node, request, { ...options, offeredAt })
       );
     })
     .exhaustive();
@@ -108,10 +109,15 @@
 async function runOffer(
   node: MeshNode,
   request: CallRequest,
-  options: { readonly offer: GateOffer; readonly signal: AbortSignal },
+  options: {
+    readonly offer: GateOffer;
+    readonly offeredAt: number;
+    readonly signal: AbortSignal;
+  },
 ): Promise<OfferOutcome> {
   const { offer, signal } = options;
   const { callIdentifier } = offer;
+  const startedAt = node.clock.now();
   const headers = node.dialect.markBackendRequest(request.headers, {
     identifier: getOwnIdentifier(node) ?? offer.identifier,
     callerService: offer.callerService,
@@ -130,6 +136,15 @@
     settleWaitingCalls(node);
   };
   if (!signal.aborted) noteBackendExchange(node, exchange);
+  node.report.call({
+    kind: CallEventKind.Exchanged,
+    call: callIdentifier,
+    route: offer.route,
+    service: offer.service,
+    outcome: exchange.kind,
+    waitedMilliseconds: Math.round(startedAt - options.offeredAt),
+    elapsedMilliseconds: Math.round(node.clock.now() - startedAt),
+  });
   return match(exchange)
     .with({ kind: BackendExchangeKind.Answered }, ({ answer }) => {
       releaseAtEnd(answer, release);
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -11,6 +11,7 @@
 import type { SourceClient } from "../source/source_client.ts";
 import type { CallDialect } from "./call_dialect.ts";
 import { createConnectionAgent } from "./create_connection_agent.ts";
+import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
 import { forgetVanished } from "../register/forget_vanished.ts";
 import type { MeshDaemon } from "./mesh_daemon.ts";
@@ -20,6 +21,8 @@
 import { probeBackendServer } from "./probe_backend_server.ts";
 import { serveCallerRequest } from "./serve_caller_request.ts";
 import { serveOffer } from "./serve_offer.ts";
+import { reloadSettings } from "./reload_settings.ts";
+import { serveMetrics } from "./serve_metrics.ts";
 import { serveReadiness } from "./serve_readiness.ts";
 import { stopMeshNode } from "./stop_mesh_node.ts";
 import { takeSourceReading } from "./take_source_reading.ts";
@@ -79,6 +82,7 @@
     updateGate(node);
   }, upkeepMilliseconds);
   return Result.ok({
+    reload: (changed) => reloadSettings(node, changed),
     stop: async () => {
       const cut = await stopMeshNode(node);
       clearInterval(upkeep);
@@ -98,7 +102,15 @@
     "dialect" | "clock" | "timers" | "random" | "report"
   >,
 ): MeshNode {
-  const { dialect, clock, timers, random, report } = options;
+  const { dialect, clock, timers, random } = options;
+  const metrics = createMeshMetrics();
+  const report: MeshReport = {
+    ...options.report,
+    call: (event) => {
+      metrics.observe(event);
+      options.report.call(event);
+    },
+  };
   return {
     settings,
     dialect,
@@ -106,6 +118,7 @@
     timers,
     random,
     report,
+    metrics,
     view: createMeshView(),
     gate: createGateState(clock.now()),
     slotWaiters: new Map(),
@@ -131,7 +144,7 @@
 async function openListeners(
   node: MeshNode,
 ): Promise<Result<readonly Listener[], Diagnostic>> {
-  const { callers, nodes, readiness } = node.settings.listeners;
+  const { callers, nodes, readiness, metrics } = node.settings.listeners;
   const common = {
     requestHeaderBytes: headerBytesMaximum,
     onBrokenRequest: refuseBrokenRequest,
@@ -153,6 +166,11 @@
       address: readiness,
       onRequest: (_request, response) => serveReadiness(node, response),
     }),
+    ...(metrics === undefined ? [] : [openListener({
+      ...common,
+      address: metrics,
+      onRequest: (_request, response) => serveMetrics(node, response),
+    })]),
   ]);
   const failed = opened.find((result) => result.isErr);
   if (failed?.isErr) return Result.err(failed.error);
--- /dev/null
+++ b/src/mesh/take_source_reading_test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import fc from "fast-check";
+import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import type { RegisterEntry } from "../register/register_entry.ts";
+import type { Rules } from "../routing/rules.ts";
+import type { SourceFact } from "../source/source_fact.ts";
+import { SourceFactKind } from "../source/source_fact_kind.ts";
+import { BeliefChangeKind } from "./belief_change_kind.ts";
+import { createMeshView } from "./create_mesh_view.ts";
+import type { MeshView } from "./mesh_view.ts";
+import { takeSourceReading } from "./take_source_reading.ts";
+
+const now = 1_000_000;
+
+function createRules(version: number): Rules {
+  return {
+    version,
+    routes: [],
+    services: new Map(),
+    limits: {
+      headerBytesMaximum: 1,
+      bodyBytesMaximum: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  };
+}
+
+function createEntry(change: Partial<RegisterEntry> = {}): RegisterEntry {
+  return {
+    identifier: "i-1",
+    service: "vitrine",
+    address: { host: "10.0.0.1", port: 8301 },
+    zone: "sul-a",
+    slots: 12,
+    availability: BackendServerAvailability.Ready,
+    coldUntil: 0,
+    bornAt: 5,
+    sequence: 3,
+    ...change,
+  };
+}
+
+function take(
+  view: MeshView,
+  facts: readonly (readonly [string, number, SourceFact | undefined])[],
+  complete = false,
+): readonly BeliefChangeKind[] {
+  const items = facts.map(([key, revision, fact]) => ({ key, revision, fact }));
+  const revision = Math.max(0, ...items.map((item) => item.revision));
+  return takeSourceReading(view, { items, revision }, { complete, now })
+    .map(({ kind }) => kind);
+}
+
+const rulesFact = (version: number): SourceFact => ({
+  kind: SourceFactKind.Rules,
+  rules: createRules(version),
+});
+const serverFact = (change: Partial<RegisterEntry> = {}): SourceFact => ({
+  kind: SourceFactKind.BackendServer,
+  entry: createEntry(change),
+});
+
+test("whatever the order of readings, a version never goes back", (t) => {
+  fc.assert(fc.property(
+    fc.array(fc.tuple(fc.nat(50), fc.nat(50)), { maxLength: 30 }),
+    (writes) => {
+      const view = createMeshView();
+      let highest = -1;
+      return writes.every(([revision, version]) => {
+        take(view, [["rules", revision, rulesFact(version)]]);
+        const inForce = view.rules?.version ?? -1;
+        const holds = inForce >= highest;
+        highest = inForce;
+        return holds;
+      });
+    },
+  ));
+  t.pass();
+});
+
+test("an older revision of a key is ignored", (t) => {
+  const view = createMeshView();
+  take(view, [["servers/i-1", 9, serverFact()]]);
+  take(view, [["servers/i-1", 8, undefined]]);
+  t.is(view.register.get("i-1")?.vanishedAt, 0);
+});
+
+test("beats that crossed each other do not bring back an older state", (t) => {
+  const view = createMeshView();
+  const availability = BackendServerAvailability.Draining;
+  take(view, [["servers/i-1", 9, serverFact({ availability, sequence: 7 })]]);
+  take(view, [["servers/i-1", 10, serverFact({ sequence: 6 })]]);
+  t.is(view.register.get("i-1")?.entry.availability, availability);
+});
+
+test("the same identifier born again starts anew", (t) => {
+  const view = createMeshView();
+  const availability = BackendServerAvailability.Draining;
+  take(view, [["servers/i-1", 9, serverFact({ availability, sequence: 7 })]]);
+  const changes = take(view, [
+    ["servers/i-1", 10, serverFact({ sequence: 1, bornAt: 99 })],
+  ]);
+  t.is(
+    view.register.get("i-1")?.entry.availability,
+    BackendServerAvailability.Ready,
+  );
+  t.deepEqual(changes, [BeliefChangeKind.BackendServerAdded]);
+});
+
+test("lost history: keys that a complete reading lacks count as removed", (t) => {
+  const view = createMeshView();
+  take(view, [
+    ["servers/i-1", 2, serverFact()],
+    ["zones/sul-b", 3, { kind: SourceFactKind.ZoneTakenOut, zone: "sul-b" }],
+  ]);
+  const changes = take(view, [["rules", 9, rulesFact(1)]], true);
+  t.is(view.register.get("i-1")?.vanishedAt, now);
+  t.is(view.zonesTakenOut.size, 0);
+  t.deepEqual(
+    [...changes].sort(),
+    [
+      BeliefChangeKind.BackendServerVanished,
+      BeliefChangeKind.RulesInForce,
+      BeliefChangeKind.ZoneReturned,
+    ].sort(),
+  );
+});
+
+test("an entry by another writer names no backend server, and the others hold", (t) => {
+  const view = createMeshView();
+  take(view, [
+    ["servers/i-1", 2, serverFact()],
+    ["servers/i-2", 3, { kind: SourceFactKind.Foreign, found: "no JSON" }],
+  ]);
+  t.deepEqual(Array.from(view.register.keys()), ["i-1"]);
+});
+
+test("an address that another service took over belongs to its new owner alone", (t) => {
+  const view = createMeshView();
+  take(view, [["servers/i-1", 2, serverFact()]]);
+  take(view, [["servers/i-1", 3, undefined]]);
+  take(view, [
+    ["servers/i-9", 4, serverFact({ identifier: "i-9", service: "repasses" })],
+  ]);
+  t.deepEqual(Array.from(view.register.keys()), ["i-9"]);
+});
--- /dev/null
+++ b/src/source/follow_source_test.ts
@@ -0,0 +1,114 @@
+import test from "ava";
+import { setImmediate } from "node:timers/promises";
+import { Result } from "true-myth";
+import { createRandomSource } from "../runtime/create_random_source.ts";
+import { followSource } from "./follow_source.ts";
+import type { SourceFailure } from "./source_failure.ts";
+import { SourceFailureKind } from "./source_failure_kind.ts";
+import type { SourceItem } from "./source_item.ts";
+import type { SourceReading } from "./source_reading.ts";
+
+type Answer = Result<SourceReading, SourceFailure>;
+
+const item: SourceItem = { key: "k", revision: 2, fact: undefined };
+const ok = (items: readonly SourceItem[], revision: number): Answer =>
+  Result.ok({ items, revision });
+const fail = (kind: SourceFailureKind): Answer =>
+  Result.err({ kind, found: "as scripted" });
+
+/** Answers reads from a script and returns what the follower did. */
+async function follow(script: readonly Answer[]): Promise<readonly string[]> {
+  const answers = [...script];
+  const seen: string[] = [];
+  let finish = () => {};
+  const finished = new Promise<void>((resolve) => {
+    finish = resolve;
+  });
+  function answer(call: string): Promise<Answer> {
+    const next = answers.shift();
+    if (next === undefined) {
+      finish();
+      return new Promise(() => undefined);
+    }
+    seen.push(call);
+    return Promise.resolve(next);
+  }
+  const follower = followSource({
+    client: {
+      readAll: () => answer("all"),
+      readChanges: (revision) => answer(`after ${revision}`),
+      close: () => undefined,
+    },
+    handler: {
+      onReading: ({ items }, { complete }) =>
+        seen.push(`${complete ? "complete" : "changes"} ${items.length}`),
+      onLost: ({ kind }) => seen.push(`lost ${kind}`),
+      onRegained: () => seen.push("regained"),
+    },
+    random: createRandomSource(1),
+    wait: async () => {
+      await setImmediate();
+    },
+  });
+  await finished;
+  follower.stop();
+  return seen;
+}
+
+test("everything is read once, then the changes after the last revision", async (t) => {
+  t.deepEqual(await follow([ok([item], 5), ok([item], 7), ok([item], 8)]), [
+    "all",
+    "regained",
+    "complete 1",
+    "after 5",
+    "changes 1",
+    "after 7",
+    "changes 1",
+  ]);
+});
+
+test("an outage is told once, and changes go on where they were", async (t) => {
+  t.deepEqual(
+    await follow([
+      ok([item], 5),
+      fail(SourceFailureKind.Unreachable),
+      fail(SourceFailureKind.TurnedAway),
+      ok([item], 7),
+    ]),
+    [
+      "all",
+      "regained",
+      "complete 1",
+      "after 5",
+      "lost unreachable",
+      "after 5",
+      "after 5",
+      "regained",
+      "changes 1",
+    ],
+  );
+});
+
+test("lost history, nonsense and an odd silence make everything be read again", async (t) => {
+  t.deepEqual(
+    await follow([
+      ok([item], 5),
+      fail(SourceFailureKind.HistoryLost),
+      ok([item], 9),
+      ok([], 9),
+      ok([item], 9),
+    ]),
+    [
+      "all",
+      "regained",
+      "complete 1",
+      "after 5",
+      "all",
+      "complete 1",
+      "after 9",
+      "changes 0",
+      "all",
+      "complete 1",
+    ],
+  );
+});
--- a/src/telemetry/create_node_metrics.ts
+++ b/src/telemetry/create_node_metrics.ts
@@ -1,20 +1,13 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
+import { createLatencyHistogram } from "./create_latency_histogram.ts";
+import { latencyQuantiles } from "./latency_quantiles.ts";
 import type { LatencySummary } from "./latency_summary.ts";
 import type { NodeGauges } from "./node_gauges.ts";
 import type { NodeMetrics } from "./node_metrics.ts";
 
 const microsecondsPerMillisecond = 1_000;
 const answeredResult = "answered";
-/** Longest time that the histograms tell apart, in microseconds. */
-const longestMicroseconds = 3_600_000_000;
-/** Labels of the quantiles with their percentiles. */
-const quantiles = [
-  { label: "0.5", percentile: 50 },
-  { label: "0.9", percentile: 90 },
-  { label: "0.99", percentile: 99 },
-  { label: "0.999", percentile: 99.9 },
-] as const;
 
 const gaugeTexts: Readonly<
   Record<keyof NodeGauges, readonly [string, string]>
@@ -47,15 +40,6 @@
   ],
 };
 
-function createHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: longestMicroseconds,
-    numberOfSignificantValueDigits: 2,
-    autoResize: true,
-  });
-}
-
 function getSummary(service: string, histogram: Histogram): LatencySummary {
   return {
     service,
@@ -100,7 +84,7 @@
         return;
       }
       const histogram = histograms.get(observation.service) ??
-        createHistogram();
+        createLatencyHistogram();
       histograms.set(observation.service, histogram);
       histogram.recordValue(
         Math.round(
@@ -112,7 +96,7 @@
       const values = readGauges();
       gauges.forEach(({ field, gauge }) => gauge.set(Number(values[field])));
       histograms.forEach((histogram, service) =>
-        quantiles.forEach(({ label, percentile }) =>
+        latencyQuantiles.forEach(({ label, percentile }) =>
           latency.set(
             { service, quantile: label },
             histogram.getValueAtPercentile(percentile) /
--- /dev/null
+++ b/stand_ins/store/store_fault.ts
@@ -0,0 +1,12 @@
+/** How the stand-in store misbehaves. */
+export enum StoreFault {
+  None = "none",
+  /** Answers 503. */
+  Busy = "busy",
+  /** Ends connections. */
+  Reset = "reset",
+  /** Never answers. */
+  Silent = "silent",
+  /** Answers that are not JSON. */
+  Garbled = "garbled",
+}
