--- /dev/null
+++ b/src/command_line/parse_log_line.ts
@@ -0,0 +1,32 @@
+import { tryParseJson } from "../daemon/try_parse_json.ts";
+import type { LogLine } from "./log_line.ts";
+
+/** Fields that every line has and that say nothing on the decision. */
+const commonFields: ReadonlySet<string> = new Set([
+  "level",
+  "time",
+  "vm",
+  "zone",
+  "kind",
+  "call",
+]);
+
+/** Returns a line on a call, or undefined for any other line. What a collector wrote before the JSON is passed over. */
+export function parseLogLine(text: string): LogLine | undefined {
+  const start = text.indexOf("{");
+  if (start < 0) return undefined;
+  const input = tryParseJson(text.slice(start));
+  if (typeof input !== "object" || input === null) return undefined;
+  const fields = input as Record<string, unknown>;
+  const { time, vm, kind, call } = fields;
+  if (
+    typeof time !== "number" || typeof vm !== "string" ||
+    typeof kind !== "string" || typeof call !== "string"
+  ) {
+    return undefined;
+  }
+  const details = Object.fromEntries(
+    Object.entries(fields).filter(([name]) => !commonFields.has(name)),
+  );
+  return { time, vm, kind, call, details };
+}
--- a/src/command_line/run_command_line.ts
+++ b/src/command_line/run_command_line.ts
@@ -1,6 +1,7 @@
 import { checkCommand } from "./check_command.ts";
 import type { Command } from "./command.ts";
 import type { CommandOutput } from "./command_output.ts";
+import { explainCommand } from "./explain_command.ts";
 import { ExitStatus } from "./exit_status.ts";
 import { getPackageVersion } from "./get_package_version.ts";
 import { nodeCommand } from "./node_command.ts";
@@ -17,6 +18,7 @@
   routes   show what a configuration compiles to
   status   show a node's version, backend server, peers and refusals
   trail    show a node's audit trail of changes
+  explain  show what the nodes decided on one call, from their logs
 
   -h, --help   show this text; "catkinquay COMMAND --help" shows a command's
   --version    show the version
@@ -28,6 +30,7 @@
   ["routes", routesCommand],
   ["status", statusCommand],
   ["trail", trailCommand],
+  ["explain", explainCommand],
 ]);
 
 /** Runs the command that the arguments name and returns the exit status. */
--- a/stand_ins/relay/create_relay.ts
+++ b/stand_ins/relay/create_relay.ts
@@ -21,9 +21,15 @@
     connection.client.destroy();
     connection.target.destroy();
   };
+  const reset = (connection: RelayedConnection) => {
+    connections.delete(connection);
+    connection.client.resetAndDestroy();
+    connection.target.resetAndDestroy();
+  };
   const pass = (connection: RelayedConnection, from: Socket, to: Socket) => {
     from.on("data", (data) => {
-      if (connection.silent) {
+      const isDropped = mode.oneWay && from === connection.target;
+      if (connection.silent || isDropped) {
         return;
       }
       const write = () => !connection.silent && to.writable && to.write(data);
@@ -52,6 +58,8 @@
       mode = next;
       if (next.openConnections === "cut") {
         [...connections].forEach(end);
+      } else if (next.openConnections === "reset") {
+        [...connections].forEach(reset);
       } else if (next.openConnections === "silent") {
         connections.forEach((connection) => {
           connection.silent = true;
--- /dev/null
+++ b/stand_ins/soak/main.ts
@@ -0,0 +1,63 @@
+/**
+ * Runs soaks: `--seed N` for the first seed, `--runs N`, `--vms N`,
+ * `--seconds N`. Prints one line a seed, and the broken promises with the
+ * nodes' last lines.
+ *
+ * @module
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { runSoak } from "./run_soak.ts";
+
+const help =
+  `Usage: npm run soak -- [--seed N] [--runs N] [--vms N] [--seconds N]
+
+Starts real nodes as separate processes, injects faults from outside and checks
+the promises on what callers and backend servers see.
+
+  --seed N      first seed (1)
+  --runs N      seeds to run, one after the other (1)
+  --vms N       VMs with a node each (6)
+  --seconds N   length of the traffic (15)
+`;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    runs: { type: "string", default: "1" },
+    vms: { type: "string", default: "6" },
+    seconds: { type: "string", default: "15" },
+    "base-port": { type: "string", default: "18300" },
+    help: { type: "boolean", short: "h" },
+  },
+});
+
+async function main(): Promise<void> {
+  if (values.help === true) {
+    process.stdout.write(help);
+    return;
+  }
+  const seeds = Array.from(
+    { length: Number(values.runs) },
+    (_, index) => Number(values.seed) + index,
+  );
+  let broken = 0;
+  for (const seed of seeds) {
+    const report = await runSoak({
+      seed,
+      vms: Number(values.vms),
+      seconds: Number(values.seconds),
+      program: "dist/platform/main.js",
+      basePort: Number(values["base-port"]),
+    });
+    broken += report.violations.length;
+    const { logs, faults, ...line } = report;
+    process.stdout.write(
+      `${JSON.stringify({ ...line, faults: faults.length })}\n`,
+    );
+    logs.forEach((text) => process.stdout.write(`  ${text}\n`));
+  }
+  process.exitCode = broken === 0 ? 0 : 1;
+}
+
+await main();
--- /dev/null
+++ b/stand_ins/soak/run_soak.ts
@@ -0,0 +1,146 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { Agent } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { groupBy } from "../../src/collections/group_by.ts";
+import type { RandomSource } from "../../src/runtime/random_source.ts";
+import { createSeededRandom } from "../common/create_seeded_random.ts";
+import { createStoreServer } from "../store/create_store_server.ts";
+import { applySoakFault } from "./apply_soak_fault.ts";
+import { createSoakPlan } from "./create_soak_plan.ts";
+import { createSoakRules } from "./create_soak_rules.ts";
+import { findSoakViolations } from "./find_soak_violations.ts";
+import { sendSoakCall } from "./send_soak_call.ts";
+import type { SoakCall } from "./soak_call.ts";
+import type { SoakOptions } from "./soak_options.ts";
+import type { SoakRecord } from "./soak_record.ts";
+import type { SoakReport } from "./soak_report.ts";
+import type { SoakVm } from "./soak_vm.ts";
+import { startSoakVm } from "./start_soak_vm.ts";
+
+const millisecondsPerSecond = 1_000;
+const warmUpMilliseconds = 1_500;
+const heartbeatMilliseconds = 500;
+const pauseMilliseconds = 60;
+const nonIdempotentShare = 0.4;
+const callersPerVm = 3;
+
+/** Runs one soak: real processes, faults from outside, and the promises checked on all that was seen. */
+export async function runSoak(
+  options: SoakOptions & {
+    readonly program: string;
+    readonly basePort: number;
+  },
+): Promise<SoakReport> {
+  const folder = mkdtempSync(join(tmpdir(), "catkinquay-soak-"));
+  const random = createSeededRandom(options.seed);
+  const record: SoakRecord = { calls: new Map(), runs: [] };
+  const store = await createStoreServer({ host: "127.0.0.1", port: 0 });
+  let version = 0;
+  const publishRules = () => {
+    version += 1;
+    store.put("op/config", createSoakRules(version));
+  };
+  publishRules();
+  const vms = await Promise.all(
+    Array.from(
+      { length: options.vms },
+      (_, index) =>
+        startSoakVm(index, { ...options, folder, store, record, random }),
+    ),
+  );
+  const heartbeats = setInterval(
+    () => vms.forEach((vm) => vm.beat("ready")),
+    heartbeatMilliseconds,
+  );
+  await delay(warmUpMilliseconds);
+  const plan = createSoakPlan(options);
+  const faults = plan.map(async (fault) => {
+    await delay(fault.startsAt);
+    const vm = vms[fault.vm]!;
+    const end = applySoakFault(fault, { vm, store, publishRules });
+    await delay(fault.endsAt - fault.startsAt);
+    await end();
+  });
+  const endsAt = Date.now() + options.seconds * millisecondsPerSecond;
+  const callers = vms.flatMap((vm, index) =>
+    Array.from({ length: callersPerVm }, (_, caller) =>
+      sendCalls({
+        vm,
+        record,
+        random,
+        endsAt,
+        name: `${index}-${caller}`,
+        index,
+        getVersion: () => version,
+      }))
+  );
+  await Promise.all([...faults, ...callers]);
+  clearInterval(heartbeats);
+  await Promise.all(vms.map(stopVm));
+  await store.close();
+  rmSync(folder, { recursive: true, force: true });
+  const calls = Array.from(record.calls.values());
+  const violations = findSoakViolations(record);
+  return {
+    seed: options.seed,
+    faults: plan,
+    calls: calls.length,
+    statuses: Object.fromEntries(
+      Array.from(groupBy(calls, ({ status }) => String(status ?? 0)))
+        .map(([status, group]) => [status, group.length]),
+    ),
+    violations,
+    logs: violations.length > 0
+      ? vms.flatMap(({ node }) => node.getOutput())
+      : [],
+  };
+}
+
+async function sendCalls(
+  options: {
+    readonly vm: SoakVm;
+    readonly record: SoakRecord;
+    readonly random: RandomSource;
+    readonly endsAt: number;
+    readonly name: string;
+    readonly index: number;
+    readonly getVersion: () => number;
+  },
+): Promise<void> {
+  const { vm, record, random } = options;
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  let count = 0;
+  while (Date.now() < options.endsAt) {
+    count += 1;
+    const identifier = `call-${options.name}-${count}`;
+    const idempotent = random.next() > nonIdempotentShare;
+    const route = idempotent
+      ? random.next() < 0.7 ? "look" : `v${options.getVersion()}`
+      : "order";
+    const call: SoakCall = {
+      identifier,
+      idempotent,
+      callerService: vm.backend.service,
+      url: `/${route}/${identifier}`,
+      vm: options.index,
+      life: vm.node.getLife(),
+      status: undefined,
+      whole: false,
+    };
+    record.calls.set(identifier, call);
+    await sendSoakCall(call, { agent, address: vm.callers });
+    await delay(random.next() * pauseMilliseconds);
+  }
+  agent.destroy();
+}
+
+async function stopVm(vm: SoakVm): Promise<void> {
+  vm.node.signal("SIGCONT");
+  vm.node.signal("SIGKILL");
+  await vm.node.waitForEnd();
+  vm.nodesRelay.close();
+  vm.storeRelay.close();
+  await vm.backend.crash();
+}
--- /dev/null
+++ b/stand_ins/soak/soak_options.ts
@@ -0,0 +1,6 @@
+/** The size of a soak. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly vms: number;
+  readonly seconds: number;
+}
--- /dev/null
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -0,0 +1,113 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { RandomSource } from "../../src/runtime/random_source.ts";
+import type { NetworkAddress } from "../../src/runtime/network_address.ts";
+import type { SoakBackend } from "./soak_backend.ts";
+import type { SoakRecord } from "./soak_record.ts";
+
+const workMilliseconds = 30;
+const coldMilliseconds = 1_000;
+const garbledShare = 0.3;
+const healthPath = "/healthz";
+
+/** Starts a backend server that speaks the platform's protocol and records what it runs. */
+export async function startSoakBackend(
+  options: {
+    readonly address: NetworkAddress;
+    readonly service: string;
+    readonly record: SoakRecord;
+    readonly random: RandomSource;
+  },
+): Promise<SoakBackend> {
+  const { address, service, record, random } = options;
+  let incarnation = 0;
+  let coldUntil = 0;
+  let garbling = false;
+  let server: Server = createServer(serve);
+
+  const getIdentifier = () => `i-${address.host}-${incarnation}`;
+
+  function serve(request: IncomingMessage, response: ServerResponse): void {
+    request.resume();
+    if (request.url === healthPath) {
+      response.writeHead(200, {
+        "x-instance-id": getIdentifier(),
+        "x-cold-ms": String(Math.max(0, coldUntil - Date.now())),
+      }).end();
+      return;
+    }
+    const target = request.headers["x-target-instance"];
+    if (target !== undefined && target !== getIdentifier()) {
+      response.writeHead(421, { "x-instance-id": getIdentifier() }).end();
+      return;
+    }
+    const callIdentifier = String(request.headers["x-attempt-id"]);
+    record.runs.push({
+      callIdentifier,
+      url: request.url ?? "",
+      service,
+      callerService: String(request.headers["x-caller-service"]),
+    });
+    setTimeout(
+      () => answer(response, callIdentifier),
+      workMilliseconds * (0.5 + random.next()),
+    );
+  }
+
+  function answer(response: ServerResponse, callIdentifier: string): void {
+    if (response.destroyed) return;
+    const body = `answer to ${callIdentifier}`;
+    const garbled = garbling && random.next() < garbledShare;
+    response.writeHead(200, {
+      "x-attempt-id": callIdentifier,
+      "x-server-seal": "seal",
+      "content-length": String(body.length),
+    });
+    if (!garbled) {
+      response.end(body);
+      return;
+    }
+    const socket = response.socket;
+    if (random.next() < 0.5) {
+      response.write(body.slice(0, 4), () => response.destroy());
+      return;
+    }
+    response.end(body);
+    const extra = `HTTP/1.1 200 OK\r\nx-attempt-id: ${callIdentifier}\r\n` +
+      `x-server-seal: seal\r\ncontent-length: 5\r\n\r\nextra`;
+    setTimeout(() => socket?.write(extra), random.next() * 60);
+  }
+
+  async function start(): Promise<void> {
+    incarnation += 1;
+    coldUntil = Date.now() + (incarnation > 1 ? coldMilliseconds : 0);
+    server = createServer(serve);
+    server.listen(address.port, address.host);
+    await once(server, "listening");
+  }
+
+  await start();
+  return {
+    address,
+    service,
+    getIdentifier,
+    setGarbling: (next) => {
+      garbling = next;
+    },
+    crash: async () => {
+      if (!server.listening) return;
+      const closed = once(server, "close");
+      server.close();
+      server.closeAllConnections();
+      await closed;
+    },
+    start: async () => {
+      if (!server.listening) await start();
+    },
+  };
+}
