Pass on an answer without a length as it came, and try once more where that is safe

Change: such an answer keeps having no length; an idempotent call is repeated within the budget and the answer is kept as fallback.

--- a/src/mesh/answer_body.ts
+++ b/src/mesh/answer_body.ts
@@ -5,4 +5,6 @@
   readonly held: Buffer;
   /** Undefined where `held` is the whole body. */
   readonly rest: Readable | undefined;
+  /** Whether its end is known to be its end; otherwise it is passed on as it came, without a length. */
+  readonly framed: boolean;
 }
--- a/src/mesh/collect_answer_body.ts
+++ b/src/mesh/collect_answer_body.ts
@@ -8,26 +8,25 @@
 
 /** Reads an answer to its end, or up to the bound; fails where it breaks off before. */
 export function collectAnswerBody(
-  body: Readable,
+  answer: { readonly body: Readable; readonly framed: boolean },
 ): Promise<Result<AnswerBody, RefusalReason>> {
+  const { body, framed } = answer;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    const finish = (rest: Readable | undefined) =>
+      resolve(Result.ok({ held: Buffer.concat(chunks), rest, framed }));
     function onData(chunk: Buffer): void {
       chunks.push(chunk);
       bytes += chunk.byteLength;
       if (bytes <= heldBytesMaximum) return;
       body.off("data", onData);
       body.pause();
-      resolve(Result.ok({ held: Buffer.concat(chunks), rest: body }));
+      finish(body);
     }
     const onBroken = () => resolve(Result.err(RefusalReason.AnswerBroken));
     body.on("data", onData);
-    body.once(
-      "end",
-      () =>
-        resolve(Result.ok({ held: Buffer.concat(chunks), rest: undefined })),
-    );
+    body.once("end", () => finish(undefined));
     body.once("error", onBroken);
     body.once("aborted", onBroken);
     body.once("close", onBroken);
--- a/src/mesh/offer_outcome.ts
+++ b/src/mesh/offer_outcome.ts
@@ -10,6 +10,8 @@
     readonly status: number;
     /** Names and values in turn, without the headers of one hop. */
     readonly headers: readonly string[];
+    /** Whether the length of the body was told, so that its end can be known. */
+    readonly framed: boolean;
     /** Fails where the answer breaks off. */
     readonly body: Readable;
     readonly load: GateLoad | undefined;
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -111,6 +111,7 @@
       kind,
       status: answer.statusCode ?? 0,
       headers: selectPassedHeaders(answer.rawHeaders),
+      framed: reply.framed ?? true,
       body: answer,
       load,
     }))
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -12,6 +12,7 @@
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
 import { getOwnIdentifier } from "./get_own_identifier.ts";
+import { isFramedAnswer } from "./is_framed_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { noteBackendExchange } from "./note_backend_exchange.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
@@ -152,6 +153,7 @@
         kind: OfferOutcomeKind.Answered as const,
         status: answer.statusCode ?? 0,
         headers: selectPassedHeaders(answer.rawHeaders),
+        framed: isFramedAnswer(answer),
         body: answer,
         load: getGateLoad(node),
       };
--- a/src/mesh/reply_message.ts
+++ b/src/mesh/reply_message.ts
@@ -6,6 +6,8 @@
 export interface ReplyMessage {
   readonly kind: OfferOutcomeKind;
   readonly load: GateLoad;
+  /** On answers. */
+  readonly framed?: boolean;
   /** On refusals and losses. */
   readonly reason?: RefusalReason;
   /** On refusals. */
--- a/src/mesh/run_call.ts
+++ b/src/mesh/run_call.ts
@@ -115,12 +115,13 @@
   },
 ): Promise<CallEnd | undefined> {
   const { run, candidate, answered } = options;
-  const body = await collectAnswerBody(answered.body);
+  const body = await collectAnswerBody(answered);
   if (body.isErr) {
     return takeLoss(node, plan, { ...options, reason: body.error });
   }
   run.attempts += 1;
-  const failed = answered.status >= failureStatusMinimum;
+  // The end of an answer without a length may be its end, or a break.
+  const failed = answered.status >= failureStatusMinimum || !answered.framed;
   noteAnswer(candidate.view, {
     route: plan.route.name,
     elapsedMilliseconds: node.clock.now() - options.offeredAt,
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -76,10 +76,11 @@
 ): void {
   const load = getGateLoad(node);
   match(outcome)
-    .with({ kind: OfferOutcomeKind.Answered }, ({ status, headers, body }) => {
+    .with({ kind: OfferOutcomeKind.Answered }, (answered) => {
+      const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...formatReply({ kind: OfferOutcomeKind.Answered, load }),
+        ...formatReply({ kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -133,6 +133,41 @@
   );
 });
 
+const endWithoutLength: MeshBackend["script"] = (request) => {
+  const call = request.headers[MeshHeader.Call];
+  request.socket.end(
+    `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\n\r\npart`,
+  );
+};
+
+testInTurn(
+  "an answer without a length, which may be broken, does not look whole to the caller",
+  async (t) => {
+    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+      scriptAll(fleet, endWithoutLength);
+      const answers = [await fleet.call(0), await fleet.call(1)];
+      answers.forEach(({ status, headers, body }) => {
+        t.is(status, 200);
+        t.is(body, "part");
+        t.is(headers["content-length"], undefined);
+        t.is(headers["transfer-encoding"], undefined);
+      });
+      t.is(countRuns(fleet), 2);
+    });
+  },
+);
+
+testInTurn(
+  "an answer without a length: an idempotent call is sent once more, and the answer is kept",
+  async (t) => {
+    await withFleet({ vms: 2 }, async (fleet) => {
+      scriptAll(fleet, endWithoutLength);
+      t.is((await fleet.call(0)).body, "part");
+      t.is(countRuns(fleet), 2);
+    });
+  },
+);
+
 testInTurn(
   "a backend server that states that it did not run the call is passed over, whatever the kind",
   async (t) => {
--- a/src/mesh/write_call_end.ts
+++ b/src/mesh/write_call_end.ts
@@ -52,7 +52,11 @@
   body: AnswerBody,
   options: { readonly status: number; readonly headers: readonly string[] },
 ): void {
-  const { held, rest } = body;
+  const { held, rest, framed } = body;
+  if (!framed) {
+    writeUnframed(response, body, options);
+    return;
+  }
   if (rest === undefined) {
     response.writeHead(options.status, [
       ...options.headers,
@@ -67,3 +71,24 @@
   rest.once("error", () => response.destroy());
   rest.pipe(response);
 }
+
+/** Neither a length nor chunks: what may have been broken off must not look whole. */
+function writeUnframed(
+  response: ServerResponse,
+  { held, rest }: AnswerBody,
+  options: { readonly status: number; readonly headers: readonly string[] },
+): void {
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(options.status, [
+    ...options.headers,
+    "connection",
+    "close",
+  ]);
+  response.write(held);
+  if (rest === undefined) {
+    response.end();
+    return;
+  }
+  rest.once("error", () => response.destroy());
+  rest.pipe(response);
+}
