--- a/src/mesh/call_plan.ts
+++ b/src/mesh/call_plan.ts
@@ -14,6 +14,8 @@
   readonly deadline: number;
   /** Until when an answer has its full worth. */
   readonly goalDeadline: number;
+  /** Whether the caller has time left after the deadline, to try again. */
+  readonly mayComeBack: boolean;
   /** Aborted when the caller leaves or the deadline has passed. */
   readonly signal: AbortSignal;
 }
--- a/src/mesh/get_wait_deadline.ts
+++ b/src/mesh/get_wait_deadline.ts
@@ -29,6 +29,9 @@
   }
   const answer = candidate.view.answerMilliseconds.get(name) ??
     goalMilliseconds * unknownAnswerShare;
+  // A call without a second chance, such as one that a backend server makes
+  // for a caller of its own: refusing it would waste the work behind it.
+  if (!plan.mayComeBack) return plan.deadline - answer;
   const latestInTime = plan.goalDeadline - answer;
   const latestOfLate = now + goalMilliseconds * lateWaitShare;
   return Math.min(plan.deadline, Math.max(latestInTime, latestOfLate));
--- /dev/null
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -0,0 +1,84 @@
+import test from "ava";
+import { createGateView } from "../balancing/create_gate_view.ts";
+import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { CallKind } from "../routing/call_kind.ts";
+import type { CallPlan } from "./call_plan.ts";
+import type { CallRun } from "./call_run.ts";
+import { getWaitDeadline } from "./get_wait_deadline.ts";
+
+const now = 1_000_000;
+const answerMilliseconds = 40;
+
+const candidate: GateCandidate = {
+  entry: {
+    identifier: "i-1",
+    service: "fornadas",
+    address: { host: "127.0.0.1", port: 8301 },
+    zone: "sul-a",
+    slots: 12,
+    availability: BackendServerAvailability.Ready,
+    coldUntil: 0,
+    bornAt: 0,
+    sequence: 1,
+  },
+  view: {
+    ...createGateView(),
+    answerMilliseconds: new Map([["slots", answerMilliseconds]]),
+  },
+  vanished: false,
+};
+
+const plan: CallPlan = {
+  callIdentifier: "a",
+  request: { method: "GET", url: "/", headers: [], body: Buffer.alloc(0) },
+  route: {
+    name: "slots",
+    host: "shop.example",
+    pathPrefix: "/",
+    kind: CallKind.Idempotent,
+    attemptsMaximum: 2,
+    timeoutMilliseconds: 400,
+    goalMilliseconds: 120,
+    priority: 1,
+    targets: [],
+  },
+  service: "fornadas",
+  rulesVersion: 1,
+  receivedAt: now,
+  deadline: now + 344,
+  goalDeadline: now + 64,
+  mayComeBack: true,
+  signal: new AbortController().signal,
+};
+
+const run: CallRun = {
+  attempts: 0,
+  mayHaveRun: false,
+  asked: new Set(),
+  waits: new Map(),
+  lastReason: undefined,
+  fallback: undefined,
+  mayWait: true,
+};
+
+const getWait = (change: Partial<CallPlan>, runChange: Partial<CallRun> = {}) =>
+  getWaitDeadline({ ...plan, ...change }, { ...run, ...runChange }, {
+    candidate,
+    now,
+  }) - now;
+
+test("priority inversion through calls: one without a second chance may wait until its deadline", (t) => {
+  t.is(getWait({ mayComeBack: false }), 344 - answerMilliseconds);
+});
+
+test("overload: a caller that can come back waits only while its goal can be met, or briefly", (t) => {
+  t.is(getWait({ goalDeadline: now + 120 }), 120 - answerMilliseconds);
+  t.is(getWait({ goalDeadline: now - 50 }), 30);
+});
+
+test("only the first candidate of the first round may let a call wait a little", (t) => {
+  const first = getWait({}, { mayWait: false });
+  t.true(first > 0 && first < 40);
+  t.is(getWait({}, { mayWait: false, asked: new Set(["i-2"]) }), 0);
+});
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -99,6 +99,7 @@
         remainingMilliseconds: head.remainingMilliseconds,
         now: receivedAt,
       }),
+      mayComeBack: (head.remainingMilliseconds ?? 0) > timeout,
       signal: cancellation.signal,
     };
   }
