Split the run of a call into modules, keep a stopping node's gate open for a second

A backend server goes on running while the node beside it is replaced, so its slots are used until what begins there could outlast the stop. What is known of backend servers that left is dropped.

--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -16,7 +16,7 @@
 export function requestSlot(
   state: GateState,
   request: SlotRequest,
-  now: number,
+  { now }: { readonly now: number },
 ): SlotDecision {
   if (state.closedFor !== undefined) {
     return refuse(state.closedFor, closedRetryMilliseconds);
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -41,7 +41,7 @@
 test("more calls than slots: the slots are granted, the next call waits", (t) => {
   const gate = createGate(2);
   const kinds = ["a", "b", "c"].map((name) =>
-    requestSlot(gate, createRequest(name), start).kind
+    requestSlot(gate, createRequest(name), { now: start }).kind
   );
   t.deepEqual(kinds, [
     SlotDecisionKind.Granted,
@@ -55,11 +55,11 @@
 
 test("a call that may not wait is refused at once and told when to come back", (t) => {
   const gate = createGate(1);
-  requestSlot(gate, createRequest("a"), start);
+  requestSlot(gate, createRequest("a"), { now: start });
   const decision = requestSlot(
     gate,
     createRequest("b", { waitDeadline: start }),
-    start,
+    { now: start },
   );
   t.like(decision, {
     kind: SlotDecisionKind.Refused,
@@ -74,22 +74,22 @@
 test("overload: a call that would end after its deadline is refused before it waits", (t) => {
   const gate = createGate(1);
   gate.serviceMilliseconds = 500;
-  requestSlot(gate, createRequest("a"), start);
-  requestSlot(gate, createRequest("b"), start);
-  const decision = requestSlot(gate, createRequest("c"), start);
+  requestSlot(gate, createRequest("a"), { now: start });
+  requestSlot(gate, createRequest("b"), { now: start });
+  const decision = requestSlot(gate, createRequest("c"), { now: start });
   t.is(decision.kind, SlotDecisionKind.Refused);
 });
 
 test("the more urgent call gets the free slot; among equals late calls come after those in time", (t) => {
   const gate = createGate(1);
-  requestSlot(gate, createRequest("a"), start);
+  requestSlot(gate, createRequest("a"), { now: start });
   requestSlot(
     gate,
     createRequest("late", { goalDeadline: start - 1, priority: 2 }),
-    start,
+    { now: start },
   );
-  requestSlot(gate, createRequest("usual"), start);
-  requestSlot(gate, createRequest("urgent", { priority: 1 }), start);
+  requestSlot(gate, createRequest("usual"), { now: start });
+  requestSlot(gate, createRequest("urgent", { priority: 1 }), { now: start });
   const order = ["a", "urgent", "usual"].flatMap((callIdentifier) => {
     releaseSlot(gate, { callIdentifier, answered: true, now: start });
     return settleGateQueue(gate, start).granted
@@ -100,8 +100,8 @@
 
 test("a waiting call that can no longer be served is refused before its deadline", (t) => {
   const gate = createGate(1);
-  requestSlot(gate, createRequest("a"), start);
-  requestSlot(gate, createRequest("b"), start);
+  requestSlot(gate, createRequest("a"), { now: start });
+  requestSlot(gate, createRequest("b"), { now: start });
   const instant = getNextGateInstant(gate, start);
   t.true(instant < start + 1_200);
   const { refused } = settleGateQueue(gate, instant);
@@ -122,7 +122,7 @@
     const decision = requestSlot(
       gate,
       createRequest(callIdentifier, { waitDeadline: now }),
-      now,
+      { now },
     );
     releaseSlot(gate, { callIdentifier, answered: true, now });
     return decision.kind === SlotDecisionKind.Granted ? now : 0;
@@ -138,15 +138,15 @@
 
 test("a backend server that is down or closed gets nothing, and its queue is refused", (t) => {
   const gate = createGate(1);
-  requestSlot(gate, createRequest("a"), start);
-  requestSlot(gate, createRequest("b"), start);
+  requestSlot(gate, createRequest("a"), { now: start });
+  requestSlot(gate, createRequest("b"), { now: start });
   gate.condition = ServerCondition.Down;
   const settlement = settleGateQueue(gate, start);
   t.is(settlement.refused.length, 1);
   t.is(settlement.reason, RefusalReason.BackendServerDown);
   gate.condition = ServerCondition.Up;
   gate.closedFor = RefusalReason.ZoneTakenOut;
-  t.like(requestSlot(gate, createRequest("c"), start), {
+  t.like(requestSlot(gate, createRequest("c"), { now: start }), {
     kind: SlotDecisionKind.Refused,
     reason: RefusalReason.ZoneTakenOut,
   });
--- a/src/gate/settle_gate_queue.ts
+++ b/src/gate/settle_gate_queue.ts
@@ -17,51 +17,58 @@
   state: GateState,
   now: number,
 ): QueueSettlement {
-  if (state.queue.length === 0) return createSettlement(state, [], []);
-  if (
-    state.closedFor !== undefined || state.condition === ServerCondition.Down
-  ) {
-    const refused = state.queue;
-    state.queue = [];
-    return createSettlement(state, [], refused);
+  const refused = takeHopelessCalls(state, now);
+  const granted = grantFreeSlots(state, now);
+  return {
+    granted,
+    refused,
+    reason: getQueueReason(state, now),
+    retryMilliseconds: getExpectedWaitMilliseconds(state, {
+      ahead: state.queue.length,
+      now,
+    }),
+  };
+}
+
+function takeHopelessCalls(
+  state: GateState,
+  now: number,
+): readonly QueuedSlotRequest[] {
+  const isShut = state.closedFor !== undefined ||
+    state.condition === ServerCondition.Down;
+  const latestStart = now + state.serviceMilliseconds * startShare;
+  const isHopeless = ({ request }: QueuedSlotRequest) =>
+    isShut || now > request.waitDeadline || latestStart > request.deadline;
+  const hopeless = state.queue.filter(isHopeless);
+  if (hopeless.length > 0) {
+    state.queue = state.queue.filter((queued) => !isHopeless(queued));
   }
-  const isTooLate = ({ request }: QueuedSlotRequest) =>
-    now > request.waitDeadline ||
-    now + state.serviceMilliseconds * startShare > request.deadline;
-  const refused = state.queue.filter(isTooLate);
+  return hopeless;
+}
+
+function grantFreeSlots(
+  state: GateState,
+  now: number,
+): readonly QueuedSlotRequest[] {
+  if (state.queue.length === 0 || !hasFreeSlot(state, now)) return [];
   const latestGoal = now + state.serviceMilliseconds;
-  state.queue = state.queue
-    .filter((queued) => !isTooLate(queued))
-    .sort((left, right) => compareQueuedRequests(left, right, { latestGoal }));
   const granted: QueuedSlotRequest[] = [];
-  state.queue = state.queue.filter((queued) => {
-    if (!hasFreeSlot(state, now)) return true;
-    const { callIdentifier } = queued.request;
-    takeSlot(state, { callIdentifier, now });
-    granted.push(queued);
-    return false;
-  });
-  return createSettlement(state, granted, refused);
+  state.queue = state.queue
+    .sort((left, right) => compareQueuedRequests(left, right, { latestGoal }))
+    .filter((queued) => {
+      if (!hasFreeSlot(state, now)) return true;
+      const { callIdentifier } = queued.request;
+      takeSlot(state, { callIdentifier, now });
+      granted.push(queued);
+      return false;
+    });
+  return granted;
+}
 
-  function createSettlement(
-    gate: GateState,
-    granted: readonly QueuedSlotRequest[],
-    refused: readonly QueuedSlotRequest[],
-  ): QueueSettlement {
-    const fullReason = isCold(gate, now)
-      ? RefusalReason.ColdStart
-      : RefusalReason.Full;
-    return {
-      granted,
-      refused,
-      reason: gate.closedFor ??
-        (gate.condition === ServerCondition.Down
-          ? RefusalReason.BackendServerDown
-          : fullReason),
-      retryMilliseconds: getExpectedWaitMilliseconds(gate, {
-        ahead: gate.queue.length,
-        now,
-      }),
-    };
+function getQueueReason(state: GateState, now: number): RefusalReason {
+  if (state.closedFor !== undefined) return state.closedFor;
+  if (state.condition === ServerCondition.Down) {
+    return RefusalReason.BackendServerDown;
   }
+  return isCold(state, now) ? RefusalReason.ColdStart : RefusalReason.Full;
 }
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -1,6 +1,5 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { rankCandidates } from "../balancing/rank_candidates.ts";
-import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 import { getWaitDeadline } from "./get_wait_deadline.ts";
 import { listCandidates } from "./list_candidates.ts";
@@ -14,9 +13,9 @@
  */
 export function chooseCandidate(
   node: MeshNode,
-  plan: CallPlan,
   run: CallRun,
 ): GateCandidate | undefined {
+  const { plan } = run;
   const now = node.clock.now();
   const candidates = listCandidates(node, plan.service).filter(({ entry }) =>
     !run.asked.has(entry.identifier)
@@ -40,7 +39,7 @@
       (view.fullUntil > now ? view.waitMilliseconds : 0);
   return ranked
     .filter((candidate) =>
-      now + getWait(candidate) <= getWaitDeadline(plan, run, { candidate, now })
+      now + getWait(candidate) <= getWaitDeadline(run, { candidate, now })
     )
     .toSorted((left, right) => getWait(left) - getWait(right))[0];
 }
--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -19,9 +19,9 @@
  */
 export function createCallRefusal(
   node: MeshNode,
-  plan: CallPlan,
   run: CallRun,
 ): CallEnd {
+  const { plan } = run;
   const now = node.clock.now();
   const reason = now >= plan.deadline
     ? RefusalReason.DeadlinePassed
--- a/src/mesh/get_wait_deadline.ts
+++ b/src/mesh/get_wait_deadline.ts
@@ -1,5 +1,4 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 
 /** Share of the goal that the best candidate may let a call wait before others are asked. */
@@ -17,10 +16,10 @@
  * back instead.
  */
 export function getWaitDeadline(
-  plan: CallPlan,
   run: CallRun,
   options: { readonly candidate: GateCandidate; readonly now: number },
 ): number {
+  const { plan } = run;
   const { candidate, now } = options;
   const { goalMilliseconds, name } = plan.route;
   if (!run.mayWait) {
--- a/src/mesh/get_wait_deadline_test.ts
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -5,6 +5,7 @@
 import { CallKind } from "../routing/call_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
+import { createCallRun } from "./create_call_run.ts";
 import { getWaitDeadline } from "./get_wait_deadline.ts";
 
 const now = 1_000_000;
@@ -52,21 +53,17 @@
   signal: new AbortController().signal,
 };
 
-const run: CallRun = {
-  attempts: 0,
-  mayHaveRun: false,
-  asked: new Set(),
-  waits: new Map(),
-  lastReason: undefined,
-  fallback: undefined,
-  mayWait: true,
-};
-
-const getWait = (change: Partial<CallPlan>, runChange: Partial<CallRun> = {}) =>
-  getWaitDeadline({ ...plan, ...change }, { ...run, ...runChange }, {
-    candidate,
-    now,
-  }) - now;
+function getWait(
+  change: Partial<CallPlan>,
+  runChange: Partial<CallRun> = {},
+): number {
+  const run = {
+    ...createCallRun({ ...plan, ...change }),
+    mayWait: true,
+    ...runChange,
+  };
+  return getWaitDeadline(run, { candidate, now }) - now;
+}
 
 test("priority inversion through calls: one without a second chance may wait until its deadline", (t) => {
   t.is(getWait({ mayComeBack: false }), 344 - answerMilliseconds);
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -41,7 +41,7 @@
     }));
   }
   const offeredAt = node.clock.now();
-  const decision = requestSlot(node.gate, offer, offeredAt);
+  const decision = requestSlot(node.gate, offer, { now: offeredAt });
   return match(decision)
     .with(
       { kind: SlotDecisionKind.Granted },
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -13,7 +13,7 @@
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
-import { forgetVanished } from "../register/forget_vanished.ts";
+import { forgetGoneServers } from "./forget_gone_servers.ts";
 import type { MeshDaemon } from "./mesh_daemon.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReport } from "./mesh_report.ts";
@@ -78,7 +78,7 @@
   });
   const upkeep = setInterval(() => {
     probeBackendServer(node);
-    forgetVanished(node.view.register, node.clock.now());
+    forgetGoneServers(node);
     updateGate(node);
   }, upkeepMilliseconds);
   return Result.ok({
@@ -138,6 +138,7 @@
     longestRemaining: new Map(),
     callerCalls: 0,
     stopping: false,
+    gateClosesAt: Number.POSITIVE_INFINITY,
   };
 }
 
--- a/src/mesh/stop_mesh_node.ts
+++ b/src/mesh/stop_mesh_node.ts
@@ -5,10 +5,12 @@
 const noticeMilliseconds = 2_600;
 /** Time left before the process would be killed. */
 const reserveMilliseconds = 700;
+/** The backend server may go on running: its slots are used until what begins could outlast the stop. */
+const gateOpenMilliseconds = 1_000;
 const pollMilliseconds = 50;
 
 /**
- * Stops gracefully: says at once that it is not ready and closes the gate,
+ * Stops gracefully: says at once that it is not ready, closes the gate soon,
  * goes on serving callers through other nodes until they have left, and ends
  * when nothing runs any more. Resolves with the number of calls still running
  * at the last moment.
@@ -19,6 +21,7 @@
   const latest = stoppedAt + node.settings.stopMilliseconds -
     reserveMilliseconds;
   node.stopping = true;
+  node.gateClosesAt = stoppedAt + gateOpenMilliseconds;
   node.report.state("process", { state: "stopping" });
   updateGate(node);
   return new Promise((resolve) => {
--- a/src/mesh/take_source_reading.ts
+++ b/src/mesh/take_source_reading.ts
@@ -28,7 +28,7 @@
   return [...reading.items, ...removals].flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
     view.revisions.set(item.key, item.revision);
-    return takeItem(view, item, now).map((change) => ({
+    return takeItem(view, item, { now }).map((change) => ({
       ...change,
       revision: item.revision,
     }));
@@ -50,9 +50,9 @@
 function takeItem(
   view: MeshView,
   item: SourceItem,
-  now: number,
+  { now }: { readonly now: number },
 ): readonly Change[] {
-  if (item.fact === undefined) return takeRemoval(view, item.key, now);
+  if (item.fact === undefined) return takeRemoval(view, item.key, { now });
   return match(item.fact)
     .with({ kind: SourceFactKind.Rules }, ({ rules }) => takeRules(view, rules))
     .with({ kind: SourceFactKind.ZoneTakenOut }, ({ zone }) => {
@@ -63,10 +63,10 @@
     })
     .with({ kind: SourceFactKind.BackendServer }, ({ entry }) => {
       view.serverKeys.set(item.key, entry.identifier);
-      return takeEntry(view, entry, now);
+      return takeEntry(view, entry, { now });
     })
     .with({ kind: SourceFactKind.Foreign }, ({ found }) => [
-      ...takeRemoval(view, item.key, now),
+      ...takeRemoval(view, item.key, { now }),
       {
         kind: BeliefChangeKind.ForeignItem,
         subject: `${item.key}: ${found}`,
@@ -90,7 +90,7 @@
 function takeEntry(
   view: MeshView,
   entry: RegisterEntry,
-  now: number,
+  { now }: { readonly now: number },
 ): readonly Change[] {
   const subject = entry.identifier;
   const known = view.register.get(entry.identifier);
@@ -119,7 +119,7 @@
 function takeRemoval(
   view: MeshView,
   key: string,
-  now: number,
+  { now }: { readonly now: number },
 ): readonly Change[] {
   const zone = view.zoneKeys.get(key);
   if (zone !== undefined) {
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -23,7 +23,7 @@
   gate.closedFor = getStandingRefusal({
     record,
     zoneTakenOut: view.zonesTakenOut.has(settings.zone),
-    stopping: node.stopping,
+    stopping: node.gateClosesAt <= now,
     sourceSoundSince: view.sourceSoundSince,
     probedIdentifier: node.serverWatch.probedIdentifier,
   }, now);
