--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -3,7 +3,6 @@
 import { refusalTable } from "../calls/refusal_table.ts";
 import type { CallEnd } from "./call_end.ts";
 import { CallEndKind } from "./call_end_kind.ts";
-import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -25,7 +24,7 @@
   const now = node.clock.now();
   const reason = now >= plan.deadline
     ? RefusalReason.DeadlinePassed
-    : run.lastReason ?? getUnaskedReason(node, plan);
+    : getReason(node, run);
   const waits = listCandidates(node, plan.service)
     .filter(({ view }) => view.fullUntil > now)
     .map(({ view }) => view.waitMilliseconds)
@@ -42,9 +41,15 @@
   };
 }
 
-/** No candidate was asked: there is none, or all are known to be full. */
-function getUnaskedReason(node: MeshNode, plan: CallPlan): RefusalReason {
-  return listCandidates(node, plan.service).length === 0
-    ? RefusalReason.NoBackendServer
-    : RefusalReason.Full;
+/** A gate that is open and full says more about the call than one that is closed. */
+function getReason(node: MeshNode, run: CallRun): RefusalReason {
+  if (run.mayHaveRun) return run.lastReason ?? RefusalReason.ContactLost;
+  const now = node.clock.now();
+  const candidates = listCandidates(node, run.plan.service);
+  const isFull = run.waits.size > 0 ||
+    candidates.some(({ view }) => view.fullUntil > now);
+  if (isFull && run.lastReason !== RefusalReason.ColdStart) {
+    return RefusalReason.Full;
+  }
+  return run.lastReason ?? RefusalReason.NoBackendServer;
 }
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -80,7 +80,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...formatReply({ kind, framed, load }),
+        ...createReplyHeaders(node, { kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
@@ -91,7 +91,7 @@
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
         refusedStatus,
-        formatReply({
+        createReplyHeaders(node, {
           kind,
           reason,
           retryMilliseconds,
@@ -101,11 +101,19 @@
       ).end();
     })
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
-      response.writeHead(lostStatus, formatReply({ kind, reason, load })).end();
+      response.writeHead(
+        lostStatus,
+        createReplyHeaders(node, { kind, reason, load }),
+      ).end();
     })
     .exhaustive();
 }
 
-function formatReply(message: ReplyMessage): string[] {
-  return [OfferHeader.Reply, JSON.stringify(message)];
+function createReplyHeaders(node: MeshNode, message: ReplyMessage): string[] {
+  return [
+    OfferHeader.Reply,
+    JSON.stringify(message),
+    // Nothing more is to be sent on connections that are about to end.
+    ...(node.stopping ? ["connection", "close"] : []),
+  ];
 }
