--- a/src/command_line/commands_test.ts
+++ b/src/command_line/commands_test.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { readBaseline } from "../testing/read_baseline.ts";
 import { checkCommand } from "./check_command.ts";
+import { explainCommand } from "./explain_command.ts";
 import type { Command } from "./command.ts";
 import { runCommand } from "./run_command.ts";
 import { routesCommand } from "./routes_command.ts";
@@ -19,6 +20,8 @@
   return { status, text: written.join("") };
 }
 
+/** Lines of a played day: an overload, and a VM that lost its power. */
+const recordedLog = `${directory}/mesh_log.jsonl`;
 const file = (name: string) => `${directory}/${name}.json`;
 
 const cases: readonly {
@@ -98,6 +101,28 @@
     command: routesCommand,
     parameters: [file("unknown_names")],
   },
+  { name: "explain_help", command: explainCommand, parameters: ["--help"] },
+  { name: "explain_no_file", command: explainCommand, parameters: ["a"] },
+  {
+    name: "explain_refused",
+    command: explainCommand,
+    parameters: ["ce8e17f7653c959b", recordedLog],
+  },
+  {
+    name: "explain_unknown_outcome",
+    command: explainCommand,
+    parameters: ["fc63dea014bd6888", recordedLog],
+  },
+  {
+    name: "explain_unknown_call",
+    command: explainCommand,
+    parameters: ["nobody", recordedLog],
+  },
+  {
+    name: "explain_absent_file",
+    command: explainCommand,
+    parameters: ["nobody", `${directory}/absent.jsonl`],
+  },
 ];
 
 cases.forEach(({ name, command, parameters }) =>
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -375,3 +375,26 @@
     t.is((await fleet.call(0)).status, 200);
   });
 });
+
+testInTurn(
+  "a node that restarts without the source refuses as not run instead of serving an older version",
+  async (t) => {
+    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+      fleet.source.setDown(true);
+      await fleet.restart(0);
+      t.is(await fleet.askReadiness(0), 503);
+      const refused = await fleet.call(0, { method: "POST" });
+      t.is(refused.status, 503);
+      t.is(countRuns(fleet), 0);
+      fleet.source.setDown(false);
+      let status = 0;
+      await waitUntil(() => {
+        void fleet.askReadiness(0).then((found) => {
+          status = found;
+        });
+        return status === 200;
+      });
+      t.is((await fleet.call(0, { method: "POST" })).status, 200);
+    });
+  },
+);
--- a/src/testing/mesh/mesh_fleet.ts
+++ b/src/testing/mesh/mesh_fleet.ts
@@ -19,6 +19,8 @@
   publishServer(index: number, change: Partial<RegisterEntry>): void;
   /** Sends a call through the node of a VM. */
   call(index: number, call?: MeshCall): Promise<MeshAnswer>;
+  /** Stops a node and starts it again with an empty memory. */
+  restart(index: number): Promise<void>;
   /** Asks a node whether it is ready; returns the status. */
   askReadiness(index: number): Promise<number>;
   close(): Promise<void>;
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -101,6 +101,10 @@
         ...call,
       });
     },
+    restart: async (index) => {
+      await daemons[index]!.stop();
+      daemons[index] = await startNode(settings[index]!);
+    },
     askReadiness: async (index) => {
       const { status } = await sendMeshCall(
         settings[index]!.listeners.readiness,
