Refuse callers that come too late to a stopping node

Ruled out: the backend server and the node beside it. The test failed before (connection closed without an answer).

--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -48,6 +48,8 @@
   /** Calls of callers that have no answer yet. */
   callerCalls: number;
   stopping: boolean;
+  /** When a stopping node takes no more calls of callers, in milliseconds since the Unix epoch; infinity before a stop. */
+  callersEndAt: number;
   /** When a stopping node closes its gate, in milliseconds since the Unix epoch; infinity before a stop. */
   gateClosesAt: number;
 }
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -49,6 +49,11 @@
     });
     reportEnd(node, end, { callIdentifier, receivedAt, plan });
   };
+  if (receivedAt >= node.callersEndAt) {
+    request.resume();
+    finish(createEarlyRefusal(RefusalReason.NodeDraining));
+    return;
+  }
   if (route === undefined) {
     request.resume();
     finish(createRouteRefusal(node));
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -138,6 +138,7 @@
     longestRemaining: new Map(),
     callerCalls: 0,
     stopping: false,
+    callersEndAt: Number.POSITIVE_INFINITY,
     gateClosesAt: Number.POSITIVE_INFINITY,
   };
 }
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -398,3 +398,29 @@
     });
   },
 );
+
+testInTurn(
+  "a stopping node refuses callers that come too late to be served, and cuts nothing",
+  async (t) => {
+    const route = { timeoutMilliseconds: 6_000, goalMilliseconds: 5_000 };
+    await withFleet(
+      { vms: 2, route, stopMilliseconds: 5_000 },
+      async (fleet) => {
+        scriptAll(fleet, (request, response) => {
+          setTimeout(() => answerWhole(request, response), 2_500);
+        });
+        const call = () => fleet.call(0, { remainingMilliseconds: 6_000 });
+        const stopped = fleet.daemons[0]!.stop();
+        await delay(1_500);
+        const running = call();
+        await delay(1_500);
+        const startedAt = performance.now();
+        const late = await call();
+        t.is(late.status, 503);
+        t.true(performance.now() - startedAt < 200);
+        t.is((await running).status, 200);
+        t.is(await stopped, 0);
+      },
+    );
+  },
+);
--- a/src/mesh/stop_mesh_node.ts
+++ b/src/mesh/stop_mesh_node.ts
@@ -21,6 +21,8 @@
   const latest = stoppedAt + node.settings.stopMilliseconds -
     reserveMilliseconds;
   node.stopping = true;
+  // A call that comes later could outlast the process.
+  node.callersEndAt = earliest;
   node.gateClosesAt = stoppedAt + gateOpenMilliseconds;
   node.report.state("process", { state: "stopping" });
   updateGate(node);
--- a/src/testing/mesh/mesh_fleet_options.ts
+++ b/src/testing/mesh/mesh_fleet_options.ts
@@ -6,4 +6,5 @@
   /** Replaces fields of the one route, `/cakes/` of `shop.example`. */
   readonly route?: Partial<CallRoute>;
   readonly slots?: number;
+  readonly stopMilliseconds?: number;
 }
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -42,7 +42,11 @@
   );
   const ports = await findFreePorts(3);
   const settings = backends.map((backend, index) =>
-    createSettings(backend, { index, ports })
+    createSettings(backend, {
+      index,
+      ports,
+      stopMilliseconds: options.stopMilliseconds ?? 1_000,
+    })
   );
   const events: CallEvent[] = [];
   const entries = backends.map((backend, index) =>
@@ -151,7 +155,11 @@
 
 function createSettings(
   backend: MeshBackend,
-  options: { readonly index: number; readonly ports: readonly number[] },
+  options: {
+    readonly index: number;
+    readonly ports: readonly number[];
+    readonly stopMilliseconds: number;
+  },
 ): MeshSettings {
   const host = getHost(options.index);
   const [callers = 0, nodes = 0, readiness = 0] = options.ports;
@@ -169,7 +177,7 @@
     source: { host, port: 1 },
     retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
     coldAllowance: { factor: 1.5, slack: 5 },
-    stopMilliseconds: 1_000,
+    stopMilliseconds: options.stopMilliseconds,
   };
 }
 
