--- /dev/null
+++ b/src/mesh/report_call_end.ts
@@ -0,0 +1,53 @@
+import { match } from "ts-pattern";
+import type { CallEnd } from "./call_end.ts";
+import { CallEndKind } from "./call_end_kind.ts";
+import { CallEventKind } from "./call_event_kind.ts";
+import type { CallPlan } from "./call_plan.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Reports what a caller got, with the version of the rules and the age of the view that decided. */
+export function reportCallEnd(
+  node: MeshNode,
+  end: CallEnd,
+  options: {
+    readonly callIdentifier: string;
+    readonly receivedAt: number;
+    /** Undefined where the call ended before it was known where it goes. */
+    readonly plan: CallPlan | undefined;
+  },
+): void {
+  const { plan } = options;
+  const now = node.clock.now();
+  const soundSince = node.view.sourceSoundSince;
+  const common = {
+    call: options.callIdentifier,
+    ...(plan === undefined
+      ? {}
+      : { route: plan.route.name, service: plan.service }),
+    elapsedMilliseconds: Math.round(now - options.receivedAt),
+    rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
+    sourceSoundMilliseconds: Number.isFinite(soundSince)
+      ? Math.round(now - soundSince)
+      : -1,
+  };
+  match(end)
+    .with(
+      { kind: CallEndKind.Answered },
+      ({ status, backendServer }) =>
+        node.report.call({
+          kind: CallEventKind.Answered,
+          ...common,
+          status,
+          backendServer,
+        }),
+    )
+    .with({ kind: CallEndKind.Refused }, (refused) =>
+      node.report.call({
+        kind: CallEventKind.Refused,
+        ...common,
+        reason: refused.reason,
+        outcome: refused.outcome,
+        retryMilliseconds: Math.round(refused.retryMilliseconds),
+      }))
+    .exhaustive();
+}
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -1,20 +1,20 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { match } from "ts-pattern";
-import { Outcome } from "../calls/outcome.ts";
-import { RefusalReason } from "../calls/refusal_reason.ts";
-import { refusalTable } from "../calls/refusal_table.ts";
+import type { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
+import type { CallRoute } from "../routing/call_route.ts";
 import { chooseTarget } from "../routing/choose_target.ts";
 import { findCallRoute } from "../routing/find_call_route.ts";
-import type { CallRoute } from "../routing/call_route.ts";
 import type { CallEnd } from "./call_end.ts";
-import { CallEndKind } from "./call_end_kind.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import { createCallIdentifier } from "./create_call_identifier.ts";
+import { createEarlyRefusal } from "./create_early_refusal.ts";
+import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
+import { getSplitState } from "./get_split_state.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { readRequestBody } from "./read_request_body.ts";
+import { reportCallEnd } from "./report_call_end.ts";
 import { runCall } from "./run_call.ts";
 import { writeCallEnd } from "./write_call_end.ts";
 
@@ -42,43 +42,30 @@
     host: request.headers.host ?? "",
     url: request.url ?? "/",
   });
-  const finish = (end: CallEnd, plan?: CallPlan) => {
-    writeCallEnd(response, end, {
-      closing: node.stopping,
-      now: node.clock.now(),
-    });
-    reportEnd(node, end, { callIdentifier, receivedAt, plan });
-  };
-  if (receivedAt >= node.callersEndAt) {
+  const reason = getEarlyRefusalReason(node, { route, receivedAt });
+  if (route === undefined || reason !== undefined) {
     request.resume();
-    finish(createEarlyRefusal(RefusalReason.NodeDraining));
+    if (reason !== undefined) refuse(reason);
     return;
   }
-  if (route === undefined) {
-    request.resume();
-    finish(createRouteRefusal(node));
-    return;
-  }
-  const timeout = Math.min(
-    route.timeoutMilliseconds,
-    head.remainingMilliseconds ?? Number.POSITIVE_INFINITY,
-  );
-  const deadline = receivedAt + timeout;
+  const { remainingMilliseconds = Number.POSITIVE_INFINITY } = head;
+  const deadline = receivedAt +
+    Math.min(route.timeoutMilliseconds, remainingMilliseconds);
   const timer = node.timers.at(
     deadline + deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
-  serve().finally(() => timer.cancel());
+  serveRoute(route).finally(() => timer.cancel());
 
-  async function serve(): Promise<void> {
+  async function serveRoute(chosen: CallRoute): Promise<void> {
     const body = await readRequestBody(request, {
       bytesMaximum: node.view.rules?.limits.bodyBytesMaximum ??
         bodyBytesMaximumDefault,
     });
-    if (body.isErr) return finish(createEarlyRefusal(body.error));
-    const plan = createPlan(route as CallRoute, body.value);
+    if (body.isErr) return refuse(body.error);
+    const plan = createPlan(chosen, body.value);
     const end = await runCall(node, plan);
-    if (response.destroyed || request.socket.destroyed) {
+    if (response.destroyed) {
       reportAbandoned(node, plan);
       return;
     }
@@ -95,7 +82,7 @@
         body,
       },
       route: chosen,
-      service: chooseTarget(chosen, getSplit(node, chosen.name)),
+      service: chooseTarget(chosen, getSplitState(node, chosen.name)),
       rulesVersion: node.view.rules?.version ?? 0,
       receivedAt,
       deadline,
@@ -104,36 +91,20 @@
         remainingMilliseconds: head.remainingMilliseconds,
         now: receivedAt,
       }),
-      mayComeBack: (head.remainingMilliseconds ?? 0) > timeout,
+      mayComeBack: receivedAt + remainingMilliseconds > deadline,
       signal: cancellation.signal,
     };
   }
-}
-
-function getSplit(node: MeshNode, route: string) {
-  const known = node.splits.get(route);
-  if (known !== undefined) return known;
-  const created = new Map<string, number>();
-  node.splits.set(route, created);
-  return created;
-}
 
-/** Without rules a missing route says nothing. */
-function createRouteRefusal(node: MeshNode): CallEnd {
-  return createEarlyRefusal(
-    node.view.rules === undefined
-      ? RefusalReason.NodeStarting
-      : RefusalReason.NoRoute,
-  );
-}
+  function refuse(refusal: RefusalReason): void {
+    finish(createEarlyRefusal(refusal), undefined);
+  }
 
-function createEarlyRefusal(reason: RefusalReason): CallEnd {
-  return {
-    kind: CallEndKind.Refused,
-    reason,
-    outcome: Outcome.NotRun,
-    retryMilliseconds: refusalTable[reason].retryMilliseconds / 2,
-  };
+  function finish(end: CallEnd, plan: CallPlan | undefined): void {
+    const now = node.clock.now();
+    writeCallEnd(response, end, { closing: node.stopping, now });
+    reportCallEnd(node, end, { callIdentifier, receivedAt, plan });
+  }
 }
 
 function reportAbandoned(node: MeshNode, plan: CallPlan): void {
@@ -142,51 +113,6 @@
     call: plan.callIdentifier,
     route: plan.route.name,
     service: plan.service,
-    elapsedMilliseconds: node.clock.now() - plan.receivedAt,
+    elapsedMilliseconds: Math.round(node.clock.now() - plan.receivedAt),
   });
 }
-
-function reportEnd(
-  node: MeshNode,
-  end: CallEnd,
-  options: {
-    readonly callIdentifier: string;
-    readonly receivedAt: number;
-    readonly plan: CallPlan | undefined;
-  },
-): void {
-  const { plan } = options;
-  const now = node.clock.now();
-  const soundSince = node.view.sourceSoundSince;
-  const common = {
-    call: options.callIdentifier,
-    ...(plan === undefined
-      ? {}
-      : { route: plan.route.name, service: plan.service }),
-    elapsedMilliseconds: Math.round(now - options.receivedAt),
-    rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
-    sourceSoundMilliseconds: Number.isFinite(soundSince)
-      ? Math.round(now - soundSince)
-      : -1,
-  };
-  match(end)
-    .with(
-      { kind: CallEndKind.Answered },
-      ({ status, backendServer }) =>
-        node.report.call({
-          kind: CallEventKind.Answered,
-          ...common,
-          status,
-          backendServer,
-        }),
-    )
-    .with({ kind: CallEndKind.Refused }, (refused) =>
-      node.report.call({
-        kind: CallEventKind.Refused,
-        ...common,
-        reason: refused.reason,
-        outcome: refused.outcome,
-        retryMilliseconds: Math.round(refused.retryMilliseconds),
-      }))
-    .exhaustive();
-}
