--- a/src/balancing/rank_candidates_test.ts
+++ b/src/balancing/rank_candidates_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { createRandomSource } from "../runtime/create_random_source.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { createGateView } from "./create_gate_view.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
 import type { GateView } from "./gate_view.ts";
@@ -17,17 +17,7 @@
   } = {},
 ): GateCandidate {
   return {
-    entry: {
-      identifier,
-      service: "vitrine",
-      address: { host: "127.0.0.1", port: 8301 },
-      zone: options.zone ?? "sul-a",
-      slots: 12,
-      availability: BackendServerAvailability.Ready,
-      coldUntil: 0,
-      bornAt: 0,
-      sequence: 1,
-    },
+    entry: createSampleEntry({ identifier, zone: options.zone ?? "sul-a" }),
     view: { ...createGateView(), ...options.view },
     vanished: options.vanished ?? false,
   };
--- a/src/gate/get_standing_refusal_test.ts
+++ b/src/gate/get_standing_refusal_test.ts
@@ -2,6 +2,7 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import type { RegisterRecord } from "../register/register_record.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { getStandingRefusal } from "./get_standing_refusal.ts";
 import type { OwnServerStanding } from "./own_server_standing.ts";
 
@@ -12,18 +13,7 @@
   vanishedAt = 0,
 ): RegisterRecord {
   return {
-    entry: {
-      identifier: "i-1",
-      service: "vitrine",
-      address: { host: "127.0.0.1", port: 8301 },
-      zone: "sul-a",
-      slots: 12,
-      availability: BackendServerAvailability.Ready,
-      coldUntil: 0,
-      bornAt: 0,
-      sequence: 1,
-      ...change,
-    },
+    entry: createSampleEntry(change),
     vanishedAt,
   };
 }
--- a/src/mesh/get_wait_deadline_test.ts
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
 import { createGateView } from "../balancing/create_gate_view.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 import { createCallRun } from "./create_call_run.ts";
@@ -12,17 +12,7 @@
 const answerMilliseconds = 40;
 
 const candidate: GateCandidate = {
-  entry: {
-    identifier: "i-1",
-    service: "fornadas",
-    address: { host: "127.0.0.1", port: 8301 },
-    zone: "sul-a",
-    slots: 12,
-    availability: BackendServerAvailability.Ready,
-    coldUntil: 0,
-    bornAt: 0,
-    sequence: 1,
-  },
+  entry: createSampleEntry({ service: "fornadas" }),
   view: {
     ...createGateView(),
     answerMilliseconds: new Map([["slots", answerMilliseconds]]),
--- a/src/mesh/take_source_reading_test.ts
+++ b/src/mesh/take_source_reading_test.ts
@@ -5,6 +5,7 @@
 import type { Rules } from "../routing/rules.ts";
 import type { SourceFact } from "../source/source_fact.ts";
 import { SourceFactKind } from "../source/source_fact_kind.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { BeliefChangeKind } from "./belief_change_kind.ts";
 import { createMeshView } from "./create_mesh_view.ts";
 import type { MeshView } from "./mesh_view.ts";
@@ -26,21 +27,6 @@
   };
 }
 
-function createEntry(change: Partial<RegisterEntry> = {}): RegisterEntry {
-  return {
-    identifier: "i-1",
-    service: "vitrine",
-    address: { host: "10.0.0.1", port: 8301 },
-    zone: "sul-a",
-    slots: 12,
-    availability: BackendServerAvailability.Ready,
-    coldUntil: 0,
-    bornAt: 5,
-    sequence: 3,
-    ...change,
-  };
-}
-
 function take(
   view: MeshView,
   facts: readonly (readonly [string, number, SourceFact | undefined])[],
@@ -58,7 +44,7 @@
 });
 const serverFact = (change: Partial<RegisterEntry> = {}): SourceFact => ({
   kind: SourceFactKind.BackendServer,
-  entry: createEntry(change),
+  entry: createSampleEntry(change),
 });
 
 test("whatever the order of readings, a version never goes back", (t) => {
--- /dev/null
+++ b/src/testing/mesh/create_sample_entry.ts
@@ -0,0 +1,20 @@
+import { BackendServerAvailability } from "../../register/backend_server_availability.ts";
+import type { RegisterEntry } from "../../register/register_entry.ts";
+
+/** Creates the entry of a ready and warm backend server; `change` replaces fields. */
+export function createSampleEntry(
+  change: Partial<RegisterEntry> = {},
+): RegisterEntry {
+  return {
+    identifier: "i-1",
+    service: "vitrine",
+    address: { host: "10.0.0.1", port: 8301 },
+    zone: "sul-a",
+    slots: 12,
+    availability: BackendServerAvailability.Ready,
+    coldUntil: 0,
+    bornAt: 5,
+    sequence: 3,
+    ...change,
+  };
+}
