Send non-idempotent requests on connections that were used a moment ago

Cause: a backend server may drop idle connections without notice; what is sent next is reset, and a reset leaves open whether a request ran. Change: such requests use connections idle for at most half a second. The test failed with the idle time of the others.

--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -16,6 +16,7 @@
     identifier: message.identifier,
     callerService: message.callerService,
     route: message.route,
+    idempotent: message.idempotent,
     priority: message.priority,
     deadline: now + message.remainingMilliseconds,
     goalDeadline: now + message.goalMilliseconds,
@@ -41,6 +42,7 @@
     message.waitMilliseconds,
     message.slots,
   ];
-  return texts.every((text) => typeof text === "string") &&
+  return typeof message.idempotent === "boolean" &&
+    texts.every((text) => typeof text === "string") &&
     numbers.every((number) => Number.isFinite(number));
 }
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -9,6 +9,7 @@
     identifier: offer.identifier,
     callerService: offer.callerService,
     route: offer.route,
+    idempotent: offer.idempotent,
     priority: offer.priority,
     remainingMilliseconds: Math.round(offer.deadline - now),
     goalMilliseconds: Math.round(offer.goalDeadline - now),
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -6,6 +6,8 @@
   readonly identifier: string;
   readonly callerService: string;
   readonly route: string;
+  /** Whether the request may run more than once. */
+  readonly idempotent: boolean;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly deadline: number;
--- a/src/mesh/make_offer.ts
+++ b/src/mesh/make_offer.ts
@@ -22,6 +22,7 @@
     identifier: entry.identifier,
     callerService: node.settings.service,
     route: plan.route.name,
+    idempotent: plan.route.kind === CallKind.Idempotent,
     priority: plan.route.priority,
     deadline: plan.deadline,
     goalDeadline: plan.goalDeadline,
@@ -38,6 +39,6 @@
       offer,
       signal,
       address: { host: entry.address.host, port: listeners.nodes.port },
-      mayRepeat: plan.route.kind === CallKind.Idempotent,
+      mayRepeat: offer.idempotent,
     });
 }
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -33,6 +33,8 @@
   readonly serverWatch: ServerWatchState;
   /** Connections to the backend server of this VM. */
   readonly backendAgent: Agent;
+  /** Connections to it that were used a moment ago, for requests that must not be lost on one that it has forgotten. */
+  readonly recentBackendAgent: Agent;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
   /** By identifier of the backend server. */
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -5,6 +5,7 @@
   readonly identifier: string;
   readonly callerService: string;
   readonly route: string;
+  readonly idempotent: boolean;
   readonly priority: number;
   readonly remainingMilliseconds: number;
   /** Negative where the goal was missed. */
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -129,6 +129,7 @@
   });
   const exchange = await sendToBackendServer(node, { ...request, headers }, {
     callIdentifier,
+    idempotent: offer.idempotent,
     signal,
   });
   const release = (answered: boolean) => {
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -21,14 +21,18 @@
 export function sendToBackendServer(
   node: MeshNode,
   request: CallRequest,
-  options: { readonly callIdentifier: string; readonly signal: AbortSignal },
+  options: {
+    readonly callIdentifier: string;
+    readonly idempotent: boolean;
+    readonly signal: AbortSignal;
+  },
 ): Promise<BackendExchange> {
   const { backendServer } = node.settings;
   return new Promise((resolve) => {
     let connected = false;
     let received: IncomingMessage | undefined;
     const outgoing = sendRequest({
-      agent: node.backendAgent,
+      agent: options.idempotent ? node.backendAgent : node.recentBackendAgent,
       host: backendServer.host,
       port: backendServer.port,
       method: request.method,
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -30,6 +30,8 @@
 
 /** Below the shortest idle time of a usual backend server, so that this side closes first. */
 const backendIdleMilliseconds = 4_000;
+/** A backend server may drop idle connections without notice; a reset leaves open whether a request ran. */
+const recentIdleMilliseconds = 500;
 /** Below the idle time of the listeners of other nodes. */
 const nodeIdleMilliseconds = 20_000;
 const headerBytesMaximum = 65_536;
@@ -89,6 +91,7 @@
       follower.stop();
       opened.value.forEach((listener) => listener.destroy());
       node.backendAgent.destroy();
+      node.recentBackendAgent.destroy();
       node.nodesAgent.destroy();
       return cut;
     },
@@ -130,6 +133,7 @@
       probing: false,
     },
     backendAgent: createConnectionAgent(backendIdleMilliseconds),
+    recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     gateViews: new Map(),
     splits: new Map(),
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -424,3 +424,22 @@
     );
   },
 );
+
+testInTurn(
+  "idle connections that a backend server forgot without notice cost a non-idempotent call nothing",
+  async (t) => {
+    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+      const used = new Set<unknown>();
+      scriptAll(fleet, (request, response) => {
+        const { socket } = request;
+        // What comes next on a forgotten connection is reset.
+        if (used.has(socket)) return socket.resetAndDestroy();
+        setTimeout(() => used.add(socket), 600);
+        answerWhole(request, response);
+      });
+      t.is((await fleet.call(0, { method: "POST" })).status, 200);
+      await delay(900);
+      t.is((await fleet.call(0, { method: "POST" })).status, 200);
+    });
+  },
+);
