--- a/scenarios/processes_test.ts
+++ b/scenarios/processes_test.ts
@@ -3,6 +3,7 @@
 import type { CallerService } from "../stand_ins/caller/caller_service.ts";
 import { gatherFacts } from "../stand_ins/deployment/gather_facts.ts";
 import { pause } from "../stand_ins/deployment/pause.ts";
+import { waitUntil } from "../stand_ins/deployment/wait_until.ts";
 import { watchVersions } from "../stand_ins/deployment/watch_versions.ts";
 import { parseTrail } from "../traces/parse_trail.ts";
 import { assertInForce } from "./processes/assert_in_force.ts";
@@ -13,6 +14,7 @@
 const fewSecondsMilliseconds = 4000;
 const observationMilliseconds = 2000;
 const loadMilliseconds = 2500;
+const startMilliseconds = 15_000;
 const sleepMilliseconds = 4000;
 
 test.serial(
@@ -130,9 +132,14 @@
   "[point 9: list of VMs lagging] [point 9: counted at the backend server] a leaving backend server receives nothing while the list of VMs lags",
   withDeployment({}, async (deployment, assert) => {
     const caller = deployment.startCaller({ seed: 9 });
+    const leaving = deployment.vms.slice(3, 4);
     await pause(loadMilliseconds);
+    // On a busy machine the caller's process may take longer to start.
+    await waitUntil(
+      async () => await countBegun(deployment, leaving) > 0,
+      Date.now() + startMilliseconds,
+    );
     await deployment.setPlatformFaults({ vmListLagMilliseconds: 600_000 });
-    const leaving = deployment.vms.slice(3, 4);
     const names = leaving.map((vm) => vm.backendServerName);
     await deployment.publish({ number: 2, backendServersLeaving: names });
     await pause(fewSecondsMilliseconds);
--- a/stand_ins/deployment/start_deployment.ts
+++ b/stand_ins/deployment/start_deployment.ts
@@ -117,8 +117,13 @@
       program: "stand_ins/caller/main.js",
       settings: { ...createCallerSettings(plan, vms), ...settings },
     });
+    const report = child.firstLine.then((line) =>
+      JSON.parse(line) as CallerReport
+    );
+    // A test that fails before it asks for the report ends the caller.
+    report.catch(() => {});
     return {
-      report: child.firstLine.then((line) => JSON.parse(line) as CallerReport),
+      report,
       stop: () => void child.process.kill("SIGTERM"),
     };
   };
