--- /dev/null
+++ b/src/mesh/create_own_refusal.ts
@@ -0,0 +1,24 @@
+import type { RefusalReason } from "../calls/refusal_reason.ts";
+import { getGateLoad } from "./get_gate_load.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+
+/** Creates the refusal of an offer by this node, with the load of its gate. */
+export function createOwnRefusal(
+  node: MeshNode,
+  refusal: {
+    readonly reason: RefusalReason;
+    readonly retryMilliseconds: number;
+    /** Whether the backend server itself turned the request away; false where left out. */
+    readonly reachedBackendServer?: boolean;
+  },
+): OfferOutcome {
+  return {
+    kind: OfferOutcomeKind.Refused,
+    reason: refusal.reason,
+    retryMilliseconds: refusal.retryMilliseconds,
+    reachedBackendServer: refusal.reachedBackendServer ?? false,
+    load: getGateLoad(node),
+  };
+}
--- /dev/null
+++ b/src/mesh/run_own_offer.ts
@@ -0,0 +1,129 @@
+import type { IncomingMessage } from "node:http";
+import { match } from "ts-pattern";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
+import { releaseSlot } from "../gate/release_slot.ts";
+import { BackendExchangeKind } from "./backend_exchange_kind.ts";
+import { CallEventKind } from "./call_event_kind.ts";
+import type { CallRequest } from "./call_request.ts";
+import { createOwnRefusal } from "./create_own_refusal.ts";
+import type { GateOffer } from "./gate_offer.ts";
+import { getGateLoad } from "./get_gate_load.ts";
+import { getOwnIdentifier } from "./get_own_identifier.ts";
+import { isFramedAnswer } from "./is_framed_answer.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { noteBackendExchange } from "./note_backend_exchange.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import { sendToBackendServer } from "./send_to_backend_server.ts";
+import { settleWaitingCalls } from "./settle_waiting_calls.ts";
+import { unknownRetryMilliseconds } from "./unknown_retry_milliseconds.ts";
+
+/**
+ * Sends an admitted call to the backend server of this VM. Its slot is
+ * released when the answer has been read to its end or the call is cut.
+ */
+export async function runOwnOffer(
+  node: MeshNode,
+  request: CallRequest,
+  options: {
+    readonly offer: GateOffer;
+    readonly offeredAt: number;
+    readonly signal: AbortSignal;
+  },
+): Promise<OfferOutcome> {
+  const { offer, signal } = options;
+  const { callIdentifier, idempotent } = offer;
+  const startedAt = node.clock.now();
+  const headers = node.dialect.markBackendRequest(request.headers, {
+    identifier: getOwnIdentifier(node) ?? offer.identifier,
+    callerService: offer.callerService,
+    remainingMilliseconds: Math.max(1, Math.floor(offer.deadline - startedAt)),
+  });
+  const exchange = await sendToBackendServer(node, { ...request, headers }, {
+    callIdentifier,
+    idempotent,
+    signal,
+  });
+  // What a caller cut short says nothing about the backend server.
+  if (!signal.aborted) noteBackendExchange(node, exchange);
+  node.report.call({
+    kind: CallEventKind.Exchanged,
+    call: callIdentifier,
+    route: offer.route,
+    service: offer.service,
+    outcome: exchange.kind,
+    waitedMilliseconds: Math.round(startedAt - options.offeredAt),
+    elapsedMilliseconds: Math.round(node.clock.now() - startedAt),
+  });
+  if (exchange.kind !== BackendExchangeKind.Answered) {
+    release(node, { callIdentifier, answered: false });
+    return createFailedOutcome(node, exchange.kind);
+  }
+  const { answer } = exchange;
+  releaseAtEnd(node, { callIdentifier, answer });
+  return {
+    kind: OfferOutcomeKind.Answered,
+    status: answer.statusCode ?? 0,
+    headers: selectPassedHeaders(answer.rawHeaders),
+    framed: isFramedAnswer(answer),
+    body: answer,
+    load: getGateLoad(node),
+  };
+}
+
+function release(
+  node: MeshNode,
+  options: { readonly callIdentifier: string; readonly answered: boolean },
+): void {
+  releaseSlot(node.gate, { ...options, now: node.clock.now() });
+  settleWaitingCalls(node);
+}
+
+function releaseAtEnd(
+  node: MeshNode,
+  options: {
+    readonly callIdentifier: string;
+    readonly answer: IncomingMessage;
+  },
+): void {
+  const { callIdentifier, answer } = options;
+  const onClose = () =>
+    release(node, { callIdentifier, answered: answer.complete });
+  if (answer.closed) {
+    onClose();
+    return;
+  }
+  answer.once("close", onClose);
+}
+
+function createFailedOutcome(
+  node: MeshNode,
+  kind: Exclude<BackendExchangeKind, BackendExchangeKind.Answered>,
+): OfferOutcome {
+  return match(kind)
+    .returnType<OfferOutcome>()
+    .with(BackendExchangeKind.TurnedAway, () =>
+      createOwnRefusal(node, {
+        reason: RefusalReason.Full,
+        retryMilliseconds: node.gate.serviceMilliseconds,
+        reachedBackendServer: true,
+      }))
+    .with(BackendExchangeKind.Misdirected, () =>
+      createOwnRefusal(node, {
+        reason: RefusalReason.BackendServerUnknown,
+        retryMilliseconds: unknownRetryMilliseconds,
+        reachedBackendServer: true,
+      }))
+    .with(BackendExchangeKind.NotConnected, () =>
+      createOwnRefusal(node, {
+        reason: RefusalReason.BackendServerDown,
+        retryMilliseconds: unknownRetryMilliseconds,
+      }))
+    .with(BackendExchangeKind.Broken, () => ({
+      kind: OfferOutcomeKind.Lost,
+      reason: RefusalReason.AnswerBroken,
+      load: getGateLoad(node),
+    }))
+    .exhaustive();
+}
--- /dev/null
+++ b/src/mesh/wait_for_slot.ts
@@ -0,0 +1,36 @@
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { withdrawSlotRequest } from "../gate/withdraw_slot_request.ts";
+import { createOwnRefusal } from "./create_own_refusal.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
+import { settleWaitingCalls } from "./settle_waiting_calls.ts";
+
+/** Waits until a queued call gets its slot, and resolves with undefined then; else with its refusal. */
+export function waitForSlot(
+  node: MeshNode,
+  options: { readonly callIdentifier: string; readonly signal: AbortSignal },
+): Promise<OfferOutcome | undefined> {
+  const { callIdentifier, signal } = options;
+  const waiting = new Promise<OfferOutcome | undefined>((resolve) => {
+    function onAbort(): void {
+      node.slotWaiters.delete(callIdentifier);
+      withdrawSlotRequest(node.gate, callIdentifier);
+      const reason = RefusalReason.CallerLeft;
+      resolve(createOwnRefusal(node, { reason, retryMilliseconds: 0 }));
+    }
+    signal.addEventListener("abort", onAbort, { once: true });
+    node.slotWaiters.set(callIdentifier, {
+      onGranted: () => {
+        signal.removeEventListener("abort", onAbort);
+        resolve(undefined);
+      },
+      onRefused: (reason, retryMilliseconds) => {
+        signal.removeEventListener("abort", onAbort);
+        resolve(createOwnRefusal(node, { reason, retryMilliseconds }));
+      },
+    });
+  });
+  // Sets the timer that ends the wait.
+  settleWaitingCalls(node);
+  return waiting;
+}
