--- a/stand_ins/store/create_store_server.ts
+++ b/stand_ins/store/create_store_server.ts
@@ -6,6 +6,7 @@
 import type { StoredItem } from "./stored_item.ts";
 
 const pageItems = 500;
+const oversizedPiece = Buffer.alloc(1_048_576, " ");
 const watchMillisecondsMaximum = 30_000;
 
 interface Watch {
@@ -102,6 +103,7 @@
       .with(StoreFault.Busy, () => send(response, 503, {}))
       .with(StoreFault.Reset, () => request.socket.resetAndDestroy())
       .with(StoreFault.Silent, () => undefined)
+      .with(StoreFault.Oversized, () => sendWithoutEnd(response))
       .with(StoreFault.Garbled, () => response.end('{"items": [{"key"'))
       .exhaustive();
   });
@@ -146,3 +148,10 @@
     },
   };
 }
+
+function sendWithoutEnd(response: ServerResponse): void {
+  const writePiece = () => {
+    if (!response.destroyed) response.write(oversizedPiece, writePiece);
+  };
+  writePiece();
+}
--- a/stand_ins/store/store_fault.ts
+++ b/stand_ins/store/store_fault.ts
@@ -7,6 +7,8 @@
   Reset = "reset",
   /** Never answers. */
   Silent = "silent",
+  /** Answers without end. */
+  Oversized = "oversized",
   /** Answers that are not JSON. */
   Garbled = "garbled",
 }
