--- a/src/balancing/rank_candidates_test.ts
+++ b/src/balancing/rank_candidates_test.ts
@@ -30,7 +30,6 @@
     route: "catalogo",
     goalMilliseconds: 400,
     ownZone: "sul-a",
-    ownHost: "127.0.0.9",
     answerBytes: 5_000,
   }).map(({ entry }) => entry.identifier);
 }
--- a/src/balancing/ranking_context.ts
+++ b/src/balancing/ranking_context.ts
@@ -7,8 +7,6 @@
   readonly route: string;
   readonly goalMilliseconds: number;
   readonly ownZone: string;
-  /** Host of this VM. */
-  readonly ownHost: string;
   /** Moving average of the route's answers in bytes. */
   readonly answerBytes: number;
 }
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -26,7 +26,6 @@
     route: plan.route.name,
     goalMilliseconds: plan.route.goalMilliseconds,
     ownZone: node.settings.zone,
-    ownHost: node.settings.backendServer.host,
     answerBytes: node.answerBytes.get(plan.route.name) ?? 0,
   });
   if (!run.mayWait) {
