Give each test fleet ports that are free on all of its hosts

The ports were looked for on the first host only, while the backend servers of the same fleet listen at ports that the system chose on the other hosts: one of these could stand where another node was to listen.

Ruled out: fleets that overlap (the tests run in turn, and the test does not restart a node).

Conclusion: the collision cannot come about any more.

--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -1,4 +1,3 @@
-import { createServer } from "node:net";
 import { startMeshNode } from "../../mesh/start_mesh_node.ts";
 import type { CallEvent } from "../../mesh/call_event.ts";
 import type { MeshDaemon } from "../../mesh/mesh_daemon.ts";
@@ -11,13 +10,13 @@
 import { createSteadyClock } from "../../runtime/create_steady_clock.ts";
 import { createSystemTimers } from "../../runtime/create_system_timers.ts";
 import { SourceFactKind } from "../../source/source_fact_kind.ts";
-import { listenOnLoopback } from "../calls/listen_on_loopback.ts";
 import { waitUntil } from "../calls/wait_until.ts";
 import { createSourceFake } from "./create_source_fake.ts";
 import type { MeshBackend } from "./mesh_backend.ts";
 import type { MeshCall } from "./mesh_call.ts";
 import type { MeshFleet } from "./mesh_fleet.ts";
 import type { MeshFleetOptions } from "./mesh_fleet_options.ts";
+import { findPortsFreeOnHosts } from "./find_ports_free_on_hosts.ts";
 import { sendMeshCall } from "./send_mesh_call.ts";
 import { startMeshBackend } from "./start_mesh_backend.ts";
 import { testDialect } from "./test_dialect.ts";
@@ -40,7 +39,7 @@
       })
     ),
   );
-  const ports = await findFreePorts(3);
+  const ports = await findPortsFreeOnHosts(indexes.map(getHost), { count: 3 });
   const settings = backends.map((backend, index) =>
     createSettings(backend, {
       index,
@@ -143,16 +142,6 @@
   return `127.0.0.${index + 1}`;
 }
 
-/** Ports that are free on the first host are taken to be free on the others. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const addresses = await Promise.all(servers.map(listenOnLoopback));
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return addresses.map(({ port }) => port);
-}
-
 function createSettings(
   backend: MeshBackend,
   options: {
