Accept the connections that wait in the kernel before a listener closes

Closing a listening socket resets the connections that the kernel has completed and the process has not accepted yet; their callers see a cut without a word.

Ruled out: idle connections (they get the final answer; a test stands), and a machine under load (seen on a quiet one before).

Change: the listening socket is closed after a whole turn of the event loop, in which those connections are accepted. The test opens a connection in the same turn as the closing: before, ECONNRESET; after, an answer.

--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -53,11 +53,13 @@
         () => tracker.finishIdle(finalAnswer),
         sweepMilliseconds,
       );
-      // The HTTP server's own close would destroy idle connections without an answer.
-      Server.prototype.close.call(server, () => {
-        clearInterval(sweep);
-        resolve();
-      });
+      afterPendingConnections(() =>
+        // The HTTP server's own close would destroy idle connections without an answer.
+        Server.prototype.close.call(server, () => {
+          clearInterval(sweep);
+          resolve();
+        })
+      );
       tracker.finishIdle(finalAnswer);
     });
   }
@@ -83,3 +85,13 @@
     });
   });
 }
+
+/**
+ * Runs `action` once the connections are accepted that stood in the queue of
+ * the kernel: closing a listening socket resets those that still stand there.
+ * A turn of the event loop that has begun may have looked at the socket
+ * already, so the action comes after a whole one.
+ */
+function afterPendingConnections(action: () => void): void {
+  setImmediate(() => setImmediate(action));
+}
--- a/src/daemon/open_listener_test.ts
+++ b/src/daemon/open_listener_test.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from "node:net";
 import { once } from "node:events";
+import { nextTick } from "node:process";
 import test from "ava";
 import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
 import type { Listener } from "./listener.ts";
@@ -58,3 +59,18 @@
   socket.destroy();
   t.pass();
 });
+
+test("a connection that was opened just before the closing is answered, not reset", async (t) => {
+  const listener = await open(() => {});
+  const socket = connect(listener.address.port, listener.address.host);
+  // The kernel completes the handshake in this turn of the loop; the listener accepts it in a later one.
+  await new Promise<void>((resolve) => nextTick(resolve));
+  const closed = listener.close(finalAnswer);
+  socket.write(request);
+  const received: string[] = [];
+  socket.on("data", (data) => received.push(String(data)));
+  const [withError] = await once(socket, "close");
+  t.false(withError);
+  t.regex(received.join(""), /^HTTP\/1\.1 (200|503) /);
+  await closed;
+});
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -1,5 +1,6 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
+import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
@@ -28,10 +29,7 @@
     takeSlot(state, { callIdentifier: request.callIdentifier, now });
     return { kind: SlotDecisionKind.Granted };
   }
-  const ahead =
-    state.queue.filter(({ request: other }) =>
-      other.priority <= request.priority
-    ).length;
+  const ahead = countAhead(state, request, { now });
   const wait = getExpectedWaitMilliseconds(state, { ahead, now });
   // A call that would end after its deadline is refused before it has waited.
   const latestStart = Math.min(
@@ -48,6 +46,19 @@
   return { kind: SlotDecisionKind.Queued };
 }
 
+/** Calls that are late anyway wait behind those in time, so they are no reason to refuse one of these. */
+function countAhead(
+  state: GateState,
+  request: SlotRequest,
+  { now }: { readonly now: number },
+): number {
+  const latestGoal = now + state.serviceMilliseconds;
+  const newcomer = { request, queuedAt: now };
+  return state.queue.filter((queued) =>
+    compareQueuedRequests(queued, newcomer, { latestGoal }) <= 0
+  ).length;
+}
+
 function refuse(
   reason: RefusalReason,
   retryMilliseconds: number,
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -151,3 +151,29 @@
     reason: RefusalReason.ZoneTakenOut,
   });
 });
+
+test("overload by callers that come back: calls that are late anyway do not turn away one that can be in time", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("running"), { now: start });
+  ["late-1", "late-2", "late-3"].forEach((name) =>
+    requestSlot(
+      gate,
+      createRequest(name, { goalDeadline: start - 100 }),
+      { now: start },
+    )
+  );
+  const inTime = createRequest("in-time", { waitDeadline: start + 200 });
+  t.is(
+    requestSlot(gate, inTime, { now: start }).kind,
+    SlotDecisionKind.Queued,
+  );
+  releaseSlot(gate, {
+    callIdentifier: "running",
+    answered: true,
+    now: start + 100,
+  });
+  const { granted } = settleGateQueue(gate, start + 100);
+  t.deepEqual(granted.map(({ request }) => request.callIdentifier), [
+    "in-time",
+  ]);
+});
