--- a/src/gate/get_standing_refusal.ts
+++ b/src/gate/get_standing_refusal.ts
@@ -1,16 +1,9 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { isGone } from "../register/is_gone.ts";
 import type { OwnServerStanding } from "./own_server_standing.ts";
 
-/** How long the source takes, after an outage, to list again the backend servers that live. */
-const relistMilliseconds = 2_200;
-
-/**
- * Returns why the backend server gets no new work, or undefined.
- *
- * A removed entry closes the gate only while the source is sound: during an
- * outage entries lapse although their backend servers live.
- */
+/** Returns why the backend server gets no new work, or undefined. */
 export function getStandingRefusal(
   standing: OwnServerStanding,
   now: number,
@@ -26,9 +19,8 @@
   if (record.entry.availability === BackendServerAvailability.Draining) {
     return RefusalReason.BackendServerDraining;
   }
-  const isSourceSound = standing.sourceSoundSince + relistMilliseconds <= now;
-  if (record.vanishedAt > 0 && isSourceSound) {
-    return RefusalReason.BackendServerLeaving;
-  }
-  return undefined;
+  const { sourceSoundSince } = standing;
+  return isGone(record, { sourceSoundSince, now })
+    ? RefusalReason.BackendServerLeaving
+    : undefined;
 }
--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -20,15 +20,14 @@
   node: MeshNode,
   run: CallRun,
 ): CallEnd {
-  const { plan } = run;
   const now = node.clock.now();
-  const reason = now >= plan.deadline
-    ? RefusalReason.DeadlinePassed
-    : getReason(node, run);
-  const waits = listCandidates(node, plan.service)
+  const waits = listCandidates(node, run.plan.service)
     .filter(({ view }) => view.fullUntil > now)
     .map(({ view }) => view.waitMilliseconds)
     .concat(...run.waits.values());
+  const reason = now >= run.plan.deadline
+    ? RefusalReason.DeadlinePassed
+    : getReason(run, { isFull: waits.length > 0 });
   const wait = waits.length > 0
     ? Math.min(...waits)
     : refusalTable[reason].retryMilliseconds / 2;
@@ -42,12 +41,11 @@
 }
 
 /** A gate that is open and full says more about the call than one that is closed. */
-function getReason(node: MeshNode, run: CallRun): RefusalReason {
+function getReason(
+  run: CallRun,
+  { isFull }: { readonly isFull: boolean },
+): RefusalReason {
   if (run.mayHaveRun) return run.lastReason ?? RefusalReason.ContactLost;
-  const now = node.clock.now();
-  const candidates = listCandidates(node, run.plan.service);
-  const isFull = run.waits.size > 0 ||
-    candidates.some(({ view }) => view.fullUntil > now);
   if (isFull && run.lastReason !== RefusalReason.ColdStart) {
     return RefusalReason.Full;
   }
--- a/src/mesh/list_candidates.ts
+++ b/src/mesh/list_candidates.ts
@@ -1,18 +1,22 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { isGone } from "../register/is_gone.ts";
 import { getGateView } from "./get_gate_view.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Lists the backend servers of a service that may take work: not draining and not in a zone taken out. */
+/** Lists the backend servers of a service that may take work: not draining, not gone and not in a zone taken out. */
 export function listCandidates(
   node: MeshNode,
   service: string,
 ): readonly GateCandidate[] {
-  return Array.from(node.view.register.values())
-    .filter(({ entry }) =>
-      entry.service === service &&
-      entry.availability === BackendServerAvailability.Ready &&
-      !node.view.zonesTakenOut.has(entry.zone)
+  const now = node.clock.now();
+  const { register, sourceSoundSince, zonesTakenOut } = node.view;
+  return Array.from(register.values())
+    .filter((record) =>
+      record.entry.service === service &&
+      record.entry.availability === BackendServerAvailability.Ready &&
+      !zonesTakenOut.has(record.entry.zone) &&
+      !isGone(record, { sourceSoundSince, now })
     )
     .map(({ entry, vanishedAt }) => ({
       entry,
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
+import { CallEventKind } from "./call_event_kind.ts";
 import { SourceFactKind } from "../source/source_fact_kind.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { answerWhole } from "../testing/mesh/answer_whole.ts";
@@ -443,3 +444,25 @@
     });
   },
 );
+
+testInTurn(
+  "a backend server whose entry was removed is offered nothing while the source is sound",
+  async (t) => {
+    await withFleet({ vms: 2, slots: 1 }, async (fleet) => {
+      // Just after its start the source may still have to list the ones that live.
+      await delay(2_300);
+      fleet.source.remove("server/server-1");
+      await delay(1_200);
+      scriptAll(fleet, (request, response) => {
+        setTimeout(() => answerWhole(request, response), 200);
+      });
+      await Promise.all([0, 0, 0].map((vm) => fleet.call(vm)));
+      t.deepEqual(
+        fleet.events.filter(({ kind, backendServer }) =>
+          kind === CallEventKind.OfferRefused && backendServer === "server-1"
+        ),
+        [],
+      );
+    });
+  },
+);
