--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -2,6 +2,7 @@
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
+import { getInTimeBound } from "./get_in_time_bound.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
 import { ServerCondition } from "./server_condition.ts";
@@ -52,10 +53,10 @@
   request: SlotRequest,
   { now }: { readonly now: number },
 ): number {
-  const latestGoal = now + state.serviceMilliseconds;
+  const inTimeBound = getInTimeBound(state, now);
   const newcomer = { request, queuedAt: now };
   return state.queue.filter((queued) =>
-    compareQueuedRequests(queued, newcomer, { latestGoal }) <= 0
+    compareQueuedRequests(queued, newcomer, { inTimeBound }) <= 0
   ).length;
 }
 
