--- a/src/mesh/belief_change.ts
+++ b/src/mesh/belief_change.ts
@@ -7,4 +7,9 @@
   readonly subject: string;
   /** Revision of the source that brought the change. */
   readonly revision: number;
+  /** On a new entry of a backend server: what routing goes by. */
+  readonly service?: string;
+  readonly zone?: string;
+  readonly host?: string;
+  readonly slots?: number;
 }
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -21,7 +21,6 @@
     deadline: now + message.remainingMilliseconds,
     goalDeadline: now + message.goalMilliseconds,
     waitDeadline: now + message.waitMilliseconds,
-    slots: message.slots,
   };
 }
 
@@ -40,7 +39,6 @@
     message.remainingMilliseconds,
     message.goalMilliseconds,
     message.waitMilliseconds,
-    message.slots,
   ];
   return typeof message.idempotent === "boolean" &&
     texts.every((text) => typeof text === "string") &&
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -14,7 +14,6 @@
     remainingMilliseconds: Math.round(offer.deadline - now),
     goalMilliseconds: Math.round(offer.goalDeadline - now),
     waitMilliseconds: Math.round(offer.waitDeadline - now),
-    slots: offer.slots,
   };
   return JSON.stringify(message);
 }
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -15,6 +15,4 @@
   readonly goalDeadline: number;
   /** Until when the call may wait for a slot. */
   readonly waitDeadline: number;
-  /** Slots of the backend server as the register tells them. */
-  readonly slots: number;
 }
--- a/src/mesh/make_offer.ts
+++ b/src/mesh/make_offer.ts
@@ -27,7 +27,6 @@
     deadline: plan.deadline,
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
-    slots: entry.slots,
   };
   const { signal, request } = plan;
   const { backendServer, listeners } = node.settings;
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -12,5 +12,4 @@
   readonly goalMilliseconds: number;
   /** Negative where the call must not wait. */
   readonly waitMilliseconds: number;
-  readonly slots: number;
 }
--- a/src/mesh/take_source_reading.ts
+++ b/src/mesh/take_source_reading.ts
@@ -104,9 +104,7 @@
   const isCold = entry.coldUntil > now;
   const wasCold = sameLife && known.entry.coldUntil > now;
   return [
-    ...(sameLife && known.vanishedAt === 0
-      ? []
-      : [{ kind: BeliefChangeKind.BackendServerAdded, subject }]),
+    ...(sameLife && known.vanishedAt === 0 ? [] : [createAddition(entry)]),
     ...(isDraining && !wasDraining
       ? [{ kind: BeliefChangeKind.BackendServerDraining, subject }]
       : []),
@@ -116,6 +114,18 @@
   ];
 }
 
+function createAddition(entry: RegisterEntry): Change {
+  const { identifier, service, zone, slots, address } = entry;
+  return {
+    kind: BeliefChangeKind.BackendServerAdded,
+    subject: identifier,
+    service,
+    zone,
+    host: address.host,
+    slots,
+  };
+}
+
 function takeRemoval(
   view: MeshView,
   key: string,
