--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -133,7 +133,8 @@
     ),
   );
   t.true(busiest <= coldBoundInOneSecond);
-  t.true(grants.length >= 5 * coldCallsPerSecond - 1);
+  // Little of what it is allowed to get is left unused: after a power cut all of a service are cold.
+  t.true(grants.length >= 5 * coldCallsPerSecond * 1.4);
 });
 
 test("a backend server that is down or closed gets nothing, and its queue is refused", (t) => {
--- a/src/gate/set_cold_rate.ts
+++ b/src/gate/set_cold_rate.ts
@@ -2,7 +2,7 @@
 import type { GateState } from "./gate_state.ts";
 
 /** Part of the allowed excess that is used; the rest covers requests that bunch up on their way. */
-const usedExcessShare = 0.6;
+const usedExcessShare = 0.9;
 /** Part of the slack that may come at once. */
 const usedSlackShare = 0.4;
 
