--- a/src/gate/compare_queued_requests.ts
+++ b/src/gate/compare_queued_requests.ts
@@ -8,15 +8,12 @@
 export function compareQueuedRequests(
   left: QueuedSlotRequest,
   right: QueuedSlotRequest,
-  options: {
-    /** The earliest goal, as an instant, that a call which starts now will probably meet. */
-    readonly inTimeBound: number;
-  },
+  options: { readonly latestGoal: number },
 ): number {
   const urgency = left.request.priority - right.request.priority;
   if (urgency !== 0) return urgency;
-  const lateness = Number(left.request.goalDeadline < options.inTimeBound) -
-    Number(right.request.goalDeadline < options.inTimeBound);
+  const lateness = Number(left.request.goalDeadline < options.latestGoal) -
+    Number(right.request.goalDeadline < options.latestGoal);
   if (lateness !== 0) return lateness;
   return left.request.goalDeadline - right.request.goalDeadline;
 }
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -2,7 +2,6 @@
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
-import { getInTimeBound } from "./get_in_time_bound.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
 import { ServerCondition } from "./server_condition.ts";
@@ -53,10 +52,10 @@
   request: SlotRequest,
   { now }: { readonly now: number },
 ): number {
-  const inTimeBound = getInTimeBound(state, now);
+  const latestGoal = now + state.serviceMilliseconds;
   const newcomer = { request, queuedAt: now };
   return state.queue.filter((queued) =>
-    compareQueuedRequests(queued, newcomer, { inTimeBound }) <= 0
+    compareQueuedRequests(queued, newcomer, { latestGoal }) <= 0
   ).length;
 }
 
--- a/src/gate/settle_gate_queue.ts
+++ b/src/gate/settle_gate_queue.ts
@@ -2,7 +2,6 @@
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
-import { getInTimeBound } from "./get_in_time_bound.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
 import type { QueueSettlement } from "./queue_settlement.ts";
@@ -52,10 +51,10 @@
   now: number,
 ): readonly QueuedSlotRequest[] {
   if (state.queue.length === 0 || !hasFreeSlot(state, now)) return [];
-  const inTimeBound = getInTimeBound(state, now);
+  const latestGoal = now + state.serviceMilliseconds;
   const granted: QueuedSlotRequest[] = [];
   state.queue = state.queue
-    .sort((left, right) => compareQueuedRequests(left, right, { inTimeBound }))
+    .sort((left, right) => compareQueuedRequests(left, right, { latestGoal }))
     .filter((queued) => {
       if (!hasFreeSlot(state, now)) return true;
       const { callIdentifier } = queued.request;
--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -4,11 +4,12 @@
 import type { CallEnd } from "./call_end.ts";
 import { CallEndKind } from "./call_end_kind.ts";
 import type { CallRun } from "./call_run.ts";
-import { getReturnMilliseconds } from "./get_return_milliseconds.ts";
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 const retryMillisecondsMinimum = 50;
+/** Callers that were refused together come back spread over this share of the wait. */
+const spreadShare = 0.5;
 
 /**
  * Creates the refusal of a call that no backend server answered. It says
@@ -30,15 +31,12 @@
   const wait = waits.length > 0
     ? Math.min(...waits)
     : refusalTable[reason].retryMilliseconds / 2;
+  const spread = 1 + node.random.next() * spreadShare;
   return {
     kind: CallEndKind.Refused,
     reason,
     outcome: run.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-    retryMilliseconds: getReturnMilliseconds(run.plan, {
-      waitMilliseconds: Math.max(retryMillisecondsMinimum, wait),
-      now,
-      spread: node.random.next(),
-    }),
+    retryMilliseconds: Math.max(retryMillisecondsMinimum, wait) * spread,
   };
 }
 
