--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -2,6 +2,7 @@
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
+import { getLatestStart } from "./get_latest_start.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
 import { ServerCondition } from "./server_condition.ts";
@@ -32,11 +33,7 @@
   const ahead = countAhead(state, request, { now });
   const wait = getExpectedWaitMilliseconds(state, { ahead, now });
   // A call that would end after its deadline is refused before it has waited.
-  const latestStart = Math.min(
-    request.waitDeadline,
-    request.deadline - state.serviceMilliseconds,
-  );
-  if (now + wait > latestStart) {
+  if (now + wait > getLatestStart(state, request)) {
     return refuse(
       isCold(state, now) ? RefusalReason.ColdStart : RefusalReason.Full,
       Math.max(wait, state.serviceMilliseconds / 2),
@@ -46,16 +43,16 @@
   return { kind: SlotDecisionKind.Queued };
 }
 
-/** Calls that are late anyway wait behind those in time, so they are no reason to refuse one of these. */
+/** Only calls that get a slot before a newcomer are a reason to refuse it. */
 function countAhead(
   state: GateState,
   request: SlotRequest,
   { now }: { readonly now: number },
 ): number {
-  const latestGoal = now + state.serviceMilliseconds;
+  const earliestGoal = now + state.serviceMilliseconds;
   const newcomer = { request, queuedAt: now };
   return state.queue.filter((queued) =>
-    compareQueuedRequests(queued, newcomer, { latestGoal }) <= 0
+    compareQueuedRequests(queued, newcomer, { earliestGoal }) <= 0
   ).length;
 }
 
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -34,6 +34,7 @@
     goalDeadline: start + 400,
     deadline: start + 1_200,
     waitDeadline: start + 1_200,
+    mayComeBack: true,
     ...change,
   };
 }
@@ -178,3 +179,17 @@
     "in-time",
   ]);
 });
+
+test("overload: a call that newer ones keep from its slot is refused at once, not when its time is up", (t) => {
+  const gate = createGate(1);
+  requestSlot(gate, createRequest("running"), { now: start });
+  const patience = { waitDeadline: start + 150 };
+  requestSlot(gate, createRequest("older", patience), { now: start });
+  const newer = createRequest("newer", { waitDeadline: start + 160 });
+  t.is(
+    requestSlot(gate, newer, { now: start + 10 }).kind,
+    SlotDecisionKind.Queued,
+  );
+  const { refused } = settleGateQueue(gate, start + 10);
+  t.deepEqual(refused.map(({ request }) => request.callIdentifier), ["older"]);
+});
--- a/src/gate/settle_gate_queue.ts
+++ b/src/gate/settle_gate_queue.ts
@@ -2,6 +2,7 @@
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
+import { getLatestStart } from "./get_latest_start.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
 import type { QueueSettlement } from "./queue_settlement.ts";
@@ -17,11 +18,21 @@
   state: GateState,
   now: number,
 ): QueueSettlement {
-  const refused = takeHopelessCalls(state, now);
+  const expired = takeFromQueue(
+    state,
+    (queued) => isExpired(state, queued, now),
+  );
+  sortQueue(state, now);
   const granted = grantFreeSlots(state, now);
+  const crowdedOut = takeFromQueue(
+    state,
+    ({ request }, index) =>
+      now + getExpectedWaitMilliseconds(state, { ahead: index, now }) >
+        getLatestStart(state, request),
+  );
   return {
     granted,
-    refused,
+    refused: [...expired, ...crowdedOut],
     reason: getQueueReason(state, now),
     retryMilliseconds: getExpectedWaitMilliseconds(state, {
       ahead: state.queue.length,
@@ -30,39 +41,45 @@
   };
 }
 
-function takeHopelessCalls(
+function takeFromQueue(
   state: GateState,
-  now: number,
+  isTaken: (queued: QueuedSlotRequest, index: number) => boolean,
 ): readonly QueuedSlotRequest[] {
-  const isShut = state.closedFor !== undefined ||
-    state.condition === ServerCondition.Down;
-  const latestStart = now + state.serviceMilliseconds * startShare;
-  const isHopeless = ({ request }: QueuedSlotRequest) =>
-    isShut || now > request.waitDeadline || latestStart > request.deadline;
-  const hopeless = state.queue.filter(isHopeless);
-  if (hopeless.length > 0) {
-    state.queue = state.queue.filter((queued) => !isHopeless(queued));
+  const taken = state.queue.filter(isTaken);
+  if (taken.length > 0) {
+    state.queue = state.queue.filter((queued) => !taken.includes(queued));
   }
-  return hopeless;
+  return taken;
+}
+
+function isExpired(
+  state: GateState,
+  { request }: QueuedSlotRequest,
+  now: number,
+): boolean {
+  const latestStart = now + state.serviceMilliseconds * startShare;
+  return state.closedFor !== undefined ||
+    state.condition === ServerCondition.Down ||
+    now > request.waitDeadline ||
+    latestStart > request.deadline;
+}
+
+function sortQueue(state: GateState, now: number): void {
+  const earliestGoal = now + state.serviceMilliseconds;
+  state.queue.sort((left, right) =>
+    compareQueuedRequests(left, right, { earliestGoal })
+  );
 }
 
 function grantFreeSlots(
   state: GateState,
   now: number,
 ): readonly QueuedSlotRequest[] {
-  if (state.queue.length === 0 || !hasFreeSlot(state, now)) return [];
-  const latestGoal = now + state.serviceMilliseconds;
-  const granted: QueuedSlotRequest[] = [];
-  state.queue = state.queue
-    .sort((left, right) => compareQueuedRequests(left, right, { latestGoal }))
-    .filter((queued) => {
-      if (!hasFreeSlot(state, now)) return true;
-      const { callIdentifier } = queued.request;
-      takeSlot(state, { callIdentifier, now });
-      granted.push(queued);
-      return false;
-    });
-  return granted;
+  return takeFromQueue(state, ({ request }) => {
+    if (!hasFreeSlot(state, now)) return false;
+    takeSlot(state, { callIdentifier: request.callIdentifier, now });
+    return true;
+  });
 }
 
 function getQueueReason(state: GateState, now: number): RefusalReason {
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -9,4 +9,6 @@
   readonly deadline: number;
   /** Until when the call may wait for a slot; an earlier instant than now asks for a slot at once. */
   readonly waitDeadline: number;
+  /** Whether its caller can try again after a refusal. */
+  readonly mayComeBack: boolean;
 }
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -21,6 +21,7 @@
     deadline: now + message.remainingMilliseconds,
     goalDeadline: now + message.goalMilliseconds,
     waitDeadline: now + message.waitMilliseconds,
+    mayComeBack: message.mayComeBack,
   };
 }
 
@@ -40,7 +41,8 @@
     message.goalMilliseconds,
     message.waitMilliseconds,
   ];
-  return typeof message.idempotent === "boolean" &&
+  const flags = [message.idempotent, message.mayComeBack];
+  return flags.every((flag) => typeof flag === "boolean") &&
     texts.every((text) => typeof text === "string") &&
     numbers.every((number) => Number.isFinite(number));
 }
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -14,6 +14,7 @@
     remainingMilliseconds: Math.round(offer.deadline - now),
     goalMilliseconds: Math.round(offer.goalDeadline - now),
     waitMilliseconds: Math.round(offer.waitDeadline - now),
+    mayComeBack: offer.mayComeBack,
   };
   return JSON.stringify(message);
 }
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -15,4 +15,6 @@
   readonly goalDeadline: number;
   /** Until when the call may wait for a slot. */
   readonly waitDeadline: number;
+  /** Whether the caller can try again after a refusal. */
+  readonly mayComeBack: boolean;
 }
--- a/src/mesh/get_goal_deadline.ts
+++ b/src/mesh/get_goal_deadline.ts
@@ -1,27 +1,18 @@
 import type { CallRoute } from "../routing/call_route.ts";
-import type { MeshNode } from "./mesh_node.ts";
+import { getWaitedMilliseconds } from "./get_waited_milliseconds.ts";
 
 /**
  * Returns until when an answer has its full worth. The goal counts from the
- * caller's first attempt: a caller that comes back has less time left than
- * callers of the route have at first, and the difference is what it waited
- * already.
+ * caller's first attempt.
  */
 export function getGoalDeadline(
-  node: MeshNode,
+  route: CallRoute,
   options: {
-    readonly route: CallRoute;
-    readonly remainingMilliseconds: number | undefined;
+    readonly remainingMilliseconds: number;
+    /** The longest time that a caller of the route said it waits. */
+    readonly longestMilliseconds: number;
     readonly now: number;
   },
 ): number {
-  const { route, remainingMilliseconds, now } = options;
-  const goalDeadline = now + route.goalMilliseconds;
-  if (remainingMilliseconds === undefined) return goalDeadline;
-  const longest = Math.max(
-    node.longestRemaining.get(route.name) ?? 0,
-    remainingMilliseconds,
-  );
-  node.longestRemaining.set(route.name, longest);
-  return goalDeadline - (longest - remainingMilliseconds);
+  return options.now + route.goalMilliseconds - getWaitedMilliseconds(options);
 }
--- a/src/mesh/make_offer.ts
+++ b/src/mesh/make_offer.ts
@@ -27,6 +27,7 @@
     deadline: plan.deadline,
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
+    mayComeBack: plan.mayComeBack,
   };
   const { signal, request } = plan;
   const { backendServer, listeners } = node.settings;
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -12,4 +12,5 @@
   readonly goalMilliseconds: number;
   /** Negative where the call must not wait. */
   readonly waitMilliseconds: number;
+  readonly mayComeBack: boolean;
 }
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -12,7 +12,9 @@
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
 import { getSplitState } from "./get_split_state.ts";
+import { mayComeBack } from "./may_come_back.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { noteRemaining } from "./note_remaining.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { reportCallEnd } from "./report_call_end.ts";
 import { runCall } from "./run_call.ts";
@@ -73,6 +75,10 @@
   }
 
   function createPlan(chosen: CallRoute, body: Buffer): CallPlan {
+    const longestMilliseconds = noteRemaining(node, {
+      route: chosen.name,
+      remainingMilliseconds,
+    });
     return {
       callIdentifier,
       request: {
@@ -86,12 +92,12 @@
       rulesVersion: node.view.rules?.version ?? 0,
       receivedAt,
       deadline,
-      goalDeadline: getGoalDeadline(node, {
-        route: chosen,
-        remainingMilliseconds: head.remainingMilliseconds,
+      goalDeadline: getGoalDeadline(chosen, {
+        remainingMilliseconds,
+        longestMilliseconds,
         now: receivedAt,
       }),
-      mayComeBack: receivedAt + remainingMilliseconds > deadline,
+      mayComeBack: mayComeBack(chosen, { longestMilliseconds }),
       signal: cancellation.signal,
     };
   }
--- /dev/null
+++ b/src/testing/gate/simulate_overload.ts
@@ -0,0 +1,147 @@
+import { createGateState } from "../../gate/create_gate_state.ts";
+import { releaseSlot } from "../../gate/release_slot.ts";
+import { requestSlot } from "../../gate/request_slot.ts";
+import { ServerCondition } from "../../gate/server_condition.ts";
+import { settleGateQueue } from "../../gate/settle_gate_queue.ts";
+import { SlotDecisionKind } from "../../gate/slot_decision_kind.ts";
+import { createRandomSource } from "../../runtime/create_random_source.ts";
+import type { OverloadResult } from "./overload_result.ts";
+
+const slots = 12;
+const goalMilliseconds = 400;
+const deadlineMilliseconds = 2_500;
+const attemptsOfACaller = 3;
+const meanWorkMilliseconds = 160;
+/** Standard deviation of the logarithm of work times. */
+const workScatter = 0.7;
+/** What else an answer takes: calls of the backend server, ways between nodes. */
+const otherMilliseconds = 30;
+const lateWaitMilliseconds = 100;
+const retrySpread = 0.5;
+
+interface Caller {
+  readonly identifier: string;
+  readonly startedAt: number;
+  attempts: number;
+}
+
+/**
+ * Plays callers that come back after refusals against one gate, in steps of a
+ * millisecond, with random arrivals and work times.
+ */
+export function simulateOverload(
+  options: {
+    readonly seed: number;
+    readonly callersPerSecond: number;
+    readonly seconds: number;
+  },
+): OverloadResult {
+  const random = createRandomSource(options.seed);
+  const gate = createGateState(0);
+  gate.slots = slots;
+  gate.condition = ServerCondition.Up;
+  const callers = new Map<string, Caller>();
+  const askings = new Map<number, Caller[]>();
+  const endings = new Map<number, Caller[]>();
+  const counts = { inTime: 0, late: 0, refused: 0 };
+  const refusals = { count: 0, held: 0 };
+  const askedAt = new Map<string, number>();
+  const end = options.seconds * 1_000;
+
+  function schedule(
+    plan: Map<number, Caller[]>,
+    at: number,
+    caller: Caller,
+  ): void {
+    const instant = Math.ceil(at);
+    plan.set(instant, [...(plan.get(instant) ?? []), caller]);
+  }
+
+  function begin(caller: Caller, now: number): void {
+    const scatter = Math.exp(
+      workScatter * drawNormal() - workScatter * workScatter / 2,
+    );
+    schedule(endings, now + meanWorkMilliseconds * scatter + 1, caller);
+  }
+
+  function drawNormal(): number {
+    return Math.sqrt(-2 * Math.log(1 - random.next())) *
+      Math.cos(2 * Math.PI * random.next());
+  }
+
+  function refuse(caller: Caller, now: number, retry: number): void {
+    refusals.count += 1;
+    refusals.held += now - (askedAt.get(caller.identifier) ?? now);
+    const deadline = caller.startedAt + deadlineMilliseconds;
+    const wait = Math.min(
+      retry * (1 + random.next() * retrySpread),
+      (deadline - now) / 3,
+    );
+    if (caller.attempts >= attemptsOfACaller || now + wait >= deadline) {
+      counts.refused += 1;
+      return;
+    }
+    schedule(askings, now + wait + 6, caller);
+  }
+
+  function ask(caller: Caller, now: number): void {
+    caller.attempts += 1;
+    askedAt.set(caller.identifier, now);
+    const goalDeadline = caller.startedAt + goalMilliseconds;
+    const decision = requestSlot(gate, {
+      callIdentifier: caller.identifier,
+      priority: 2,
+      goalDeadline,
+      deadline: caller.startedAt + deadlineMilliseconds,
+      waitDeadline: Math.max(
+        goalDeadline - gate.serviceMilliseconds - otherMilliseconds,
+        now + lateWaitMilliseconds,
+      ),
+      mayComeBack: true,
+    }, { now });
+    if (decision.kind === SlotDecisionKind.Granted) begin(caller, now);
+    if (decision.kind === SlotDecisionKind.Refused) {
+      refuse(caller, now, decision.retryMilliseconds);
+    }
+  }
+
+  function finish(caller: Caller, now: number): void {
+    releaseSlot(gate, {
+      callIdentifier: caller.identifier,
+      answered: true,
+      now,
+    });
+    const answeredAt = now + otherMilliseconds;
+    const isInTime = answeredAt <= caller.startedAt + goalMilliseconds;
+    if (isInTime) counts.inTime += 1;
+    else counts.late += 1;
+  }
+
+  for (let now = 1; now < end + deadlineMilliseconds; now += 1) {
+    if (now < end && random.next() < options.callersPerSecond / 1_000) {
+      const caller = {
+        identifier: `caller-${callers.size}`,
+        startedAt: now,
+        attempts: 0,
+      };
+      callers.set(caller.identifier, caller);
+      schedule(askings, now, caller);
+    }
+    endings.get(now)?.forEach((caller) => finish(caller, now));
+    askings.get(now)?.forEach((caller) => ask(caller, now));
+    const { granted, refused, retryMilliseconds } = settleGateQueue(gate, now);
+    granted.forEach(({ request }) =>
+      begin(callers.get(request.callIdentifier)!, now)
+    );
+    refused.forEach(({ request }) =>
+      refuse(callers.get(request.callIdentifier)!, now, retryMilliseconds)
+    );
+  }
+  return {
+    callers: callers.size,
+    ...counts,
+    refusalMilliseconds: refusals.count === 0
+      ? 0
+      : refusals.held / refusals.count,
+  };
+}
