--- a/src/balancing/rank_candidates_test.ts
+++ b/src/balancing/rank_candidates_test.ts
@@ -98,3 +98,33 @@
     ["far", "vanished", "unreachable"],
   );
 });
+
+test("bytes between zones: a fast backend server in another zone is no better while the near one is fast enough", (t) => {
+  t.is(
+    rank([
+      createCandidate("near", { view: { answerMilliseconds: answered(170) } }),
+      createCandidate("faster", {
+        zone: "sul-b",
+        view: { answerMilliseconds: answered(75) },
+      }),
+    ])[0],
+    "near",
+  );
+});
+
+test("many calls at once: backend servers of one zone share them, and a busy one comes after a free one", (t) => {
+  const busy = {
+    load: { running: 12, queued: 3, slots: 12, cold: false },
+    loadAt: now,
+    answerMilliseconds: answered(120),
+  };
+  t.is(
+    rank([
+      createCandidate("busy", { view: busy }),
+      createCandidate("free", {
+        view: { answerMilliseconds: answered(120) },
+      }),
+    ])[0],
+    "free",
+  );
+});
--- a/src/balancing/rate_candidate.ts
+++ b/src/balancing/rate_candidate.ts
@@ -2,22 +2,29 @@
 import type { GateCandidate } from "./gate_candidate.ts";
 import type { RankingContext } from "./ranking_context.ts";
 
-/** Share of the goal that an answer from another zone costs at least. */
-const otherZoneShare = 0.1;
-/** Bytes of an answer from another zone that cost one more goal. */
-const bytesPerGoal = 40_000;
-const otherZoneShareMaximum = 0.5;
-/** Share of the goal that a candidate costs which the register no longer lists. */
-const vanishedShare = 1;
+/**
+ * Share of a call's worth that is lost where its answer takes as long as the
+ * goal. Work times scatter, so the risk to be late grows with the square.
+ */
+const lossAtGoal = 0.25;
+/** A call that waits may lose its slot to a newer one, so its wait weighs more than its work. */
+const waitWeight = 2;
+/** Share of a call's worth that a kilobyte between zones costs the operators. */
+const lossOfKilobyte = 0.03;
+/** Headers of a call and its answer between two nodes. */
+const headerKilobytes = 1;
+const bytesPerKilobyte = 1_000;
+/** A candidate that the register no longer lists may well be gone. */
+const lossOfVanished = 0.5;
 /** Cold backend servers take long and break easily. */
-const coldShare = 0.5;
-/** Spreads calls over equal candidates, as a share of the time to an answer. */
-const jitterShare = 0.1;
+const lossOfCold = 0.25;
+/** Spreads calls over equal candidates. */
+const jitter = 0.02;
 
 /**
- * Estimates in milliseconds what an answer of this candidate costs the caller
- * and the operators: time to the answer, wait for a slot, bytes between
- * zones, and the risk of a failure.
+ * Estimates which share of a call's worth is lost with this candidate: the
+ * risk of an answer after the goal, with the wait for a slot, the price of
+ * bytes between zones, and the risk of a failure.
  */
 export function rateCandidate(
   candidate: GateCandidate,
@@ -30,15 +37,14 @@
   const slots = Math.max(1, view.load?.slots ?? entry.slots);
   const excess = Math.max(0, estimateBusySlots(view, now) + 1 - slots);
   const wait = excess * answer / slots;
-  const zone = entry.zone === context.ownZone ? 0 : Math.min(
-    otherZoneShareMaximum,
-    otherZoneShare + context.answerBytes / bytesPerGoal,
-  );
+  const goals = (answer + wait * waitWeight) / goalMilliseconds;
+  const late = lossAtGoal * goals * goals;
+  const kilobytes = headerKilobytes + context.answerBytes / bytesPerKilobyte;
+  const zone = entry.zone === context.ownZone ? 0 : lossOfKilobyte * kilobytes;
   const cold = entry.coldUntil > now || view.load?.cold === true
-    ? coldShare
+    ? lossOfCold
     : 0;
-  const vanished = candidate.vanished ? vanishedShare : 0;
-  const shares = zone + cold + vanished + view.failureShare;
-  const jitter = context.random.next() * jitterShare * answer;
-  return answer + wait + jitter + shares * goalMilliseconds;
+  const vanished = candidate.vanished ? lossOfVanished : 0;
+  return late + zone + cold + vanished + view.failureShare +
+    context.random.next() * jitter;
 }
