--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -8,8 +8,12 @@
 const readIntervalMilliseconds = 900;
 /** Keeps a source whose history is always too short from being read without end. */
 const historyLostMilliseconds = 50;
+/** A connection that went silent shows only at the end of a watch, and a change must be in force soon after. */
+const watchMilliseconds = 1_000;
+/** While the source is lost, a silent attempt must end soon: the next one may find it back. */
+const lostWatchMilliseconds = 0;
 const backoffMilliseconds = 150;
-const backoffMillisecondsMaximum = 1_000;
+const backoffMillisecondsMaximum = 600;
 
 /**
  * Keeps a node's view current: reads everything once, then the changes after
@@ -36,7 +40,9 @@
     const complete = revision === undefined;
     const result = revision === undefined
       ? await client.readAll()
-      : await client.readChanges(revision);
+      : await client.readChanges(revision, {
+        waitMilliseconds: sound ? watchMilliseconds : lostWatchMilliseconds,
+      });
     if (stopped) return 0;
     if (result.isErr) return takeFailure(result.error.kind, result.error.found);
     failures = 0;
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -36,7 +36,10 @@
   const follower = followSource({
     client: {
       readAll: () => answer("all"),
-      readChanges: (revision) => answer(`after ${revision}`),
+      readChanges: (revision, { waitMilliseconds }) =>
+        answer(
+          waitMilliseconds > 0 ? `after ${revision}` : `at once ${revision}`,
+        ),
       close: () => undefined,
     },
     handler: {
@@ -67,7 +70,7 @@
   ]);
 });
 
-test("an outage is told once, and changes go on where they were", async (t) => {
+test("an outage is told once, changes go on where they were, and attempts meanwhile are short", async (t) => {
   t.deepEqual(
     await follow([
       ok([item], 5),
@@ -81,8 +84,8 @@
       "complete 1",
       "after 5",
       "lost unreachable",
-      "after 5",
-      "after 5",
+      "at once 5",
+      "at once 5",
       "regained",
       "changes 1",
     ],
--- a/src/source/source_client.ts
+++ b/src/source/source_client.ts
@@ -6,9 +6,10 @@
 export interface SourceClient {
   /** Reads every item. */
   readAll(): Promise<Result<SourceReading, SourceFailure>>;
-  /** Waits for changes after a revision; an empty reading means that there were none. */
+  /** Waits for changes after a revision, at most for the span; an empty reading means that there were none. */
   readChanges(
     revision: number,
+    options: { readonly waitMilliseconds: number },
   ): Promise<Result<SourceReading, SourceFailure>>;
   close(): void;
 }
