Take a watch without changes for what it is, and wait longer for one

Ruled out: a watch that misses changes; the ones it brought went on from the same revision.

Change: reading goes on from the revision that was told.

--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -9,17 +9,16 @@
 /** Keeps a source whose history is always too short from being read without end. */
 const historyLostMilliseconds = 50;
 /** A connection that went silent shows only at the end of a watch, and a change must be in force soon after. */
-const watchMilliseconds = 1_000;
+const watchMilliseconds = 2_000;
 /** While the source is lost, a silent attempt must end soon: the next one may find it back. */
 const lostWatchMilliseconds = 0;
-const backoffMilliseconds = 150;
+const backoffMilliseconds = 50;
 const backoffMillisecondsMaximum = 600;
 
 /**
  * Keeps a node's view current: reads everything once, then the changes after
- * the last revision. Reads everything again where the history is lost, where
- * an answer makes no sense, and where a source with backend servers shows no
- * change at all although these publish all the time.
+ * the last revision. Reads everything again where the history is lost and
+ * where an answer makes no sense.
  */
 export function followSource(
   options: {
@@ -52,8 +51,7 @@
     }
     const reading = result.value;
     handler.onReading(reading, { complete });
-    const isSilent = !complete && reading.items.length === 0;
-    revision = isSilent ? undefined : reading.revision;
+    revision = reading.revision;
     return complete ? 0 : readIntervalMilliseconds;
   }
 
