--- a/src/balancing/create_gate_view.ts
+++ b/src/balancing/create_gate_view.ts
@@ -12,6 +12,7 @@
     waitMilliseconds: 0,
     contactFailures: 0,
     failureShare: 0,
+    judgedAt: 0,
     answerMilliseconds: new Map(),
   };
 }
--- a/src/balancing/gate_view.ts
+++ b/src/balancing/gate_view.ts
@@ -17,8 +17,10 @@
   waitMilliseconds: number;
   /** Losses of contact in a row. */
   contactFailures: number;
-  /** Moving average of failed calls, 0 to 1. */
+  /** Moving average of failed calls, 0 to 1, as of `judgedAt`. */
   failureShare: number;
+  /** When the last call ended there, in milliseconds since the Unix epoch. */
+  judgedAt: number;
   /** Moving average of the time to an answer in milliseconds, by route. */
   readonly answerMilliseconds: Map<string, number>;
 }
--- a/src/balancing/note_answer.ts
+++ b/src/balancing/note_answer.ts
@@ -1,7 +1,9 @@
 import type { GateView } from "./gate_view.ts";
+import { getRememberedShare } from "./get_remembered_share.ts";
 
 /** Share of the newest observation in the moving averages. */
-const newestShare = 0.2;
+const newestShare = 0.1;
+const newestFailureShare = 0.2;
 
 /** Takes an answer of the backend server into the averages. */
 export function noteAnswer(
@@ -10,10 +12,13 @@
     readonly route: string;
     readonly elapsedMilliseconds: number;
     readonly failed: boolean;
+    readonly now: number;
   },
 ): void {
-  view.failureShare += ((options.failed ? 1 : 0) - view.failureShare) *
-    newestShare;
+  const remembered = view.failureShare * getRememberedShare(view, options.now);
+  view.failureShare = remembered +
+    ((options.failed ? 1 : 0) - remembered) * newestFailureShare;
+  view.judgedAt = options.now;
   if (options.failed) return;
   const known = view.answerMilliseconds.get(options.route);
   const next = known === undefined
--- a/src/balancing/rank_candidates.ts
+++ b/src/balancing/rank_candidates.ts
@@ -18,6 +18,7 @@
   const usualMilliseconds = getUsualMilliseconds(candidates, {
     route: context.route,
     fallback: context.goalMilliseconds * unknownAnswerShare,
+    now: context.now,
   });
   return candidates
     .map((candidate) => ({
--- a/src/balancing/rank_candidates_test.ts
+++ b/src/balancing/rank_candidates_test.ts
@@ -18,7 +18,7 @@
 ): GateCandidate {
   return {
     entry: createSampleEntry({ identifier, zone: options.zone ?? "sul-a" }),
-    view: { ...createGateView(), ...options.view },
+    view: { ...createGateView(), judgedAt: now, ...options.view },
     vanished: options.vanished ?? false,
   };
 }
@@ -128,3 +128,21 @@
     "free",
   );
 });
+
+test("recovery after a failure: what was seen long ago does not keep calls away from the own zone", (t) => {
+  const old = {
+    judgedAt: now - 10_000,
+    failureShare: 0.4,
+    answerMilliseconds: answered(700),
+  };
+  t.is(
+    rank([
+      createCandidate("near", { view: old }),
+      createCandidate("far", {
+        zone: "sul-b",
+        view: { answerMilliseconds: answered(120) },
+      }),
+    ])[0],
+    "near",
+  );
+});
--- a/src/balancing/rate_candidate.ts
+++ b/src/balancing/rate_candidate.ts
@@ -1,5 +1,6 @@
 import { estimateBusySlots } from "./estimate_busy_slots.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
+import { getRememberedShare } from "./get_remembered_share.ts";
 import type { RankingContext } from "./ranking_context.ts";
 
 /**
@@ -32,8 +33,9 @@
 ): number {
   const { entry, view } = candidate;
   const { goalMilliseconds, now, usualMilliseconds } = context;
-  const answer = view.answerMilliseconds.get(context.route) ??
-    usualMilliseconds;
+  const remembered = getRememberedShare(view, now);
+  const seen = view.answerMilliseconds.get(context.route) ?? usualMilliseconds;
+  const answer = usualMilliseconds + (seen - usualMilliseconds) * remembered;
   const slots = Math.max(1, view.load?.slots ?? entry.slots);
   const excess = Math.max(0, estimateBusySlots(view, now) + 1 - slots);
   const wait = excess * answer / slots;
@@ -45,6 +47,6 @@
     ? lossOfCold
     : 0;
   const vanished = candidate.vanished ? lossOfVanished : 0;
-  return late + zone + cold + vanished + view.failureShare +
+  return late + zone + cold + vanished + view.failureShare * remembered +
     context.random.next() * jitter;
 }
--- a/src/mesh/take_offer_answer.ts
+++ b/src/mesh/take_offer_answer.ts
@@ -42,6 +42,7 @@
     route,
     elapsedMilliseconds: node.clock.now() - options.offeredAt,
     failed,
+    now: node.clock.now(),
   });
   noteAnswerBytes(node, { route, bytes: body.value.held.byteLength });
   const end: CallEnd = {
--- a/src/mesh/take_offer_loss.ts
+++ b/src/mesh/take_offer_loss.ts
@@ -33,6 +33,7 @@
     route: run.plan.route.name,
     elapsedMilliseconds: 0,
     failed: true,
+    now: node.clock.now(),
   });
   if (tryRepeatCall(node, run)) return undefined;
   return run.fallback ?? createCallRefusal(node, run);
--- a/src/mesh/take_offer_refusal.ts
+++ b/src/mesh/take_offer_refusal.ts
@@ -48,6 +48,7 @@
     route: run.plan.route.name,
     elapsedMilliseconds: 0,
     failed: true,
+    now,
   });
   if (tryRepeatCall(node, run)) return undefined;
   return run.fallback ?? createCallRefusal(node, run);
