--- a/checks/parse_proof_rows.ts
+++ b/checks/parse_proof_rows.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { ProofRow } from "./proof_row.ts";
 
 const pointsSchema = z.array(z.strictObject({
--- a/src/calls/encode_key_settlement.ts
+++ b/src/calls/encode_key_settlement.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { encodeStoredAnswer } from "./encode_stored_answer.ts";
 import type { KeySettlement } from "./key_settlement.ts";
 import type { keySettlementSchema } from "./key_settlement_schema.ts";
--- a/src/calls/encode_settlement.ts
+++ b/src/calls/encode_settlement.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { encodeStoredAnswer } from "./encode_stored_answer.ts";
 import type { Settlement } from "./settlement.ts";
 import { SettlementKind } from "./settlement_kind.ts";
--- a/src/calls/encode_stored_answer.ts
+++ b/src/calls/encode_stored_answer.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { StoredAnswer } from "./stored_answer.ts";
 import type { storedAnswerSchema } from "./stored_answer_schema.ts";
 
--- a/src/calls/ledger_server_schema.ts
+++ b/src/calls/ledger_server_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How a ledger's server is named in control messages. */
 export const ledgerServerSchema = z.object({
--- a/src/calls/settle_call_schema.ts
+++ b/src/calls/settle_call_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The parameters of the control method `settleCall`. */
 export const settleCallSchema = z.object({
--- a/src/calls/settle_key_schema.ts
+++ b/src/calls/settle_key_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ledgerServerSchema } from "./ledger_server_schema.ts";
 
 /** The parameters of the control method `settleKey`. */
--- a/src/calls/settlement_schema.ts
+++ b/src/calls/settlement_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { SettlementKind } from "./settlement_kind.ts";
 import { storedAnswerSchema } from "./stored_answer_schema.ts";
 
--- a/src/calls/stored_answer_schema.ts
+++ b/src/calls/stored_answer_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How a kept answer travels in control messages: the body in Base64. */
 export const storedAnswerSchema = z.object({
--- a/src/command_line/get_package_version.ts
+++ b/src/command_line/get_package_version.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 
 const packageFile = new URL("../../../package.json", import.meta.url);
 const packageSchema = z.object({ version: z.string() });
--- a/src/configuration/backend_server_entry.ts
+++ b/src/configuration/backend_server_entry.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { backendServerEntrySchema } from "./backend_server_entry_schema.ts";
 
 /** A backend server as published. */
--- a/src/configuration/base_part_schema.ts
+++ b/src/configuration/base_part_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
 import { createListSchema } from "./create_list_schema.ts";
 import { nameSchema } from "./field_schemas.ts";
--- a/src/configuration/configuration_part_schema.ts
+++ b/src/configuration/configuration_part_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { basePartSchema } from "./base_part_schema.ts";
 import { servicePartSchema } from "./service_part_schema.ts";
 
--- a/src/configuration/create_list_schema.ts
+++ b/src/configuration/create_list_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Creates a schema of an array. */
 export function createListSchema<Item extends z.ZodType>(
--- a/src/configuration/create_whole_number_schema.ts
+++ b/src/configuration/create_whole_number_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Creates a schema of a whole number within bounds, both included. */
 export function createWholeNumberSchema(
--- a/src/configuration/digest_schema.ts
+++ b/src/configuration/digest_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const error = "64 lower-case hexadecimal digits";
 
--- a/src/configuration/field_schemas.ts
+++ b/src/configuration/field_schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { configurationLimits } from "./configuration_limits.ts";
 
 const nameText =
--- a/src/configuration/network_address_schema.ts
+++ b/src/configuration/network_address_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { formatAddress } from "../runtime/format_address.ts";
 import { tryParseAddress } from "../runtime/try_parse_address.ts";
 
--- a/src/configuration/route_entry_schema.ts
+++ b/src/configuration/route_entry_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
 import { CallPriority } from "./call_priority.ts";
 import { configurationLimits } from "./configuration_limits.ts";
--- a/src/configuration/service_part.ts
+++ b/src/configuration/service_part.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { servicePartSchema } from "./service_part_schema.ts";
 
 /** The backend servers of one service, in the order of the register. */
--- a/src/configuration/service_part_schema.ts
+++ b/src/configuration/service_part_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
 import { backendServerEntrySchema } from "./backend_server_entry_schema.ts";
 import { createListSchema } from "./create_list_schema.ts";
--- a/src/daemon/create_backend_server_prober.ts
+++ b/src/daemon/create_backend_server_prober.ts
@@ -1,6 +1,6 @@
 import { Result } from "true-myth";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import type { BackendServerProber } from "../health/backend_server_prober.ts";
--- a/src/daemon/create_platform_client.ts
+++ b/src/daemon/create_platform_client.ts
@@ -1,6 +1,6 @@
 import { Result } from "true-myth";
 import { Agent } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
--- a/src/diagnostics/create_schema_diagnostics.ts
+++ b/src/diagnostics/create_schema_diagnostics.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { createDiagnostic } from "./create_diagnostic.ts";
 import { describeFound } from "./describe_found.ts";
 import type { Diagnostic } from "./diagnostic.ts";
--- a/src/diagnostics/create_strict_object.ts
+++ b/src/diagnostics/create_strict_object.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Creates a schema of an object that refuses unknown fields and whose messages name the allowed ones. */
 export function createStrictObject<Shape extends z.core.$ZodLooseShape>(
--- a/src/distribution/answer_reconcile.ts
+++ b/src/distribution/answer_reconcile.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { getAllRecords } from "../peers/get_all_records.ts";
 import { groupRecords } from "../peers/group_records.ts";
 import { hashRecords } from "../peers/hash_records.ts";
--- a/src/distribution/distribution_answer.ts
+++ b/src/distribution/distribution_answer.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { DistributionMethod } from "./distribution_method.ts";
 import type { ExchangeMessage } from "./exchange_message.ts";
 import type { readManifestAnswerSchema } from "./read_manifest_answer_schema.ts";
--- a/src/distribution/exchange_message.ts
+++ b/src/distribution/exchange_message.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { exchangeMessageSchema } from "./exchange_message_schema.ts";
 
 /** What two nodes tell each other in an exchange, in both directions. */
--- a/src/distribution/instant_schema.ts
+++ b/src/distribution/instant_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const error = "an instant in milliseconds since the Unix epoch";
 
--- a/src/distribution/parse_control_message.ts
+++ b/src/distribution/parse_control_message.ts
@@ -1,5 +1,5 @@
 import { Result } from "true-myth";
-import type { z } from "zod";
+import type * as z from "zod";
 import { createSchemaDiagnostics } from "../diagnostics/create_schema_diagnostics.ts";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
--- a/src/distribution/peer_record_schema.ts
+++ b/src/distribution/peer_record_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createWholeNumberSchema } from "../configuration/create_whole_number_schema.ts";
 import { nameSchema } from "../configuration/field_schemas.ts";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
--- a/src/distribution/reconcile_answer_schema.ts
+++ b/src/distribution/reconcile_answer_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createListSchema } from "../configuration/create_list_schema.ts";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
 import { peerRecordSchema } from "./peer_record_schema.ts";
--- a/src/distribution/take_reconcile_answer.ts
+++ b/src/distribution/take_reconcile_answer.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { mergeRecords } from "../peers/merge_records.ts";
 import { mergeSightings } from "../peers/merge_sightings.ts";
 import type { DistributionContext } from "./distribution_context.ts";
--- a/src/distribution/take_store_request.ts
+++ b/src/distribution/take_store_request.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { getManifestVersion } from "../configuration/get_manifest_version.ts";
 import { isNewerVersion } from "../configuration/is_newer_version.ts";
 import { acceptSet } from "./accept_set.ts";
--- a/src/distribution/vm_sighting_schema.ts
+++ b/src/distribution/vm_sighting_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "../configuration/field_schemas.ts";
 import { createStrictObject } from "../diagnostics/create_strict_object.ts";
 import { VmSightingState } from "../peers/vm_sighting_state.ts";
--- a/src/platform/platform_value_schema.ts
+++ b/src/platform/platform_value_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createWholeNumberSchema } from "../configuration/create_whole_number_schema.ts";
 
 /** The platform's answer to a read of the configuration; fields that it may add are ignored. */
--- a/src/platform/vm_list_schema.ts
+++ b/src/platform/vm_list_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createListSchema } from "../configuration/create_list_schema.ts";
 import { createWholeNumberSchema } from "../configuration/create_whole_number_schema.ts";
 import { nameSchema } from "../configuration/field_schemas.ts";
--- a/stand_ins/backend_server/backend_server_faults.ts
+++ b/stand_ins/backend_server/backend_server_faults.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { backendServerFaultsSchema } from "./backend_server_faults_schema.ts";
 
 /** The faults of a backend server stand-in. */
--- a/stand_ins/backend_server/backend_server_faults_schema.ts
+++ b/stand_ins/backend_server/backend_server_faults_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The faults of a backend server stand-in; a field that is left out is without fault. */
 export const backendServerFaultsSchema = z.strictObject({
--- a/stand_ins/backend_server/backend_server_settings.ts
+++ b/stand_ins/backend_server/backend_server_settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { backendServerSettingsSchema } from "./backend_server_settings_schema.ts";
 
 /** The checked settings of a backend server stand-in. */
--- a/stand_ins/backend_server/backend_server_settings_schema.ts
+++ b/stand_ins/backend_server/backend_server_settings_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "../common/address_schema.ts";
 
 /** Settings of a backend server stand-in. */
--- a/stand_ins/caller/caller_service.ts
+++ b/stand_ins/caller/caller_service.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { callerServiceSchema } from "./caller_service_schema.ts";
 
 /** One kind of call that a caller makes. */
--- a/stand_ins/caller/caller_service_schema.ts
+++ b/stand_ins/caller/caller_service_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** One kind of call that a caller makes. */
 export const callerServiceSchema = z.strictObject({
--- a/stand_ins/caller/caller_settings.ts
+++ b/stand_ins/caller/caller_settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { callerSettingsSchema } from "./caller_settings_schema.ts";
 
 /** The checked settings of the caller. */
--- a/stand_ins/common/address_schema.ts
+++ b/stand_ins/common/address_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** An address as settings give it: `HOST:PORT`. */
 export const addressSchema = z.string().regex(
--- a/stand_ins/common/parse_stand_in_arguments.ts
+++ b/stand_ins/common/parse_stand_in_arguments.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 
 const usageExitStatus = 2;
 
--- a/stand_ins/platform/platform_faults.ts
+++ b/stand_ins/platform/platform_faults.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { platformFaultsSchema } from "./platform_faults_schema.ts";
 
 /** The faults of the platform's stand-in. */
--- a/stand_ins/platform/platform_faults_schema.ts
+++ b/stand_ins/platform/platform_faults_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The faults of the platform's stand-in; a field that is left out is without fault. */
 export const platformFaultsSchema = z.strictObject({
--- a/stand_ins/relay/relay_mode.ts
+++ b/stand_ins/relay/relay_mode.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { relayModeSchema } from "./relay_mode_schema.ts";
 
 /** What a relay does with connections. */
--- a/stand_ins/relay/relay_mode_schema.ts
+++ b/stand_ins/relay/relay_mode_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a relay does with connections. */
 export const relayModeSchema = z.strictObject({
