--- /dev/null
+++ b/src/calls/step/refuse_unknown.ts
@@ -0,0 +1,19 @@
+import type { CallContext } from "../call_context.ts";
+import type { CallState } from "../call_state.ts";
+import type { CallStep } from "../call_step.ts";
+import { createRefusal } from "../create_refusal.ts";
+import { Outcome } from "../outcome.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { refuseFinally } from "./refuse_finally.ts";
+
+/** Refuses a call of which a try may have run. */
+export function refuseUnknown(
+  state: CallState,
+  reason: RefusalReason,
+  context: CallContext,
+): CallStep {
+  return refuseFinally(
+    { ...state, mayHaveRun: true },
+    createRefusal(reason, Outcome.Unknown, { now: context.now }),
+  );
+}
--- /dev/null
+++ b/src/calls/step/try_next.ts
@@ -0,0 +1,32 @@
+import type { CallContext } from "../call_context.ts";
+import type { CallEffect } from "../call_effect.ts";
+import { CallEffectKind } from "../call_effect_kind.ts";
+import { CallPhase } from "../call_phase.ts";
+import type { CallState } from "../call_state.ts";
+import type { CallStep } from "../call_step.ts";
+import { refuseLate } from "./refuse_late.ts";
+
+/** Begins the next try, unless the deadline has passed. */
+export function tryNext(
+  state: CallState,
+  context: CallContext,
+  effects: readonly CallEffect[],
+): CallStep {
+  if (context.now >= state.deadline) {
+    return refuseLate(state, context);
+  }
+  const attempt = state.attempt + 1;
+  return {
+    state: {
+      ...state,
+      phase: CallPhase.Choosing,
+      attempt,
+      wakeAt: state.deadline,
+    },
+    effects: [...effects, {
+      kind: CallEffectKind.Try,
+      attempt,
+      excluded: state.excluded,
+    }],
+  };
+}
