--- /dev/null
+++ b/src/calls/ledger/give_up_settling.ts
@@ -0,0 +1,16 @@
+import type { LedgerEntry } from "../ledger_entry.ts";
+import { LedgerEntryKind } from "../ledger_entry_kind.ts";
+import type { LedgerStep } from "../ledger_step.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { createFence } from "./create_fence.ts";
+import { refuseKey } from "./refuse_key.ts";
+
+type Settling = Extract<LedgerEntry, { kind: LedgerEntryKind.Settling }>;
+
+/** Stops settling; the key stays as open as it was. */
+export function giveUpSettling(
+  entry: Settling,
+  options: { readonly reason: RefusalReason; readonly mayHaveRun: boolean },
+): LedgerStep {
+  return refuseKey(createFence(entry.fencers), entry, options);
+}
--- /dev/null
+++ b/src/calls/ledger/is_settling_for.ts
@@ -0,0 +1,14 @@
+import type { LedgerEntry } from "../ledger_entry.ts";
+import { LedgerEntryKind } from "../ledger_entry_kind.ts";
+
+type Settling = Extract<LedgerEntry, { kind: LedgerEntryKind.Settling }>;
+
+/** Whether an answer belongs to the settling that is under way. */
+export function isSettlingFor(
+  entry: LedgerEntry | undefined,
+  event: { readonly attemptIdentifier: string; readonly from: string },
+): entry is Settling {
+  return entry?.kind === LedgerEntryKind.Settling &&
+    entry.attemptIdentifier === event.attemptIdentifier &&
+    entry.pending.includes(event.from);
+}
--- /dev/null
+++ b/src/calls/ledger/take_missing_answer.ts
@@ -0,0 +1,50 @@
+import type { LedgerContext } from "../ledger_context.ts";
+import type { LedgerEntry } from "../ledger_entry.ts";
+import type { LedgerEvent } from "../ledger_event.ts";
+import { LedgerEventKind } from "../ledger_event_kind.ts";
+import { ledgerQuietMilliseconds } from "../ledger_quiet_milliseconds.ts";
+import type { LedgerStep } from "../ledger_step.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { crossOffServer } from "./cross_off_server.ts";
+import { giveUpSettling } from "./give_up_settling.ts";
+import { isSettlingFor } from "./is_settling_for.ts";
+
+type Unanswered = Extract<LedgerEvent, { kind: LedgerEventKind.Unanswered }>;
+
+/**
+ * A server that does not answer may have run the key, unless its VM or its
+ * process was gone before the first attempt and ever since.
+ */
+export function takeMissingAnswer(
+  entry: LedgerEntry | undefined,
+  event: Unanswered,
+  context: LedgerContext,
+): LedgerStep {
+  if (!isSettlingFor(entry, event)) {
+    return { entry, effects: [] };
+  }
+  return wasGone(entry.firstAttemptAt, event, context)
+    ? crossOffServer(entry, event.from, [])
+    : giveUpSettling(entry, {
+      reason: RefusalReason.KeyUnsettled,
+      mayHaveRun: false,
+    });
+}
+
+function wasGone(
+  firstAttemptAt: number | undefined,
+  event: Unanswered,
+  context: LedgerContext,
+): boolean {
+  if (firstAttemptAt === undefined) {
+    return false;
+  }
+  const { now, clockSkewMilliseconds } = context;
+  const { goneAt, refused } = event;
+  const isLater = (instant: number) =>
+    firstAttemptAt > instant + clockSkewMilliseconds;
+  const vmGone = goneAt !== undefined && isLater(goneAt);
+  const processGone = refused !== undefined && isLater(refused.since) &&
+    now + clockSkewMilliseconds < refused.lastAt + ledgerQuietMilliseconds;
+  return vmGone || processGone;
+}
