--- /dev/null
+++ b/src/calls/dispatch/queue_dispatch.ts
@@ -0,0 +1,20 @@
+import type { DispatchContext } from "../dispatch_context.ts";
+import { DispatchEffectKind } from "../dispatch_effect_kind.ts";
+import { DispatchPhase } from "../dispatch_phase.ts";
+import type { DispatchState } from "../dispatch_state.ts";
+import type { DispatchStep } from "../dispatch_step.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { concludeNotRun } from "./conclude_not_run.ts";
+
+/** Asks the admission for a slot, unless the deadline has passed. */
+export function queueDispatch(
+  state: DispatchState,
+  context: DispatchContext,
+): DispatchStep {
+  return context.now >= state.deadline
+    ? concludeNotRun(state, RefusalReason.DeadlinePassed, context)
+    : {
+      state: { ...state, phase: DispatchPhase.Queued },
+      effects: [{ kind: DispatchEffectKind.RequestSlot }],
+    };
+}
--- /dev/null
+++ b/src/calls/dispatch/take_arrival.ts
@@ -0,0 +1,24 @@
+import type { DispatchContext } from "../dispatch_context.ts";
+import { DispatchEffectKind } from "../dispatch_effect_kind.ts";
+import type { DispatchState } from "../dispatch_state.ts";
+import type { DispatchStep } from "../dispatch_step.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { queueDispatch } from "./queue_dispatch.ts";
+import { refuseNotRun } from "./refuse_not_run.ts";
+
+/** Takes a try that has arrived from the node of its caller. */
+export function takeArrival(
+  state: DispatchState,
+  obstacle: RefusalReason | undefined,
+  context: DispatchContext,
+): DispatchStep {
+  if (context.now >= state.deadline) {
+    return refuseNotRun(state, RefusalReason.DeadlinePassed, context);
+  }
+  if (obstacle !== undefined) {
+    return refuseNotRun(state, obstacle, context);
+  }
+  return state.keyed
+    ? { state, effects: [{ kind: DispatchEffectKind.ConsultLedger }] }
+    : queueDispatch(state, context);
+}
--- /dev/null
+++ b/src/calls/dispatch/take_broken_answer.ts
@@ -0,0 +1,31 @@
+import { DispatchResult } from "../../admission/dispatch_result.ts";
+import type { DispatchContext } from "../dispatch_context.ts";
+import { DispatchEffectKind } from "../dispatch_effect_kind.ts";
+import { DispatchPhase } from "../dispatch_phase.ts";
+import type { DispatchState } from "../dispatch_state.ts";
+import type { DispatchStep } from "../dispatch_step.ts";
+import { Outcome } from "../outcome.ts";
+import { RefusalReason } from "../refusal_reason.ts";
+import { SettlementKind } from "../settlement_kind.ts";
+import { createConclusion } from "./create_conclusion.ts";
+import { createDispatchRefusal } from "./create_dispatch_refusal.ts";
+import { createReport } from "./create_report.ts";
+import { endDispatch } from "./end_dispatch.ts";
+
+/** Takes an answer that broke off: the try may have run. */
+export function takeBrokenAnswer(
+  state: DispatchState,
+  context: DispatchContext,
+): DispatchStep {
+  const streaming = state.phase === DispatchPhase.Streaming;
+  return endDispatch(state, [
+    createReport(state, DispatchResult.Broken),
+    createConclusion(SettlementKind.Unknown, false),
+    streaming
+      ? { kind: DispatchEffectKind.BreakStream }
+      : createDispatchRefusal(state, RefusalReason.AnswerBroken, {
+        now: context.now,
+        outcome: Outcome.Unknown,
+      }),
+  ]);
+}
