Look through one service's records for a call, and wake half as often

A profile of three nodes with 90 entries, 27 of the service: 0.1 of 0.8 ms of a call went into the ranking, which copied its context for each candidate and rated those that could not be asked; each call went through the whole register, and so did the upkeep, 20 times a second.

--- a/src/balancing/rank_candidates.ts
+++ b/src/balancing/rank_candidates.ts
@@ -20,11 +20,12 @@
     fallback: context.goalMilliseconds * unknownAnswerShare,
     now: context.now,
   });
+  const ratingContext = { ...context, usualMilliseconds };
   return candidates
     .map((candidate) => ({
       candidate,
       avoided: candidate.view.avoidUntil > context.now ? 1 : 0,
-      cost: rateCandidate(candidate, { ...context, usualMilliseconds }),
+      cost: rateCandidate(candidate, ratingContext),
     }))
     .sort((left, right) =>
       left.avoided - right.avoided || left.cost - right.cost
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -17,8 +17,16 @@
 ): GateCandidate | undefined {
   const { plan } = run;
   const now = node.clock.now();
-  const candidates = listCandidates(node, plan.service).filter(({ entry }) =>
-    !run.asked.has(entry.identifier)
+  const getWait = ({ entry, view }: GateCandidate) =>
+    run.waits.get(entry.identifier) ??
+      (view.fullUntil > now ? view.waitMilliseconds : 0);
+  const isWorthAsking = (candidate: GateCandidate) =>
+    run.mayWait
+      ? now + getWait(candidate) <= getWaitDeadline(run, { candidate, now })
+      : candidate.view.fullUntil <= now &&
+        !run.waits.has(candidate.entry.identifier);
+  const candidates = listCandidates(node, plan.service).filter((candidate) =>
+    !run.asked.has(candidate.entry.identifier) && isWorthAsking(candidate)
   );
   const ranked = rankCandidates(candidates, {
     now,
@@ -28,17 +36,6 @@
     ownZone: node.settings.zone,
     answerBytes: node.answerBytes.get(plan.route.name) ?? 0,
   });
-  if (!run.mayWait) {
-    return ranked.find(({ entry, view }) =>
-      view.fullUntil <= now && !run.waits.has(entry.identifier)
-    );
-  }
-  const getWait = ({ entry, view }: GateCandidate) =>
-    run.waits.get(entry.identifier) ??
-      (view.fullUntil > now ? view.waitMilliseconds : 0);
-  return ranked
-    .filter((candidate) =>
-      now + getWait(candidate) <= getWaitDeadline(run, { candidate, now })
-    )
-    .toSorted((left, right) => getWait(left) - getWait(right))[0];
+  if (!run.mayWait) return ranked[0];
+  return ranked.toSorted((left, right) => getWait(left) - getWait(right))[0];
 }
--- a/src/mesh/create_mesh_view.ts
+++ b/src/mesh/create_mesh_view.ts
@@ -6,6 +6,7 @@
     rules: undefined,
     routes: new Map(),
     register: new Map(),
+    recordsOfService: new Map(),
     zonesTakenOut: new Set(),
     revisions: new Map(),
     zoneKeys: new Map(),
--- a/src/mesh/find_own_record.ts
+++ b/src/mesh/find_own_record.ts
@@ -1,14 +1,14 @@
 import type { RegisterRecord } from "../register/register_record.ts";
+import { getRecordsOfService } from "./get_records_of_service.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Returns the register's record of this VM's backend server: a standing one before a removed one. */
 export function findOwnRecord(node: MeshNode): RegisterRecord | undefined {
   const { backendServer, service } = node.settings;
-  const records = Array.from(node.view.register.values())
+  const records = getRecordsOfService(node.view, service)
     .filter(({ entry }) =>
       entry.address.host === backendServer.host &&
-      entry.address.port === backendServer.port &&
-      entry.service === service
+      entry.address.port === backendServer.port
     );
   const standing = records.filter(({ vanishedAt }) => vanishedAt === 0);
   const [newest] = (standing.length > 0 ? standing : records)
--- /dev/null
+++ b/src/mesh/get_records_of_service.ts
@@ -0,0 +1,15 @@
+import { getOrCreate } from "../collections/get_or_create.ts";
+import type { RegisterRecord } from "../register/register_record.ts";
+import type { MeshView } from "./mesh_view.ts";
+
+/** Returns the records of a service. The register changes rarely and each call asks, so they are kept until it does. */
+export function getRecordsOfService(
+  view: MeshView,
+  service: string,
+): readonly RegisterRecord[] {
+  return getOrCreate(view.recordsOfService, service, {
+    create: () =>
+      Array.from(view.register.values())
+        .filter(({ entry }) => entry.service === service),
+  });
+}
--- a/src/mesh/list_candidates.ts
+++ b/src/mesh/list_candidates.ts
@@ -2,6 +2,7 @@
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { isGone } from "../register/is_gone.ts";
 import { getGateView } from "./get_gate_view.ts";
+import { getRecordsOfService } from "./get_records_of_service.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Lists the backend servers of a service that may take work: not draining, not gone and not in a zone taken out. */
@@ -10,10 +11,9 @@
   service: string,
 ): readonly GateCandidate[] {
   const now = node.clock.now();
-  const { register, sourceSoundSince, zonesTakenOut } = node.view;
-  return Array.from(register.values())
+  const { sourceSoundSince, zonesTakenOut } = node.view;
+  return getRecordsOfService(node.view, service)
     .filter((record) =>
-      record.entry.service === service &&
       record.entry.availability === BackendServerAvailability.Ready &&
       !zonesTakenOut.has(record.entry.zone) &&
       !isGone(record, { sourceSoundSince, now })
--- a/src/mesh/mesh_view.ts
+++ b/src/mesh/mesh_view.ts
@@ -1,3 +1,4 @@
+import type { RegisterRecord } from "../register/register_record.ts";
 import type { RegisterState } from "../register/register_state.ts";
 import type { RouteTable } from "../routing/route_table.ts";
 import type { Rules } from "../routing/rules.ts";
@@ -8,6 +9,8 @@
   rules: Rules | undefined;
   routes: RouteTable;
   readonly register: RegisterState;
+  /** The records of the register by service, as far as they were asked for since it changed. */
+  readonly recordsOfService: Map<string, readonly RegisterRecord[]>;
   readonly zonesTakenOut: Set<string>;
   /** Revision of each key that was taken over. */
   readonly revisions: Map<string, number>;
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -35,8 +35,8 @@
 /** Below the idle time of the listeners of other nodes. */
 const nodeIdleMilliseconds = 20_000;
 const headerBytesMaximum = 65_536;
-/** How often checks and ages are looked at. */
-const upkeepMilliseconds = 50;
+/** How often checks and ages are looked at; each look wakes the process. */
+const upkeepMilliseconds = 100;
 
 /** Starts a node; fails where a listener cannot be bound. */
 export async function startMeshNode(
@@ -65,6 +65,7 @@
         const now = node.clock.now();
         takeSourceReading(node.view, reading, { complete, now })
           .forEach(node.report.belief);
+        forgetGoneServers(node);
         updateGate(node);
       },
       onLost: (failure) => {
@@ -80,7 +81,6 @@
   });
   const upkeep = setInterval(() => {
     probeBackendServer(node);
-    forgetGoneServers(node);
     updateGate(node);
   }, upkeepMilliseconds);
   return Result.ok({
--- a/src/mesh/take_source_reading.ts
+++ b/src/mesh/take_source_reading.ts
@@ -24,6 +24,7 @@
   options: { readonly complete: boolean; readonly now: number },
 ): readonly BeliefChange[] {
   const { now } = options;
+  view.recordsOfService.clear();
   const removals = options.complete ? findMissingItems(view, reading) : [];
   return [...reading.items, ...removals].flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
