Say that an offer is there only where its answer takes long

Cause: each call that goes to another node was answered twice, with 102 at once and with the answer: one more write there and one more wake-up here, for calls that take 0.1 s.

Change: the sign comes after 0.2 s without an answer; the other node gives up after 0.5 s without any. The first test failed before.

--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -16,6 +16,11 @@
 const refusedStatus = 503;
 const lostStatus = 502;
 const invalidStatus = 400;
+/**
+ * After this time without an answer the other node is told that this one has
+ * the offer; well before it would give up. Most answers come sooner.
+ */
+const signMilliseconds = 200;
 
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
@@ -38,10 +43,15 @@
   response.once("close", () => {
     if (!response.writableFinished) cancellation.abort();
   });
-  // Tells the other node that this one is there, long before the answer.
-  response.writeProcessing();
+  const sign = node.timers.at(
+    node.clock.now() + signMilliseconds,
+    () => {
+      if (!response.destroyed) response.writeProcessing();
+    },
+  );
   runServedOffer(node, request, { offer, signal: cancellation.signal })
-    .then((outcome) => writeOutcome(node, response, outcome));
+    .then((outcome) => writeOutcome(node, response, outcome))
+    .finally(() => sign.cancel());
 }
 
 async function runServedOffer(
--- /dev/null
+++ b/src/mesh/serve_offer_test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+import { once } from "node:events";
+import { type IncomingMessage, request as sendRequest } from "node:http";
+import { answerWhole } from "../testing/mesh/answer_whole.ts";
+import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
+import { encodeOffer } from "./encode_offer.ts";
+import { OfferHeader } from "./offer_header.ts";
+
+const testInTurn = test.serial;
+
+/** Offers a call to the node as another node would; resolves with the signs that came before the answer. */
+async function countSigns(fleet: MeshFleet): Promise<number> {
+  const { host, port } = fleet.settings[0]!.listeners.nodes;
+  const now = Date.now();
+  const deadline = now + 3_000;
+  const offer = encodeOffer({
+    callIdentifier: "offered",
+    service: fleet.settings[0]!.service,
+    identifier: "server-0",
+    callerService: "vitrine",
+    route: "cakes",
+    idempotent: true,
+    priority: 2,
+    deadline,
+    goalDeadline: deadline,
+    waitDeadline: deadline,
+    mayComeBack: true,
+  }, now);
+  const request = sendRequest({
+    host,
+    port,
+    path: "/cakes/1",
+    headers: { [OfferHeader.Offer]: offer, [MeshHeader.Call]: "offered" },
+  });
+  let signs = 0;
+  request.on("information", () => signs += 1);
+  request.end();
+  const [answer] = await once(request, "response") as [IncomingMessage];
+  answer.resume();
+  await once(answer, "end");
+  return signs;
+}
+
+testInTurn(
+  "an offer that is answered soon gets its answer alone",
+  async (t) => {
+    const fleet = await startMeshFleet({ vms: 1 });
+    t.is(await countSigns(fleet), 0);
+    await fleet.close();
+  },
+);
+
+testInTurn(
+  "an offer that takes long is told to be there before the other node gives up",
+  async (t) => {
+    const fleet = await startMeshFleet({ vms: 1 });
+    fleet.backends[0]!.script = (request, response) => {
+      setTimeout(() => answerWhole(request, response), 700);
+    };
+    t.is(await countSigns(fleet), 1);
+    await fleet.close();
+  },
+);
