Close a listener in a quiet turn of the event loop

A turn that accepts may go on to handle many other connections, and what comes to the queue of the kernel meanwhile was still reset.

Change: the socket is closed after a turn of under 0.1 ms, or after 200 turns.

--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -14,6 +14,10 @@
 const keepAliveMilliseconds = 30_000;
 /** How often a closing listener looks for connections that have become idle. */
 const sweepMilliseconds = 20;
+/** A turn of the event loop in which hardly anything was handled takes less. */
+const quietTurnMilliseconds = 0.1;
+/** A listener closes in any case after so many busy turns. */
+const busyTurnsMaximum = 200;
 
 /** What `openListener` binds and how it answers. */
 interface ListenerOptions {
@@ -90,8 +94,17 @@
  * Runs `action` once the connections are accepted that stood in the queue of
  * the kernel: closing a listening socket resets those that still stand there.
  * A turn of the event loop that has begun may have looked at the socket
- * already, so the action comes after a whole one.
+ * already, and more may come while a turn is busy with other connections, so
+ * the action comes after a whole turn in which little happened.
  */
 function afterPendingConnections(action: () => void): void {
-  setImmediate(() => setImmediate(action));
+  function look(turnStartedAt: number, turnsLeft: number): void {
+    setImmediate(() => {
+      const now = performance.now();
+      const isQuiet = now - turnStartedAt < quietTurnMilliseconds;
+      if (isQuiet || turnsLeft === 0) action();
+      else look(now, turnsLeft - 1);
+    });
+  }
+  setImmediate(() => look(performance.now(), busyTurnsMaximum));
 }
