--- a/src/balancing/note_contact_failure.ts
+++ b/src/balancing/note_contact_failure.ts
@@ -1,7 +1,7 @@
 import type { GateView } from "./gate_view.ts";
 
-const firstAvoidMilliseconds = 200;
-const avoidMillisecondsMaximum = 2_000;
+const firstAvoidMilliseconds = 500;
+const avoidMillisecondsMaximum = 4_000;
 
 /** Avoids a node that could not be reached, longer after each failure in a row. */
 export function noteContactFailure(view: GateView, now: number): void {
--- a/src/mesh/watch_connect.ts
+++ b/src/mesh/watch_connect.ts
@@ -2,7 +2,7 @@
 import { ConnectTimeout } from "./connect_timeout.ts";
 
 /** Round trips take a few milliseconds; a VM without power never answers. */
-const connectMilliseconds = 300;
+const connectMilliseconds = 200;
 
 /** Tells when a connection stands, and destroys one that does not come about in time. */
 export function watchConnect(
