Follow the source as fast as the bounds of the settings ask for

The pace was made for changes that have to be in force within two seconds; a deployment with a shorter bound would have broken it, and one with a longer one read more often than it had to. Settings that are read again count at once.

--- a/src/mesh/mesh_settings.ts
+++ b/src/mesh/mesh_settings.ts
@@ -1,6 +1,7 @@
 import type { ColdAllowance } from "../gate/cold_allowance.ts";
 import type { RetryAllowance } from "../retries/retry_allowance.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
+import type { SourceBounds } from "../source/source_bounds.ts";
 
 /** What a node needs to know before it starts. */
 export interface MeshSettings {
@@ -18,6 +19,7 @@
     readonly metrics: NetworkAddress | undefined;
   };
   readonly source: NetworkAddress;
+  readonly sourceBounds: SourceBounds;
   readonly retryAllowance: RetryAllowance;
   /** By how much a backend server in cold start may get more than its rate, all nodes together. */
   readonly coldAllowance: ColdAllowance;
--- a/src/mesh/reload_settings.ts
+++ b/src/mesh/reload_settings.ts
@@ -7,18 +7,15 @@
  * the life of the process: callers and other nodes know them.
  */
 export function reloadSettings(node: MeshNode, changed: MeshSettings): void {
-  const { retryAllowance, coldAllowance, stopMilliseconds } = changed;
-  node.settings = {
-    ...node.settings,
+  const { sourceBounds, retryAllowance, coldAllowance, stopMilliseconds } =
+    changed;
+  const inForce = {
+    sourceBounds,
     retryAllowance,
     coldAllowance,
     stopMilliseconds,
   };
-  node.report.state("settings", {
-    state: "reloaded",
-    retryAllowance,
-    coldAllowance,
-    stopMilliseconds,
-  });
+  node.settings = { ...node.settings, ...inForce };
+  node.report.state("settings", { state: "reloaded", ...inForce });
   updateGate(node);
 }
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -56,6 +56,7 @@
   const follower = followSource({
     client: options.source,
     random: options.random,
+    getBounds: () => node.settings.sourceBounds,
     wait: (milliseconds) =>
       new Promise((resolve) =>
         node.timers.at(node.clock.now() + milliseconds, resolve)
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -1,15 +1,13 @@
 import type { RandomSource } from "../runtime/random_source.ts";
+import { getSourcePace } from "./get_source_pace.ts";
+import type { SourceBounds } from "./source_bounds.ts";
 import { SourceFailureKind } from "./source_failure_kind.ts";
 import type { SourceClient } from "./source_client.ts";
 import type { SourceFollower } from "./source_follower.ts";
 import type { SourceHandler } from "./source_handler.ts";
 
-/** Least time between two reads: changes of this span arrive with one read. */
-const readIntervalMilliseconds = 900;
 /** Keeps a source whose history is always too short from being read without end. */
 const historyLostMilliseconds = 50;
-/** A connection that went silent shows only at the end of a watch, and a change must be in force soon after. */
-const watchMilliseconds = 2_000;
 /** While the source is lost, a silent attempt must end soon: the next one may find it back. */
 const lostWatchMilliseconds = 0;
 const backoffMilliseconds = 50;
@@ -25,6 +23,8 @@
     readonly client: SourceClient;
     readonly handler: SourceHandler;
     readonly random: RandomSource;
+    /** What holds at the moment; settings may be read again. */
+    readonly getBounds: () => SourceBounds;
     /** Resolves after a span in milliseconds. */
     readonly wait: (milliseconds: number) => Promise<void>;
   },
@@ -36,11 +36,14 @@
   let stopped = false;
 
   async function readOnce(): Promise<number> {
+    const pace = getSourcePace(options.getBounds());
     const complete = revision === undefined;
     const result = revision === undefined
       ? await client.readAll()
       : await client.readChanges(revision, {
-        waitMilliseconds: sound ? watchMilliseconds : lostWatchMilliseconds,
+        waitMilliseconds: sound
+          ? pace.watchMilliseconds
+          : lostWatchMilliseconds,
       });
     if (stopped) return 0;
     if (result.isErr) return takeFailure(result.error.kind, result.error.found);
@@ -52,7 +55,7 @@
     const reading = result.value;
     handler.onReading(reading, { complete });
     revision = reading.revision;
-    return complete ? 0 : readIntervalMilliseconds;
+    return complete ? 0 : pace.intervalMilliseconds;
   }
 
   function takeFailure(kind: SourceFailureKind, found: string): number {
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -49,6 +49,10 @@
       onRegained: () => seen.push("regained"),
     },
     random: createRandomSource(1),
+    getBounds: () => ({
+      changeMilliseconds: 2_000,
+      contactMilliseconds: 3_000,
+    }),
     wait: async () => {
       await setImmediate();
     },
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -164,6 +164,7 @@
       metrics: undefined,
     },
     source: { host, port: 1 },
+    sourceBounds: { changeMilliseconds: 2_000, contactMilliseconds: 3_000 },
     retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
     coldAllowance: { factor: 1.5, slack: 5 },
     stopMilliseconds: options.stopMilliseconds,
