Judge a waiting call by the work time of its own route

Cause: the gate knew one work time for all routes of its service. Where a backend server serves calls of 30 ms beside requests of 160 ms, the short ones counted as late as soon as they waited, and the newest request went before them; each of them has the work of another backend server behind it.

The test failed with the one work time.

--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -18,5 +18,6 @@
     running: new Map(),
     queue: [],
     serviceMilliseconds: initialServiceMilliseconds,
+    routeMilliseconds: new Map(),
   };
 }
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -1,5 +1,6 @@
 import type { RefusalReason } from "../calls/refusal_reason.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
+import type { RunningCall } from "./running_call.ts";
 import type { ServerCondition } from "./server_condition.ts";
 
 /** The admission of one backend server, held by the node beside it. Changed in place. */
@@ -18,9 +19,11 @@
   coldTokens: number;
   /** When `coldTokens` was last brought up to date, in milliseconds since the Unix epoch. */
   coldTokensAt: number;
-  /** Start of each running call, in milliseconds since the Unix epoch, by call identifier. */
-  readonly running: Map<string, number>;
+  /** By call identifier. */
+  readonly running: Map<string, RunningCall>;
   queue: QueuedSlotRequest[];
   /** Moving average of the time that a call holds its slot. */
   serviceMilliseconds: number;
+  /** The same by route. */
+  readonly routeMilliseconds: Map<string, number>;
 }
--- a/src/gate/get_latest_start.ts
+++ b/src/gate/get_latest_start.ts
@@ -1,4 +1,5 @@
 import type { GateState } from "./gate_state.ts";
+import { getWorkMilliseconds } from "./get_work_milliseconds.ts";
 import type { SlotRequest } from "./slot_request.ts";
 
 /** Returns until when a call must get its slot, as an instant: its caller waits no longer, or it would end after its deadline. */
@@ -8,6 +9,6 @@
 ): number {
   return Math.min(
     request.waitDeadline,
-    request.deadline - state.serviceMilliseconds,
+    request.deadline - getWorkMilliseconds(state, request.route),
   );
 }
--- a/src/gate/get_next_gate_instant.ts
+++ b/src/gate/get_next_gate_instant.ts
@@ -1,4 +1,5 @@
 import type { GateState } from "./gate_state.ts";
+import { getWorkMilliseconds } from "./get_work_milliseconds.ts";
 import { isCold } from "./is_cold.ts";
 
 const millisecondsPerSecond = 1_000;
@@ -10,7 +11,7 @@
     ...state.queue.map(({ request }) =>
       Math.min(
         request.waitDeadline,
-        request.deadline - state.serviceMilliseconds / 2,
+        request.deadline - getWorkMilliseconds(state, request.route) / 2,
       )
     ),
   ) + 1;
--- a/src/gate/release_slot.ts
+++ b/src/gate/release_slot.ts
@@ -12,11 +12,16 @@
     readonly now: number;
   },
 ): void {
-  const startedAt = state.running.get(options.callIdentifier);
-  if (startedAt === undefined) return;
+  const call = state.running.get(options.callIdentifier);
+  if (call === undefined) return;
   state.running.delete(options.callIdentifier);
   if (!options.answered) return;
-  const elapsed = Math.max(1, options.now - startedAt);
+  const elapsed = Math.max(1, options.now - call.startedAt);
   state.serviceMilliseconds += (elapsed - state.serviceMilliseconds) *
     newestShare;
+  const known = state.routeMilliseconds.get(call.route) ?? elapsed;
+  state.routeMilliseconds.set(
+    call.route,
+    known + (elapsed - known) * newestShare,
+  );
 }
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -27,7 +27,7 @@
     return refuse(RefusalReason.BackendServerDown, closedRetryMilliseconds);
   }
   if (state.queue.length === 0 && hasFreeSlot(state, now)) {
-    takeSlot(state, { callIdentifier: request.callIdentifier, now });
+    takeSlot(state, { request, now });
     return { kind: SlotDecisionKind.Granted };
   }
   const ahead = countAhead(state, request, { now });
@@ -49,10 +49,9 @@
   request: SlotRequest,
   { now }: { readonly now: number },
 ): number {
-  const earliestGoal = now + state.serviceMilliseconds;
   const newcomer = { request, queuedAt: now };
   return state.queue.filter((queued) =>
-    compareQueuedRequests(queued, newcomer, { earliestGoal }) <= 0
+    compareQueuedRequests(queued, newcomer, { state, now }) <= 0
   ).length;
 }
 
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -30,6 +30,7 @@
 ): SlotRequest {
   return {
     callIdentifier,
+    route: "catalogo",
     priority: 2,
     goalDeadline: start + 400,
     deadline: start + 1_200,
@@ -193,3 +194,26 @@
   const { refused } = settleGateQueue(gate, start + 10);
   t.deepEqual(refused.map(({ request }) => request.callIdentifier), ["older"]);
 });
+
+test("calls of backend servers beside longer ones: a short call is judged by its own work time", (t) => {
+  const gate = createGate(1);
+  gate.routeMilliseconds.set("vagas", 20);
+  requestSlot(gate, createRequest("running"), { now: start });
+  requestSlot(
+    gate,
+    createRequest("called", {
+      route: "vagas",
+      goalDeadline: start + 90,
+      mayComeBack: false,
+    }),
+    { now: start },
+  );
+  requestSlot(gate, createRequest("newer"), { now: start + 10 });
+  releaseSlot(gate, {
+    callIdentifier: "running",
+    answered: true,
+    now: start + 50,
+  });
+  const { granted } = settleGateQueue(gate, start + 50);
+  t.deepEqual(granted.map(({ request }) => request.callIdentifier), ["called"]);
+});
--- a/src/gate/settle_gate_queue.ts
+++ b/src/gate/settle_gate_queue.ts
@@ -2,6 +2,7 @@
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
+import { getWorkMilliseconds } from "./get_work_milliseconds.ts";
 import { getLatestStart } from "./get_latest_start.ts";
 import { hasFreeSlot } from "./has_free_slot.ts";
 import { isCold } from "./is_cold.ts";
@@ -57,7 +58,8 @@
   { request }: QueuedSlotRequest,
   now: number,
 ): boolean {
-  const latestStart = now + state.serviceMilliseconds * startShare;
+  const latestStart = now +
+    getWorkMilliseconds(state, request.route) * startShare;
   return state.closedFor !== undefined ||
     state.condition === ServerCondition.Down ||
     now > request.waitDeadline ||
@@ -65,9 +67,8 @@
 }
 
 function sortQueue(state: GateState, now: number): void {
-  const earliestGoal = now + state.serviceMilliseconds;
   state.queue.sort((left, right) =>
-    compareQueuedRequests(left, right, { earliestGoal })
+    compareQueuedRequests(left, right, { state, now })
   );
 }
 
@@ -77,7 +78,7 @@
 ): readonly QueuedSlotRequest[] {
   return takeFromQueue(state, ({ request }) => {
     if (!hasFreeSlot(state, now)) return false;
-    takeSlot(state, { callIdentifier: request.callIdentifier, now });
+    takeSlot(state, { request, now });
     return true;
   });
 }
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -1,6 +1,7 @@
 /** A call that asks for a slot of the backend server. */
 export interface SlotRequest {
   readonly callIdentifier: string;
+  readonly route: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Until when an answer has its full worth, in milliseconds since the Unix epoch. */
--- a/src/gate/take_slot.ts
+++ b/src/gate/take_slot.ts
@@ -1,11 +1,13 @@
 import type { GateState } from "./gate_state.ts";
 import { isCold } from "./is_cold.ts";
+import type { SlotRequest } from "./slot_request.ts";
 
 /** Books a slot for a call. */
 export function takeSlot(
   state: GateState,
-  options: { readonly callIdentifier: string; readonly now: number },
+  options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  state.running.set(options.callIdentifier, options.now);
+  const { callIdentifier, route } = options.request;
+  state.running.set(callIdentifier, { route, startedAt: options.now });
   if (isCold(state, options.now)) state.coldTokens -= 1;
 }
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -90,6 +90,7 @@
     const goalDeadline = caller.startedAt + goalMilliseconds;
     const decision = requestSlot(gate, {
       callIdentifier: caller.identifier,
+      route: "catalogo",
       priority: 2,
       goalDeadline,
       deadline: caller.startedAt + deadlineMilliseconds,
