--- a/src/daemon/open_listener_test.ts
+++ b/src/daemon/open_listener_test.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { once } from "node:events";
 import { nextTick } from "node:process";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { DiagnosticFailure } from "../diagnostics/diagnostic_failure.ts";
 import type { Listener } from "./listener.ts";
 import { openListener } from "./open_listener.ts";
@@ -34,6 +34,19 @@
   return socket;
 }
 
+/** Sends a request on a connection and resolves with all that comes until its orderly end. */
+async function sendUntilClosed(
+  socket: Socket,
+  t: ExecutionContext,
+): Promise<string> {
+  socket.write(request);
+  const received: string[] = [];
+  socket.on("data", (data) => received.push(String(data)));
+  const [withError] = await once(socket, "close");
+  t.false(withError);
+  return received.join("");
+}
+
 test("a request that crosses the closing of an idle connection is answered and not handled", async (t) => {
   let handled = 0;
   const listener = await open(() => {
@@ -41,12 +54,8 @@
   });
   const socket = await openIdleConnection(listener);
   const closed = listener.close(finalAnswer);
-  socket.write(request);
-  const received: string[] = [];
-  socket.on("data", (data) => received.push(String(data)));
-  const [withError] = await once(socket, "close");
-  t.false(withError);
-  t.is(received.join(""), finalAnswer);
+  const received = await sendUntilClosed(socket, t);
+  t.is(received, finalAnswer);
   t.is(handled, 1);
   await closed;
 });
@@ -66,11 +75,7 @@
   // The kernel completes the handshake in this turn of the loop; the listener accepts it in a later one.
   await new Promise<void>((resolve) => nextTick(resolve));
   const closed = listener.close(finalAnswer);
-  socket.write(request);
-  const received: string[] = [];
-  socket.on("data", (data) => received.push(String(data)));
-  const [withError] = await once(socket, "close");
-  t.false(withError);
-  t.regex(received.join(""), /^HTTP\/1\.1 (200|503) /);
+  const received = await sendUntilClosed(socket, t);
+  t.regex(received, /^HTTP\/1\.1 (200|503) /);
   await closed;
 });
--- a/src/mesh/get_wait_deadline_test.ts
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
 import { createGateView } from "../balancing/create_gate_view.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import { CallKind } from "../routing/call_kind.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallRun } from "./call_run.ts";
 import { createCallRun } from "./create_call_run.ts";
@@ -23,17 +23,7 @@
 const plan: CallPlan = {
   callIdentifier: "a",
   request: { method: "GET", url: "/", headers: [], body: Buffer.alloc(0) },
-  route: {
-    name: "slots",
-    host: "shop.example",
-    pathPrefix: "/",
-    kind: CallKind.Idempotent,
-    attemptsMaximum: 2,
-    timeoutMilliseconds: 400,
-    goalMilliseconds: 120,
-    priority: 1,
-    targets: [],
-  },
+  route: createSampleRoute(),
   service: "fornadas",
   rulesVersion: 1,
   receivedAt: now,
--- a/src/mesh/may_come_back_test.ts
+++ b/src/mesh/may_come_back_test.ts
@@ -1,19 +1,8 @@
 import test from "ava";
-import { CallKind } from "../routing/call_kind.ts";
-import type { CallRoute } from "../routing/call_route.ts";
+import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { mayComeBack } from "./may_come_back.ts";
 
-const route: CallRoute = {
-  name: "slots",
-  host: "shop.example",
-  pathPrefix: "/",
-  kind: CallKind.Idempotent,
-  attemptsMaximum: 2,
-  timeoutMilliseconds: 400,
-  goalMilliseconds: 120,
-  priority: 1,
-  targets: [],
-};
+const route = createSampleRoute();
 
 test("a call of a backend server, whose time ends with the timeout, is not made again", (t) => {
   t.false(mayComeBack(route, { longestMilliseconds: 400 }));
--- /dev/null
+++ b/src/testing/mesh/create_sample_route.ts
@@ -0,0 +1,20 @@
+import { CallKind } from "../../routing/call_kind.ts";
+import type { CallRoute } from "../../routing/call_route.ts";
+
+/** Creates the route of short calls that backend servers make. */
+export function createSampleRoute(
+  change: Partial<CallRoute> = {},
+): CallRoute {
+  return {
+    name: "slots",
+    host: "shop.example",
+    pathPrefix: "/",
+    kind: CallKind.Idempotent,
+    attemptsMaximum: 2,
+    timeoutMilliseconds: 400,
+    goalMilliseconds: 120,
+    priority: 1,
+    targets: [],
+    ...change,
+  };
+}
