Ask a few gates of a large service, not each one

Cause: on the grown site (90 VMs, 19 to 27 backend servers of a service) a call that found a gate full asked the next one, up to all of them, and all again in the waiting round. 12 nodes logged 472 such refusals in two seconds of a burst; each is a hop for two nodes on small VMs.

Change: after six gates that are full a call waits or is refused, after nine in any case. Sites with up to six backend servers of a service are not concerned. The test failed without the bounds.

--- a/src/mesh/call_run.ts
+++ b/src/mesh/call_run.ts
@@ -13,6 +13,8 @@
   readonly asked: Set<string>;
   /** Expected waits in milliseconds that full gates told, by identifier. */
   readonly waits: Map<string, number>;
+  /** How often a gate said that it is full. */
+  fullRefusals: number;
   lastReason: RefusalReason | undefined;
   /** An answer that is delivered where no repeat does better. */
   fallback: CallEnd | undefined;
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -5,9 +5,13 @@
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
+/** Of many backend servers a few say enough about the others; asking each one would cost more than it finds. */
+const firstRefusalsMaximum = 6;
+const allRefusalsMaximum = 9;
+
 /**
  * Returns the best backend server that is still to be asked in this round;
- * undefined where none is left. Gates that are known to be full are asked
+ * undefined where none is left or enough of them are full. Gates that are known to be full are asked
  * only in the waiting round, and there only if the wait that they told would
  * do.
  */
@@ -16,6 +20,10 @@
   run: CallRun,
 ): GateCandidate | undefined {
   const { plan } = run;
+  const refusalsMaximum = run.mayWait
+    ? allRefusalsMaximum
+    : firstRefusalsMaximum;
+  if (run.fullRefusals >= refusalsMaximum) return undefined;
   const now = node.clock.now();
   const getWait = ({ entry, view }: GateCandidate) =>
     run.waits.get(entry.identifier) ??
--- a/src/mesh/create_call_run.ts
+++ b/src/mesh/create_call_run.ts
@@ -9,6 +9,7 @@
     mayHaveRun: false,
     asked: new Set(),
     waits: new Map(),
+    fullRefusals: 0,
     lastReason: undefined,
     fallback: undefined,
     mayWait: false,
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -466,3 +466,24 @@
     });
   },
 );
+
+testInTurn(
+  "overload of a large service: a call asks a few gates, not each one",
+  async (t) => {
+    await withFleet({ vms: 8, slots: 1 }, async (fleet) => {
+      scriptAll(fleet, (request, response) => {
+        setTimeout(() => answerWhole(request, response), 800);
+      });
+      const filling = Array.from({ length: 24 }, () => fleet.call(0));
+      await delay(150);
+      const late = await fleet.call(1);
+      t.is(late.status, 503);
+      const offers = new Map<string, number>();
+      fleet.events
+        .filter(({ kind }) => kind === CallEventKind.OfferRefused)
+        .forEach(({ call }) => offers.set(call, (offers.get(call) ?? 0) + 1));
+      t.true(Math.max(...offers.values()) <= 9);
+      await Promise.all(filling);
+    });
+  },
+);
--- a/src/mesh/take_offer_refusal.ts
+++ b/src/mesh/take_offer_refusal.ts
@@ -39,6 +39,7 @@
   if (refused.load === undefined) noteContactFailure(view, now);
   else noteGateRefusal(view, { reason, retryMilliseconds, now });
   if (isFullReason(reason)) {
+    run.fullRefusals += 1;
     run.waits.set(entry.identifier, retryMilliseconds);
     if (!run.mayWait) run.asked.delete(entry.identifier);
   }
