--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -1,10 +1,9 @@
 import { createGateState } from "../../gate/create_gate_state.ts";
 import { releaseSlot } from "../../gate/release_slot.ts";
-import { requestSlot } from "../../gate/request_slot.ts";
 import { ServerCondition } from "../../gate/server_condition.ts";
-import { settleGateQueue } from "../../gate/settle_gate_queue.ts";
 import { SlotDecisionKind } from "../../gate/slot_decision_kind.ts";
 import { createRandomSource } from "../../runtime/create_random_source.ts";
+import type { OverloadAdmission } from "./overload_admission.ts";
 import type { OverloadResult } from "./overload_result.ts";
 
 const slots = 12;
@@ -16,8 +15,12 @@
 const workScatter = 0.7;
 /** What else an answer takes: calls of the backend server, ways between nodes. */
 const otherMilliseconds = 30;
+/** How long a call may wait for a slot that is late anyway. */
 const lateWaitMilliseconds = 100;
+/** Callers come back after up to so much more than they were told, as a share. */
 const retrySpread = 0.5;
+/** From a caller to its node and back. */
+const wayMilliseconds = 6;
 
 interface Caller {
   readonly identifier: string;
@@ -31,11 +34,13 @@
  */
 export function simulateOverload(
   options: {
+    readonly admission: OverloadAdmission;
     readonly seed: number;
     readonly callersPerSecond: number;
     readonly seconds: number;
   },
 ): OverloadResult {
+  const { admission } = options;
   const random = createRandomSource(options.seed);
   const gate = createGateState(0);
   gate.slots = slots;
@@ -81,14 +86,14 @@
       counts.refused += 1;
       return;
     }
-    schedule(askings, now + wait + 6, caller);
+    schedule(askings, now + wait + wayMilliseconds, caller);
   }
 
   function ask(caller: Caller, now: number): void {
     caller.attempts += 1;
     askedAt.set(caller.identifier, now);
     const goalDeadline = caller.startedAt + goalMilliseconds;
-    const decision = requestSlot(gate, {
+    const decision = admission.request(gate, {
       callIdentifier: caller.identifier,
       route: "catalogo",
       priority: 2,
@@ -130,7 +135,7 @@
     }
     endings.get(now)?.forEach((caller) => finish(caller, now));
     askings.get(now)?.forEach((caller) => ask(caller, now));
-    const { granted, refused, retryMilliseconds } = settleGateQueue(gate, now);
+    const { granted, refused, retryMilliseconds } = admission.settle(gate, now);
     granted.forEach(({ request }) =>
       begin(callers.get(request.callIdentifier)!, now)
     );
--- a/src/testing/gate/simulate_overload_test.ts
+++ b/src/testing/gate/simulate_overload_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { plainAdmission } from "./plain_admission.ts";
+import { productAdmission } from "./product_admission.ts";
 import { simulateOverload } from "./simulate_overload.ts";
 
 const callersPerSecond = 130;
@@ -11,8 +13,10 @@
 
 [1, 2, 3].forEach((seed) =>
   test(`overload of nearly twice what the slots bear, seed ${seed}: who is served is served in time`, (t) => {
-    const result = simulateOverload({ seed, callersPerSecond, seconds });
-    // The oldest first, the plain order, answers a fifth of these late.
+    const load = { seed, callersPerSecond, seconds };
+    const plain = simulateOverload({ ...load, admission: plainAdmission });
+    const result = simulateOverload({ ...load, admission: productAdmission });
+    t.true(result.inTime >= 1.15 * plain.inTime);
     t.true(result.inTime >= 0.85 * (result.inTime + result.late));
     t.true(result.inTime >= 0.85 * bearablePerSecond * seconds);
     // An eighth of the goal.
@@ -22,6 +26,7 @@
 
 test("at half of what the slots bear nobody is refused", (t) => {
   const result = simulateOverload({
+    admission: productAdmission,
     seed: 1,
     callersPerSecond: bearablePerSecond / 2,
     seconds,
