--- a/src/calls/dispatch/take_caller_leaving.ts
+++ b/src/calls/dispatch/take_caller_leaving.ts
@@ -14,7 +14,7 @@
 export function takeCallerLeaving(
   state: DispatchState,
   context: DispatchContext,
-  grace: number,
+  { graceMilliseconds }: { readonly graceMilliseconds: number },
 ): DispatchStep {
   return match(state.phase)
     .with(
@@ -32,14 +32,14 @@
       if (state.keyed) {
         return { state: { ...state, signAt: Infinity }, effects: [] };
       }
-      return state.idempotent || grace === 0 ||
+      return state.idempotent || graceMilliseconds === 0 ||
           state.phase === DispatchPhase.Streaming
         ? cancelDispatch(state)
         : {
           state: {
             ...state,
             signAt: Infinity,
-            cancelAt: context.now + grace,
+            cancelAt: context.now + graceMilliseconds,
           },
           effects: [],
         };
--- a/src/calls/ledger/cross_off_server.ts
+++ b/src/calls/ledger/cross_off_server.ts
@@ -12,7 +12,7 @@
 export function crossOffServer(
   entry: Settling,
   from: string,
-  named: readonly LedgerServer[],
+  { named }: { readonly named: readonly LedgerServer[] },
 ): LedgerStep {
   const asked = addServers(entry.asked, named);
   const added = asked.slice(entry.asked.length);
--- a/src/calls/ledger/take_key_answer.ts
+++ b/src/calls/ledger/take_key_answer.ts
@@ -52,7 +52,7 @@
       { kind: SettlementKind.NotRun },
       ({ ledgerSince, fencers }) =>
         isKeyWithinLedger(entry.firstAttemptAt, { ...context, ledgerSince })
-          ? crossOffServer(entry, event.from, fencers)
+          ? crossOffServer(entry, event.from, { named: fencers })
           : giveUpSettling(entry, {
             reason: RefusalReason.KeyUnsettled,
             mayHaveRun: false,
--- a/src/calls/ledger/take_missing_answer.ts
+++ b/src/calls/ledger/take_missing_answer.ts
@@ -24,7 +24,7 @@
     return { entry, effects: [] };
   }
   return wasGone(entry.firstAttemptAt, event, context)
-    ? crossOffServer(entry, event.from, [])
+    ? crossOffServer(entry, event.from, { named: [] })
     : giveUpSettling(entry, {
       reason: RefusalReason.KeyUnsettled,
       mayHaveRun: false,
--- a/src/calls/step/ask_outcome.ts
+++ b/src/calls/step/ask_outcome.ts
@@ -12,7 +12,7 @@
 export function askOutcome(
   state: CallState,
   context: CallContext,
-  effects: readonly CallEffect[],
+  { before }: { readonly before: readonly CallEffect[] },
 ): CallStep {
   const deadline = Math.min(
     state.deadline,
@@ -25,6 +25,6 @@
       questionsAsked: state.questionsAsked + 1,
       wakeAt: state.deadline,
     },
-    effects: [...effects, { kind: CallEffectKind.Settle, deadline }],
+    effects: [...before, { kind: CallEffectKind.Settle, deadline }],
   };
 }
--- a/src/calls/step/take_contact_loss.ts
+++ b/src/calls/step/take_contact_loss.ts
@@ -15,10 +15,10 @@
 export function takeContactLoss(
   state: CallState,
   context: CallContext,
-  effects: readonly CallEffect[],
+  { before }: { readonly before: readonly CallEffect[] },
 ): CallStep {
   if (state.phase === CallPhase.Streaming) {
-    return endCall(state, [...effects, { kind: CallEffectKind.BreakCaller }]);
+    return endCall(state, [...before, { kind: CallEffectKind.BreakCaller }]);
   }
   if (state.idempotent) {
     const step = tryElsewhere(
@@ -33,7 +33,7 @@
         ),
       },
     );
-    return { ...step, effects: [...effects, ...step.effects] };
+    return { ...step, effects: [...before, ...step.effects] };
   }
-  return askOutcome(state, context, effects);
+  return askOutcome(state, context, { before });
 }
--- a/src/calls/step/try_elsewhere.ts
+++ b/src/calls/step/try_elsewhere.ts
@@ -39,5 +39,7 @@
       }),
     );
   }
-  return tryNext(next, context, [{ kind: CallEffectKind.SpendRetry }]);
+  return tryNext(next, context, {
+    before: [{ kind: CallEffectKind.SpendRetry }],
+  });
 }
--- a/src/calls/step/try_next.ts
+++ b/src/calls/step/try_next.ts
@@ -10,7 +10,7 @@
 export function tryNext(
   state: CallState,
   context: CallContext,
-  effects: readonly CallEffect[],
+  { before }: { readonly before: readonly CallEffect[] },
 ): CallStep {
   if (context.now >= state.deadline) {
     return refuseLate(state, context);
@@ -23,7 +23,7 @@
       attempt,
       wakeAt: state.deadline,
     },
-    effects: [...effects, {
+    effects: [...before, {
       kind: CallEffectKind.Try,
       attempt,
       excluded: state.excluded,
--- a/src/calls/step/wake_call.ts
+++ b/src/calls/step/wake_call.ts
@@ -35,12 +35,18 @@
       () =>
         heldUp || !state.silenceSuspected
           ? suspectSilence(state, context)
-          : takeContactLoss(state, context, [cancel, {
-            kind: CallEffectKind.AvoidNode,
-            processGone: false,
-          }, { kind: CallEffectKind.RenewConnections }]),
+          : takeContactLoss(state, context, {
+            before: [
+              cancel,
+              { kind: CallEffectKind.AvoidNode, processGone: false },
+              { kind: CallEffectKind.RenewConnections },
+            ],
+          }),
+    )
+    .with(
+      CallPhase.AwaitingOutcome,
+      () => askOutcome(state, context, { before: [] }),
     )
-    .with(CallPhase.AwaitingOutcome, () => askOutcome(state, context, []))
     .with(
       P.union(
         CallPhase.Choosing,
--- a/src/calls/step_call.ts
+++ b/src/calls/step_call.ts
@@ -48,7 +48,10 @@
     return { state, effects: [] };
   }
   return match(event)
-    .with({ kind: CallEventKind.Started }, () => tryNext(state, context, []))
+    .with(
+      { kind: CallEventKind.Started },
+      () => tryNext(state, context, { before: [] }),
+    )
     .with(
       { kind: CallEventKind.Sent },
       (sending) => sent(state, context, sending),
@@ -84,7 +87,7 @@
     )
     .with(
       { kind: CallEventKind.ContactLost },
-      () => takeContactLoss(state, context, []),
+      () => takeContactLoss(state, context, { before: [] }),
     )
     .with(
       { kind: CallEventKind.Settled },
--- a/src/calls/step_dispatch.ts
+++ b/src/calls/step_dispatch.ts
@@ -124,11 +124,11 @@
     )
     .with(
       { kind: DispatchEventKind.ContactLost },
-      () => takeCallerLeaving(state, context, graceMilliseconds),
+      () => takeCallerLeaving(state, context, { graceMilliseconds }),
     )
     .with(
       { kind: DispatchEventKind.CallerLeft },
-      () => takeCallerLeaving(state, context, 0),
+      () => takeCallerLeaving(state, context, { graceMilliseconds: 0 }),
     )
     .with({ kind: DispatchEventKind.Asked }, () => ({
       state: state.cancelAt === Infinity
