--- a/src/calls/dispatch/take_admission.ts
+++ b/src/calls/dispatch/take_admission.ts
@@ -8,7 +8,7 @@
 import { addReport } from "./add_report.ts";
 import { concludeNotRun } from "./conclude_not_run.ts";
 
-/** Takes that the try has a slot. */
+/** Takes note that the try has a slot. */
 export function takeAdmission(
   state: DispatchState,
   context: DispatchContext,
--- a/src/calls/dispatch/wake_dispatch.ts
+++ b/src/calls/dispatch/wake_dispatch.ts
@@ -7,7 +7,7 @@
 import { cancelDispatch } from "./cancel_dispatch.ts";
 import { giveUpDispatch } from "./give_up_dispatch.ts";
 
-/** Takes that the instant has come which the try waits for. */
+/** Takes note that the instant has come which the try waits for. */
 export function wakeDispatch(
   state: DispatchState,
   context: DispatchContext,
--- a/src/calls/step/take_unsent.ts
+++ b/src/calls/step/take_unsent.ts
@@ -7,7 +7,7 @@
 import { RefusalReason } from "../refusal_reason.ts";
 import { tryElsewhere } from "./try_elsewhere.ts";
 
-/** Takes that a try did not reach its node: it has not run. */
+/** Takes note that a try did not reach its node: it has not run. */
 export function takeUnsent(
   state: CallState,
   context: CallContext,
--- a/src/calls/step/wake_call.ts
+++ b/src/calls/step/wake_call.ts
@@ -18,7 +18,7 @@
 /** A wake-up this late shows that this process was held up. */
 const heldUpMilliseconds = 100;
 
-/** Takes that the instant has come which the call waits for. */
+/** Takes note that the instant has come which the call waits for. */
 export function wakeCall(state: CallState, context: CallContext): CallStep {
   if (context.now < state.wakeAt) {
     return { state, effects: [] };
