--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -5,15 +5,16 @@
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Of many backend servers a few say enough about the others; asking each one would cost more than it finds. */
+/** Of many full gates a few say enough about the others; asking each one would cost more than it finds. */
 const firstRefusalsMaximum = 6;
+/** With those of the waiting round. */
 const allRefusalsMaximum = 9;
 
 /**
  * Returns the best backend server that is still to be asked in this round;
- * undefined where none is left or enough of them are full. Gates that are known to be full are asked
- * only in the waiting round, and there only if the wait that they told would
- * do.
+ * undefined where none is left or enough of them are full. Gates that are
+ * known to be full are asked only in the waiting round, and there only if the
+ * wait that they told would do.
  */
 export function chooseCandidate(
   node: MeshNode,
