Use one piece where the change had written it twice

An offer is a request for a slot with what the request needs, so its type says so; that it may be repeated follows from its kind and is no second option. An answer's body is written in one place, framed or not. A try that is concluded is refused as one that is not. The histograms use getOrCreate.

The register is now changed in one function, which also drops the records kept by service: before, forgetting vanished entries happened beside it and relied on being called right after.

--- a/src/balancing/note_answer.ts
+++ b/src/balancing/note_answer.ts
@@ -1,3 +1,4 @@
+import { updateAverage } from "../collections/update_average.ts";
 import type { GateView } from "./gate_view.ts";
 import { getRememberedShare } from "./get_remembered_share.ts";
 
@@ -20,9 +21,8 @@
     ((options.failed ? 1 : 0) - remembered) * newestFailureShare;
   view.judgedAt = options.now;
   if (options.failed) return;
-  const known = view.answerMilliseconds.get(options.route);
-  const next = known === undefined
-    ? options.elapsedMilliseconds
-    : known + (options.elapsedMilliseconds - known) * newestShare;
-  view.answerMilliseconds.set(options.route, next);
+  updateAverage(view.answerMilliseconds, options.route, {
+    newest: options.elapsedMilliseconds,
+    share: newestShare,
+  });
 }
--- a/src/calls/dispatch/conclude_not_run.ts
+++ b/src/calls/dispatch/conclude_not_run.ts
@@ -1,11 +1,9 @@
+import type { RefusalReason } from "../refusal_reason.ts";
 import type { DispatchState } from "../dispatch_state.ts";
 import type { DispatchStep } from "../dispatch_step.ts";
-import { Outcome } from "../outcome.ts";
-import { RefusalReason } from "../refusal_reason.ts";
 import { SettlementKind } from "../settlement_kind.ts";
 import { createConclusion } from "./create_conclusion.ts";
-import { createDispatchRefusal } from "./create_dispatch_refusal.ts";
-import { endDispatch } from "./end_dispatch.ts";
+import { refuseNotRun } from "./refuse_not_run.ts";
 
 /** Refuses a try that did not run, and tells the ledger. */
 export function concludeNotRun(
@@ -13,11 +11,7 @@
   reason: RefusalReason,
   options: { readonly now: number; readonly retryAt?: number },
 ): DispatchStep {
-  return endDispatch(state, [
-    createConclusion(SettlementKind.NotRun, false),
-    createDispatchRefusal(state, reason, {
-      ...options,
-      outcome: Outcome.NotRun,
-    }),
-  ]);
+  const step = refuseNotRun(state, reason, options);
+  const conclusion = createConclusion(SettlementKind.NotRun, false);
+  return { ...step, effects: [conclusion, ...step.effects] };
 }
--- a/src/gate/release_slot.ts
+++ b/src/gate/release_slot.ts
@@ -1,6 +1,7 @@
+import { updateAverage } from "../collections/update_average.ts";
 import type { GateState } from "./gate_state.ts";
 
-/** Share of the newest observation in the moving average. */
+/** Share of the newest observation in the moving averages. */
 const newestShare = 0.1;
 
 /** Returns the slot of a call. Only calls that were answered count for the service time. */
@@ -19,9 +20,8 @@
   const elapsed = Math.max(1, options.now - call.startedAt);
   state.serviceMilliseconds += (elapsed - state.serviceMilliseconds) *
     newestShare;
-  const known = state.routeMilliseconds.get(call.route) ?? elapsed;
-  state.routeMilliseconds.set(
-    call.route,
-    known + (elapsed - known) * newestShare,
-  );
+  updateAverage(state.routeMilliseconds, call.route, {
+    newest: elapsed,
+    share: newestShare,
+  });
 }
--- a/src/mesh/call_plan.ts
+++ b/src/mesh/call_plan.ts
@@ -14,7 +14,7 @@
   readonly deadline: number;
   /** Until when an answer has its full worth. */
   readonly goalDeadline: number;
-  /** Whether the caller has time left after the deadline, to try again. */
+  /** Whether the caller can try again after a refusal. */
   readonly mayComeBack: boolean;
   /** Aborted when the caller leaves or the deadline has passed. */
   readonly signal: AbortSignal;
--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -1,5 +1,6 @@
 import type { Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
+import { getOrCreate } from "../collections/get_or_create.ts";
 import { createLatencyHistogram } from "../telemetry/create_latency_histogram.ts";
 import { latencyQuantiles } from "../telemetry/latency_quantiles.ts";
 import type { CallEvent } from "./call_event.ts";
@@ -51,9 +52,9 @@
 
   function record(place: string, milliseconds: number | undefined): void {
     if (milliseconds === undefined) return;
-    const histogram = histograms.get(place) ?? createLatencyHistogram();
-    histograms.set(place, histogram);
-    histogram.recordValue(
+    getOrCreate(histograms, place, {
+      create: createLatencyHistogram,
+    }).recordValue(
       Math.round(milliseconds * microsecondsPerMillisecond),
     );
   }
--- a/src/mesh/forget_gone_servers.ts
+++ b/src/mesh/forget_gate_views.ts
@@ -1,10 +1,8 @@
-import { forgetVanished } from "../register/forget_vanished.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Drops what is known of backend servers that left the register long ago. */
-export function forgetGoneServers(node: MeshNode): void {
+/** Drops what was seen of backend servers that the register has forgotten. */
+export function forgetGateViews(node: MeshNode): void {
   const { gateViews, view: { register } } = node;
-  forgetVanished(register, node.clock.now());
   if (gateViews.size <= register.size) return;
   Array.from(gateViews.keys())
     .filter((identifier) => !register.has(identifier))
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -1,20 +1,11 @@
-/** A call as it is offered to the node beside a backend server. Instants are in milliseconds since the Unix epoch. */
-export interface GateOffer {
-  readonly callIdentifier: string;
+import type { SlotRequest } from "../gate/slot_request.ts";
+
+/** A call as it is offered to the node beside a backend server: what it asks of the gate, and what the request needs. */
+export interface GateOffer extends SlotRequest {
   readonly service: string;
   /** The incarnation that is meant. */
   readonly identifier: string;
   readonly callerService: string;
-  readonly route: string;
   /** Whether the request may run more than once. */
   readonly idempotent: boolean;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  readonly deadline: number;
-  /** Until when an answer has its full worth. */
-  readonly goalDeadline: number;
-  /** Until when the call may wait for a slot. */
-  readonly waitDeadline: number;
-  /** Whether the caller can try again after a refusal. */
-  readonly mayComeBack: boolean;
 }
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -1,5 +1,6 @@
 import { ServerCondition } from "../gate/server_condition.ts";
 import { getGateLoad } from "./get_gate_load.ts";
+import { getSourceSoundMilliseconds } from "./get_source_sound_milliseconds.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
@@ -7,12 +8,9 @@
 export function getMeshGauges(node: MeshNode): MeshGauges {
   const { gate, view } = node;
   const { running, queued, slots, cold } = getGateLoad(node);
-  const soundSince = view.sourceSoundSince;
   return {
     rulesVersion: view.rules?.version ?? 0,
-    sourceSoundMilliseconds: Number.isFinite(soundSince)
-      ? Math.round(node.clock.now() - soundSince)
-      : -1,
+    sourceSoundMilliseconds: getSourceSoundMilliseconds(node),
     registeredServers: view.register.size,
     zonesTakenOut: view.zonesTakenOut.size,
     running,
--- a/src/mesh/make_offer.ts
+++ b/src/mesh/make_offer.ts
@@ -39,6 +39,5 @@
       offer,
       signal,
       address: { host: entry.address.host, port: listeners.nodes.port },
-      mayRepeat: offer.idempotent,
     });
 }
--- a/src/mesh/note_answer_bytes.ts
+++ b/src/mesh/note_answer_bytes.ts
@@ -1,3 +1,4 @@
+import { updateAverage } from "../collections/update_average.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Share of the newest observation in the moving average. */
@@ -8,9 +9,8 @@
   node: MeshNode,
   options: { readonly route: string; readonly bytes: number },
 ): void {
-  const known = node.answerBytes.get(options.route) ?? options.bytes;
-  node.answerBytes.set(
-    options.route,
-    known + (options.bytes - known) * newestShare,
-  );
+  updateAverage(node.answerBytes, options.route, {
+    newest: options.bytes,
+    share: newestShare,
+  });
 }
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -1,5 +1,4 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import type { Socket } from "node:net";
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
@@ -22,8 +21,8 @@
  * Offers a call to the node beside a backend server on another VM.
  *
  * Where no connection came about the call has not run. After that, contact
- * that ends without a reply leaves open whether it ran. With `mayRepeat`, a
- * node that gives no sign of having the offer is given up on early.
+ * that ends without a reply leaves open whether it ran. A node that gives no
+ * sign of having the offer of an idempotent call is given up on early.
  */
 export function offerToNode(
   node: MeshNode,
@@ -32,12 +31,10 @@
     readonly offer: GateOffer;
     readonly address: NetworkAddress;
     readonly signal: AbortSignal;
-    readonly mayRepeat: boolean;
   },
 ): Promise<OfferOutcome> {
   const { offer, address, signal } = options;
   return new Promise((resolve) => {
-    let connected = false;
     const outgoing = sendRequest({
       agent: node.nodesAgent,
       host: address.host,
@@ -54,18 +51,13 @@
       ] as unknown as string[],
       signal,
     });
+    const connection = watchConnect(outgoing);
     const notice = node.timers.at(
       node.clock.now() + noticeMilliseconds,
       () => {
-        if (options.mayRepeat || !connected) outgoing.destroy();
+        if (offer.idempotent || !connection.isConnected()) outgoing.destroy();
       },
     );
-    outgoing.once("socket", (socket: Socket) =>
-      watchConnect(socket, {
-        onConnected: () => {
-          connected = true;
-        },
-      }));
     outgoing.once("information", () => notice.cancel());
     outgoing.once("response", (answer) => {
       notice.cancel();
@@ -73,7 +65,7 @@
     });
     outgoing.on("error", () => {
       notice.cancel();
-      resolve(connected ? createLoss() : createUnreachable());
+      resolve(connection.isConnected() ? createLoss() : createUnreachable());
     });
     outgoing.end(request.body.length > 0 ? request.body : undefined);
   });
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -1,5 +1,4 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import type { Socket } from "node:net";
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -23,7 +22,6 @@
   serverWatch.probedAt = now;
   const path = node.view.rules?.services.get(settings.service)?.healthPath ??
     defaultHealthPath;
-  let connected = false;
   const outgoing = sendRequest({
     agent: node.backendAgent,
     host: settings.backendServer.host,
@@ -34,19 +32,16 @@
     now + answerMilliseconds,
     () => outgoing.destroy(),
   );
-  outgoing.once("socket", (socket: Socket) =>
-    watchConnect(socket, {
-      onConnected: () => {
-        connected = true;
-      },
-    }));
+  const connection = watchConnect(outgoing);
   outgoing.once("response", (answer: IncomingMessage) => {
     answer.resume();
     takeProbeAnswer(node, node.dialect.readBackendAnswerHead(answer));
   });
   outgoing.on("error", () => {
     // One that accepts a connection and does not answer may be busy.
-    if (!connected) setServerCondition(node, ServerCondition.Down);
+    if (!connection.isConnected()) {
+      setServerCondition(node, ServerCondition.Down);
+    }
   });
   outgoing.once("close", () => {
     timer.cancel();
--- a/src/mesh/report_call_end.ts
+++ b/src/mesh/report_call_end.ts
@@ -3,6 +3,7 @@
 import { CallEndKind } from "./call_end_kind.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
+import { getSourceSoundMilliseconds } from "./get_source_sound_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Reports what a caller got, with the version of the rules and the age of the view that decided. */
@@ -17,18 +18,14 @@
   },
 ): void {
   const { plan } = options;
-  const now = node.clock.now();
-  const soundSince = node.view.sourceSoundSince;
   const common = {
     call: options.callIdentifier,
     ...(plan === undefined
       ? {}
       : { route: plan.route.name, service: plan.service }),
-    elapsedMilliseconds: Math.round(now - options.receivedAt),
+    elapsedMilliseconds: Math.round(node.clock.now() - options.receivedAt),
     rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
-    sourceSoundMilliseconds: Number.isFinite(soundSince)
-      ? Math.round(now - soundSince)
-      : -1,
+    sourceSoundMilliseconds: getSourceSoundMilliseconds(node),
   };
   match(end)
     .with(
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -1,5 +1,4 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import type { Socket } from "node:net";
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
@@ -29,7 +28,6 @@
 ): Promise<BackendExchange> {
   const { backendServer } = node.settings;
   return new Promise((resolve) => {
-    let connected = false;
     let received: IncomingMessage | undefined;
     const outgoing = sendRequest({
       agent: options.idempotent ? node.backendAgent : node.recentBackendAgent,
@@ -43,12 +41,7 @@
       ] as unknown as string[],
       signal: options.signal,
     });
-    outgoing.once("socket", (socket: Socket) =>
-      watchConnect(socket, {
-        onConnected: () => {
-          connected = true;
-        },
-      }));
+    const connection = watchConnect(outgoing);
     outgoing.once("response", (answer) => {
       received = answer;
       const head = node.dialect.readBackendAnswerHead(answer);
@@ -75,7 +68,7 @@
       // body, also a reset.
       received?.destroy(error);
       resolve({
-        kind: connected
+        kind: connection.isConnected()
           ? BackendExchangeKind.Broken
           : BackendExchangeKind.NotConnected,
         found: error.message,
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -2,6 +2,7 @@
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectPassedHeaders } from "../calls/select_passed_headers.ts";
+import { createOwnRefusal } from "./create_own_refusal.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
@@ -63,13 +64,8 @@
     bytesMaximum: Number.POSITIVE_INFINITY,
   });
   if (body.isErr) {
-    return {
-      kind: OfferOutcomeKind.Refused,
-      reason: RefusalReason.CallerLeft,
-      retryMilliseconds: 0,
-      reachedBackendServer: false,
-      load: getGateLoad(node),
-    };
+    const reason = RefusalReason.CallerLeft;
+    return createOwnRefusal(node, { reason, retryMilliseconds: 0 });
   }
   return await offerToOwnServer(node, {
     method: request.method ?? "GET",
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -13,7 +13,7 @@
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
-import { forgetGoneServers } from "./forget_gone_servers.ts";
+import { forgetGateViews } from "./forget_gate_views.ts";
 import type { MeshDaemon } from "./mesh_daemon.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReport } from "./mesh_report.ts";
@@ -66,7 +66,7 @@
         const now = node.clock.now();
         takeSourceReading(node.view, reading, { complete, now })
           .forEach(node.report.belief);
-        forgetGoneServers(node);
+        forgetGateViews(node);
         updateGate(node);
       },
       onLost: (failure) => {
--- a/src/mesh/take_source_reading.ts
+++ b/src/mesh/take_source_reading.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { forgetVanished } from "../register/forget_vanished.ts";
 import { putEntry } from "../register/put_entry.ts";
 import { removeEntry } from "../register/remove_entry.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
@@ -16,7 +17,8 @@
  * Takes published items over into the view and returns what changed.
  *
  * A version of the rules goes in as a whole and never back. With `complete`,
- * keys that the reading lacks count as removed.
+ * keys that the reading lacks count as removed. The register changes here
+ * alone.
  */
 export function takeSourceReading(
   view: MeshView,
@@ -24,9 +26,8 @@
   options: { readonly complete: boolean; readonly now: number },
 ): readonly BeliefChange[] {
   const { now } = options;
-  view.recordsOfService.clear();
   const removals = options.complete ? findMissingItems(view, reading) : [];
-  return [...reading.items, ...removals].flatMap((item) => {
+  const changes = [...reading.items, ...removals].flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
     view.revisions.set(item.key, item.revision);
     return takeItem(view, item, { now }).map((change) => ({
@@ -34,6 +35,9 @@
       revision: item.revision,
     }));
   });
+  forgetVanished(view.register, now);
+  view.recordsOfService.clear();
+  return changes;
 }
 
 function findMissingItems(
--- a/src/mesh/write_call_end.ts
+++ b/src/mesh/write_call_end.ts
@@ -53,42 +53,25 @@
   options: { readonly status: number; readonly headers: readonly string[] },
 ): void {
   const { held, rest, framed } = body;
-  if (!framed) {
-    writeUnframed(response, body, options);
-    return;
-  }
+  // Neither a length nor chunks: what may have been broken off must not look whole.
+  if (!framed) response.useChunkedEncodingByDefault = false;
+  response.writeHead(options.status, [
+    ...options.headers,
+    ...getFrameHeaders(body),
+  ]);
   if (rest === undefined) {
-    response.writeHead(options.status, [
-      ...options.headers,
-      "content-length",
-      String(held.byteLength),
-    ]).end(held);
+    response.end(held);
     return;
   }
-  response.writeHead(options.status, [...options.headers]);
   response.write(held);
   // What breaks off must not look complete.
   rest.once("error", () => response.destroy());
   rest.pipe(response);
 }
 
-/** Neither a length nor chunks: what may have been broken off must not look whole. */
-function writeUnframed(
-  response: ServerResponse,
-  { held, rest }: AnswerBody,
-  options: { readonly status: number; readonly headers: readonly string[] },
-): void {
-  response.useChunkedEncodingByDefault = false;
-  response.writeHead(options.status, [
-    ...options.headers,
-    "connection",
-    "close",
-  ]);
-  response.write(held);
-  if (rest === undefined) {
-    response.end();
-    return;
-  }
-  rest.once("error", () => response.destroy());
-  rest.pipe(response);
+function getFrameHeaders(
+  { held, rest, framed }: AnswerBody,
+): readonly string[] {
+  if (!framed) return ["connection", "close"];
+  return rest === undefined ? ["content-length", String(held.byteLength)] : [];
 }
--- a/src/telemetry/create_node_metrics.ts
+++ b/src/telemetry/create_node_metrics.ts
@@ -1,5 +1,6 @@
 import type { Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
+import { getOrCreate } from "../collections/get_or_create.ts";
 import { createLatencyHistogram } from "./create_latency_histogram.ts";
 import { latencyQuantiles } from "./latency_quantiles.ts";
 import type { LatencySummary } from "./latency_summary.ts";
@@ -83,9 +84,9 @@
       if (observation.result !== answeredResult) {
         return;
       }
-      const histogram = histograms.get(observation.service) ??
-        createLatencyHistogram();
-      histograms.set(observation.service, histogram);
+      const histogram = getOrCreate(histograms, observation.service, {
+        create: createLatencyHistogram,
+      });
       histogram.recordValue(
         Math.round(
           observation.elapsedMilliseconds * microsecondsPerMillisecond,
