--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -36,6 +36,7 @@
   KeyUnsettled = "key-unsettled",
   RequestInvalid = "request-invalid",
   RequestTooLarge = "request-too-large",
+  HeaderTooLarge = "header-too-large",
   /** The caller left; nobody reads this refusal. */
   CallerLeft = "caller-left",
 }
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -146,6 +146,12 @@
     detail: "The request is larger than the node accepts",
     retryMilliseconds: 0,
   },
+  [RefusalReason.HeaderTooLarge]: {
+    status: 431,
+    title: "Request header too large",
+    detail: "The headers of the request are larger than the operators allow",
+    retryMilliseconds: 0,
+  },
   [RefusalReason.CallerLeft]: {
     status: 499,
     title: "Caller left",
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -12,6 +12,8 @@
 
 /** How long an idle connection is kept for the next request. */
 const keepAliveMilliseconds = 30_000;
+/** How often heads that have not arrived are looked for. */
+const headCheckMilliseconds = 1_000;
 /** How often a closing listener looks for connections that have become idle. */
 const sweepMilliseconds = 20;
 /** A turn of the event loop in which hardly anything was handled takes less. */
@@ -39,6 +41,7 @@
   const server = createServer({
     maxHeaderSize: options.requestHeaderBytes,
     keepAliveTimeout: keepAliveMilliseconds,
+    connectionsCheckingInterval: headCheckMilliseconds,
     noDelay: true,
   }, (request, response) => {
     const socket = request.socket;
@@ -81,6 +84,10 @@
       resolve(Result.ok({
         address: { host: options.address.host, port: bound.port },
         close,
+        setLimits: ({ headerMilliseconds, idleMilliseconds }) => {
+          server.headersTimeout = headerMilliseconds;
+          server.keepAliveTimeout = idleMilliseconds;
+        },
         destroy: () => {
           server.close();
           server.closeAllConnections();
--- a/src/daemon/refuse_broken_request.ts
+++ b/src/daemon/refuse_broken_request.ts
@@ -5,11 +5,32 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { formatRawResponse } from "./format_raw_response.ts";
 
-const badRequestStatus = 400;
-const headerTooLargeStatus = 431;
-const headerOverflowCode = "HPE_HEADER_OVERFLOW";
+/** What is answered, by the code of the error. */
+const answers: Readonly<
+  Record<string, {
+    readonly status: number;
+    readonly reason: RefusalReason;
+    readonly detail: string;
+  }>
+> = {
+  HPE_HEADER_OVERFLOW: {
+    status: 431,
+    reason: RefusalReason.HeaderTooLarge,
+    detail: "The request header is larger than the node accepts",
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    status: 408,
+    reason: RefusalReason.RequestInvalid,
+    detail: "The request header did not arrive in time",
+  },
+};
+const invalidAnswer = {
+  status: 400,
+  reason: RefusalReason.RequestInvalid,
+  detail: "The request is not valid HTTP/1.1",
+};
 
-/** Answers bytes that are not an HTTP request, or a header over the limit, and closes the connection. */
+/** Answers bytes that are not an HTTP request, or a header over a limit, and closes the connection. */
 export function refuseBrokenRequest(
   error: NodeJS.ErrnoException,
   socket: Duplex,
@@ -18,8 +39,8 @@
     socket.destroy();
     return;
   }
-  const tooLarge = error.code === headerOverflowCode;
-  const status = tooLarge ? headerTooLargeStatus : badRequestStatus;
+  const { status, reason, detail } = answers[error.code ?? ""] ??
+    invalidAnswer;
   socket.end(formatRawResponse({
     status,
     headers: [
@@ -32,13 +53,9 @@
       type: "about:blank",
       title: STATUS_CODES[status],
       status,
-      detail: tooLarge
-        ? "The request header is larger than the node accepts"
-        : "The request is not valid HTTP/1.1",
+      detail,
       outcome: Outcome.NotRun,
-      reason: tooLarge
-        ? RefusalReason.RequestTooLarge
-        : RefusalReason.RequestInvalid,
+      reason,
     }),
   }));
 }
