--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -14,6 +14,7 @@
   rulesVersion: "Version of the rules in force; 0 for none",
   sourceSoundMilliseconds:
     "Since when the source has answered without a failure; -1 while it does not",
+  feedFollowers: "Neighbours that learn of the source from this node",
   registeredServers: "Backend servers in the register",
   zonesTakenOut: "Availability zones that get no new work",
   running: "Calls at the backend server of this VM",
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -20,6 +20,7 @@
   const text = await metrics.render({
     rulesVersion: 7,
     sourceSoundMilliseconds: -1,
+    feedFollowers: 2,
     registeredServers: 12,
     zonesTakenOut: 0,
     running: 1,
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -11,6 +11,7 @@
   return {
     rulesVersion: view.rules?.version ?? 0,
     sourceSoundMilliseconds: getSourceSoundMilliseconds(node),
+    feedFollowers: node.feed.subscribers.size,
     registeredServers: view.register.size,
     zonesTakenOut: view.zonesTakenOut.size,
     running,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -3,6 +3,8 @@
   readonly rulesVersion: number;
   /** Age of contact with the source; -1 while there is none. */
   readonly sourceSoundMilliseconds: number;
+  /** Neighbours that learn of the source from this node. */
+  readonly feedFollowers: number;
   readonly registeredServers: number;
   readonly zonesTakenOut: number;
   readonly running: number;
