Pass on changes by the feed's own revision, not by what the reader knows of each key

Cause, found by reading: the second page of a reading may be ahead of its revision. The reader then knew the change and left it out of the feed, while neighbours that began between the two revisions never heard of it.

--- a/src/mesh/pass_on_reading.ts
+++ b/src/mesh/pass_on_reading.ts
@@ -15,8 +15,7 @@
   { complete }: { readonly complete: boolean },
 ): void {
   const { feed, view, settings } = node;
-  const items = listReadingItems(view, reading, { complete })
-    .filter(({ key, revision }) => revision > (view.revisions.get(key) ?? 0));
+  const items = listReadingItems(view, reading, { complete });
   const linkBytesPerSecond = settings.linkMegabitsPerSecond * bitsPerMegabit /
     bitsPerByte;
   takeFeedReading(feed, { items, revision: reading.revision }, {
--- a/src/source/source_feed.ts
+++ b/src/source/source_feed.ts
@@ -7,6 +7,8 @@
   readings: readonly FeedReading[];
   /** The readings hold every change after this revision; undefined while nothing can be passed on. */
   completeAfter: number | undefined;
+  /** Revision of the last answer of the source; undefined as `completeAfter`. */
+  revision: number | undefined;
   /** When the source last answered, in milliseconds since the Unix epoch. */
   confirmedAt: number;
   readonly subscribers: Set<FeedSubscriber>;
--- a/src/source/take_feed_reading.ts
+++ b/src/source/take_feed_reading.ts
@@ -10,7 +10,7 @@
 const readingsMaximum = 64;
 
 /**
- * Takes what the source told anew into the feed and passes it on. What is too
+ * Takes an answer of the source into the feed and passes on what it tells anew. What is too
  * much for the link makes whoever follows the feed read the source once.
  */
 export function takeFeedReading(
@@ -26,9 +26,13 @@
 ): void {
   const { rules, now, bytesMaximum } = options;
   const { revision } = reading;
-  const items = reading.items.map((item) =>
-    createFeedItem(item, { rules, now })
-  );
+  // Not by what this node knows of each key: a later page may be ahead of the
+  // revision of its reading, and neighbours began from that revision.
+  const known = feed.revision ?? 0;
+  const items = reading.items
+    .filter((item) => item.revision > known)
+    .map((item) => createFeedItem(item, { rules, now }));
+  feed.revision = revision;
   feed.confirmedAt = now;
   const common = {
     sentAt: now,
--- a/src/source/take_feed_reading_test.ts
+++ b/src/source/take_feed_reading_test.ts
@@ -102,6 +102,22 @@
   t.deepEqual(start(feed, 7), ["at 7"]);
 });
 
+test("a change that a reading held ahead of its revision still reaches those who began there", (t) => {
+  const feed = createSourceFeed();
+  // The second page was read when the source had gone on to revision 7.
+  takeFeedReading(feed, {
+    items: [{ key: "ahead", revision: 7, fact: undefined }],
+    revision: 5,
+  }, { rules: undefined, now: 0, bytesMaximum: 10_000 });
+  t.deepEqual(start(feed, 6), ["at 6"]);
+  const seen = subscribe(feed);
+  takeFeedReading(feed, {
+    items: [{ key: "ahead", revision: 7, fact: undefined }],
+    revision: 7,
+  }, { rules: undefined, now: 0, bytesMaximum: 10_000 });
+  t.deepEqual(seen, ["ahead"]);
+});
+
 test("text that is no line of a feed is told apart", (t) => {
   ["", "{", "null", "[]", '{"sentAt":1}', '{"sentAt":1,"ageMilliseconds":"2"}']
     .forEach((text) => t.is(decodeFeedLine(text), undefined));
