--- a/src/mesh/pass_on_reading.ts
+++ b/src/mesh/pass_on_reading.ts
@@ -1,6 +1,7 @@
 import type { SourceReading } from "../source/source_reading.ts";
 import { takeFeedReading } from "../source/take_feed_reading.ts";
 import { listReadingItems } from "./list_reading_items.ts";
+import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 const bitsPerByte = 8;
@@ -16,11 +17,13 @@
 ): void {
   const { feed, view, settings } = node;
   const items = listReadingItems(view, reading, { complete });
+  // Those that are about to follow get the latest changes too.
+  const neighbours = Math.max(1, listZoneHosts(node).length - 1);
   const linkBytesPerSecond = settings.linkMegabitsPerSecond * bitsPerMegabit /
     bitsPerByte;
   takeFeedReading(feed, { items, revision: reading.revision }, {
     rules: view.rules,
     now: node.clock.now(),
-    bytesMaximum: linkBytesPerSecond * linkSeconds,
+    bytesMaximum: linkBytesPerSecond * linkSeconds / neighbours,
   });
 }
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from "../runtime/random_source.ts";
+import { FeedEndKind } from "./feed_end_kind.ts";
 import { getSourcePace } from "./get_source_pace.ts";
 import type { SourceBounds } from "./source_bounds.ts";
 import type { NeighbourFeeds } from "./neighbour_feeds.ts";
@@ -92,12 +93,14 @@
     const host = neighbours?.choose();
     if (neighbours === undefined || host === undefined) return;
     if (revision === undefined) return;
-    await neighbours.follow(host, {
+    const kind = await neighbours.follow(host, {
       after: revision,
       onReading: (reading) => {
         if (!stopped) takeReading(reading, { complete: false, direct: false });
       },
     });
+    // What is large is read once as it stands, not with all its changes.
+    if (kind === FeedEndKind.Gap) wholeReads = 1;
   }
 
   function takeFailure(kind: SourceFailureKind, found: string): number {
--- a/src/source/take_feed_reading.ts
+++ b/src/source/take_feed_reading.ts
@@ -20,7 +20,7 @@
     /** The rules in force before the reading. */
     readonly rules: Rules | undefined;
     readonly now: number;
-    /** What all who follow the feed may be sent together. */
+    /** What each who follows the feed may be sent at a time. */
     readonly bytesMaximum: number;
   },
 ): void {
@@ -41,7 +41,7 @@
     revision,
   };
   const text = encodeFeedLine({ ...common, items, gap: false });
-  const isPassable = text.length * feed.subscribers.size <= bytesMaximum;
+  const isPassable = text.length <= bytesMaximum;
   if (feed.completeAfter === undefined || !isPassable) {
     feed.readings = [];
     feed.completeAfter = revision;
