--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -12,8 +12,8 @@
 
 /** How long an idle connection is kept for the next request. */
 const keepAliveMilliseconds = 30_000;
-/** How often heads that have not arrived are looked for. */
-const headCheckMilliseconds = 1_000;
+/** How often heads that have not arrived are looked for; each look wakes the process. */
+const headCheckMilliseconds = 30_000;
 /** How often a closing listener looks for connections that have become idle. */
 const sweepMilliseconds = 20;
 /** A turn of the event loop in which hardly anything was handled takes less. */
@@ -25,6 +25,8 @@
 interface ListenerOptions {
   readonly address: NetworkAddress;
   readonly requestHeaderBytes: number;
+  /** How often heads that have not arrived in time are looked for. */
+  readonly headCheckMilliseconds?: number;
   readonly onRequest: RequestListener;
   /** Answers a request that is not HTTP or whose header is too large. */
   readonly onBrokenRequest: (
@@ -41,7 +43,8 @@
   const server = createServer({
     maxHeaderSize: options.requestHeaderBytes,
     keepAliveTimeout: keepAliveMilliseconds,
-    connectionsCheckingInterval: headCheckMilliseconds,
+    connectionsCheckingInterval: options.headCheckMilliseconds ??
+      headCheckMilliseconds,
     noDelay: true,
   }, (request, response) => {
     const socket = request.socket;
--- a/src/daemon/refuse_broken_request_test.ts
+++ b/src/daemon/refuse_broken_request_test.ts
@@ -12,6 +12,7 @@
   const opened = await openListener({
     address: { host: "127.0.0.1", port: 0 },
     requestHeaderBytes: 1_024,
+    headCheckMilliseconds: 100,
     onBrokenRequest: refuseBrokenRequest,
     onRequest: (_request, response) => response.end("answered"),
   });
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -40,6 +40,8 @@
 /** Below the idle time of the listeners of other nodes. */
 const nodeIdleMilliseconds = 20_000;
 const headerBytesMaximum = 65_536;
+/** How often heads of callers that have not arrived in time are looked for. */
+const headCheckMilliseconds = 1_000;
 /** How often checks and ages are looked at; each look wakes the process. */
 const upkeepMilliseconds = 100;
 
@@ -172,6 +174,7 @@
     openListener({
       ...common,
       address: callers,
+      headCheckMilliseconds,
       onRequest: (request, response) =>
         serveCallerRequest(node, request, response),
     }),
