--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -99,8 +99,8 @@
         if (!stopped) takeReading(reading, { complete: false, direct: false });
       },
     });
-    // What is large is read once as it stands, not with all its changes.
-    if (kind === FeedEndKind.Gap) wholeReads = 1;
+    // The neighbour may be busy with many versions of something large.
+    if (isReadWholeAfter(kind)) wholeReads = 1;
   }
 
   function takeFailure(kind: SourceFailureKind, found: string): number {
@@ -137,3 +137,8 @@
     },
   };
 }
+
+/** Whether items as they stand are likely to be less than all the changes that the feed did not bring. */
+function isReadWholeAfter(kind: FeedEndKind): boolean {
+  return kind === FeedEndKind.Gap || kind === FeedEndKind.Stale;
+}
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -205,21 +205,23 @@
   );
 });
 
-test("what was too large for a feed is read once as it stands", async (t) => {
-  t.deepEqual(
-    await follow(
-      [ok([item], 5), ok([item], 9), ok([item], 10)],
-      createNeighbour(FeedEndKind.Gap),
-    ),
-    [
-      "all",
-      "regained",
-      "complete 1",
-      "changes 1",
-      "all",
-      "complete 1",
-      "after 9",
-      "changes 1",
-    ],
-  );
-});
+[FeedEndKind.Gap, FeedEndKind.Stale].forEach((kind) =>
+  test(`after a feed that ended as ${kind} every item is read once as it stands`, async (t) => {
+    t.deepEqual(
+      await follow(
+        [ok([item], 5), ok([item], 9), ok([item], 10)],
+        createNeighbour(kind),
+      ),
+      [
+        "all",
+        "regained",
+        "complete 1",
+        "changes 1",
+        "all",
+        "complete 1",
+        "after 9",
+        "changes 1",
+      ],
+    );
+  })
+);
