Trial: one call at a time to a node that has just returned

Ruled out: stopping nodes (they refuse as node-draining, and cut nothing).

Change: a node that has not answered since it came, or came back, gets one call at a time from each other node, where another one has answered.

--- a/src/balancing/note_contact_failure.ts
+++ b/src/balancing/note_contact_failure.ts
@@ -10,5 +10,6 @@
     firstAvoidMilliseconds * 2 ** view.contactFailures,
   );
   view.contactFailures += 1;
+  view.proven = false;
   view.avoidUntil = Math.max(view.avoidUntil, now + span);
 }
