--- a/src/balancing/create_gate_view.ts
+++ b/src/balancing/create_gate_view.ts
@@ -10,7 +10,6 @@
     avoidUntil: 0,
     fullUntil: 0,
     waitMilliseconds: 0,
-    proven: false,
     contactFailures: 0,
     failureShare: 0,
     judgedAt: 0,
--- a/src/balancing/gate_view.ts
+++ b/src/balancing/gate_view.ts
@@ -15,8 +15,6 @@
   fullUntil: number;
   /** The wait for a slot that it told last. */
   waitMilliseconds: number;
-  /** Whether it has answered a call since it came, or came back. */
-  proven: boolean;
   /** Losses of contact in a row. */
   contactFailures: number;
   /** Moving average of failed calls, 0 to 1, as of `judgedAt`. */
--- a/src/balancing/note_answer.ts
+++ b/src/balancing/note_answer.ts
@@ -21,7 +21,6 @@
     ((options.failed ? 1 : 0) - remembered) * newestFailureShare;
   view.judgedAt = options.now;
   if (options.failed) return;
-  view.proven = true;
   updateAverage(view.answerMilliseconds, options.route, {
     newest: options.elapsedMilliseconds,
     share: newestShare,
--- a/src/balancing/note_contact_failure.ts
+++ b/src/balancing/note_contact_failure.ts
@@ -10,6 +10,5 @@
     firstAvoidMilliseconds * 2 ** view.contactFailures,
   );
   view.contactFailures += 1;
-  view.proven = false;
   view.avoidUntil = Math.max(view.avoidUntil, now + span);
 }
--- a/src/balancing/note_gate_refusal.ts
+++ b/src/balancing/note_gate_refusal.ts
@@ -21,9 +21,9 @@
 ): void {
   const { now, retryMilliseconds } = options;
   if (!isFullReason(options.reason)) {
-    const isStopping = options.reason === RefusalReason.NodeDraining;
-    if (isStopping) view.proven = false;
-    const span = isStopping ? stoppingMilliseconds : closedMilliseconds;
+    const span = options.reason === RefusalReason.NodeDraining
+      ? stoppingMilliseconds
+      : closedMilliseconds;
     view.avoidUntil = Math.max(view.avoidUntil, now + span);
     return;
   }
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -1,5 +1,4 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import { limitReturningCandidates } from "../balancing/limit_returning_candidates.ts";
 import { rankCandidates } from "../balancing/rank_candidates.ts";
 import type { CallRun } from "./call_run.ts";
 import { getWaitDeadline } from "./get_wait_deadline.ts";
@@ -35,10 +34,7 @@
       ? now + getWait(candidate) <= getWaitDeadline(run, { candidate, now })
       : candidate.view.fullUntil <= now &&
         !run.waits.has(candidate.entry.identifier);
-  const candidates = limitReturningCandidates(
-    listCandidates(node, plan.service),
-    now,
-  ).filter((candidate) =>
+  const candidates = listCandidates(node, plan.service).filter((candidate) =>
     !run.asked.has(candidate.entry.identifier) && isWorthAsking(candidate)
   );
   const ranked = rankCandidates(candidates, {
