--- a/stand_ins/soak/find_soak_violations.ts
+++ b/stand_ins/soak/find_soak_violations.ts
@@ -20,6 +20,7 @@
     ),
     ...record.runs.flatMap((run) => judgeRun(run, record)),
     ...findRegressions(calls),
+    ...findLateVersions(calls, record),
   ];
 }
 
@@ -85,3 +86,18 @@
       : [];
   });
 }
+
+/** A route of the newest version that a node does not know although it has had its time. */
+function findLateVersions(
+  calls: readonly SoakCall[],
+  { settledAt }: SoakRecord,
+): readonly SoakViolation[] {
+  return calls
+    .filter(({ status, sentAt }) =>
+      status === notFoundStatus && sentAt >= settledAt
+    )
+    .map(({ vm, url, sentAt }) => ({
+      promise: "A change is in force everywhere within seconds",
+      found: `VM ${vm} does not know ${url}, ${sentAt - settledAt} ms late`,
+    }));
+}
--- a/stand_ins/soak/find_soak_violations_test.ts
+++ b/stand_ins/soak/find_soak_violations_test.ts
@@ -8,6 +8,7 @@
   idempotent: false,
   callerService: "vitrine",
   url: "/orders/a",
+  sentAt: 1_000,
   vm: 0,
   life: 1,
   status: 200,
@@ -24,6 +25,7 @@
   return findSoakViolations({
     calls: new Map(calls.map((each) => [each.identifier, each])),
     runs: [...runs],
+    settledAt: 5_000,
   }).map(({ promise }) => promise);
 }
 
@@ -42,3 +44,9 @@
   const later = { ...call, identifier: "b", status: 404 };
   t.is(find([call, later], [run]).length, 1);
 });
+
+test("a version that is still unknown when everything has settled is found", (t) => {
+  const unknown = { ...call, status: 404, whole: false };
+  t.deepEqual(find([{ ...unknown, sentAt: 4_999 }], []), []);
+  t.is(find([{ ...unknown, sentAt: 5_000 }], []).length, 1);
+});
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -23,6 +23,10 @@
 const warmUpMilliseconds = 1_500;
 const heartbeatMilliseconds = 500;
 const pauseMilliseconds = 60;
+/** What the operators allow a change after a disturbance, as in the settings of the nodes. */
+const changeMilliseconds = 3_000;
+/** Traffic that checks it. */
+const settledMilliseconds = 1_500;
 const nonIdempotentShare = 0.4;
 const callersPerVm = 3;
 
@@ -35,7 +39,11 @@
 ): Promise<SoakReport> {
   const folder = mkdtempSync(join(tmpdir(), "catkinquay-soak-"));
   const random = createSeededRandom(options.seed);
-  const record: SoakRecord = { calls: new Map(), runs: [] };
+  const record: SoakRecord = {
+    calls: new Map(),
+    runs: [],
+    settledAt: Number.POSITIVE_INFINITY,
+  };
   const store = await createStoreServer({ host: "127.0.0.1", port: 0 });
   let version = 0;
   const publishRules = () => {
@@ -56,6 +64,8 @@
   );
   await delay(warmUpMilliseconds);
   const plan = createSoakPlan(options);
+  const lastFaultEndsAt = Math.max(...plan.map(({ endsAt }) => endsAt));
+  record.settledAt = Date.now() + lastFaultEndsAt + changeMilliseconds;
   const faults = plan.map(async (fault) => {
     await delay(fault.startsAt);
     const vm = vms[fault.vm]!;
@@ -63,7 +73,10 @@
     await delay(fault.endsAt - fault.startsAt);
     await end();
   });
-  const endsAt = Date.now() + options.seconds * millisecondsPerSecond;
+  const endsAt = Math.max(
+    Date.now() + options.seconds * millisecondsPerSecond,
+    record.settledAt + settledMilliseconds,
+  );
   const callers = vms.flatMap((vm, index) =>
     Array.from({ length: callersPerVm }, (_, caller) =>
       sendCalls({
@@ -124,6 +137,7 @@
       idempotent,
       callerService: vm.backend.service,
       url: `/${route}/${identifier}`,
+      sentAt: Date.now(),
       vm: options.index,
       life: vm.node.getLife(),
       status: undefined,
--- a/stand_ins/soak/soak_call.ts
+++ b/stand_ins/soak/soak_call.ts
@@ -5,6 +5,8 @@
   /** The service beside whose backend server it was sent. */
   readonly callerService: string;
   readonly url: string;
+  /** In milliseconds since the Unix epoch. */
+  readonly sentAt: number;
   readonly vm: number;
   /** Starts of that VM's node so far. */
   readonly life: number;
--- a/stand_ins/soak/soak_record.ts
+++ b/stand_ins/soak/soak_record.ts
@@ -6,4 +6,6 @@
   /** By identifier. */
   readonly calls: Map<string, SoakCall>;
   readonly runs: SoakRun[];
+  /** From this instant on, in milliseconds since the Unix epoch, every change must be in force at every node. */
+  settledAt: number;
 }
