--- /dev/null
+++ b/src/mesh/create_mesh_node.ts
@@ -0,0 +1,66 @@
+import { createGateState } from "../gate/create_gate_state.ts";
+import { createSourceFeed } from "../source/create_source_feed.ts";
+import { createConnectionAgent } from "./create_connection_agent.ts";
+import { createMeshMetrics } from "./create_mesh_metrics.ts";
+import { createMeshView } from "./create_mesh_view.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import type { MeshReport } from "./mesh_report.ts";
+import type { MeshSettings } from "./mesh_settings.ts";
+
+/** Below the shortest idle time of a usual backend server, so that this side closes first. */
+const backendIdleMilliseconds = 4_000;
+/** A backend server may drop idle connections without notice; a reset leaves open whether a request ran. */
+const recentIdleMilliseconds = 500;
+/** Below the idle time of the listeners of other nodes. */
+const nodeIdleMilliseconds = 20_000;
+
+/** Creates the state of a node that has heard nothing yet. */
+export function createMeshNode(
+  settings: MeshSettings,
+  options: Pick<
+    MeshNode,
+    "dialect" | "clock" | "timers" | "random" | "report"
+  >,
+): MeshNode {
+  const { dialect, clock, timers, random } = options;
+  const metrics = createMeshMetrics();
+  const report: MeshReport = {
+    ...options.report,
+    call: (event) => {
+      metrics.observe(event);
+      options.report.call(event);
+    },
+  };
+  return {
+    settings,
+    dialect,
+    clock,
+    timers,
+    random,
+    report,
+    metrics,
+    view: createMeshView(),
+    feed: createSourceFeed(),
+    gate: createGateState(clock.now()),
+    slotWaiters: new Map(),
+    gateTimer: undefined,
+    serverWatch: {
+      probedIdentifier: undefined,
+      probedAt: 0,
+      nextProbeAt: 0,
+      probing: false,
+    },
+    backendAgent: createConnectionAgent(backendIdleMilliseconds),
+    recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
+    nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
+    gateViews: new Map(),
+    splits: new Map(),
+    retryCounts: new Map(),
+    answerBytes: new Map(),
+    longestRemaining: new Map(),
+    callerCalls: 0,
+    stopping: false,
+    callersEndAt: Number.POSITIVE_INFINITY,
+    gateClosesAt: Number.POSITIVE_INFINITY,
+  };
+}
--- /dev/null
+++ b/src/mesh/follow_mesh_source.ts
@@ -0,0 +1,55 @@
+import type { Listener } from "../daemon/listener.ts";
+import { endFeed } from "../source/end_feed.ts";
+import { followSource } from "../source/follow_source.ts";
+import type { SourceClient } from "../source/source_client.ts";
+import type { SourceFollower } from "../source/source_follower.ts";
+import { applyCallerLimits } from "./apply_caller_limits.ts";
+import { createNeighbourFeeds } from "./create_neighbour_feeds.ts";
+import { forgetGateViews } from "./forget_gate_views.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { passOnReading } from "./pass_on_reading.ts";
+import { takeSourceReading } from "./take_source_reading.ts";
+import { updateGate } from "./update_gate.ts";
+
+/** Keeps the view of a node current, and puts in force what changes with it. */
+export function followMeshSource(
+  node: MeshNode,
+  options: {
+    readonly client: SourceClient;
+    /** The listener for callers, whose limits the operators publish. */
+    readonly callers: Listener | undefined;
+  },
+): SourceFollower {
+  const { client, callers } = options;
+  return followSource({
+    client,
+    neighbours: createNeighbourFeeds(node),
+    random: node.random,
+    getBounds: () => node.settings.sourceBounds,
+    wait: (milliseconds) =>
+      new Promise((resolve) =>
+        node.timers.at(node.clock.now() + milliseconds, resolve)
+      ),
+    handler: {
+      onReading: (reading, { complete, direct }) => {
+        const now = node.clock.now();
+        if (direct) passOnReading(node, reading, { complete });
+        takeSourceReading(node.view, reading, { complete, now })
+          .forEach(node.report.belief);
+        applyCallerLimits(node, callers);
+        forgetGateViews(node);
+        updateGate(node);
+      },
+      onLost: (failure) => {
+        node.view.sourceSoundSince = Number.POSITIVE_INFINITY;
+        endFeed(node.feed);
+        node.report.state("source", { state: "lost", ...failure });
+        updateGate(node);
+      },
+      onRegained: () => {
+        node.view.sourceSoundSince = node.clock.now();
+        node.report.state("source", { state: "regained" });
+      },
+    },
+  });
+}
--- /dev/null
+++ b/src/mesh/open_mesh_listeners.ts
@@ -0,0 +1,54 @@
+import { Result } from "true-myth";
+import type { Listener } from "../daemon/listener.ts";
+import { openListener } from "../daemon/open_listener.ts";
+import { refuseBrokenRequest } from "../daemon/refuse_broken_request.ts";
+import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { serveCallerRequest } from "./serve_caller_request.ts";
+import { serveMetrics } from "./serve_metrics.ts";
+import { serveNeighbour } from "./serve_neighbour.ts";
+import { serveReadiness } from "./serve_readiness.ts";
+
+const headerBytesMaximum = 65_536;
+/** How often heads of callers that have not arrived in time are looked for. */
+const headCheckMilliseconds = 1_000;
+
+/** Binds the listeners of a node, the one for callers first; fails where one cannot be bound. */
+export async function openMeshListeners(
+  node: MeshNode,
+): Promise<Result<readonly Listener[], Diagnostic>> {
+  const { callers, nodes, readiness, metrics } = node.settings.listeners;
+  const common = {
+    requestHeaderBytes: headerBytesMaximum,
+    onBrokenRequest: refuseBrokenRequest,
+  };
+  const opened = await Promise.all([
+    openListener({
+      ...common,
+      address: callers,
+      headCheckMilliseconds,
+      onRequest: (request, response) =>
+        serveCallerRequest(node, request, response),
+    }),
+    openListener({
+      ...common,
+      address: nodes,
+      onRequest: (request, response) => serveNeighbour(node, request, response),
+    }),
+    openListener({
+      ...common,
+      address: readiness,
+      onRequest: (_request, response) => serveReadiness(node, response),
+    }),
+    ...(metrics === undefined ? [] : [openListener({
+      ...common,
+      address: metrics,
+      onRequest: (_request, response) => serveMetrics(node, response),
+    })]),
+  ]);
+  const failed = opened.find((result) => result.isErr);
+  if (failed?.isErr) return Result.err(failed.error);
+  return Result.ok(
+    opened.flatMap((result) => result.isOk ? [result.value] : []),
+  );
+}
