--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -51,16 +51,16 @@
     const pace = getSourcePace(options.getBounds(), {
       feeding: neighbours?.isFeeding() ?? false,
     });
-    const complete = revision === undefined || wholeReads > 0;
-    const result = revision === undefined || wholeReads > 0
+    const after = wholeReads > 0 ? undefined : revision;
+    const result = after === undefined
       ? await client.readAll()
-      : await client.readChanges(revision, { waitMilliseconds: getWait(pace) });
+      : await client.readChanges(after, { waitMilliseconds: getWait(pace) });
     if (stopped) return 0;
     neighbours?.noteOwnRead({ succeeded: result.isOk });
     if (result.isErr) return takeFailure(result.error.kind, result.error.found);
     const isFirst = revision === undefined;
     noteSuperseded(result.value);
-    takeReading(result.value, { complete, direct: true });
+    takeReading(result.value, { complete: after === undefined, direct: true });
     return isFirst ? 0 : pace.intervalMilliseconds;
   }
 
--- a/src/source/take_feed_reading.ts
+++ b/src/source/take_feed_reading.ts
@@ -10,8 +10,9 @@
 const readingsMaximum = 64;
 
 /**
- * Takes an answer of the source into the feed and passes on what it tells anew. What is too
- * much for the link makes whoever follows the feed read the source once.
+ * Takes an answer of the source into the feed and passes on what it tells
+ * anew. What is too much for the link makes whoever follows the feed read the
+ * source once.
  */
 export function takeFeedReading(
   feed: SourceFeed,
