Look for connections that have closed before a late request goes on

A node whose event loop is behind reads a request long after it came, and the close that came after it only in the next turn, so the request had gone on before.

Ruled out: a close that is seen and not heeded (the signal stops every step).

Change: the loop's lag is noted by the upkeep timer. While it is behind by more than 0.2 s, a request waits for four turns of the loop before it goes on; what has closed by then is dropped.

--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -40,6 +40,7 @@
     report,
     metrics,
     view: createMeshView(),
+    loopLag: { lookedAt: clock.now(), behindUntil: 0 },
     feed: createSourceFeed(),
     gate: createGateState(clock.now()),
     slotWaiters: new Map(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from "../runtime/random_source.ts";
 import type { SourceFeed } from "../source/source_feed.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { LoopLag } from "../runtime/loop_lag.ts";
 import type { Timers } from "../runtime/timers.ts";
 import type { CallDialect } from "./call_dialect.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
@@ -26,6 +27,8 @@
   readonly report: MeshReport;
   readonly metrics: MeshMetrics;
   readonly view: MeshView;
+  /** How far the event loop is behind. */
+  readonly loopLag: LoopLag;
   /** What neighbours may follow. */
   readonly feed: SourceFeed;
   readonly gate: GateState;
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -15,6 +15,7 @@
 import { mayComeBack } from "./may_come_back.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { noteRemaining } from "./note_remaining.ts";
+import { noticeClosedConnections } from "./notice_closed_connections.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { reportCallEnd } from "./report_call_end.ts";
 import { runCall } from "./run_call.ts";
@@ -70,6 +71,7 @@
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
+    await noticeClosedConnections(node);
     const end = await runCall(node, plan);
     if (response.destroyed) {
       reportAbandoned(node, plan);
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -11,6 +11,7 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
+import { noticeClosedConnections } from "./notice_closed_connections.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 
@@ -67,6 +68,7 @@
     const reason = RefusalReason.CallerLeft;
     return createOwnRefusal(node, { reason, retryMilliseconds: 0 });
   }
+  await noticeClosedConnections(node);
   return await offerToOwnServer(node, {
     method: request.method ?? "GET",
     url: request.url ?? "/",
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -1,6 +1,7 @@
 import { Result } from "true-myth";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { noteLoopLook } from "../runtime/note_loop_look.ts";
 import type { RandomSource } from "../runtime/random_source.ts";
 import type { Timers } from "../runtime/timers.ts";
 import type { SourceClient } from "../source/source_client.ts";
@@ -15,9 +16,7 @@
 import { reloadSettings } from "./reload_settings.ts";
 import { stopMeshNode } from "./stop_mesh_node.ts";
 import { updateGate } from "./update_gate.ts";
-
-/** How often checks and ages are looked at; each look wakes the process. */
-const upkeepMilliseconds = 100;
+import { upkeepMilliseconds } from "./upkeep_milliseconds.ts";
 
 /** Starts a node; fails where a listener cannot be bound. */
 export async function startMeshNode(
@@ -37,6 +36,10 @@
   const [callers] = opened.value;
   const follower = followMeshSource(node, { client: options.source, callers });
   const upkeep = setInterval(() => {
+    noteLoopLook(node.loopLag, {
+      spanMilliseconds: upkeepMilliseconds,
+      now: node.clock.now(),
+    });
     probeBackendServer(node);
     updateGate(node);
   }, upkeepMilliseconds);
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
+import { once } from "node:events";
 import { setTimeout as delay } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
 import { CallEventKind } from "./call_event_kind.ts";
@@ -65,6 +67,55 @@
   },
 );
 
+/** Sends requests from another thread, and leaves, while this one stands still: the node reads them when their callers have gone. */
+async function sendAndLeaveWhileBusy(
+  fleet: MeshFleet,
+  { requests }: { readonly requests: number },
+): Promise<void> {
+  const { host, port } = fleet.settings[0]!.listeners.callers;
+  const lines = [
+    "GET /cakes/1 HTTP/1.1",
+    "host: shop.example",
+    `${MeshHeader.Remaining}: 2000`,
+    "",
+    "",
+  ];
+  const worker = new Worker(
+    `const { workerData: data, parentPort } = require("node:worker_threads");
+    const { connect } = require("node:net");
+    parentPort.postMessage("ready");
+    setTimeout(() => {
+      for (let index = 0; index < data.requests; index += 1) {
+        const socket = connect(data.port, data.host, () =>
+          socket.end(data.text)
+        );
+        socket.on("error", () => undefined);
+      }
+    }, 100);
+    setTimeout(() => process.exit(), 300);`,
+    {
+      eval: true,
+      workerData: { host, port, requests, text: lines.join("\r\n") },
+    },
+  );
+  await once(worker, "message");
+  const until = performance.now() + 900;
+  // Nothing else runs on this thread meanwhile.
+  while (performance.now() < until);
+  await delay(500);
+}
+
+testInTurn(
+  "a node that stood still sends nothing on for callers that have left meanwhile",
+  async (t) => {
+    await withFleet({ vms: 1 }, async (fleet) => {
+      await sendAndLeaveWhileBusy(fleet, { requests: 20 });
+      t.is(countRuns(fleet), 0);
+      t.is((await fleet.call(0)).status, 200);
+    });
+  },
+);
+
 testInTurn("an unknown path is answered 404, and nothing runs", async (t) => {
   await withFleet({ vms: 1 }, async (fleet) => {
     t.is((await fleet.call(0, { path: "/bread/1" })).status, 404);
--- /dev/null
+++ b/src/runtime/is_loop_behind_test.ts
@@ -0,0 +1,39 @@
+import test from "ava";
+import { isLoopBehind } from "./is_loop_behind.ts";
+import type { LoopLag } from "./loop_lag.ts";
+import { noteLoopLook } from "./note_loop_look.ts";
+
+const spanMilliseconds = 100;
+
+function look(lag: LoopLag, now: number): void {
+  noteLoopLook(lag, { spanMilliseconds, now });
+}
+
+function isBehind(lag: LoopLag, now: number): boolean {
+  return isLoopBehind(lag, { spanMilliseconds, now });
+}
+
+test("a loop whose timers are a little late is not behind", (t) => {
+  const lag = { lookedAt: 0, behindUntil: 0 };
+  look(lag, 130);
+  look(lag, 260);
+  t.false(isBehind(lag, 261));
+  t.false(isBehind(lag, 360));
+});
+
+test("requests that are handled late in one long turn may be old", (t) => {
+  const lag = { lookedAt: 0, behindUntil: 0 };
+  look(lag, 100);
+  t.true(isBehind(lag, 900));
+});
+
+test("after a standstill what came meanwhile is handled first, and then the loop is up to date", (t) => {
+  const lag = { lookedAt: 0, behindUntil: 0 };
+  look(lag, 1_300);
+  t.true(isBehind(lag, 1_310));
+  look(lag, 1_400);
+  t.true(isBehind(lag, 1_450));
+  [1_500, 1_600, 1_700, 1_800, 1_900, 2_000, 2_100, 2_200, 2_300, 2_400, 2_500]
+    .forEach((now) => look(lag, now));
+  t.false(isBehind(lag, 2_510));
+});
