--- a/src/mesh/follow_feed.ts
+++ b/src/mesh/follow_feed.ts
@@ -17,9 +17,9 @@
 const firstLineMilliseconds = 300;
 
 /**
- * Follows the feed of a neighbour until it ends, grows too old, or is no
- * longer wanted. A neighbour that stops without a word shows by the age of
- * what it passed on last.
+ * Follows the feed of a neighbour until it ends, grows too old, or `onLine`
+ * ends it. A neighbour that stops without a word shows by the age of what it
+ * passed on last.
  */
 export function followFeed(
   node: MeshNode,
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -72,8 +72,11 @@
   }
 
   function getWait(pace: SourcePace): number {
-    const isBridge = neighbours?.choose() !== undefined;
-    return sound && !isBridge ? pace.watchMilliseconds : lostWatchMilliseconds;
+    // A node that is about to follow a neighbour needs what there is now.
+    const hasNeighbour = neighbours?.choose() !== undefined;
+    return sound && !hasNeighbour
+      ? pace.watchMilliseconds
+      : lostWatchMilliseconds;
   }
 
   function takeReading(
