Cancel a call as soon as its caller's connection ends

A node learned of a caller or a first node that had left by the close of the response. That comes only after the node has shut down its own side of the connection, two or three turns after the end of the input was read.

Ruled out: the queue of the gate (its wait is cancelled by the same signal) and a lost cancellation between nodes (the first node logged call-abandoned 153 ms after it read the request).

Change: the end of the connection's input cancels the call, at both nodes.

--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -9,6 +9,7 @@
 import type { CallResult } from "./call_result.ts";
 import { canCallerRetry } from "./can_caller_retry.ts";
 import { createCallIdentifier } from "./create_call_identifier.ts";
+import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createEarlyRefusal } from "./create_early_refusal.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
@@ -38,11 +39,10 @@
   const receivedAt = node.clock.now();
   const head = node.dialect.readCallerHead(request);
   const callIdentifier = head.callIdentifier ?? createCallIdentifier();
-  const cancellation = new AbortController();
+  const cancellation = createDisconnectController(request, response);
   node.callerCalls += 1;
   response.once("close", () => {
     node.callerCalls -= 1;
-    if (!response.writableFinished) cancellation.abort();
   });
   const route = findCallRoute(node.view.routes, {
     host: request.headers.host ?? "",
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -2,6 +2,7 @@
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
+import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
@@ -41,11 +42,8 @@
     response.writeHead(invalidStatus).end();
     return;
   }
-  const cancellation = new AbortController();
   // The other node closes the connection when its caller disconnects.
-  response.once("close", () => {
-    if (!response.writableFinished) cancellation.abort();
-  });
+  const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = node.timers.at(
     node.clock.now() + interimResponseDelayMilliseconds,
     () => {
