Follow a source that comes back from an older copy

Cause, by reading the code: after such a return revisions are assigned again. Items written again had lower revisions than those before and were ignored, a watch from a revision that the new history had reached missed the changes before it, pages and feeds of two eras were joined, and a removal that had counted was doubted again in the next outage, so that a backend server that had left could get calls again.

Change: a reading has an era, and positions are compared within one era only. A reading of a later era is preceded by a complete read; one of an outdated era is not applied; a feed ends with its era. Rules are never replaced by older ones. An entry is listed again after its removal only with a later heartbeat. A removal that counted stays; one that did not waits until live backend servers had time to be listed.

--- a/src/gate/get_gate_closed_reason.ts
+++ b/src/gate/get_gate_closed_reason.ts
@@ -19,8 +19,7 @@
   if (record.entry.availability === BackendServerAvailability.Draining) {
     return RefusalReason.BackendServerDraining;
   }
-  const { sourceAvailableSince } = status;
-  return isRemovalConfirmed(record, { sourceAvailableSince, now })
+  return isRemovalConfirmed(record, now)
     ? RefusalReason.BackendServerLeaving
     : undefined;
 }
--- a/src/gate/get_gate_closed_reason_test.ts
+++ b/src/gate/get_gate_closed_reason_test.ts
@@ -15,6 +15,7 @@
   return {
     entry: createSampleEntry(change),
     removedAt,
+    removalConfirmedAt: removedAt > 0 ? removedAt : Number.POSITIVE_INFINITY,
   };
 }
 
@@ -25,7 +26,6 @@
     record: createRecord(),
     zoneTakenOut: false,
     stopping: false,
-    sourceAvailableSince: now - 60_000,
     probedIdentifier: undefined,
     ...change,
   }, now);
@@ -44,22 +44,11 @@
   t.is(getReason({ stopping: true }), RefusalReason.NodeDraining);
 });
 
-test("a removed entry closes the gate while the source responds", (t) => {
+test("a removed entry closes the gate once the removal counts", (t) => {
   const record = createRecord({}, now - 10);
   t.is(getReason({ record }), RefusalReason.BackendServerLeaving);
-});
-
-test("outage of the source: a removed entry has no effect until live entries had time to be listed again", (t) => {
-  const record = createRecord({}, now - 10);
-  t.is(
-    getReason({ record, sourceAvailableSince: Number.POSITIVE_INFINITY }),
-    undefined,
-  );
-  t.is(getReason({ record, sourceAvailableSince: now - 1_000 }), undefined);
-  t.is(
-    getReason({ record, sourceAvailableSince: now - 2_500 }),
-    RefusalReason.BackendServerLeaving,
-  );
+  const doubtful = { ...record, removalConfirmedAt: now + 1 };
+  t.is(getReason({ record: doubtful }), undefined);
 });
 
 test("an unregistered backend server gets calls only after a probe returned its identifier", (t) => {
--- a/src/gate/own_server_status.ts
+++ b/src/gate/own_server_status.ts
@@ -8,8 +8,6 @@
   readonly zoneTakenOut: boolean;
   /** Whether the node is stopping and admits no new calls. */
   readonly stopping: boolean;
-  /** Instant since which the source has responded without a failure, in milliseconds since the Unix epoch; infinity while it fails. */
-  readonly sourceAvailableSince: number;
   /** The identifier of the incarnation that the last probe returned; undefined if no probe has returned one. */
   readonly probedIdentifier: string | undefined;
 }
--- a/src/mesh/apply_source_reading.ts
+++ b/src/mesh/apply_source_reading.ts
@@ -7,6 +7,8 @@
 import { createRouteTable } from "../routing/create_route_table.ts";
 import type { Rules } from "../routing/rules.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
+import { releaseHeldZones } from "./release_held_zones.ts";
+import { tryStartSourceEra } from "./try_start_source_era.ts";
 import { listReadingItems } from "./list_reading_items.ts";
 import type { SourceItem } from "../source/source_item.ts";
 import type { SourceReading } from "../source/source_reading.ts";
@@ -18,8 +20,8 @@
  * Applies the items of a reading to the view and returns the changes.
  *
  * The rules are replaced as a whole and never by an older version. With
- * `complete`, keys that the reading lacks count as removed. The register is
- * changed by this function only.
+ * `complete`, keys that the reading lacks count as removed. A reading of an
+ * outdated era changes nothing.
  */
 export function applySourceReading(
   view: MeshView,
@@ -27,6 +29,9 @@
   options: { readonly complete: boolean; readonly now: number },
 ): readonly ViewChange[] {
   const { now } = options;
+  if (reading.era < (view.sourceEra ?? reading.era)) return [];
+  const eraChanges = tryStartSourceEra(view, reading, { now });
+  const heldChanges = releaseHeldZones(view, reading, { now });
   const changes = listReadingItems(view, reading, options).flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
     view.revisions.set(item.key, item.revision);
@@ -37,7 +42,7 @@
   });
   deleteExpiredRecords(view.register, now);
   view.recordsByService.clear();
-  return changes;
+  return [...eraChanges, ...heldChanges, ...changes];
 }
 
 type Change = Omit<ViewChange, "revision">;
@@ -55,6 +60,7 @@
     )
     .with({ kind: SourceValueKind.ZoneTakenOut }, ({ zone }) => {
       view.zonesByKey.set(item.key, zone);
+      view.heldZoneKeys.delete(item.key);
       if (view.zonesTakenOut.has(zone)) return [];
       view.zonesTakenOut.add(zone);
       return [{ kind: ViewChangeKind.ZoneTakenOut, subject: zone }];
@@ -96,6 +102,14 @@
     current.entry.bornAt === entry.bornAt;
   // A heartbeat that arrives out of order must not restore an older state.
   if (isSameIncarnation && entry.sequence < current.entry.sequence) return [];
+  // An entry comes back after its removal only with a later heartbeat. The same
+  // one comes from an older copy of the source.
+  if (
+    isSameIncarnation && current.removedAt > 0 &&
+    entry.sequence === current.entry.sequence
+  ) {
+    return [];
+  }
   putEntry(view.register, entry);
   const isDraining = entry.availability === BackendServerAvailability.Draining;
   const wasDraining = isSameIncarnation &&
@@ -134,6 +148,7 @@
 ): readonly Change[] {
   const zone = view.zonesByKey.get(key);
   if (zone !== undefined) {
+    if (view.heldZoneKeys.has(key)) return [];
     view.zonesByKey.delete(key);
     view.zonesTakenOut.delete(zone);
     return [{ kind: ViewChangeKind.ZoneReturned, subject: zone }];
@@ -141,7 +156,8 @@
   const identifier = view.serverIdentifiersByKey.get(key);
   if (identifier === undefined) return [];
   view.serverIdentifiersByKey.delete(key);
-  removeEntry(view.register, { identifier, now });
+  const { sourceAvailableSince } = view;
+  removeEntry(view.register, { identifier, sourceAvailableSince, now });
   return [{
     kind: ViewChangeKind.BackendServerRemoved,
     subject: identifier,
--- a/src/mesh/apply_source_reading_test.ts
+++ b/src/mesh/apply_source_reading_test.ts
@@ -31,10 +31,14 @@
   view: MeshView,
   facts: readonly (readonly [string, number, SourceValue | undefined])[],
   complete = false,
+  { era = 0, at = now } = {},
 ): readonly ViewChangeKind[] {
   const items = facts.map(([key, revision, fact]) => ({ key, revision, fact }));
   const revision = Math.max(0, ...items.map((item) => item.revision));
-  return applySourceReading(view, { items, revision }, { complete, now })
+  return applySourceReading(view, { items, era, revision }, {
+    complete,
+    now: at,
+  })
     .map(({ kind }) => kind);
 }
 
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -19,6 +19,7 @@
   });
   const text = await metrics.render({
     rulesVersion: 7,
+    sourceEra: 3,
     sourceSoundMilliseconds: -1,
     feedFollowers: 2,
     registeredServers: 12,
@@ -40,6 +41,7 @@
     /catkinquay_latency_milliseconds\{place="queue",quantile="0.5"\} 5/,
   );
   t.regex(text, /catkinquay_rules_version 7/);
+  t.regex(text, /catkinquay_source_era 3/);
   t.regex(text, /catkinquay_source_sound_milliseconds -1/);
   t.regex(text, /catkinquay_cold 1/);
 });
--- a/src/mesh/create_neighbour_feeds.ts
+++ b/src/mesh/create_neighbour_feeds.ts
@@ -6,6 +6,7 @@
 import type { FeedHostBackoff } from "../source/feed_host_backoff.ts";
 import { getFeedHostBackoff } from "../source/get_feed_host_backoff.ts";
 import type { NeighbourFeeds } from "../source/neighbour_feeds.ts";
+import type { SourcePosition } from "../source/source_position.ts";
 import type { SourceReading } from "../source/source_reading.ts";
 import { tryCreateSourceItem } from "../source/try_create_source_item.ts";
 import { followFeed } from "./follow_feed.ts";
@@ -49,20 +50,20 @@
       (chooseHost() === undefined &&
         listZoneHosts(node).some((host) => host !== ownHost)),
     follow: async (host, { after, onReading }) => {
-      let revision = after;
+      let position = after;
       let following = false;
       const reportFollowing = () =>
-        node.report.state("feed", { state: "following", host, revision });
+        node.report.state("feed", { state: "following", host, ...position });
       age.minimumClockOffset = Number.POSITIVE_INFINITY;
       function handleLine(line: FeedLine): FeedEndKind | undefined {
-        const reading = tryCreateReading(node, line, { after: revision });
+        const reading = tryCreateReading(node, line, { after: position });
         if (reading === undefined) return FeedEndKind.Gap;
         // No node may follow a node that itself follows a neighbour.
         endFeed(node.feed);
         if (!following) reportFollowing();
         following = true;
         backoffByHost.delete(host);
-        revision = reading.revision;
+        position = { era: reading.era, revision: reading.revision };
         onReading(reading);
         return listZoneHosts(node).includes(host)
           ? undefined
@@ -77,7 +78,7 @@
         onLine: handleLine,
         signal: closing.signal,
       });
-      node.report.state("feed", { state: "ended", host, kind, revision });
+      node.report.state("feed", { state: "ended", host, kind, ...position });
       if (kind !== FeedEndKind.Gap) recordFailure(host, kind);
       return kind;
     },
@@ -91,22 +92,24 @@
 }
 
 /**
- * Returns the items of a line that are newer than the revision `after`;
+ * Returns the items of a line that are newer than the position `after`;
  * undefined if this node has to read the source itself.
  */
 function tryCreateReading(
   node: MeshNode,
   line: FeedLine,
-  { after }: { readonly after: number },
+  { after }: { readonly after: SourcePosition },
 ): SourceReading | undefined {
-  if (line.gap) return undefined;
+  if (line.gap || line.era !== after.era) return undefined;
   const readAt = node.clock.now() - line.heldMilliseconds;
   const { rules } = node.view;
   const items = line.items
-    .filter(({ revision }) => revision > after)
+    .filter(({ revision }) => revision > after.revision)
     .map((item) => tryCreateSourceItem(item, { rules, readAt }));
   const decodedItems = items.filter((item) => item !== undefined);
-  return decodedItems.length < items.length
-    ? undefined
-    : { items: decodedItems, revision: Math.max(after, line.revision) };
+  return decodedItems.length < items.length ? undefined : {
+    items: decodedItems,
+    era: line.era,
+    revision: Math.max(after.revision, line.revision),
+  };
 }
--- a/src/mesh/follow_feed.ts
+++ b/src/mesh/follow_feed.ts
@@ -6,6 +6,8 @@
 import type { FeedLine } from "../source/feed_line.ts";
 import { getFeedStaleMilliseconds } from "../source/get_feed_stale_milliseconds.ts";
 import { updateFeedAge } from "../source/update_feed_age.ts";
+import { formatSourcePosition } from "../source/format_source_position.ts";
+import type { SourcePosition } from "../source/source_position.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -28,7 +30,7 @@
   node: MeshNode,
   address: NetworkAddress,
   options: {
-    readonly after: number;
+    readonly after: SourcePosition;
     /** The age of this node's view; updated with each line. */
     readonly age: FeedAge;
     /** Handles a line; returns the reason if the feed has to end. */
@@ -45,7 +47,7 @@
       agent: false,
       host: address.host,
       port: address.port,
-      headers: { [OfferHeader.Feed]: String(options.after) },
+      headers: { [OfferHeader.Feed]: formatSourcePosition(options.after) },
       signal: options.signal,
     });
     trackConnection(request);
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -9,6 +9,7 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { publishReading } from "./publish_reading.ts";
 import { removeUnregisteredGateViews } from "./remove_unregistered_gate_views.ts";
+import { setSourceAvailableSince } from "./set_source_available_since.ts";
 import { updateGate } from "./update_gate.ts";
 
 /**
@@ -44,13 +45,17 @@
         updateGate(node);
       },
       onLost: (failure) => {
-        node.view.sourceAvailableSince = Number.POSITIVE_INFINITY;
+        setSourceAvailableSince(node.view, {
+          sourceAvailableSince: Number.POSITIVE_INFINITY,
+          now: node.clock.now(),
+        });
         endFeed(node.feed);
         node.report.state("source", { state: "lost", ...failure });
         updateGate(node);
       },
       onRegained: () => {
-        node.view.sourceAvailableSince = node.clock.now();
+        const now = node.clock.now();
+        setSourceAvailableSince(node.view, { sourceAvailableSince: now, now });
         node.report.state("source", { state: "regained" });
       },
     },
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -10,6 +10,7 @@
   const { running, queued, slots, cold } = getGateLoad(node);
   return {
     rulesVersion: view.rules?.version ?? 0,
+    sourceEra: view.sourceEra ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
     feedFollowers: node.feed.subscribers.size,
     registeredServers: view.register.size,
--- a/src/mesh/list_candidates.ts
+++ b/src/mesh/list_candidates.ts
@@ -14,12 +14,12 @@
   service: string,
 ): readonly GateCandidate[] {
   const now = node.clock.now();
-  const { sourceAvailableSince, zonesTakenOut } = node.view;
+  const { zonesTakenOut } = node.view;
   return getRecordsOfService(node.view, service)
     .filter((record) =>
       record.entry.availability === BackendServerAvailability.Ready &&
       !zonesTakenOut.has(record.entry.zone) &&
-      !isRemovalConfirmed(record, { sourceAvailableSince, now })
+      !isRemovalConfirmed(record, now)
     )
     .map(({ entry, removedAt }) => ({
       entry,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -2,6 +2,8 @@
 export interface MeshGauges {
   /** Version of the rules in force; 0 if there are none. */
   readonly rulesVersion: number;
+  /** How often the source came back from an older copy; 0 before the first reading. */
+  readonly sourceEra: number;
   /**
    * Milliseconds for which the source has responded without a failure; -1 while
    * it does not.
--- a/src/mesh/mesh_view.ts
+++ b/src/mesh/mesh_view.ts
@@ -15,6 +15,15 @@
   /** Records of the register by service, cached until the register changes. */
   readonly recordsByService: Map<string, readonly RegisterRecord[]>;
   readonly zonesTakenOut: Set<string>;
+  /** Era of the last applied reading; undefined before the first. */
+  sourceEra: number | undefined;
+  /**
+   * Keys of zones taken out that the source no longer lists since it came back
+   * from an older copy; the operators may write them again.
+   */
+  readonly heldZoneKeys: Set<string>;
+  /** Instant until which such zones stay taken out, in milliseconds since the Unix epoch. */
+  heldZonesUntil: number;
   /** Revision of each key's last applied item. */
   readonly revisions: Map<string, number>;
   /** The zone that each key takes out. */
--- a/src/mesh/publish_reading.ts
+++ b/src/mesh/publish_reading.ts
@@ -31,7 +31,7 @@
   const otherNodeCount = Math.max(1, listZoneHosts(node).length - 1);
   const linkBytesPerSecond = settings.linkMegabitsPerSecond * bitsPerMegabit /
     bitsPerByte;
-  publishFeedReading(feed, { items, revision: reading.revision }, {
+  publishFeedReading(feed, { ...reading, items }, {
     rules: view.rules,
     now: node.clock.now(),
     bytesMaximum: linkBytesPerSecond * linkSeconds / otherNodeCount,
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -8,6 +8,7 @@
 
 const gaugeHelpTexts: Readonly<Record<keyof MeshGauges, string>> = {
   rulesVersion: "Version of the rules in force; 0 for none",
+  sourceEra: "How often the source came back from an older copy",
   sourceSoundMilliseconds:
     "Since when the source has answered without a failure; -1 while it does not",
   feedFollowers: "Neighbours that learn of the source from this node",
--- a/src/mesh/serve_feed.ts
+++ b/src/mesh/serve_feed.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { getFeedStaleMilliseconds } from "../source/get_feed_stale_milliseconds.ts";
+import type { SourcePosition } from "../source/source_position.ts";
 import { tryGetInitialFeedLines } from "../source/try_get_initial_feed_lines.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
@@ -13,16 +14,20 @@
 const unreadBytesMaximum = 4_194_304;
 
 /**
- * Sends the changes of the source after the revision `after` to a neighbour.
+ * Sends the changes of the source after the position `after` to a neighbour;
+ * undefined means that the neighbour sent an invalid one.
  */
 export function serveFeed(
   node: MeshNode,
   request: IncomingMessage,
-  options: { readonly after: number; readonly response: ServerResponse },
+  options: {
+    readonly after: SourcePosition | undefined;
+    readonly response: ServerResponse;
+  },
 ): void {
   const { after, response } = options;
   request.resume();
-  if (!Number.isFinite(after)) {
+  if (after === undefined) {
     response.writeHead(invalidStatus).end();
     return;
   }
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { tryParseSourcePosition } from "../source/try_parse_source_position.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { serveFeed } from "./serve_feed.ts";
@@ -14,6 +15,12 @@
   response: ServerResponse,
 ): void {
   const after = request.headers[OfferHeader.Feed];
-  if (after === undefined) serveOffer(node, request, response);
-  else serveFeed(node, request, { after: Number(after), response });
+  if (after === undefined) {
+    serveOffer(node, request, response);
+    return;
+  }
+  serveFeed(node, request, {
+    after: tryParseSourcePosition(String(after)),
+    response,
+  });
 }
--- /dev/null
+++ b/src/mesh/source_era_test.ts
@@ -0,0 +1,324 @@
+import test from "ava";
+import fc from "fast-check";
+import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
+import type { RegisterEntry } from "../register/register_entry.ts";
+import type { Rules } from "../routing/rules.ts";
+import type { SourceItem } from "../source/source_item.ts";
+import type { SourceValue } from "../source/source_value.ts";
+import { SourceValueKind } from "../source/source_value_kind.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { applySourceReading } from "./apply_source_reading.ts";
+import { createMeshView } from "./create_mesh_view.ts";
+import type { MeshView } from "./mesh_view.ts";
+import { setSourceAvailableSince } from "./set_source_available_since.ts";
+
+/**
+ * A source that loses its latest changes and comes back from an older copy, with
+ * one node that reads it. Time is virtual.
+ */
+interface Model {
+  now: number;
+  era: number;
+  revision: number;
+  items: Map<string, SourceItem>;
+  /** The states to which the source may return, oldest first. */
+  copies: {
+    readonly revision: number;
+    readonly items: Map<string, SourceItem>;
+  }[];
+  readonly view: MeshView;
+}
+
+const zone = "sul-a";
+const zoneKey = `zones/${zone}`;
+const rulesKey = "rules";
+/** Time in which backend servers and operators write again what was lost. */
+const rewriteMilliseconds = 2_000;
+const settleMilliseconds = 10_000;
+
+function createModel(): Model {
+  const model: Model = {
+    now: 1_000_000,
+    era: 1,
+    revision: 1,
+    items: new Map(),
+    copies: [],
+    view: createMeshView(),
+  };
+  setSourceAvailableSince(model.view, {
+    sourceAvailableSince: model.now - 60_000,
+    now: model.now,
+  });
+  return model;
+}
+
+function write(
+  model: Model,
+  key: string,
+  fact: SourceValue | undefined,
+): void {
+  model.copies.push({ revision: model.revision, items: new Map(model.items) });
+  model.revision += 1;
+  if (fact === undefined) model.items.delete(key);
+  else model.items.set(key, { key, revision: model.revision, fact });
+}
+
+function restoreCopy(model: Model, changesLost: number): void {
+  const copy = model.copies.at(-changesLost);
+  if (copy === undefined) return;
+  model.copies = model.copies.slice(0, -changesLost);
+  model.items = new Map(copy.items);
+  model.revision = copy.revision;
+  model.era += 1;
+}
+
+function readAll(model: Model): void {
+  const { era, revision, view, now } = model;
+  const items = [...model.items.values()];
+  applySourceReading(view, { items, era, revision }, { complete: true, now });
+}
+
+function createRulesValue(version: number): SourceValue {
+  const rules: Rules = {
+    version,
+    routes: [],
+    services: new Map(),
+    limits: {
+      headerBytesMaximum: 1,
+      bodyBytesMaximum: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  };
+  return { kind: SourceValueKind.Rules, rules };
+}
+
+function createServerValue(change: Partial<RegisterEntry>): SourceValue {
+  const entry = createSampleEntry({ zone, ...change });
+  return { kind: SourceValueKind.BackendServer, entry };
+}
+
+const zoneTakenOut: SourceValue = { kind: SourceValueKind.ZoneTakenOut, zone };
+
+function mayReceiveCalls(model: Model, identifier: string): boolean {
+  const record = model.view.register.get(identifier);
+  return record !== undefined &&
+    record.entry.availability === BackendServerAvailability.Ready &&
+    !isRemovalConfirmed(record, model.now);
+}
+
+test("a backend server that was draining stays so when the source comes back from a copy in which it was ready", (t) => {
+  const model = createModel();
+  write(model, "a", createServerValue({ identifier: "a", sequence: 4 }));
+  readAll(model);
+  const availability = BackendServerAvailability.Draining;
+  write(
+    model,
+    "a",
+    createServerValue({ identifier: "a", sequence: 5, availability }),
+  );
+  readAll(model);
+  restoreCopy(model, 1);
+  readAll(model);
+  t.false(mayReceiveCalls(model, "a"));
+});
+
+test("a backend server that had left stays left when a copy still lists it", (t) => {
+  const model = createModel();
+  write(model, "a", createServerValue({ identifier: "a", sequence: 4 }));
+  readAll(model);
+  write(model, "a", undefined);
+  readAll(model);
+  t.false(mayReceiveCalls(model, "a"));
+  restoreCopy(model, 1);
+  readAll(model);
+  t.false(mayReceiveCalls(model, "a"));
+});
+
+test("changes after the return are applied although their revisions are lower than those before it", (t) => {
+  const model = createModel();
+  write(model, "a", createServerValue({ identifier: "a", sequence: 4 }));
+  Array.from({ length: 20 }).forEach((_, index) =>
+    write(model, rulesKey, createRulesValue(index + 1))
+  );
+  readAll(model);
+  restoreCopy(model, 20);
+  const availability = BackendServerAvailability.Draining;
+  write(
+    model,
+    "a",
+    createServerValue({ identifier: "a", sequence: 5, availability }),
+  );
+  readAll(model);
+  t.false(mayReceiveCalls(model, "a"));
+});
+
+test("a backend server that the copy lacks keeps its work until its heartbeat had time to list it again", (t) => {
+  const model = createModel();
+  write(model, rulesKey, createRulesValue(1));
+  write(model, "a", createServerValue({ identifier: "a", sequence: 1 }));
+  readAll(model);
+  restoreCopy(model, 1);
+  readAll(model);
+  t.true(mayReceiveCalls(model, "a"));
+  model.now += 3_000;
+  t.false(mayReceiveCalls(model, "a"));
+});
+
+test("a zone taken out stays out while the operators write that again, and returns if they do not", (t) => {
+  const model = createModel();
+  write(model, rulesKey, createRulesValue(1));
+  write(model, zoneKey, zoneTakenOut);
+  readAll(model);
+  restoreCopy(model, 1);
+  readAll(model);
+  t.true(model.view.zonesTakenOut.has(zone));
+  model.now += settleMilliseconds;
+  readAll(model);
+  t.false(model.view.zonesTakenOut.has(zone));
+});
+
+interface Step {
+  readonly kind:
+    | "server"
+    | "drain"
+    | "remove"
+    | "rules"
+    | "zone"
+    | "restore"
+    | "read";
+  readonly server: number;
+  readonly lost: number;
+  readonly elapsedMilliseconds: number;
+}
+
+const steps: fc.Arbitrary<readonly Step[]> = fc.array(
+  fc.record({
+    kind: fc.constantFrom(
+      "server",
+      "drain",
+      "remove",
+      "rules",
+      "zone",
+      "restore",
+      "read",
+      "read",
+    ),
+    server: fc.nat(2),
+    lost: fc.integer({ min: 1, max: 6 }),
+    elapsedMilliseconds: fc.nat(900),
+  }),
+  { maxLength: 40 },
+);
+
+/** What operators and backend servers have written, and write again after a return. */
+interface Truth {
+  version: number;
+  zoneOut: boolean;
+  readonly servers: Map<string, RegisterEntry>;
+  /** Backend servers that the node has seen leaving. */
+  readonly left: Set<string>;
+}
+
+function publishServer(
+  model: Model,
+  truth: Truth,
+  options: { readonly identifier: string; readonly draining: boolean },
+): void {
+  const { identifier, draining } = options;
+  const previous = truth.servers.get(identifier);
+  const entry = createSampleEntry({
+    zone,
+    identifier,
+    sequence: (previous?.sequence ?? 0) + 1,
+    availability:
+      draining || previous?.availability === BackendServerAvailability.Draining
+        ? BackendServerAvailability.Draining
+        : BackendServerAvailability.Ready,
+  });
+  truth.servers.set(identifier, entry);
+  write(model, identifier, { kind: SourceValueKind.BackendServer, entry });
+}
+
+function rewriteAll(model: Model, truth: Truth): void {
+  if (truth.version > 0) {
+    write(model, rulesKey, createRulesValue(truth.version));
+  }
+  write(model, zoneKey, truth.zoneOut ? zoneTakenOut : undefined);
+  Array.from(model.items.keys())
+    .filter((key) => key.startsWith("server-") && !truth.servers.has(key))
+    .forEach((key) => write(model, key, undefined));
+  Array.from(truth.servers.keys()).forEach((identifier) =>
+    publishServer(model, truth, { identifier, draining: false })
+  );
+}
+
+function applyStep(model: Model, truth: Truth, step: Step): void {
+  // An identifier that has left is not used again.
+  const identifier = `server-${step.server}-${truth.left.size}`;
+  model.now += step.elapsedMilliseconds;
+  if (step.kind === "server" || step.kind === "drain") {
+    publishServer(model, truth, {
+      identifier,
+      draining: step.kind === "drain",
+    });
+  }
+  if (step.kind === "remove" && truth.servers.delete(identifier)) {
+    write(model, identifier, undefined);
+    readAll(model);
+    if (model.view.register.has(identifier)) truth.left.add(identifier);
+  }
+  if (step.kind === "rules") {
+    truth.version += 1;
+    write(model, rulesKey, createRulesValue(truth.version));
+  }
+  if (step.kind === "zone") {
+    truth.zoneOut = !truth.zoneOut;
+    write(model, zoneKey, truth.zoneOut ? zoneTakenOut : undefined);
+  }
+  if (step.kind === "restore") restoreCopy(model, step.lost);
+  if (step.kind === "read") readAll(model);
+}
+
+test("source with returns from older copies: no node goes back to an older version or to a backend server that has left, and all agree in the end", (t) => {
+  fc.assert(
+    fc.property(steps, (sequence) => {
+      const model = createModel();
+      const truth: Truth = {
+        version: 0,
+        zoneOut: false,
+        servers: new Map(),
+        left: new Set(),
+      };
+      let highestVersion = 0;
+      sequence.forEach((step) => {
+        applyStep(model, truth, step);
+        const version = model.view.rules?.version ?? 0;
+        if (version < highestVersion) throw new Error("An older version");
+        highestVersion = version;
+        const revived = [...truth.left].filter((identifier) =>
+          model.view.register.get(identifier)?.removedAt === 0
+        );
+        if (revived.length > 0) throw new Error(`"${revived[0]}" had left`);
+      });
+      model.now += rewriteMilliseconds;
+      rewriteAll(model, truth);
+      readAll(model);
+      model.now += settleMilliseconds;
+      readAll(model);
+      const serving = [...model.view.register.keys()]
+        .filter((identifier) => mayReceiveCalls(model, identifier));
+      const expected = [...truth.servers.values()]
+        .filter(({ availability }) =>
+          availability === BackendServerAvailability.Ready
+        )
+        .map(({ identifier }) => identifier);
+      return (model.view.rules?.version ?? 0) === truth.version &&
+        model.view.zonesTakenOut.has(zone) === truth.zoneOut &&
+        serving.sort().join() === expected.sort().join();
+    }),
+    { numRuns: 3_000, seed: 1 },
+  );
+  t.pass();
+});
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -26,7 +26,6 @@
     record,
     zoneTakenOut: view.zonesTakenOut.has(settings.zone),
     stopping: node.gateClosesAt <= now,
-    sourceAvailableSince: view.sourceAvailableSince,
     probedIdentifier: node.serverProbe.probedIdentifier,
   }, now);
   processWaitingCalls(node);
--- a/src/mesh/view_change_kind.ts
+++ b/src/mesh/view_change_kind.ts
@@ -1,5 +1,6 @@
 /** The kind of a change of a node's view. */
 export enum ViewChangeKind {
+  SourceEraStarted = "source-era-started",
   RulesInForce = "rules-in-force",
   RulesOlderIgnored = "rules-older-ignored",
   ZoneTakenOut = "zone-taken-out",
--- a/src/register/put_entry.ts
+++ b/src/register/put_entry.ts
@@ -13,5 +13,9 @@
       other.address.port === entry.address.port
     )
     .forEach(({ entry: other }) => state.delete(other.identifier));
-  state.set(entry.identifier, { entry, removedAt: 0 });
+  state.set(entry.identifier, {
+    entry,
+    removedAt: 0,
+    removalConfirmedAt: Number.POSITIVE_INFINITY,
+  });
 }
--- a/src/register/register_record.ts
+++ b/src/register/register_record.ts
@@ -5,4 +5,6 @@
   readonly entry: RegisterEntry;
   /** When this node recorded the entry's removal, in milliseconds since the Unix epoch; 0 while the entry is listed. */
   readonly removedAt: number;
+  /** When a removal counts, in milliseconds since the Unix epoch; infinity while the source fails. Infinity while the entry is listed. */
+  readonly removalConfirmedAt: number;
 }
--- a/src/register/remove_entry.ts
+++ b/src/register/remove_entry.ts
@@ -1,3 +1,4 @@
+import { getRemovalConfirmedAt } from "./get_removal_confirmed_at.ts";
 import type { RegisterState } from "./register_state.ts";
 
 /**
@@ -6,9 +7,18 @@
  */
 export function removeEntry(
   state: RegisterState,
-  options: { readonly identifier: string; readonly now: number },
+  options: {
+    readonly identifier: string;
+    /** Instant since which the source has responded without a failure, in milliseconds since the Unix epoch; infinity while it fails. */
+    readonly sourceAvailableSince: number;
+    readonly now: number;
+  },
 ): void {
   const record = state.get(options.identifier);
   if (record === undefined || record.removedAt > 0) return;
-  state.set(options.identifier, { ...record, removedAt: options.now });
+  state.set(options.identifier, {
+    ...record,
+    removedAt: options.now,
+    removalConfirmedAt: getRemovalConfirmedAt(options),
+  });
 }
--- a/src/source/create_source_feed.ts
+++ b/src/source/create_source_feed.ts
@@ -5,6 +5,7 @@
   return {
     readings: [],
     completeAfter: undefined,
+    era: undefined,
     revision: undefined,
     confirmedAt: Number.NEGATIVE_INFINITY,
     subscribers: new Set(),
--- a/src/source/end_feed.ts
+++ b/src/source/end_feed.ts
@@ -4,6 +4,7 @@
 export function endFeed(feed: SourceFeed): void {
   feed.readings = [];
   feed.completeAfter = undefined;
+  feed.era = undefined;
   feed.revision = undefined;
   feed.confirmedAt = Number.NEGATIVE_INFINITY;
   feed.subscribers.forEach((subscriber) => subscriber.end());
--- a/src/source/feed_line.ts
+++ b/src/source/feed_line.ts
@@ -6,6 +6,8 @@
   readonly sentAt: number;
   /** Time since the sender's view was last known to be current. */
   readonly ageMilliseconds: number;
+  /** Era of the sender's view. */
+  readonly era: number;
   /** Revision of the sender's view. */
   readonly revision: number;
   /** The changes up to that revision. */
--- a/src/source/feed_line_schema.ts
+++ b/src/source/feed_line_schema.ts
@@ -42,6 +42,7 @@
 export const feedLineSchema = z.object({
   sentAt: z.number(),
   ageMilliseconds: z.number(),
+  era: z.number(),
   revision: z.number(),
   items: z.array(itemSchema),
   heldMilliseconds: z.number(),
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -8,6 +8,7 @@
 import type { SourceFollower } from "./source_follower.ts";
 import type { SourceHandler } from "./source_handler.ts";
 import type { SourceReadTiming } from "./source_read_timing.ts";
+import type { SourcePosition } from "./source_position.ts";
 import type { SourceReading } from "./source_reading.ts";
 
 /** Prevents a busy loop of full reads when the source's history is always too short. */
@@ -24,7 +25,8 @@
 /**
  * Follows the source until it is stopped: reads all items once, then the changes
  * after the last revision, from a neighbour's feed if one is available. Reads
- * all items again after lost history and after a malformed response.
+ * all items again after lost history, after a malformed response, and when the
+ * source has come back from an older copy.
  */
 export function followSource(
   options: {
@@ -40,7 +42,10 @@
   },
 ): SourceFollower {
   const { client, handler, random, wait, neighbours } = options;
-  let revision: number | undefined;
+  /** The position up to which the readings are complete; undefined if all items must be read. */
+  let position: SourcePosition | undefined;
+  /** The highest era that the source has responded with. */
+  let newestEra = 0;
   let failures = 0;
   /** Number of following reads that request all items. */
   let remainingFullReads = 0;
@@ -52,7 +57,7 @@
     const timing = getSourceReadTiming(options.getBounds(), {
       hasFollowers: neighbours?.hasFollowers() ?? false,
     });
-    const after = remainingFullReads > 0 ? undefined : revision;
+    const after = remainingFullReads > 0 ? undefined : position;
     const result = after === undefined
       ? await client.readAll()
       : await client.readChanges(after, {
@@ -61,9 +66,22 @@
     if (stopped) return 0;
     neighbours?.recordOwnRead({ succeeded: result.isOk });
     if (result.isErr) return handleError(result.error.kind, result.error.found);
-    const isFirst = revision === undefined;
-    scheduleFullReads(result.value);
-    applyReading(result.value, {
+    const reading = result.value;
+    if (reading.era < newestEra) {
+      return handleError(
+        SourceFailureKind.OutdatedEra,
+        `era ${reading.era} after ${newestEra}`,
+      );
+    }
+    newestEra = reading.era;
+    if (after !== undefined && reading.era > after.era) {
+      // Changes between the position and the start of the era are missing.
+      position = undefined;
+      return historyLostDelayMilliseconds;
+    }
+    const isFirst = position === undefined;
+    scheduleFullReads(reading);
+    applyReading(reading, {
       complete: after === undefined,
       direct: true,
     });
@@ -95,15 +113,15 @@
       handler.onRegained();
     }
     handler.onReading(reading, options);
-    revision = reading.revision;
+    position = { era: reading.era, revision: reading.revision };
   }
 
   async function followNeighbour(): Promise<void> {
     const host = neighbours?.chooseHost();
     if (neighbours === undefined || host === undefined) return;
-    if (revision === undefined) return;
+    if (position === undefined) return;
     const kind = await neighbours.follow(host, {
-      after: revision,
+      after: position,
       onReading: (reading) => {
         if (!stopped) applyReading(reading, { complete: false, direct: false });
       },
@@ -115,10 +133,10 @@
   /** Reports a failed read; returns the delay until the next read in milliseconds. */
   function handleError(kind: SourceFailureKind, found: string): number {
     if (kind === SourceFailureKind.HistoryLost) {
-      revision = undefined;
+      position = undefined;
       return historyLostDelayMilliseconds;
     }
-    if (kind === SourceFailureKind.Malformed) revision = undefined;
+    if (kind === SourceFailureKind.Malformed) position = undefined;
     if (isSourceAvailable || failures === 0) handler.onLost({ kind, found });
     isSourceAvailable = false;
     failures += 1;
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -13,8 +13,11 @@
 type ReadResult = Result<SourceReading, SourceFailure>;
 
 const item: SourceItem = { key: "k", revision: 2, fact: undefined };
-const ok = (items: readonly SourceItem[], revision: number): ReadResult =>
-  Result.ok({ items, revision });
+const ok = (
+  items: readonly SourceItem[],
+  revision: number,
+  era = 0,
+): ReadResult => Result.ok({ items, era, revision });
 const fail = (kind: SourceFailureKind): ReadResult =>
   Result.err({ kind, found: "scripted failure" });
 
@@ -42,7 +45,7 @@
     ...(neighbours === undefined ? {} : { neighbours }),
     client: {
       readAll: () => respond("all"),
-      readChanges: (revision, { waitMilliseconds }) =>
+      readChanges: ({ revision }, { waitMilliseconds }) =>
         respond(
           waitMilliseconds > 0 ? `after ${revision}` : `at once ${revision}`,
         ),
@@ -149,6 +152,7 @@
 test("while large values change often, all items are read instead of the changes", async (t) => {
   const largeChanges: ReadResult = Result.ok({
     items: [item],
+    era: 0,
     revision: 7,
     supersededBytes: 1_000_000,
   });
@@ -180,7 +184,7 @@
     hasFollowers: () => false,
     follow: (_host, { onReading }) => {
       followed += 1;
-      onReading({ items: [item], revision: 6 });
+      onReading({ items: [item], era: 0, revision: 6 });
       return Promise.resolve(kind);
     },
     recordOwnRead: () => undefined,
@@ -225,3 +229,20 @@
     );
   })
 );
+
+test("a watch that returns changes of a later era lacks changes before them, so all items are read", async (t) => {
+  t.deepEqual(
+    await follow([ok([item], 5), ok([item], 7, 1), ok([item], 8, 1)]),
+    ["all", "regained", "complete 1", "after 5", "all", "complete 1"],
+  );
+});
+
+test("a response of an era that has ended is not applied", async (t) => {
+  const events = await follow([
+    ok([item], 5, 2),
+    ok([item, item], 9, 1),
+    ok([item], 6, 2),
+  ]);
+  t.false(events.includes("changes 2"));
+  t.true(events.includes("lost outdated-era"));
+});
--- a/src/source/neighbour_feeds.ts
+++ b/src/source/neighbour_feeds.ts
@@ -1,4 +1,5 @@
 import type { FeedEndKind } from "./feed_end_kind.ts";
+import type { SourcePosition } from "./source_position.ts";
 import type { SourceReading } from "./source_reading.ts";
 
 /** Access to the feeds of the nodes in this node's availability zone. */
@@ -7,11 +8,11 @@
   chooseHost(): string | undefined;
   /** Returns whether neighbours follow this node or are expected to. */
   hasFollowers(): boolean;
-  /** Follows a host's feed from the revision `after`; resolves with the reason when the feed ends. */
+  /** Follows a host's feed from the position `after`; resolves with the reason when the feed ends. */
   follow(
     host: string,
     options: {
-      readonly after: number;
+      readonly after: SourcePosition;
       readonly onReading: (reading: SourceReading) => void;
     },
   ): Promise<FeedEndKind>;
--- a/src/source/publish_feed_reading.ts
+++ b/src/source/publish_feed_reading.ts
@@ -1,6 +1,7 @@
 import type { Rules } from "../routing/rules.ts";
 import { createFeedItem } from "./create_feed_item.ts";
 import { encodeFeedLine } from "./encode_feed_line.ts";
+import { endFeed } from "./end_feed.ts";
 import type { FeedLine } from "./feed_line.ts";
 import type { FeedReading } from "./feed_reading.ts";
 import type { SourceFeed } from "./source_feed.ts";
@@ -12,7 +13,8 @@
 /**
  * Adds a reading of the source to the feed and sends its new changes to the
  * subscribers. If the changes exceed `bytesMaximum`, the streams end with a gap
- * and the subscribers read the source once.
+ * and the subscribers read the source once. A reading of a later era starts the
+ * feed again, since its changes do not continue those of the era before.
  */
 export function publishFeedReading(
   feed: SourceFeed,
@@ -27,7 +29,8 @@
   },
 ): void {
   const { rules, now, bytesMaximum } = options;
-  const { revision } = reading;
+  const { era, revision } = reading;
+  if (feed.era !== undefined && feed.era !== era) endFeed(feed);
   // Compares with the feed's revision instead of the last revision of each key:
   // a later page may contain changes beyond the revision of its reading, and
   // neighbours continue from that revision.
@@ -35,12 +38,14 @@
   const items = reading.items
     .filter((item) => item.revision > publishedRevision)
     .map((item) => createFeedItem(item, { rules, now }));
+  feed.era = era;
   feed.revision = revision;
   feed.confirmedAt = now;
   const commonFields = {
     sentAt: now,
     ageMilliseconds: 0,
     heldMilliseconds: 0,
+    era,
     revision,
   };
   const text = encodeFeedLine({ ...commonFields, items, gap: false });
--- a/src/source/publish_feed_reading_test.ts
+++ b/src/source/publish_feed_reading_test.ts
@@ -19,7 +19,7 @@
     revision,
     fact: { kind: SourceValueKind.Foreign, found } as const,
   }));
-  const reading = { items, revision };
+  const reading = { items, era: 0, revision };
   publishFeedReading(feed, reading, { rules: undefined, now, bytesMaximum });
 }
 
@@ -35,7 +35,11 @@
   after: number,
   now = 0,
 ): readonly string[] | undefined {
-  return tryGetInitialFeedLines(feed, { after, now, staleMilliseconds })
+  return tryGetInitialFeedLines(feed, {
+    after: { era: 0, revision: after },
+    now,
+    staleMilliseconds,
+  })
     ?.trimEnd().split("\n").map(describeLine);
 }
 
@@ -104,12 +108,14 @@
   // The second page was read after the source had reached revision 7.
   publishFeedReading(feed, {
     items: [{ key: "ahead", revision: 7, fact: undefined }],
+    era: 0,
     revision: 5,
   }, { rules: undefined, now: 0, bytesMaximum: 10_000 });
   t.deepEqual(getInitialLines(feed, 6), ["at 6"]);
   const received = subscribe(feed);
   publishFeedReading(feed, {
     items: [{ key: "ahead", revision: 7, fact: undefined }],
+    era: 0,
     revision: 7,
   }, { rules: undefined, now: 0, bytesMaximum: 10_000 });
   t.deepEqual(received, ["ahead"]);
@@ -119,3 +125,37 @@
   ["", "{", "null", "[]", '{"sentAt":1}', '{"sentAt":1,"ageMilliseconds":"2"}']
     .forEach((text) => t.is(tryDecodeFeedLine(text), undefined));
 });
+
+test("a neighbour whose view is of another era cannot follow, whatever its revision", (t) => {
+  const feed = createSourceFeed();
+  publish(feed, 5);
+  const after = { era: 1, revision: 5 };
+  t.is(
+    tryGetInitialFeedLines(feed, { after, now: 0, staleMilliseconds }),
+    undefined,
+  );
+});
+
+test("the first reading of a later era ends the streams, since its changes do not continue the earlier ones", (t) => {
+  const feed = createSourceFeed();
+  publish(feed, 5);
+  let ended = false;
+  feed.subscribers.add({
+    write: () => undefined,
+    end: () => {
+      ended = true;
+    },
+  });
+  publishFeedReading(feed, { items: [], era: 1, revision: 3 }, {
+    rules: undefined,
+    now: 0,
+    bytesMaximum: 10_000,
+  });
+  t.true(ended);
+  t.is(feed.subscribers.size, 0);
+  const after = { era: 1, revision: 3 };
+  t.not(
+    tryGetInitialFeedLines(feed, { after, now: 0, staleMilliseconds }),
+    undefined,
+  );
+});
--- a/src/source/source_client.ts
+++ b/src/source/source_client.ts
@@ -1,4 +1,5 @@
 import type { Result } from "true-myth";
+import type { SourcePosition } from "./source_position.ts";
 import type { SourceFailure } from "./source_failure.ts";
 import type { SourceReading } from "./source_reading.ts";
 
@@ -6,9 +7,9 @@
 export interface SourceClient {
   /** Reads every item. */
   readAll(): Promise<Result<SourceReading, SourceFailure>>;
-  /** Reads the changes after a revision and waits for one if there are none; the reading is empty if none came in time. */
+  /** Reads the changes after a position and waits for one if there are none; the reading is empty if none came in time. The reading of a later era lacks changes. */
   readChanges(
-    revision: number,
+    after: SourcePosition,
     options: { readonly waitMilliseconds: number },
   ): Promise<Result<SourceReading, SourceFailure>>;
   /** Closes the connections. */
--- a/src/source/source_failure_kind.ts
+++ b/src/source/source_failure_kind.ts
@@ -6,6 +6,8 @@
   Rejected = "turned-away",
   /** The source no longer has the changes since the requested revision. */
   HistoryLost = "history-lost",
+  /** The response is older than one before: its era has ended. */
+  OutdatedEra = "outdated-era",
   /** The response could not be decoded. */
   Malformed = "malformed",
 }
--- a/src/source/source_feed.ts
+++ b/src/source/source_feed.ts
@@ -7,6 +7,8 @@
   readings: readonly FeedReading[];
   /** `readings` contains every change after this revision; undefined while the feed cannot be followed. */
   completeAfter: number | undefined;
+  /** Era of the last response of the source; undefined while `completeAfter` is. */
+  era: number | undefined;
   /** Revision of the last response of the source; undefined while `completeAfter` is. */
   revision: number | undefined;
   /** When the source last responded, in milliseconds since the Unix epoch. */
--- a/src/testing/mesh/create_sample_line.ts
+++ b/src/testing/mesh/create_sample_line.ts
@@ -5,6 +5,7 @@
   return {
     sentAt: 0,
     ageMilliseconds: 0,
+    era: 0,
     revision: 0,
     items: [],
     heldMilliseconds: 0,
--- a/src/testing/mesh/create_source_fake.ts
+++ b/src/testing/mesh/create_source_fake.ts
@@ -17,6 +17,7 @@
 export function createSourceFake(): SourceFake {
   const items = new Map<string, SourceItem>();
   const history: SourceItem[] = [];
+  let era = 0;
   let revision = 1;
   let failure: SourceFailure | undefined;
   const reads: number[] = [];
@@ -49,13 +50,13 @@
       readAll: () => {
         reads[index]! += 1;
         return Promise.resolve(
-          respond(() => ({ items: [...items.values()], revision })),
+          respond(() => ({ items: [...items.values()], era, revision })),
         );
       },
       readChanges: async (after, { waitMilliseconds }) => {
         reads[index]! += 1;
         const getChanges = () =>
-          history.filter((item) => item.revision > after);
+          history.filter((item) => item.revision > after.revision);
         for (
           let step = 0;
           step * pollIntervalMilliseconds < waitMilliseconds &&
@@ -66,7 +67,7 @@
             setTimeout(resolve, pollIntervalMilliseconds)
           );
         }
-        return respond(() => ({ items: getChanges(), revision }));
+        return respond(() => ({ items: getChanges(), era, revision }));
       },
       close: () => {
         closed = true;
--- a/stand_ins/soak/apply_soak_fault.ts
+++ b/stand_ins/soak/apply_soak_fault.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { match } from "ts-pattern";
 import { relayModeSchema } from "../relay/relay_mode_schema.ts";
 import type { StoreServer } from "../store/store_server.ts";
@@ -7,6 +8,10 @@
 import type { SoakVm } from "./soak_vm.ts";
 
 const delayMilliseconds = 120;
+/** Age of the copy from which the store comes back. */
+const copyAgeMilliseconds = 2_000;
+/** Time until the operators write again what the store lost. */
+const rewriteMilliseconds = 400;
 const storeFaults = [
   StoreFault.Busy,
   StoreFault.Reset,
@@ -20,7 +25,11 @@
   options: {
     readonly vm: SoakVm;
     readonly store: StoreServer;
+    /** The zones that the operators have taken out. */
+    readonly zonesTakenOut: Set<string>;
     readonly publishRules: () => void;
+    /** Writes again what the operators have written. */
+    readonly rewrite: () => void;
   },
 ): () => Promise<void> | void {
   const { vm, store } = options;
@@ -93,13 +102,26 @@
       store.compact();
       return doNothing;
     })
+    .with(SoakFaultKind.RestoreStore, () => {
+      store.setFault(StoreFault.Reset);
+      return async () => {
+        store.restoreCopy({ ageMilliseconds: copyAgeMilliseconds });
+        store.setFault(StoreFault.None);
+        await delay(rewriteMilliseconds);
+        options.rewrite();
+      };
+    })
     .with(SoakFaultKind.PublishRules, () => {
       options.publishRules();
       return doNothing;
     })
     .with(SoakFaultKind.TakeZoneOut, () => {
       store.put(`op/evacuate/${vm.zone}`, {});
-      return () => store.remove(`op/evacuate/${vm.zone}`);
+      options.zonesTakenOut.add(vm.zone);
+      return () => {
+        options.zonesTakenOut.delete(vm.zone);
+        store.remove(`op/evacuate/${vm.zone}`);
+      };
     })
     .exhaustive();
 }
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -51,6 +51,15 @@
     store.put("op/config", createSoakRules(version));
   };
   publishRules();
+  const zonesTakenOut = new Set<string>();
+  const rewrite = () => {
+    store.put("op/config", createSoakRules(version));
+    vms.forEach(({ zone }) => {
+      const key = `op/evacuate/${zone}`;
+      if (zonesTakenOut.has(zone)) store.put(key, {});
+      else store.remove(key);
+    });
+  };
   const vms = await Promise.all(
     Array.from(
       { length: options.vms },
@@ -69,7 +78,13 @@
   const faults = plan.map(async (fault) => {
     await delay(fault.startsAt);
     const vm = vms[fault.vm]!;
-    const endFault = applySoakFault(fault, { vm, store, publishRules });
+    const endFault = applySoakFault(fault, {
+      vm,
+      store,
+      zonesTakenOut,
+      publishRules,
+      rewrite,
+    });
     await delay(fault.endsAt - fault.startsAt);
     await endFault();
   });
--- a/stand_ins/soak/soak_fault_kind.ts
+++ b/stand_ins/soak/soak_fault_kind.ts
@@ -28,6 +28,8 @@
   SilenceStore = "silence-store",
   /** The store discards its history of changes. */
   CompactStore = "compact-store",
+  /** The store is away for a moment and comes back from an older copy. */
+  RestoreStore = "restore-store",
   /** The operators publish a version with one more route. */
   PublishRules = "publish-rules",
   /** An availability zone is taken out and returned. */
--- a/stand_ins/store/start_store_server.ts
+++ b/stand_ins/store/start_store_server.ts
@@ -6,6 +6,8 @@
 import type { StoredItem } from "./stored_item.ts";
 
 const itemsPerPage = 500;
+const firstRevision = 1;
+const firstEra = 1;
 const oversizedChunk = Buffer.alloc(1_048_576, " ");
 const watchTimeoutMaximumMilliseconds = 30_000;
 
@@ -22,8 +24,11 @@
 ): Promise<StoreServer> {
   const items = new Map<string, StoredItem>();
   let history: StoredItem[] = [];
+  /** Every change since the start, for copies. */
+  let log: { readonly at: number; readonly item: StoredItem }[] = [];
   let compactedRevision = 0;
-  let revision = 1;
+  let revision = firstRevision;
+  let era = firstEra;
   let readCount = 0;
   let fault = StoreFault.None;
   const watches = new Set<Watch>();
@@ -33,7 +38,10 @@
     status: number,
     body: unknown,
   ): void {
-    response.writeHead(status, { "content-type": "application/json" });
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "store-era": String(era),
+    });
     response.end(JSON.stringify(body));
   }
 
@@ -45,6 +53,7 @@
 
   function recordChange(item: StoredItem): void {
     history.push(item);
+    log.push({ at: Date.now(), item });
     watches.forEach((watch) => {
       const events = getChanges(watch.prefix, watch.after);
       if (events.length === 0) return;
@@ -73,7 +82,9 @@
       watchTimeoutMaximumMilliseconds,
       Number(url.searchParams.get("waitMs")),
     );
-    if (after < compactedRevision) return sendJson(response, 410, {});
+    if (after < compactedRevision || after > revision) {
+      return sendJson(response, 410, {});
+    }
     const events = getChanges(prefix, after);
     if (events.length > 0) {
       return sendJson(response, 200, { events, currentRev: revision });
@@ -137,6 +148,21 @@
       revision += 1;
       recordChange({ key, rev: revision, removed: true });
     },
+    restoreCopy: ({ ageMilliseconds }) => {
+      const copiedAt = Date.now() - ageMilliseconds;
+      log = log.filter(({ at }) => at <= copiedAt);
+      items.clear();
+      log.forEach(({ item }) => {
+        if (item.removed === true) items.delete(item.key);
+        else items.set(item.key, item);
+      });
+      revision = log.at(-1)?.item.rev ?? firstRevision;
+      history = history.filter(({ rev }) => rev <= revision);
+      compactedRevision = Math.min(compactedRevision, revision);
+      era += 1;
+      watches.forEach(({ response }) => response.destroy());
+      watches.clear();
+    },
     compact: () => {
       compactedRevision = revision;
       history = [];
--- a/stand_ins/store/store_server.ts
+++ b/stand_ins/store/store_server.ts
@@ -9,6 +9,8 @@
   remove(key: string): void;
   /** Discards the history of changes; a watch after an earlier revision then receives status 410. */
   compact(): void;
+  /** Returns to the state of an earlier moment, as after a restore from a copy: later changes are lost, and their revisions are assigned again. */
+  restoreCopy(options: { readonly ageMilliseconds: number }): void;
   /** Replaces the fault; any other than `None` also closes the waiting watches. */
   setFault(fault: StoreFault): void;
   /** Returns the number of requests received so far. */
