--- a/src/testing/mesh/create_source_fake.ts
+++ b/src/testing/mesh/create_source_fake.ts
@@ -17,7 +17,7 @@
 export function createSourceFake(): SourceFake {
   const items = new Map<string, SourceItem>();
   const history: SourceItem[] = [];
-  let era = 0;
+  const era = 0;
   let revision = 1;
   let failure: SourceFailure | undefined;
   const reads: number[] = [];
