--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -5,6 +5,7 @@
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { CallRequest } from "./call_request.ts";
 import { decodeReply } from "./decode_reply.ts";
+import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { encodeOffer } from "./encode_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -51,8 +52,8 @@
           ? ["content-length", String(request.body.length)]
           : []),
       ] as unknown as string[],
-      signal,
     });
+    destroyOnAbort(outgoing, signal);
     const connection = sendWhenConnected(node, outgoing, request);
     const interimResponseTimer = node.timers.at(
       node.clock.now() + interimResponseTimeoutMilliseconds,
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -3,6 +3,7 @@
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { CallRequest } from "./call_request.ts";
+import { destroyOnAbort } from "./destroy_on_abort.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
 
@@ -39,8 +40,8 @@
         ...request.headers,
         ...getLengthHeaders(request),
       ] as unknown as string[],
-      signal: options.signal,
     });
+    destroyOnAbort(outgoing, options.signal);
     const connection = sendWhenConnected(node, outgoing, request);
     outgoing.once("response", (answer) => {
       received = answer;
