Ask a neighbour that is not ready yet again before reading the store

Cause: after a power cut all nodes of a zone read the store and ask the first node for its feed before that has published its own first reading. It refused, was in backoff for a second, and so were the next ones, so each node read the store two or three times more.

Change: after a full read, a refused feed is requested again every 150 ms, six times at most, before the next read; the first backoff after a refusal is 200 ms. A feed that ends later is not waited for, since its view is older.

--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -19,6 +19,9 @@
 const supersededBytesMaximum = 131_072;
 /** Number of full reads after a response with too many superseded bytes. */
 const fullReadsAfterSuperseded = 4;
+/** After a full read, a neighbour that refuses its feed is asked again instead of the source: after a power cut it has not finished its own first read yet. */
+const feedAttemptsAfterFullRead = 6;
+const feedAttemptMilliseconds = 150;
 const backoffBaseMilliseconds = 50;
 const backoffMillisecondsMaximum = 600;
 
@@ -49,6 +52,8 @@
   let failures = 0;
   /** Number of following reads that request all items. */
   let remainingFullReads = 0;
+  /** Number of refused feeds after which the source is read again. */
+  let remainingFeedAttempts = 0;
   let isSourceAvailable = false;
   let stopped = false;
 
@@ -85,6 +90,7 @@
       complete: after === undefined,
       direct: true,
     });
+    remainingFeedAttempts = isFirst ? feedAttemptsAfterFullRead : 0;
     return isFirst ? 0 : timing.intervalMilliseconds;
   }
 
@@ -116,10 +122,11 @@
     position = { era: reading.era, revision: reading.revision };
   }
 
-  async function followNeighbour(): Promise<void> {
+  /** Follows a neighbour's feed until it ends; returns the reason, or undefined if there is none to follow. */
+  async function followNeighbour(): Promise<FeedEndKind | undefined> {
     const host = neighbours?.chooseHost();
-    if (neighbours === undefined || host === undefined) return;
-    if (position === undefined) return;
+    if (neighbours === undefined || host === undefined) return undefined;
+    if (position === undefined) return undefined;
     const kind = await neighbours.follow(host, {
       after: position,
       onReading: (reading) => {
@@ -128,6 +135,14 @@
     });
     // Large values may be changing often, which a full read handles with fewer bytes.
     if (shouldReadAllAfter(kind)) remainingFullReads = 1;
+    return kind;
+  }
+
+  /** Whether a feed that was refused is to be requested again before the next read. */
+  function shouldRetryFeed(kind: FeedEndKind | undefined): boolean {
+    if (kind !== FeedEndKind.Refused) remainingFeedAttempts = 0;
+    remainingFeedAttempts -= 1;
+    return remainingFeedAttempts > 0;
   }
 
   /** Reports a failed read; returns the delay until the next read in milliseconds. */
@@ -149,8 +164,12 @@
 
   async function run(): Promise<void> {
     while (!stopped) {
-      await followNeighbour();
+      const kind = await followNeighbour();
       if (stopped) return;
+      if (shouldRetryFeed(kind)) {
+        await wait(feedAttemptMilliseconds);
+        continue;
+      }
       const delay = await readOnce();
       if (delay > 0 && !stopped) await wait(delay);
     }
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -246,3 +246,34 @@
   t.false(events.includes("changes 2"));
   t.true(events.includes("lost outdated-era"));
 });
+
+test("power cut of a zone: a neighbour that is not ready yet is asked again, and the source is read once", async (t) => {
+  let refusals = 0;
+  const neighbour = createNeighbour(FeedEndKind.Lost);
+  const events = await follow([ok([item], 5), ok([item], 9)], {
+    ...neighbour,
+    chooseHost: () => "10.0.0.1",
+    follow: (host, options) => {
+      refusals += 1;
+      return refusals <= 3
+        ? Promise.resolve(FeedEndKind.Refused)
+        : neighbour.follow(host, options);
+    },
+  });
+  t.deepEqual(events.slice(0, 5), [
+    "all",
+    "regained",
+    "complete 1",
+    "changes 1",
+    "at once 6",
+  ]);
+});
+
+test("a neighbour that keeps refusing is not waited for: the source is read", async (t) => {
+  const events = await follow([ok([item], 5), ok([item], 9)], {
+    ...createNeighbour(FeedEndKind.Lost),
+    chooseHost: () => "10.0.0.1",
+    follow: () => Promise.resolve(FeedEndKind.Refused),
+  });
+  t.is(events.filter((event) => event.startsWith("at once")).length, 1);
+});
--- a/src/source/get_feed_host_backoff.ts
+++ b/src/source/get_feed_host_backoff.ts
@@ -2,7 +2,7 @@
 import type { FeedHostBackoff } from "./feed_host_backoff.ts";
 
 /** Shorter than after a lost connection: a neighbour that cannot serve its feed yet may do so soon. */
-const refusedBackoffMilliseconds = 1_000;
+const refusedBackoffMilliseconds = 200;
 const lostBackoffMilliseconds = 3_000;
 const backoffMillisecondsMaximum = 24_000;
 
