Survive every answer of a backend server, and tell the next call from its copies

Change: undefined and interim status codes count as broken answers; the close of a request ends the exchange; a body that broke off is detected; a connection is not used again after an answer that names no call. Bodies of offers have the limit of callers' bodies. Loads and delays in replies of other nodes are checked.

Each find is a case of start_mesh_node_test that failed before.

--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -33,6 +33,8 @@
   ContactLost = "contact-lost",
   /** The answer of the backend server was truncated or malformed. */
   AnswerBroken = "answer-broken",
+  /** An unexpected error ended the call at the node. */
+  InternalError = "internal-error",
   KeyRequired = "key-required",
   /** The key was used before with a different request. */
   KeyMismatch = "key-mismatch",
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -109,6 +109,12 @@
     detail: "The answer of the backend server was cut or malformed",
     retryMilliseconds: 1000,
   },
+  [RefusalReason.InternalError]: {
+    status: 502,
+    title: "Internal error",
+    detail: "An unexpected error ended the request at the node",
+    retryMilliseconds: 1000,
+  },
   [RefusalReason.KeyRequired]: {
     status: 428,
     title: "Idempotency key required",
--- a/src/mesh/call_event_kind.ts
+++ b/src/mesh/call_event_kind.ts
@@ -17,6 +17,8 @@
   Retried = "call-repeated",
   /** The exchange with the backend server of this VM ended. */
   Exchanged = "call-exchanged",
+  /** An unexpected error ended the call at this node. */
+  InternalError = "call-internal-error",
   /** The call waits for a slot of the backend server of this VM. */
   Queued = "call-queued",
 }
--- a/src/mesh/collect_answer_body.ts
+++ b/src/mesh/collect_answer_body.ts
@@ -33,5 +33,7 @@
     body.once("error", onFailure);
     body.once("aborted", onFailure);
     body.once("close", onFailure);
+    // A body that broke off together with its head emits no further event.
+    if (body.destroyed && !body.readableEnded) onFailure();
   });
 }
--- a/src/mesh/create_early_refusal.ts
+++ b/src/mesh/create_early_refusal.ts
@@ -11,7 +11,9 @@
 const retryShare = 0.5;
 
 /** Creates the refusal of a call that was offered to no backend server. */
-export function createEarlyRefusal(reason: RefusalReason): CallResult {
+export function createEarlyRefusal(
+  reason: RefusalReason,
+): Extract<CallResult, { readonly kind: CallResultKind.Refused }> {
   return {
     kind: CallResultKind.Refused,
     reason,
--- a/src/mesh/decode_reply.ts
+++ b/src/mesh/decode_reply.ts
@@ -1,3 +1,4 @@
+import type { GateLoad } from "../balancing/gate_load.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { tryParseJson } from "../daemon/try_parse_json.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
@@ -16,11 +17,25 @@
   return isReplyMessage(message) ? message : undefined;
 }
 
+/** Whether a duration is absent or a finite number that is not negative. */
+function isDuration(input: unknown): boolean {
+  return input === undefined ||
+    (typeof input === "number" && Number.isFinite(input) && input >= 0);
+}
+
+function isGateLoad(input: unknown): input is GateLoad {
+  if (typeof input !== "object" || input === null) return false;
+  const load = input as Partial<Record<keyof GateLoad, unknown>>;
+  return typeof load.cold === "boolean" &&
+    [load.running, load.queued, load.slots].every(Number.isFinite);
+}
+
 function isReplyMessage(input: unknown): input is ReplyMessage {
   if (typeof input !== "object" || input === null) return false;
   const message = input as Partial<Record<keyof ReplyMessage, unknown>>;
   return kinds.includes(message.kind) &&
-    typeof message.load === "object" && message.load !== null &&
+    isGateLoad(message.load) &&
+    isDuration(message.retryMilliseconds) &&
     (message.kind === OfferOutcomeKind.Answered ||
       reasons.includes(message.reason));
 }
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -71,6 +71,8 @@
       interimResponseTimer.cancel();
       resolve(connection.isSent() ? createLoss() : createUnreachableRefusal());
     });
+    // A switch of protocols ends the connection without an error.
+    outgoing.once("close", () => resolve(createLoss()));
   });
 }
 
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -7,6 +7,8 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
 
+/** Lower status codes are interim, or not defined. */
+const finalStatusMinimum = 200;
 const successStatusMinimum = 200;
 const successStatusMaximum = 299;
 
@@ -50,6 +52,9 @@
         head,
         callIdentifier: options.callIdentifier,
       });
+      // A second copy of an answer that names no call would look like the answer
+      // to the next request on this connection.
+      if (head.callIdentifier === undefined) outgoing.shouldKeepAlive = false;
       if (kind === BackendExchangeKind.Answered) {
         // After an early answer, the rest of this request must not share the
         // connection with the next request.
@@ -71,6 +76,11 @@
       received?.destroy(error);
       resolve({ kind: classifyError(connection), found: error.message });
     });
+    // A switch of protocols ends the connection without an error.
+    outgoing.once(
+      "close",
+      () => resolve({ kind: classifyError(connection), found: "no answer" }),
+    );
   });
 }
 
@@ -106,6 +116,7 @@
   if (head.misdirected) return BackendExchangeKind.Misdirected;
   if (head.notRun) return BackendExchangeKind.NotRun;
   const status = answer.statusCode ?? 0;
+  if (status < finalStatusMinimum) return BackendExchangeKind.Broken;
   const isSuccess = status >= successStatusMinimum &&
     status <= successStatusMaximum;
   const isTrusted = head.signed && head.callIdentifier === callIdentifier &&
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { RefusalReason } from "../calls/refusal_reason.ts";
+import { Outcome } from "../calls/outcome.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { CallRoute } from "../routing/call_route.ts";
 import { chooseTarget } from "../routing/choose_target.ts";
@@ -12,6 +13,7 @@
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createEarlyRefusal } from "./create_early_refusal.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
+import { getBodyBytesMaximum } from "./get_body_bytes_maximum.ts";
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
 import { getSplitState } from "./get_split_state.ts";
@@ -20,12 +22,11 @@
 import { readRequestBody } from "./read_request_body.ts";
 import { recordRemainingMilliseconds } from "./record_remaining_milliseconds.ts";
 import { reportCallResult } from "./report_call_result.ts";
+import { reportInternalError } from "./report_internal_error.ts";
 import { writeCallResult } from "./write_call_result.ts";
 
 /** An answer that is in transit at the deadline is still delivered. */
 const deadlineGraceMilliseconds = 30;
-/** Limit of a request body before the first rules. */
-const bodyBytesMaximumDefault = 1_048_576;
 
 /**
  * Serves a request that a caller or the backend server of this VM sends to the
@@ -65,12 +66,11 @@
     deadline + deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
-  serveRoute(route).finally(() => timer.cancel());
+  serveRoute(route).catch(handleInternalError).finally(() => timer.cancel());
 
   async function serveRoute(chosen: CallRoute): Promise<void> {
     const body = await readRequestBody(request, {
-      bytesMaximum: node.view.rules?.limits.bodyBytesMaximum ??
-        bodyBytesMaximumDefault,
+      bytesMaximum: getBodyBytesMaximum(node),
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
@@ -111,6 +111,18 @@
     };
   }
 
+  function handleInternalError(error: unknown): void {
+    reportInternalError(node, { callIdentifier, error });
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    respond({
+      ...createEarlyRefusal(RefusalReason.InternalError),
+      outcome: Outcome.Unknown,
+    }, undefined);
+  }
+
   function refuse(refusalReason: RefusalReason): void {
     respond(createEarlyRefusal(refusalReason), undefined);
   }
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { match } from "ts-pattern";
-import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import type { GateOffer } from "./gate_offer.ts";
+import { getBodyBytesMaximum } from "./get_body_bytes_maximum.ts";
 import { getGateLoad } from "./get_gate_load.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
@@ -15,6 +15,7 @@
 import { offerToOwnServer } from "./offer_to_own_server.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
+import { reportInternalError } from "./report_internal_error.ts";
 
 const refusedStatus = 503;
 const lostStatus = 502;
@@ -52,6 +53,14 @@
   );
   processOffer(node, request, { offer, signal: cancellation.signal })
     .then((outcome) => writeOutcome(node, response, outcome))
+    .catch((error: unknown) => {
+      reportInternalError(node, {
+        callIdentifier: offer.callIdentifier,
+        error,
+      });
+      // Without a reply, the other node assumes that the call may have run.
+      response.destroy();
+    })
     .finally(() => interimResponseTimer.cancel());
 }
 
@@ -61,10 +70,10 @@
   options: { readonly offer: GateOffer; readonly signal: AbortSignal },
 ): Promise<OfferOutcome> {
   const body = await readRequestBody(request, {
-    bytesMaximum: Number.POSITIVE_INFINITY,
+    bytesMaximum: getBodyBytesMaximum(node),
   });
   if (body.isErr) {
-    const reason = RefusalReason.CallerLeft;
+    const reason = body.error;
     return createOfferRefusal(node, { reason, retryMilliseconds: 0 });
   }
   await detectClosedConnections(node, { turns: 2 });
@@ -92,6 +101,7 @@
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
       body.once("aborted", () => response.destroy());
+      if (body.destroyed && !body.readableEnded) response.destroy();
       body.pipe(response);
     })
     .with({ kind: OfferOutcomeKind.Refused }, (refused) => {
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { once } from "node:events";
+import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
@@ -165,6 +166,23 @@
     );
     setTimeout(() => request.socket.resetAndDestroy(), 50);
   }],
+  ["an answer with an undefined status code", (request) => {
+    const call = request.headers[MeshHeader.Call];
+    request.socket.end(
+      `HTTP/1.1 099 X\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\ncontent-length: 2\r\n\r\nok`,
+    );
+  }],
+  ["a switch of protocols", (request) => {
+    request.socket.end(
+      "HTTP/1.1 101 X\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
+    );
+  }],
+  ["an answer that breaks off together with its head", (request) => {
+    const call = request.headers[MeshHeader.Call];
+    request.socket.end(
+      `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\ntransfer-encoding: chunked\r\n\r\nzz`,
+    );
+  }],
   ["bytes that are not HTTP", (request) => {
     request.socket.end("This is not HTTP\r\n\r\n");
   }],
@@ -272,6 +290,33 @@
   });
 });
 
+serialTest(
+  "a second copy of a refusal that names no call does not refuse the next call, which runs",
+  async (t) => {
+    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+      const copy =
+        `HTTP/1.1 503 X\r\n${MeshHeader.NotRun}: 1\r\ncontent-length: 0\r\n\r\n`;
+      let refusing: Socket | undefined;
+      scriptAll(fleet, (request, response) => {
+        if (refusing === undefined) {
+          refusing = request.socket;
+          refusing.write(copy);
+          return;
+        }
+        if (!refusing.destroyed) refusing.write(copy);
+        setTimeout(() => sendCompleteAnswer(request, response), 30);
+      });
+      await fleet.call(0, { identifier: "first", method: "POST" });
+      const second = await fleet.call(0, {
+        identifier: "second",
+        method: "POST",
+      });
+      t.is(second.status, 200);
+      t.is(second.body, "answer to second");
+    });
+  },
+);
+
 serialTest(
   "a non-idempotent call succeeds although one backend server has crashed",
   async (t) => {
