--- a/src/mesh/apply_source_reading_test.ts
+++ b/src/mesh/apply_source_reading_test.ts
@@ -2,10 +2,10 @@
 import fc from "fast-check";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
-import type { Rules } from "../routing/rules.ts";
 import type { SourceValue } from "../source/source_value.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { applySourceReading } from "./apply_source_reading.ts";
 import { createMeshView } from "./create_mesh_view.ts";
 import type { MeshView } from "./mesh_view.ts";
@@ -13,20 +13,6 @@
 
 const now = 1_000_000;
 
-function createRules(version: number): Rules {
-  return {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: {
-      headerBytesMaximum: 1,
-      bodyBytesMaximum: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-  };
-}
-
 function apply(
   view: MeshView,
   facts: readonly (readonly [string, number, SourceValue | undefined])[],
@@ -44,7 +30,7 @@
 
 const createRulesValue = (version: number): SourceValue => ({
   kind: SourceValueKind.Rules,
-  rules: createRules(version),
+  rules: createSampleRules({ version }),
 });
 const createServerValue = (
   change: Partial<RegisterEntry> = {},
--- a/src/mesh/source_era_test.ts
+++ b/src/mesh/source_era_test.ts
@@ -3,11 +3,11 @@
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
-import type { Rules } from "../routing/rules.ts";
 import type { SourceItem } from "../source/source_item.ts";
 import type { SourceValue } from "../source/source_value.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { applySourceReading } from "./apply_source_reading.ts";
 import { createMeshView } from "./create_mesh_view.ts";
 import type { MeshView } from "./mesh_view.ts";
@@ -80,18 +80,7 @@
 }
 
 function createRulesValue(version: number): SourceValue {
-  const rules: Rules = {
-    version,
-    routes: [],
-    services: new Map(),
-    limits: {
-      headerBytesMaximum: 1,
-      bodyBytesMaximum: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-  };
-  return { kind: SourceValueKind.Rules, rules };
+  return { kind: SourceValueKind.Rules, rules: createSampleRules({ version }) };
 }
 
 function createServerValue(change: Partial<RegisterEntry>): SourceValue {
@@ -99,6 +88,15 @@
   return { kind: SourceValueKind.BackendServer, entry };
 }
 
+function writeDrainingServer(model: Model): void {
+  const availability = BackendServerAvailability.Draining;
+  write(
+    model,
+    "a",
+    createServerValue({ identifier: "a", sequence: 5, availability }),
+  );
+}
+
 const zoneTakenOut: SourceValue = { kind: SourceValueKind.ZoneTakenOut, zone };
 
 function mayReceiveCalls(model: Model, identifier: string): boolean {
@@ -112,12 +110,7 @@
   const model = createModel();
   write(model, "a", createServerValue({ identifier: "a", sequence: 4 }));
   readAll(model);
-  const availability = BackendServerAvailability.Draining;
-  write(
-    model,
-    "a",
-    createServerValue({ identifier: "a", sequence: 5, availability }),
-  );
+  writeDrainingServer(model);
   readAll(model);
   restoreCopy(model, 1);
   readAll(model);
@@ -144,12 +137,7 @@
   );
   readAll(model);
   restoreCopy(model, 20);
-  const availability = BackendServerAvailability.Draining;
-  write(
-    model,
-    "a",
-    createServerValue({ identifier: "a", sequence: 5, availability }),
-  );
+  writeDrainingServer(model);
   readAll(model);
   t.false(mayReceiveCalls(model, "a"));
 });
--- a/src/routing/try_apply_rules_change_test.ts
+++ b/src/routing/try_apply_rules_change_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
+import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { createRulesChange } from "./create_rules_change.ts";
 import type { Rules } from "./rules.ts";
 import { tryApplyRulesChange } from "./try_apply_rules_change.ts";
@@ -9,7 +10,7 @@
 type RoutePriorities = Readonly<Record<string, number>>;
 
 function createRules(version: number, priorities: RoutePriorities): Rules {
-  return {
+  return createSampleRules({
     version,
     routes: Object.entries(priorities).map(([name, priority]) =>
       createSampleRoute({ name, pathPrefix: `/${name}/`, priority })
@@ -27,7 +28,7 @@
       headerMilliseconds: 3,
       idleMilliseconds: version,
     },
-  };
+  });
 }
 
 function sortRoutes(rules: Rules | undefined) {
--- a/src/source/publish_feed_reading_test.ts
+++ b/src/source/publish_feed_reading_test.ts
@@ -3,8 +3,9 @@
 import { tryDecodeFeedLine } from "./try_decode_feed_line.ts";
 import { tryGetInitialFeedLines } from "./try_get_initial_feed_lines.ts";
 import type { SourceFeed } from "./source_feed.ts";
-import { CallKind } from "../routing/call_kind.ts";
 import type { Rules } from "../routing/rules.ts";
+import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
+import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { tryCreateSourceItem } from "./try_create_source_item.ts";
 import { SourceValueKind } from "./source_value_kind.ts";
 import { publishFeedReading } from "./publish_feed_reading.ts";
@@ -155,27 +156,13 @@
 
 /** Creates rules with 120 routes, whose targets depend on the version. */
 function createRules(version: number): Rules {
-  return {
-    version,
-    routes: Array.from({ length: 120 }, (_, index) => ({
+  const routes = Array.from({ length: 120 }, (_, index) =>
+    createSampleRoute({
       name: `route-${index}`,
-      host: "shop.example",
       pathPrefix: `/path-${index}/`,
-      kind: CallKind.Idempotent,
-      attemptsMaximum: 2,
-      timeoutMilliseconds: 1_500,
-      goalMilliseconds: 400,
-      priority: 2,
       targets: [{ service: `service-${version}`, weight: 1 }],
-    })),
-    services: new Map(),
-    limits: {
-      headerBytesMaximum: 1,
-      bodyBytesMaximum: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-  };
+    }));
+  return createSampleRules({ version, routes });
 }
 
 test("text that is not a valid line is rejected", (t) => {
