End an offer without a response by one path

An offer whose connection closed without an error and before it was sent was taken for one that may have run; the timer of its interim response stayed.

--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -8,8 +8,8 @@
   /** On a reply: the outcome of the offer, as JSON. */
   Reply = "catkinquay-reply",
   /**
-   * On a request: the position, as `ERA.REVISION`, after which the sender follows the changes of
-   * the source.
+   * On a request: the position, as `ERA.REVISION`, after which the sender
+   * follows the changes of the source.
    */
   Feed = "catkinquay-feed",
 }
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -67,12 +67,15 @@
       interimResponseTimer.cancel();
       resolve(createOutcome(response));
     });
-    outgoing.on("error", () => {
+    outgoing.on("error", handleEnd);
+    // A switch of protocols ends the connection without an error.
+    outgoing.once("close", handleEnd);
+
+    /** Has no effect after a response. */
+    function handleEnd(): void {
       interimResponseTimer.cancel();
       resolve(connection.isSent() ? createLoss() : createUnreachableRefusal());
-    });
-    // A switch of protocols ends the connection without an error.
-    outgoing.once("close", () => resolve(createLoss()));
+    }
   });
 }
 
