Keep backend servers that have left closed when a copy lists a later heartbeat

An entry whose removal counted is listed again only with a heartbeat after the one in the copy; since a heartbeat alone is no change, everything is read three times more in a new era. The record of a removed entry also stays when another backend server takes its address.

--- a/src/mesh/apply_source_reading.ts
+++ b/src/mesh/apply_source_reading.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
 import { deleteExpiredRecords } from "../register/delete_expired_records.ts";
 import { putEntry } from "../register/put_entry.ts";
 import { removeEntry } from "../register/remove_entry.ts";
@@ -31,11 +32,12 @@
   const { now } = options;
   if (reading.era < (view.sourceEra ?? reading.era)) return [];
   const eraChanges = tryStartSourceEra(view, reading, { now });
+  const startsEra = eraChanges.length > 0;
   const heldChanges = releaseHeldZones(view, reading, { now });
   const changes = listReadingItems(view, reading, options).flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
     view.revisions.set(item.key, item.revision);
-    return applyItem(view, item, { now }).map((change) => ({
+    return applyItem(view, item, { now, startsEra }).map((change) => ({
       ...change,
       revision: item.revision,
     }));
@@ -45,13 +47,20 @@
   return [...eraChanges, ...heldChanges, ...changes];
 }
 
+interface ApplyOptions {
+  readonly now: number;
+  /** Whether the reading is the first one of an era of the source. */
+  readonly startsEra: boolean;
+}
+
 type Change = Omit<ViewChange, "revision">;
 
 function applyItem(
   view: MeshView,
   item: SourceItem,
-  { now }: { readonly now: number },
+  options: ApplyOptions,
 ): readonly Change[] {
+  const { now } = options;
   if (item.fact === undefined) return applyRemoval(view, item.key, { now });
   return match(item.fact)
     .with(
@@ -67,7 +76,7 @@
     })
     .with({ kind: SourceValueKind.BackendServer }, ({ entry }) => {
       view.serverIdentifiersByKey.set(item.key, entry.identifier);
-      return applyEntry(view, entry, { now });
+      return applyEntry(view, entry, options);
     })
     .with({ kind: SourceValueKind.Foreign }, ({ found }) => [
       ...applyRemoval(view, item.key, { now }),
@@ -94,7 +103,7 @@
 function applyEntry(
   view: MeshView,
   entry: RegisterEntry,
-  { now }: { readonly now: number },
+  { now, startsEra }: ApplyOptions,
 ): readonly Change[] {
   const subject = entry.identifier;
   const current = view.register.get(entry.identifier);
@@ -102,12 +111,17 @@
     current.entry.bornAt === entry.bornAt;
   // A heartbeat that arrives out of order must not restore an older state.
   if (isSameIncarnation && entry.sequence < current.entry.sequence) return [];
-  // An entry comes back after its removal only with a later heartbeat. The same
-  // one comes from an older copy of the source.
+  // An older copy of the source may list a backend server that has left. It is
+  // listed again only with a heartbeat after the one in the copy.
   if (
-    isSameIncarnation && current.removedAt > 0 &&
-    entry.sequence === current.entry.sequence
+    isSameIncarnation && isRemovalConfirmed(current, now) &&
+    (startsEra || entry.sequence === current.entry.sequence)
   ) {
+    const { sequence } = entry;
+    view.register.set(entry.identifier, {
+      ...current,
+      entry: { ...current.entry, sequence },
+    });
     return [];
   }
   putEntry(view.register, entry);
--- a/src/mesh/create_neighbour_feeds.ts
+++ b/src/mesh/create_neighbour_feeds.ts
@@ -6,12 +6,10 @@
 import type { FeedHostBackoff } from "../source/feed_host_backoff.ts";
 import { getFeedHostBackoff } from "../source/get_feed_host_backoff.ts";
 import type { NeighbourFeeds } from "../source/neighbour_feeds.ts";
-import type { SourcePosition } from "../source/source_position.ts";
-import type { SourceReading } from "../source/source_reading.ts";
-import { tryCreateSourceItem } from "../source/try_create_source_item.ts";
 import { followFeed } from "./follow_feed.ts";
 import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { tryCreateLineReading } from "./try_create_line_reading.ts";
 
 /**
  * Creates the client for the feeds of the other nodes in this availability
@@ -56,7 +54,11 @@
         node.report.state("feed", { state: "following", host, ...position });
       age.minimumClockOffset = Number.POSITIVE_INFINITY;
       function handleLine(line: FeedLine): FeedEndKind | undefined {
-        const reading = tryCreateReading(node, line, { after: position });
+        const reading = tryCreateLineReading(line, {
+          after: position,
+          rules: node.view.rules,
+          now: node.clock.now(),
+        });
         if (reading === undefined) return FeedEndKind.Gap;
         // No node may follow a node that itself follows a neighbour.
         endFeed(node.feed);
@@ -90,26 +92,3 @@
     close: () => closing.abort(),
   };
 }
-
-/**
- * Returns the items of a line that are newer than the position `after`;
- * undefined if this node has to read the source itself.
- */
-function tryCreateReading(
-  node: MeshNode,
-  line: FeedLine,
-  { after }: { readonly after: SourcePosition },
-): SourceReading | undefined {
-  if (line.gap || line.era !== after.era) return undefined;
-  const readAt = node.clock.now() - line.heldMilliseconds;
-  const { rules } = node.view;
-  const items = line.items
-    .filter(({ revision }) => revision > after.revision)
-    .map((item) => tryCreateSourceItem(item, { rules, readAt }));
-  const decodedItems = items.filter((item) => item !== undefined);
-  return decodedItems.length < items.length ? undefined : {
-    items: decodedItems,
-    era: line.era,
-    revision: Math.max(after.revision, line.revision),
-  };
-}
--- a/src/register/put_entry.ts
+++ b/src/register/put_entry.ts
@@ -2,8 +2,8 @@
 import type { RegisterState } from "./register_state.ts";
 
 /**
- * Adds or replaces an entry. Deletes the records of removed entries with the
- * same address, since an address belongs to one backend server at a time.
+ * Adds or replaces an entry. The removals of other entries with the same address
+ * count from then on, since an address belongs to one backend server at a time.
  */
 export function putEntry(state: RegisterState, entry: RegisterEntry): void {
   Array.from(state.values())
@@ -12,7 +12,12 @@
       other.address.host === entry.address.host &&
       other.address.port === entry.address.port
     )
-    .forEach(({ entry: other }) => state.delete(other.identifier));
+    .forEach((record) =>
+      state.set(record.entry.identifier, {
+        ...record,
+        removalConfirmedAt: record.removedAt,
+      })
+    );
   state.set(entry.identifier, {
     entry,
     removedAt: 0,
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -22,6 +22,8 @@
 /** After a full read, a neighbour that refuses its feed is asked again instead of the source: after a power cut it has not finished its own first read yet. */
 const feedAttemptsAfterFullRead = 6;
 const feedAttemptMilliseconds = 150;
+/** Number of full reads after the first one of an era. An entry whose heartbeat alone has changed is not among the changes, and only its heartbeat shows that the backend server is alive. */
+const fullReadsAfterNewEra = 3;
 const backoffBaseMilliseconds = 50;
 const backoffMillisecondsMaximum = 600;
 
@@ -49,6 +51,8 @@
   let position: SourcePosition | undefined;
   /** The highest era that the source has responded with. */
   let newestEra = 0;
+  /** Era of the last applied reading; undefined before the first. */
+  let appliedEra: number | undefined;
   let failures = 0;
   /** Number of following reads that request all items. */
   let remainingFullReads = 0;
@@ -86,12 +90,15 @@
     }
     const isFirst = position === undefined;
     scheduleFullReads(reading);
+    const isNewEra = appliedEra !== undefined && reading.era > appliedEra;
+    if (isNewEra) remainingFullReads = fullReadsAfterNewEra;
     applyReading(reading, {
       complete: after === undefined,
       direct: true,
     });
-    remainingFeedAttempts = isFirst ? feedAttemptsAfterFullRead : 0;
-    return isFirst ? 0 : timing.intervalMilliseconds;
+    const mayFollowNow = isFirst && remainingFullReads === 0;
+    remainingFeedAttempts = mayFollowNow ? feedAttemptsAfterFullRead : 0;
+    return mayFollowNow ? 0 : timing.intervalMilliseconds;
   }
 
   /** Switches to full reads while large values change often: all current items are smaller than all changes. */
@@ -120,13 +127,14 @@
     }
     handler.onReading(reading, options);
     position = { era: reading.era, revision: reading.revision };
+    appliedEra = reading.era;
   }
 
   /** Follows a neighbour's feed until it ends; returns the reason, or undefined if there is none to follow. */
   async function followNeighbour(): Promise<FeedEndKind | undefined> {
     const host = neighbours?.chooseHost();
     if (neighbours === undefined || host === undefined) return undefined;
-    if (position === undefined) return undefined;
+    if (position === undefined || remainingFullReads > 0) return undefined;
     const kind = await neighbours.follow(host, {
       after: position,
       onReading: (reading) => {
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -237,6 +237,27 @@
   );
 });
 
+test("after the first reading of a later era, all items are read a few times more, since heartbeats are no changes", async (t) => {
+  const events = await follow([
+    ok([item], 5),
+    ok([item], 7, 1),
+    ok([item], 8, 1),
+    ok([item], 8, 1),
+    ok([item], 8, 1),
+    ok([item], 8, 1),
+    ok([item], 9, 1),
+  ]);
+  t.deepEqual(events.filter((event) => /^(?:all|after)/.test(event)), [
+    "all",
+    "after 5",
+    "all",
+    "all",
+    "all",
+    "all",
+    "after 8",
+  ]);
+});
+
 test("a response of an era that has ended is not applied", async (t) => {
   const events = await follow([
     ok([item], 5, 2),
