--- a/src/mesh/backend_exchange_kind.ts
+++ b/src/mesh/backend_exchange_kind.ts
@@ -7,7 +7,7 @@
   Misdirected = "misdirected",
   /** No connection could be established, so nothing was sent. */
   NotConnected = "not-connected",
-  /** Nothing was sent: the connection ended before, as a full backend server ends it, or the request could not be written. */
+  /** The backend server accepted a connection and ended it before anything was sent, as a full one does. */
   ConnectionRejected = "connection-rejected",
   /** The connection ended, or the answer does not belong to this request. */
   Broken = "broken",
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -58,6 +58,7 @@
       probing: false,
     },
     backendAgent: createConnectionAgent(backendIdleMilliseconds),
+    probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     gateViews: new Map(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -44,6 +44,11 @@
    * that must not be sent on a connection that it has dropped.
    */
   readonly recentBackendAgent: Agent;
+  /**
+   * Connections for probes of the backend server of this VM. The answer to a
+   * probe names no call, so a second copy of it must not meet a call.
+   */
+  readonly probeAgent: Agent;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
   /** By identifier of the backend server. */
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -26,7 +26,7 @@
   const path = node.view.rules?.services.get(settings.service)?.healthPath ??
     defaultHealthPath;
   const outgoing = sendRequest({
-    agent: node.backendAgent,
+    agent: node.probeAgent,
     host: settings.backendServer.host,
     port: settings.backendServer.port,
     path,
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -14,6 +14,7 @@
 import { handleOfferLoss } from "./handle_offer_loss.ts";
 import { handleOfferRefusal } from "./handle_offer_refusal.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendOffer } from "./send_offer.ts";
 
@@ -59,14 +60,35 @@
   const waitDeadline = getWaitDeadline(progress, { candidate, now: offeredAt });
   progress.excluded.add(entry.identifier);
   view.inFlight += 1;
-  const outcome = await sendOffer(node, progress.plan, {
-    candidate,
-    waitDeadline,
-  });
-  if (outcome.load !== undefined) {
-    recordLoad(view, { load: outcome.load, now: node.clock.now() });
+  try {
+    const outcome = await sendOffer(node, progress.plan, {
+      candidate,
+      waitDeadline,
+    });
+    if (outcome.load !== undefined) {
+      recordLoad(view, { load: outcome.load, now: node.clock.now() });
+    }
+    return await handleOutcome(node, progress, {
+      candidate,
+      outcome,
+      offeredAt,
+    });
+  } finally {
+    view.inFlight -= 1;
   }
-  const result = await match(outcome)
+}
+
+async function handleOutcome(
+  node: MeshNode,
+  progress: CallProgress,
+  options: {
+    readonly candidate: GateCandidate;
+    readonly outcome: OfferOutcome;
+    readonly offeredAt: number;
+  },
+): Promise<CallResult | undefined> {
+  const { candidate, outcome, offeredAt } = options;
+  return await match(outcome)
     .with(
       { kind: OfferOutcomeKind.Answered },
       (answered) =>
@@ -81,6 +103,4 @@
       ({ reason }) => handleOfferLoss(node, progress, { candidate, reason }),
     )
     .exhaustive();
-  view.inFlight -= 1;
-  return result;
 }
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -3,7 +3,6 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { releaseSlot } from "../gate/release_slot.ts";
-import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallRequest } from "./call_request.ts";
@@ -46,7 +45,10 @@
     callIdentifier,
     idempotent,
     signal,
-  }).catch(createUnsentExchange);
+  }).catch((error: unknown) => {
+    release(node, { callIdentifier, answered: false });
+    throw error;
+  });
   // The result of an exchange that the caller cancelled does not show the state
   // of the backend server, so it is not recorded.
   if (!signal.aborted) recordBackendExchange(node, exchange);
@@ -75,12 +77,6 @@
   };
 }
 
-/** The request could not be created, for example because of its path. */
-function createUnsentExchange(error: unknown): BackendExchange {
-  const found = error instanceof Error ? error.message : String(error);
-  return { kind: BackendExchangeKind.ConnectionRejected, found };
-}
-
 function release(
   node: MeshNode,
   options: { readonly callIdentifier: string; readonly answered: boolean },
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -51,6 +51,7 @@
       follower.stop();
       opened.value.forEach((listener) => listener.destroy());
       node.backendAgent.destroy();
+      node.probeAgent.destroy();
       node.recentBackendAgent.destroy();
       node.nodesAgent.destroy();
       return cutCalls;
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -317,6 +317,27 @@
   },
 );
 
+serialTest(
+  "a second copy of a probe's answer is not taken for the answer to a call",
+  async (t) => {
+    await withFleet({ vms: 1 }, async (fleet) => {
+      const [backend] = fleet.backends;
+      scriptAll(fleet, (request, response) => {
+        backend!.probeConnections.forEach((connection) =>
+          connection.write("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")
+        );
+        setTimeout(() => sendCompleteAnswer(request, response), 30);
+      });
+      t.true(await waitUntil(() => backend!.probeConnections.size > 0));
+      // The answer to the probe has been read by then.
+      await delay(50);
+      const answer = await fleet.call(0, { identifier: "look" });
+      t.is(answer.status, 200);
+      t.is(answer.body, "answer to look");
+    });
+  },
+);
+
 serialTest(
   "a non-idempotent call succeeds although one backend server has crashed",
   async (t) => {
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -56,6 +56,8 @@
   let failures = 0;
   /** Number of following reads that request all items. */
   let remainingFullReads = 0;
+  /** Number of following reads that request all items because a new era began; no neighbour is followed meanwhile. */
+  let remainingEraReads = 0;
   /** Number of refused feeds after which the source is read again. */
   let remainingFeedAttempts = 0;
   let isSourceAvailable = false;
@@ -66,7 +68,8 @@
     const timing = getSourceReadTiming(options.getBounds(), {
       hasFollowers: neighbours?.hasFollowers() ?? false,
     });
-    const after = remainingFullReads > 0 ? undefined : position;
+    const readsAll = remainingFullReads > 0 || remainingEraReads > 0;
+    const after = readsAll ? undefined : position;
     const result = after === undefined
       ? await client.readAll()
       : await client.readChanges(after, {
@@ -91,12 +94,14 @@
     const isFirst = position === undefined;
     scheduleFullReads(reading);
     const isNewEra = appliedEra !== undefined && reading.era > appliedEra;
-    if (isNewEra) remainingFullReads = fullReadsAfterNewEra;
+    remainingEraReads = isNewEra
+      ? fullReadsAfterNewEra
+      : Math.max(0, remainingEraReads - 1);
     applyReading(reading, {
       complete: after === undefined,
       direct: true,
     });
-    const mayFollowNow = isFirst && remainingFullReads === 0;
+    const mayFollowNow = isFirst && remainingEraReads === 0;
     remainingFeedAttempts = mayFollowNow ? feedAttemptsAfterFullRead : 0;
     return mayFollowNow ? 0 : timing.intervalMilliseconds;
   }
@@ -134,7 +139,7 @@
   async function followNeighbour(): Promise<FeedEndKind | undefined> {
     const host = neighbours?.chooseHost();
     if (neighbours === undefined || host === undefined) return undefined;
-    if (position === undefined || remainingFullReads > 0) return undefined;
+    if (position === undefined || remainingEraReads > 0) return undefined;
     const kind = await neighbours.follow(host, {
       after: position,
       onReading: (reading) => {
@@ -155,6 +160,8 @@
 
   /** Reports a failed read; returns the delay until the next read in milliseconds. */
   function handleError(kind: SourceFailureKind, found: string): number {
+    // A node that the source rejects depends on its neighbours.
+    remainingEraReads = 0;
     if (kind === SourceFailureKind.HistoryLost) {
       position = undefined;
       return historyLostDelayMilliseconds;
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -298,3 +298,21 @@
   });
   t.is(events.filter((event) => event.startsWith("at once")).length, 1);
 });
+
+[FeedEndKind.Gap, FeedEndKind.Stale].forEach((kind) =>
+  test(`a node that the source rejects after a feed that ended as ${kind} follows the next neighbour`, async (t) => {
+    const first = createNeighbour(kind);
+    let followed = 0;
+    await follow([ok([item], 5), fail(SourceFailureKind.Rejected)], {
+      ...first,
+      chooseHost: () => "10.0.0.1",
+      follow: (host, options) => {
+        followed += 1;
+        return followed === 1
+          ? first.follow(host, options)
+          : Promise.resolve(FeedEndKind.Refused);
+      },
+    });
+    t.true(followed >= 2);
+  })
+);
--- a/src/testing/mesh/mesh_backend.ts
+++ b/src/testing/mesh/mesh_backend.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { NetworkAddress } from "../../runtime/network_address.ts";
 import type { MeshBackendScript } from "./mesh_backend_script.ts";
 
@@ -11,6 +12,8 @@
   lastHeaders: NodeJS.Dict<string | string[]>;
   /** Number of requests whose connection was closed before the answer was sent. */
   cancelled: number;
+  /** Connections on which it received health probes. */
+  readonly probeConnections: Set<Socket>;
   /** Handles every request except health probes; a new script applies to later requests. */
   script: MeshBackendScript;
   /** Remaining cold start that it reports to health probes. */
--- a/src/testing/mesh/start_mesh_backend.ts
+++ b/src/testing/mesh/start_mesh_backend.ts
@@ -16,6 +16,7 @@
   function createBackendServer(): Server {
     return createServer((request, response) => {
       if (request.url === healthPath) {
+        backend.probeConnections.add(request.socket);
         response.writeHead(200, {
           [MeshHeader.Identifier]: identifier,
           [MeshHeader.Cold]: String(backend.coldMilliseconds),
@@ -53,6 +54,7 @@
     runs: [],
     lastHeaders: {},
     cancelled: 0,
+    probeConnections: new Set(),
     script: sendCompleteAnswer,
     coldMilliseconds: 0,
     close: async () => {
