Log why contact was lost, and since when the offer was out

An offer that its node gave up for lack of a confirmation and one whose connection ended both were `offer-lost` with `contact-lost`, without the time since the offer. At the other node, an exchange cancelled by the offering node looked like one that the backend server broke off.

--- a/src/mesh/call_event.ts
+++ b/src/mesh/call_event.ts
@@ -12,6 +12,10 @@
   readonly status?: number;
   readonly reason?: string;
   readonly outcome?: string;
+  /** Why contact was lost after the call had been sent. */
+  readonly cause?: string;
+  /** Whether the caller or the node that offered the call ended the exchange. */
+  readonly cancelled?: boolean;
   /** Number of attempts so far, each to one backend server. */
   readonly attempts?: number;
   readonly elapsedMilliseconds?: number;
--- a/src/mesh/handle_offer_answer.ts
+++ b/src/mesh/handle_offer_answer.ts
@@ -30,10 +30,11 @@
     readonly offeredAt: number;
   },
 ): Promise<CallResult | undefined> {
-  const { candidate, answered } = options;
+  const { candidate, answered, offeredAt } = options;
   const body = await collectAnswerBody(answered);
   if (body.isErr) {
-    return handleOfferLoss(node, progress, { candidate, reason: body.error });
+    const reason = body.error;
+    return handleOfferLoss(node, progress, { candidate, reason, offeredAt });
   }
   progress.attempts += 1;
   // Without a length, the end of an answer may be its regular end or a break.
@@ -41,7 +42,7 @@
   const route = progress.plan.route.name;
   recordAnswer(candidate.view, {
     route,
-    elapsedMilliseconds: node.clock.now() - options.offeredAt,
+    elapsedMilliseconds: node.clock.now() - offeredAt,
     failed,
     now: node.clock.now(),
   });
--- a/src/mesh/handle_offer_loss.ts
+++ b/src/mesh/handle_offer_loss.ts
@@ -5,6 +5,7 @@
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
+import type { ContactLossCause } from "./contact_loss_cause.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { reportOffer } from "./report_offer.ts";
@@ -20,15 +21,18 @@
   options: {
     readonly candidate: GateCandidate;
     readonly reason: RefusalReason;
+    /** Undefined unless contact with the other node was lost. */
+    readonly cause?: ContactLossCause | undefined;
+    readonly offeredAt: number;
   },
 ): CallResult | undefined {
-  const { candidate, reason } = options;
+  const { candidate, reason, cause, offeredAt } = options;
   progress.attempts += 1;
   progress.mayHaveRun = true;
   progress.lastReason = reason;
   if (progress.plan.signal.aborted) return undefined;
   const kind = CallEventKind.OfferLost;
-  reportOffer(node, progress, { kind, candidate, reason });
+  reportOffer(node, progress, { kind, candidate, reason, cause, offeredAt });
   if (reason === RefusalReason.ContactLost) {
     recordContactFailure(candidate.view, node.clock.now());
   }
--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -27,16 +27,17 @@
       OfferOutcome,
       { readonly kind: OfferOutcomeKind.Refused }
     >;
+    readonly offeredAt: number;
   },
 ): CallResult | undefined {
-  const { candidate, refused } = options;
+  const { candidate, refused, offeredAt } = options;
   const { entry, view } = candidate;
   const { reason, retryMilliseconds } = refused;
   const now = node.clock.now();
   progress.lastReason = reason;
   if (progress.plan.signal.aborted) return undefined;
   const kind = CallEventKind.OfferRefused;
-  reportOffer(node, progress, { kind, candidate, reason });
+  reportOffer(node, progress, { kind, candidate, reason, offeredAt });
   if (refused.load === undefined) recordContactFailure(view, now);
   else recordGateRefusal(view, { reason, retryMilliseconds, now });
   if (isFullReason(reason)) {
--- a/src/mesh/offer_outcome.ts
+++ b/src/mesh/offer_outcome.ts
@@ -1,6 +1,7 @@
 import type { Readable } from "node:stream";
 import type { GateLoad } from "../balancing/gate_load.ts";
 import type { RefusalReason } from "../calls/refusal_reason.ts";
+import type { ContactLossCause } from "./contact_loss_cause.ts";
 import type { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 
 /**
@@ -30,5 +31,7 @@
   | {
     readonly kind: OfferOutcomeKind.Lost;
     readonly reason: RefusalReason;
+    /** Undefined if the other node replied that the answer was lost or broken. */
+    readonly cause: ContactLossCause | undefined;
     readonly load: GateLoad | undefined;
   };
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -4,6 +4,7 @@
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { CallRequest } from "./call_request.ts";
+import { ContactLossCause } from "./contact_loss_cause.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { encodeOffer } from "./encode_offer.ts";
@@ -38,6 +39,7 @@
 ): Promise<OfferOutcome> {
   const { offer, address, signal } = options;
   return new Promise((resolve) => {
+    let cause = ContactLossCause.ConnectionEnded;
     const outgoing = sendRequest({
       agent: node.nodesAgent,
       host: address.host,
@@ -59,7 +61,9 @@
       node.clock.now() + interimResponseTimeoutMilliseconds,
       () => {
         const mayGiveUp = offer.idempotent && !node.stopping;
-        if (mayGiveUp || !connection.isSent()) outgoing.destroy();
+        if (!mayGiveUp && connection.isSent()) return;
+        cause = ContactLossCause.Unconfirmed;
+        outgoing.destroy();
       },
     );
     outgoing.once("information", () => interimResponseTimer.cancel());
@@ -74,15 +78,18 @@
     /** Has no effect after a response. */
     function handleEnd(): void {
       interimResponseTimer.cancel();
-      resolve(connection.isSent() ? createLoss() : createUnreachableRefusal());
+      resolve(
+        connection.isSent() ? createLoss(cause) : createUnreachableRefusal(),
+      );
     }
   });
 }
 
-function createLoss(): OfferOutcome {
+function createLoss(cause: ContactLossCause): OfferOutcome {
   return {
     kind: OfferOutcomeKind.Lost,
     reason: RefusalReason.ContactLost,
+    cause,
     load: undefined,
   };
 }
@@ -101,7 +108,7 @@
   const reply = decodeReply(response.headers[OfferHeader.Reply]);
   if (reply === undefined) {
     response.destroy();
-    return createLoss();
+    return createLoss(ContactLossCause.ConnectionEnded);
   }
   const { load } = reply;
   if (reply.kind !== OfferOutcomeKind.Answered) response.resume();
@@ -125,6 +132,7 @@
     .with(OfferOutcomeKind.Lost, (kind) => ({
       kind,
       reason: reply.reason ?? RefusalReason.ContactLost,
+      cause: undefined,
       load,
     }))
     .exhaustive();
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -96,11 +96,18 @@
     )
     .with(
       { kind: OfferOutcomeKind.Refused },
-      (refused) => handleOfferRefusal(node, progress, { candidate, refused }),
+      (refused) =>
+        handleOfferRefusal(node, progress, { candidate, refused, offeredAt }),
     )
     .with(
       { kind: OfferOutcomeKind.Lost },
-      ({ reason }) => handleOfferLoss(node, progress, { candidate, reason }),
+      ({ reason, cause }) =>
+        handleOfferLoss(node, progress, {
+          candidate,
+          reason,
+          cause,
+          offeredAt,
+        }),
     )
     .exhaustive();
 }
--- a/src/mesh/report_offer.ts
+++ b/src/mesh/report_offer.ts
@@ -2,6 +2,7 @@
 import type { RefusalReason } from "../calls/refusal_reason.ts";
 import type { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
+import type { ContactLossCause } from "./contact_loss_cause.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
@@ -15,6 +16,10 @@
     readonly kind: CallEventKind;
     readonly candidate: GateCandidate;
     readonly reason: RefusalReason;
+    /** Undefined unless contact was lost. */
+    readonly cause?: ContactLossCause | undefined;
+    /** In milliseconds since the Unix epoch. */
+    readonly offeredAt: number;
   },
 ): void {
   const { entry, view } = options.candidate;
@@ -25,6 +30,8 @@
     service: progress.plan.service,
     backendServer: entry.identifier,
     reason: options.reason,
+    ...(options.cause === undefined ? {} : { cause: options.cause }),
+    elapsedMilliseconds: Math.round(node.clock.now() - options.offeredAt),
     attempts: progress.attempts,
     ...view.load,
   });
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -58,6 +58,7 @@
     route: offer.route,
     service: offer.service,
     outcome: exchange.kind,
+    cancelled: signal.aborted,
     waitedMilliseconds: Math.round(startedAt - options.offeredAt),
     elapsedMilliseconds: Math.round(node.clock.now() - startedAt),
   });
@@ -136,6 +137,7 @@
     .with(BackendExchangeKind.Broken, () => ({
       kind: OfferOutcomeKind.Lost,
       reason: RefusalReason.AnswerBroken,
+      cause: undefined,
       load: getGateLoad(node),
     }))
     .exhaustive();
