--- /dev/null
+++ b/src/mesh/offer_to_node_test.ts
@@ -0,0 +1,104 @@
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { waitUntil } from "../testing/calls/wait_until.ts";
+import { countRuns } from "../testing/mesh/count_runs.ts";
+import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import type { MeshFleetOptions } from "../testing/mesh/mesh_fleet_options.ts";
+import { scriptAllBackends } from "../testing/mesh/script_all_backends.ts";
+import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
+import type { SilentPeer } from "../testing/mesh/silent_peer.ts";
+import { startSilentPeer } from "../testing/mesh/start_silent_peer.ts";
+import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
+
+// Fleets share the hosts of the loopback interface, so the tests run one at a
+// time.
+const serialTest = test.serial;
+
+const runMilliseconds = 900;
+
+/**
+ * Three VMs; the backend server of the first one is gone. The timers of the
+ * other two nodes fire so late that they confirm an offer only after the first
+ * node expects it.
+ */
+async function withSlowNodes(
+  options: Partial<MeshFleetOptions>,
+  run: (fleet: MeshFleet) => Promise<void>,
+): Promise<void> {
+  const timerDelays = new Map([[1, 500], [2, 500]]);
+  await withMeshFleet({ vms: 3, timerDelays, ...options }, async (fleet) => {
+    await fleet.backends[0]!.crash();
+    scriptAllBackends(fleet, (request, response) => {
+      setTimeout(() => sendCompleteAnswer(request, response), runMilliseconds);
+    });
+    await run(fleet);
+  });
+}
+
+/** A node whose own backend server is gone, and a peer that does not respond. */
+async function withSilentPeer(
+  options: Partial<MeshFleetOptions>,
+  run: (fleet: MeshFleet, peer: SilentPeer) => Promise<void>,
+): Promise<void> {
+  await withMeshFleet({ vms: 1, ...options }, async (fleet) => {
+    const peer = await startSilentPeer(fleet);
+    try {
+      await fleet.backends[0]!.crash();
+      // The node learns of the peer by its next reading of the source.
+      await delay(500);
+      await run(fleet, peer);
+    } finally {
+      peer.close();
+    }
+  });
+}
+
+// Guards against cutting work that a slow node confirms late, and starting it
+// again elsewhere.
+serialTest(
+  "an idempotent call at which a backend server is at work is not given up because its node confirms it late",
+  async (t) => {
+    await withSlowNodes({}, async (fleet) => {
+      const answer = await fleet.call(0);
+      t.is(answer.status, 200);
+      t.is(countRuns(fleet), 1);
+      t.true(fleet.backends.every(({ cancelled }) => cancelled === 0));
+    });
+  },
+);
+
+// Guards against a node in its planned stop that refuses a caller while a
+// backend server is at work on the call.
+serialTest(
+  "a stopping node does not give up a call because another node confirms it late",
+  async (t) => {
+    await withSlowNodes({ stopMilliseconds: 5_000 }, async (fleet) => {
+      const running = fleet.call(0);
+      await delay(200);
+      const stopped = fleet.daemons[0]!.stop();
+      const answer = await running;
+      t.is(answer.status, 200);
+      t.is(countRuns(fleet), 1);
+      t.true(fleet.backends.every(({ cancelled }) => cancelled === 0));
+      t.is(await stopped, 0);
+    });
+  },
+);
+
+// Guards against giving up the work of a VM that is only silent for a while.
+serialTest(
+  "an idempotent call is not given up while the node that has it is silent but its VM accepts connections",
+  async (t) => {
+    await withSilentPeer({}, async (fleet, peer) => {
+      const call = fleet.call(0);
+      t.true(await waitUntil(() => peer.offers.length === 1));
+      await delay(1_100);
+      t.false(peer.offers[0]!.destroyed);
+      peer.answerFirstOffer("cake");
+      const answer = await call;
+      t.is(answer.status, 200);
+      t.is(answer.body, "cake");
+      t.is(peer.offers.length, 1);
+    });
+  },
+);
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -8,45 +8,24 @@
 import { CallEventKind } from "./call_event_kind.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
+import { countRuns } from "../testing/mesh/count_runs.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
-import type { MeshFleetOptions } from "../testing/mesh/mesh_fleet_options.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
-import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
+import { scriptAllBackends } from "../testing/mesh/script_all_backends.ts";
+import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 
 // Fleets share the hosts of the loopback interface, so the tests run one at a
 // time.
 const serialTest = test.serial;
 
-async function withFleet(
-  options: MeshFleetOptions,
-  run: (fleet: MeshFleet) => Promise<void>,
-): Promise<void> {
-  const fleet = await startMeshFleet(options);
-  try {
-    await run(fleet);
-  } finally {
-    await fleet.close();
-  }
-}
-
 const nonIdempotent = { kind: CallKind.NonIdempotent };
 
-function countRuns(fleet: MeshFleet): number {
-  return fleet.backends.reduce((sum, { runs }) => sum + runs.length, 0);
-}
-
-function scriptAll(fleet: MeshFleet, script: MeshBackend["script"]): void {
-  fleet.backends.forEach((backend) => {
-    backend.script = script;
-  });
-}
-
 serialTest(
   "a call gets the complete answer of a backend server, which receives the name of the calling service",
   async (t) => {
-    await withFleet({ vms: 3 }, async (fleet) => {
+    await withMeshFleet({ vms: 3 }, async (fleet) => {
       const answer = await fleet.call(0, { identifier: "order" });
       t.is(answer.status, 200);
       t.is(answer.body, "answer to order");
@@ -61,7 +40,7 @@
 serialTest(
   "headers above the operators' limit are refused, and nothing runs",
   async (t) => {
-    await withFleet({ vms: 1 }, async (fleet) => {
+    await withMeshFleet({ vms: 1 }, async (fleet) => {
       const headers = { "x-long": "x".repeat(17_000) };
       t.is((await fleet.call(0, { headers })).status, 431);
       t.is(countRuns(fleet), 0);
@@ -114,7 +93,7 @@
 serialTest(
   "a node whose event loop was blocked forwards no call of a caller that has left meanwhile",
   async (t) => {
-    await withFleet({ vms: 1 }, async (fleet) => {
+    await withMeshFleet({ vms: 1 }, async (fleet) => {
       await sendAndLeaveWhileBlocked(fleet, { requests: 20 });
       t.is(countRuns(fleet), 0);
       t.is((await fleet.call(0)).status, 200);
@@ -125,7 +104,7 @@
 serialTest(
   "a call to an unknown path is refused with status 404, and nothing runs",
   async (t) => {
-    await withFleet({ vms: 1 }, async (fleet) => {
+    await withMeshFleet({ vms: 1 }, async (fleet) => {
       t.is((await fleet.call(0, { path: "/bread/1" })).status, 404);
       t.is(countRuns(fleet), 0);
     });
@@ -192,8 +171,8 @@
   serialTest(
     `${name}: a non-idempotent call runs once and is not reported as not run`,
     async (t) => {
-      await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
-        scriptAll(fleet, script);
+      await withMeshFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+        scriptAllBackends(fleet, script);
         const answer = await fleet.call(0, { method: "POST", body: "cake" });
         t.is(countRuns(fleet), 1);
         t.true(answer.status >= 500 && answer.status !== 503);
@@ -205,9 +184,9 @@
   serialTest(
     `${name}: an idempotent call is retried at another backend server`,
     async (t) => {
-      await withFleet({ vms: 2 }, async (fleet) => {
+      await withMeshFleet({ vms: 2 }, async (fleet) => {
         let broken = false;
-        scriptAll(fleet, (request, response) => {
+        scriptAllBackends(fleet, (request, response) => {
           if (broken) return sendCompleteAnswer(request, response);
           broken = true;
           script(request, response);
@@ -232,8 +211,8 @@
 serialTest(
   "an answer without a length, which may be incomplete, does not look complete to the caller",
   async (t) => {
-    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
-      scriptAll(fleet, endWithoutLength);
+    await withMeshFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+      scriptAllBackends(fleet, endWithoutLength);
       const answers = [await fleet.call(0), await fleet.call(1)];
       answers.forEach(({ status, headers, body }) => {
         t.is(status, 200);
@@ -249,8 +228,8 @@
 serialTest(
   "an answer without a length: an idempotent call is retried, and the answer is kept",
   async (t) => {
-    await withFleet({ vms: 2 }, async (fleet) => {
-      scriptAll(fleet, endWithoutLength);
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
+      scriptAllBackends(fleet, endWithoutLength);
       t.is((await fleet.call(0)).body, "part");
       t.is(countRuns(fleet), 2);
     });
@@ -260,9 +239,9 @@
 serialTest(
   "a call goes to another backend server if the first one states that it did not run it, whatever the kind",
   async (t) => {
-    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
       let shed = false;
-      scriptAll(fleet, (request, response) => {
+      scriptAllBackends(fleet, (request, response) => {
         if (shed) return sendCompleteAnswer(request, response);
         shed = true;
         response.writeHead(503, { [MeshHeader.NotRun]: "1" }).end();
@@ -273,8 +252,8 @@
 );
 
 serialTest("an extra answer never reaches the next caller", async (t) => {
-  await withFleet({ vms: 1 }, async (fleet) => {
-    scriptAll(fleet, (request, response) => {
+  await withMeshFleet({ vms: 1 }, async (fleet) => {
+    scriptAllBackends(fleet, (request, response) => {
       sendCompleteAnswer(request, response);
       const call = request.headers[MeshHeader.Call];
       setTimeout(() =>
@@ -293,11 +272,11 @@
 serialTest(
   "a second copy of a refusal that names no call does not refuse the next call, which runs",
   async (t) => {
-    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
       const copy =
         `HTTP/1.1 503 X\r\n${MeshHeader.NotRun}: 1\r\ncontent-length: 0\r\n\r\n`;
       let refusing: Socket | undefined;
-      scriptAll(fleet, (request, response) => {
+      scriptAllBackends(fleet, (request, response) => {
         if (refusing === undefined) {
           refusing = request.socket;
           refusing.write(copy);
@@ -320,9 +299,9 @@
 serialTest(
   "a second copy of a probe's answer is not taken for the answer to a call",
   async (t) => {
-    await withFleet({ vms: 1 }, async (fleet) => {
+    await withMeshFleet({ vms: 1 }, async (fleet) => {
       const [backend] = fleet.backends;
-      scriptAll(fleet, (request, response) => {
+      scriptAllBackends(fleet, (request, response) => {
         backend!.probeConnections.forEach((connection) =>
           connection.write("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n")
         );
@@ -341,7 +320,7 @@
 serialTest(
   "a non-idempotent call succeeds although one backend server has crashed",
   async (t) => {
-    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
       await fleet.backends[0]!.crash();
       const answer = await fleet.call(0, { method: "POST" });
       t.is(answer.status, 200);
@@ -353,7 +332,7 @@
 serialTest(
   "without any backend server a call is refused at once as not run, with a retry time",
   async (t) => {
-    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
       await fleet.backends[0]!.crash();
       const startedAt = performance.now();
       const answer = await fleet.call(0, { method: "POST" });
@@ -367,9 +346,9 @@
 serialTest(
   "a caller that leaves cancels its call at the backend server of another VM",
   async (t) => {
-    await withFleet({ vms: 2 }, async (fleet) => {
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
       await fleet.backends[0]!.crash();
-      scriptAll(fleet, () => undefined);
+      scriptAllBackends(fleet, () => undefined);
       const leaving = new AbortController();
       const call = fleet.call(0, { signal: leaving.signal });
       const remoteBackend = fleet.backends[1]!;
@@ -384,10 +363,10 @@
 serialTest(
   "the route's timeout ends the wait for a silent backend server",
   async (t) => {
-    await withFleet(
+    await withMeshFleet(
       { vms: 1, route: { ...nonIdempotent, timeoutMilliseconds: 300 } },
       async (fleet) => {
-        scriptAll(fleet, () => undefined);
+        scriptAllBackends(fleet, () => undefined);
         const startedAt = performance.now();
         const answer = await fleet.call(0, { method: "POST" });
         t.is(answer.status, 504);
@@ -400,12 +379,12 @@
 serialTest(
   "more calls than slots: a backend server never has more calls than slots, and the others wait",
   async (t) => {
-    await withFleet(
+    await withMeshFleet(
       { vms: 1, slots: 2, route: { goalMilliseconds: 1_000 } },
       async (fleet) => {
         let running = 0;
         let most = 0;
-        scriptAll(fleet, (request, response) => {
+        scriptAllBackends(fleet, (request, response) => {
           running += 1;
           most = Math.max(most, running);
           setTimeout(() => {
@@ -426,7 +405,7 @@
 serialTest(
   "a draining backend server gets no new call once the nodes have received its state",
   async (t) => {
-    await withFleet({ vms: 2 }, async (fleet) => {
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
       fleet.publishServer(0, {
         availability: BackendServerAvailability.Draining,
       });
@@ -443,7 +422,7 @@
 serialTest(
   "a zone taken out gets no new call, and gets calls again when it returns",
   async (t) => {
-    await withFleet({ vms: 2 }, async (fleet) => {
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
       fleet.source.put("zones/sul-a", {
         kind: SourceValueKind.ZoneTakenOut,
         zone: "sul-a",
@@ -462,7 +441,7 @@
 serialTest(
   "a backend server that recovers in cold start gets no more calls than its rate limit allows",
   async (t) => {
-    await withFleet({ vms: 1, slots: 50 }, async (fleet) => {
+    await withMeshFleet({ vms: 1, slots: 50 }, async (fleet) => {
       const backend = fleet.backends[0]!;
       await backend.crash();
       await fleet.call(0);
@@ -485,8 +464,8 @@
 serialTest(
   "a stopping node is not ready, serves its callers through other nodes and cuts off no call",
   async (t) => {
-    await withFleet({ vms: 2 }, async (fleet) => {
-      scriptAll(fleet, (request, response) => {
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
+      scriptAllBackends(fleet, (request, response) => {
         setTimeout(() => sendCompleteAnswer(request, response), 200);
       });
       const running = [fleet.call(0), fleet.call(1)];
@@ -504,7 +483,7 @@
 );
 
 serialTest("an outage of the source does not stop calls", async (t) => {
-  await withFleet({ vms: 2 }, async (fleet) => {
+  await withMeshFleet({ vms: 2 }, async (fleet) => {
     fleet.source.setDown(true);
     fleet.source.remove("server/server-0");
     fleet.source.remove("server/server-1");
@@ -516,7 +495,7 @@
 serialTest(
   "a node that restarts without the source refuses calls as not run instead of using an older version",
   async (t) => {
-    await withFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 2, route: nonIdempotent }, async (fleet) => {
       fleet.source.setDown(true);
       await fleet.restart(0);
       t.is(await fleet.fetchReadinessStatus(0), 503);
@@ -540,10 +519,10 @@
   "a stopping node refuses callers that come too late to be served, and cuts nothing",
   async (t) => {
     const route = { timeoutMilliseconds: 6_000, goalMilliseconds: 5_000 };
-    await withFleet(
+    await withMeshFleet(
       { vms: 2, route, stopMilliseconds: 5_000 },
       async (fleet) => {
-        scriptAll(fleet, (request, response) => {
+        scriptAllBackends(fleet, (request, response) => {
           setTimeout(() => sendCompleteAnswer(request, response), 2_500);
         });
         const call = () => fleet.call(0, { remainingMilliseconds: 6_000 });
@@ -565,9 +544,9 @@
 serialTest(
   "a non-idempotent call succeeds although the backend server dropped idle connections without notice",
   async (t) => {
-    await withFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
+    await withMeshFleet({ vms: 1, route: nonIdempotent }, async (fleet) => {
       const used = new Set<unknown>();
-      scriptAll(fleet, (request, response) => {
+      scriptAllBackends(fleet, (request, response) => {
         const { socket } = request;
         // A later request on a dropped connection is reset.
         if (used.has(socket)) return socket.resetAndDestroy();
@@ -584,13 +563,13 @@
 serialTest(
   "a backend server whose entry was removed gets no offers while the source responds",
   async (t) => {
-    await withFleet({ vms: 2, slots: 1 }, async (fleet) => {
+    await withMeshFleet({ vms: 2, slots: 1 }, async (fleet) => {
       // Just after the start, removals do not count yet, since the source may
       // still have to list the live backend servers.
       await delay(2_300);
       fleet.source.remove("server/server-1");
       await delay(1_200);
-      scriptAll(fleet, (request, response) => {
+      scriptAllBackends(fleet, (request, response) => {
         setTimeout(() => sendCompleteAnswer(request, response), 200);
       });
       await Promise.all([0, 0, 0].map((vm) => fleet.call(vm)));
@@ -607,8 +586,8 @@
 serialTest(
   "overload of a large service: a call is offered to a few gates, not to each one",
   async (t) => {
-    await withFleet({ vms: 8, slots: 1 }, async (fleet) => {
-      scriptAll(fleet, (request, response) => {
+    await withMeshFleet({ vms: 8, slots: 1 }, async (fleet) => {
+      scriptAllBackends(fleet, (request, response) => {
         setTimeout(() => sendCompleteAnswer(request, response), 800);
       });
       const filling = Array.from({ length: 24 }, () => fleet.call(0));
--- a/src/testing/mesh/mesh_fleet_options.ts
+++ b/src/testing/mesh/mesh_fleet_options.ts
@@ -9,4 +9,6 @@
   readonly slots?: number;
   /** How long a node may take to stop; 1,000 if omitted. */
   readonly stopMilliseconds?: number;
+  /** By how many milliseconds the timers of the nodes of these indexes fire late. */
+  readonly timerDelays?: ReadonlyMap<number, number>;
 }
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -61,7 +61,7 @@
   });
   entries.forEach(publish);
   const daemons = await Promise.all(
-    settings.map((nodeSettings) => startNode(nodeSettings)),
+    settings.map((_, index) => startNode(index)),
   );
   let callCount = 0;
 
@@ -72,13 +72,17 @@
     });
   }
 
-  async function startNode(nodeSettings: MeshSettings): Promise<MeshDaemon> {
+  async function startNode(index: number): Promise<MeshDaemon> {
     const clock = createMonotonicClock();
-    const started = await startMeshNode(nodeSettings, {
+    const timers = createSystemTimers(clock);
+    const timerDelay = options.timerDelays?.get(index) ?? 0;
+    const started = await startMeshNode(settings[index]!, {
       dialect: testDialect,
       source: source.createClient(),
       clock,
-      timers: createSystemTimers(clock),
+      timers: {
+        at: (instant, callback) => timers.at(instant + timerDelay, callback),
+      },
       random: createRandomSource(1),
       report: {
         call: (event) => void events.push(event),
@@ -110,7 +114,7 @@
     },
     restart: async (index) => {
       await daemons[index]!.stop();
-      daemons[index] = await startNode(settings[index]!);
+      daemons[index] = await startNode(index);
     },
     fetchReadinessStatus: async (index) => {
       const { status } = await sendMeshCall(
