Query the node of an unconfirmed offer instead of cancelling it

Cause: an offering node took silence for failure. It cancelled the offer of an idempotent call when nothing had confirmed it 500 ms after it was sent, while the other node confirms only 200 ms after it has read it.

Ruled out: connections that ended by themselves (both offers ended 501 and 516 ms after they were sent), backend servers that broke off (their runs were cut from outside).

Change: the offering node queries the other one on a new connection, every 500 ms. The offer stays while the node holds it, and while it does not reply but its VM accepts connections. It is given up if the node cannot be reached, has not got the offer (which is refused if it arrives afterwards), or replied on a connection that is silent. The exemption of a stopping node is gone.

--- a/src/mesh/call_event_kind.ts
+++ b/src/mesh/call_event_kind.ts
@@ -13,6 +13,8 @@
   OfferRefused = "offer-refused",
   /** Contact was lost after the call had been sent. */
   OfferLost = "offer-lost",
+  /** The node that a call was offered to was queried for it. */
+  OfferChecked = "offer-checked",
   /** The call is sent again after an attempt that reached a backend server. */
   Retried = "call-repeated",
   /** The exchange with the backend server of this VM ended. */
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -13,6 +13,7 @@
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
+import type { OfferRecords } from "./offer_records.ts";
 import type { ServerProbeState } from "./server_probe_state.ts";
 import type { SlotWaiter } from "./slot_waiter.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
@@ -51,6 +52,8 @@
   readonly probeAgent: Agent;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
+  /** Calls that other nodes offered to this one. */
+  readonly offers: OfferRecords;
   /** By identifier of the backend server. */
   readonly gateViews: Map<string, GateView>;
   /** By route. */
--- /dev/null
+++ b/src/mesh/offer_check.ts
@@ -0,0 +1,11 @@
+import type { OfferCheckKind } from "./offer_check_kind.ts";
+import type { OfferStatus } from "./offer_status.ts";
+
+/** The result of a check of an unconfirmed offer. */
+export type OfferCheck =
+  | {
+    readonly kind: OfferCheckKind.Status;
+    readonly status: OfferStatus;
+  }
+  | { readonly kind: OfferCheckKind.NoReply }
+  | { readonly kind: OfferCheckKind.Unreachable };
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -7,6 +7,11 @@
   Offer = "catkinquay-offer",
   /** On a reply: the outcome of the offer, as JSON. */
   Reply = "catkinquay-reply",
+  /**
+   * On a request: the identifier of a call, to query the status of its offer. On
+   * the reply: that status.
+   */
+  Status = "catkinquay-offer-status",
   /**
    * On a request: the position, as `ERA.REVISION`, after which the sender
    * follows the changes of the source.
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -14,9 +14,8 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
+import { superviseOffer } from "./supervise_offer.ts";
 
-/** A live node confirms within this time that it received an offer. */
-const interimResponseTimeoutMilliseconds = 500;
 const unreachableRetryMilliseconds = 300;
 
 /**
@@ -24,9 +23,8 @@
  *
  * If contact ends before the offer was sent, the call has not run. If it ends
  * without a reply after that, the call may have run. The offer of an idempotent
- * call is cancelled early if the node sends neither an interim response nor a
- * reply. A stopping node does not cancel it, since its caller may have no time
- * left for another attempt and the backend server may be at work.
+ * call is given up early if the node has sent neither an interim response nor a
+ * reply, and a query shows that no reply will arrive.
  */
 export function offerToNode(
   node: MeshNode,
@@ -57,27 +55,26 @@
     });
     destroyOnAbort(outgoing, signal);
     const connection = sendWhenConnected(node, outgoing, request);
-    const interimResponseTimer = node.timers.at(
-      node.clock.now() + interimResponseTimeoutMilliseconds,
-      () => {
-        const mayGiveUp = offer.idempotent && !node.stopping;
-        if (!mayGiveUp && connection.isSent()) return;
-        cause = ContactLossCause.Unconfirmed;
-        outgoing.destroy();
-      },
-    );
-    outgoing.once("information", () => interimResponseTimer.cancel());
+    const supervision = offer.idempotent
+      ? superviseOffer(node, { offer, address, onLost: giveUp })
+      : undefined;
+    outgoing.once("information", () => supervision?.stop());
     outgoing.once("response", (response) => {
-      interimResponseTimer.cancel();
+      supervision?.stop();
       resolve(createOutcome(response));
     });
     outgoing.on("error", handleEnd);
     // A switch of protocols ends the connection without an error.
     outgoing.once("close", handleEnd);
 
+    function giveUp(found: ContactLossCause): void {
+      cause = found;
+      outgoing.destroy();
+    }
+
     /** Has no effect after a response. */
     function handleEnd(): void {
-      interimResponseTimer.cancel();
+      supervision?.stop();
       resolve(
         connection.isSent() ? createLoss(cause) : createUnreachableRefusal(),
       );
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -1,14 +1,19 @@
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import { CallKind } from "../routing/call_kind.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { countRuns } from "../testing/mesh/count_runs.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
 import type { MeshFleetOptions } from "../testing/mesh/mesh_fleet_options.ts";
 import { scriptAllBackends } from "../testing/mesh/script_all_backends.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
+import type { MeshResponse } from "../testing/mesh/mesh_response.ts";
 import type { SilentPeer } from "../testing/mesh/silent_peer.ts";
 import { startSilentPeer } from "../testing/mesh/start_silent_peer.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
+import { CallEventKind } from "./call_event_kind.ts";
+import { ContactLossCause } from "./contact_loss_cause.ts";
+import { OfferStatus } from "./offer_status.ts";
 
 // Fleets share the hosts of the loopback interface, so the tests run one at a
 // time.
@@ -102,3 +107,109 @@
     });
   },
 );
+
+const callsMaximum = 50;
+
+/**
+ * Sends calls one after another until the peer has the offer of one; resolves
+ * with the response to that call, which is the last one.
+ */
+async function callUntilOffered(
+  fleet: MeshFleet,
+  { peer, onOffered }: {
+    readonly peer: SilentPeer;
+    readonly onOffered: () => void;
+  },
+): Promise<MeshResponse | undefined> {
+  let response: MeshResponse | undefined;
+  for (let count = 0; count < callsMaximum; count += 1) {
+    if (peer.offers.length > 0) break;
+    const call = fleet.call(0);
+    const offered = waitUntil(() => peer.offers.length > 0);
+    await Promise.race([call, offered]);
+    if (peer.offers.length > 0) onOffered();
+    response = await call;
+  }
+  return response;
+}
+
+function getLossCauses(fleet: MeshFleet): readonly (string | undefined)[] {
+  return fleet.events
+    .filter(({ kind }) => kind === CallEventKind.OfferLost)
+    .map(({ cause }) => cause);
+}
+
+async function withSilentPeerBesideOwnServer(
+  run: (fleet: MeshFleet, peer: SilentPeer) => Promise<void>,
+): Promise<void> {
+  await withMeshFleet({ vms: 1 }, async (fleet) => {
+    const peer = await startSilentPeer(fleet);
+    try {
+      await delay(500);
+      await run(fleet, peer);
+    } finally {
+      peer.close();
+    }
+  });
+}
+
+// Guards against waiting until the deadline for an offer on a connection that
+// went silent while new ones work.
+serialTest(
+  "an offer that was lost on a silent connection is made to another backend server",
+  async (t) => {
+    await withSilentPeerBesideOwnServer(async (fleet, peer) => {
+      peer.status = OfferStatus.Unknown;
+      const onOffered = () => undefined;
+      const response = await callUntilOffered(fleet, { peer, onOffered });
+      t.is(response?.status, 200);
+      t.is(peer.offers.length, 1);
+      t.deepEqual(getLossCauses(fleet), [ContactLossCause.NotReceived]);
+    });
+  },
+);
+
+// Guards against waiting until the deadline for a reply that was lost on a
+// connection that went silent.
+serialTest(
+  "a call whose reply was lost on a silent connection is offered to another backend server",
+  async (t) => {
+    await withSilentPeerBesideOwnServer(async (fleet, peer) => {
+      peer.status = OfferStatus.Replied;
+      const onOffered = () => undefined;
+      const response = await callUntilOffered(fleet, { peer, onOffered });
+      t.is(response?.status, 200);
+      t.deepEqual(getLossCauses(fleet), [ContactLossCause.ReplyLost]);
+    });
+  },
+);
+
+// Guards against waiting until the deadline for a VM that is gone and closes no
+// connection.
+serialTest(
+  "an offer whose node cannot be reached any more is made to another backend server",
+  async (t) => {
+    await withSilentPeerBesideOwnServer(async (fleet, peer) => {
+      const onOffered = () => peer.stopListening();
+      const response = await callUntilOffered(fleet, { peer, onOffered });
+      t.is(response?.status, 200);
+      t.deepEqual(getLossCauses(fleet), [ContactLossCause.NodeUnreachable]);
+    });
+  },
+);
+
+// Guards against a second run of a call whose node is only silent.
+serialTest(
+  "a non-idempotent call stays with a silent node until its deadline and is not reported as not run",
+  async (t) => {
+    const route = {
+      kind: CallKind.NonIdempotent,
+      timeoutMilliseconds: 1_200,
+    };
+    await withSilentPeer({ route }, async (fleet, peer) => {
+      const answer = await fleet.call(0, { method: "POST" });
+      t.true(answer.status === 502 || answer.status === 504);
+      t.is(peer.offers.length, 1);
+    });
+  },
+);
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { match } from "ts-pattern";
+import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
@@ -13,9 +14,11 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
+import { releaseOffer } from "./release_offer.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 import { reportInternalError } from "./report_internal_error.ts";
+import { tryHoldOffer } from "./try_hold_offer.ts";
 
 const refusedStatus = 503;
 const lostStatus = 502;
@@ -43,6 +46,25 @@
     response.writeHead(invalidStatus).end();
     return;
   }
+  const { callIdentifier } = offer;
+  const isHeld = tryHoldOffer(node.offers, {
+    callIdentifier,
+    now: node.clock.now(),
+  });
+  if (!isHeld) {
+    request.resume();
+    const reason = RefusalReason.Fenced;
+    writeOutcome(
+      node,
+      response,
+      createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
+    );
+    return;
+  }
+  response.once(
+    "close",
+    () => releaseOffer(node.offers, { callIdentifier, now: node.clock.now() }),
+  );
   // The other node closes the connection when its caller disconnects.
   const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = node.timers.at(
@@ -54,10 +76,7 @@
   processOffer(node, request, { offer, signal: cancellation.signal })
     .then((outcome) => writeOutcome(node, response, outcome))
     .catch((error: unknown) => {
-      reportInternalError(node, {
-        callIdentifier: offer.callIdentifier,
-        error,
-      });
+      reportInternalError(node, { callIdentifier, error });
       // Without a reply, the other node assumes that the call may have run.
       response.destroy();
     })
--- a/src/mesh/serve_offer_test.ts
+++ b/src/mesh/serve_offer_test.ts
@@ -1,12 +1,21 @@
 import test from "ava";
 import { once } from "node:events";
-import { type IncomingMessage, request as sendRequest } from "node:http";
+import {
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  request as sendRequest,
+} from "node:http";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createSampleOffer } from "../testing/mesh/create_sample_offer.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
 import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
 import { encodeOffer } from "./encode_offer.ts";
+import { decodeReply } from "./decode_reply.ts";
 import { OfferHeader } from "./offer_header.ts";
+import { OfferStatus } from "./offer_status.ts";
 
 const serialTest = test.serial;
 
@@ -17,20 +26,7 @@
 async function countInterimResponses(fleet: MeshFleet): Promise<number> {
   const { host, port } = fleet.settings[0]!.listeners.nodes;
   const now = Date.now();
-  const deadline = now + 3_000;
-  const offer = encodeOffer({
-    callIdentifier: "offered",
-    service: fleet.settings[0]!.service,
-    identifier: "server-0",
-    callerService: "vitrine",
-    route: "cakes",
-    idempotent: true,
-    priority: 2,
-    deadline,
-    goalDeadline: deadline,
-    waitDeadline: deadline,
-    mayComeBack: true,
-  }, now);
+  const offer = encodeOffer(createSampleOffer("offered", { now }), now);
   const request = sendRequest({
     host,
     port,
@@ -46,6 +42,20 @@
   return interimResponses;
 }
 
+/** Sends a request to the listener for other nodes; resolves with the headers of the response. */
+async function requestAsNode(
+  fleet: MeshFleet,
+  headers: OutgoingHttpHeaders,
+): Promise<IncomingHttpHeaders> {
+  const { host, port } = fleet.settings[0]!.listeners.nodes;
+  const request = sendRequest({ host, port, path: "/cakes/1", headers });
+  request.end();
+  const [answer] = await once(request, "response") as [IncomingMessage];
+  answer.resume();
+  await once(answer, "end");
+  return answer.headers;
+}
+
 serialTest(
   "an offer that is answered soon gets no interim response",
   async (t) => {
@@ -66,3 +76,27 @@
     await fleet.close();
   },
 );
+
+// Guards against running a call after another node was told that it had not
+// arrived, and gave it up.
+serialTest(
+  "an offer that was queried before it arrived is refused and does not run",
+  async (t) => {
+    const fleet = await startMeshFleet({ vms: 1 });
+    const query = { [OfferHeader.Status]: "late" };
+    const queried = await requestAsNode(fleet, query);
+    t.is(queried[OfferHeader.Status], OfferStatus.Unknown);
+    const now = Date.now();
+    const offered = await requestAsNode(fleet, {
+      [OfferHeader.Offer]: encodeOffer(
+        createSampleOffer("late", { now }),
+        now,
+      ),
+      [MeshHeader.Call]: "late",
+    });
+    const reply = decodeReply(offered[OfferHeader.Reply]);
+    t.is(reply?.reason, RefusalReason.Fenced);
+    t.deepEqual(fleet.backends[0]!.runs, []);
+    await fleet.close();
+  },
+);
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -4,16 +4,25 @@
 import { OfferHeader } from "./offer_header.ts";
 import { serveFeed } from "./serve_feed.ts";
 import { serveOffer } from "./serve_offer.ts";
+import { serveOfferStatus } from "./serve_offer_status.ts";
 
 /**
- * Serves a request of another node: the offer of a call, or a subscription to
- * the feed.
+ * Serves a request of another node: the offer of a call, a query for the status
+ * of one, or a subscription to the feed.
  */
 export function servePeer(
   node: MeshNode,
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
+  const callIdentifier = request.headers[OfferHeader.Status];
+  if (callIdentifier !== undefined) {
+    serveOfferStatus(node, request, {
+      callIdentifier: String(callIdentifier),
+      response,
+    });
+    return;
+  }
   const after = request.headers[OfferHeader.Feed];
   if (after === undefined) {
     serveOffer(node, request, response);
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -40,6 +40,7 @@
       intervalMilliseconds: maintenanceIntervalMilliseconds,
       now: node.clock.now(),
     });
+    node.offers.recent.sweep(node.clock.now());
     probeBackendServer(node);
     updateGate(node);
   }, maintenanceIntervalMilliseconds);
--- a/src/testing/mesh/silent_peer.ts
+++ b/src/testing/mesh/silent_peer.ts
@@ -1,13 +1,17 @@
 import type { Socket } from "node:net";
+import type { OfferStatus } from "../../mesh/offer_status.ts";
 
-/** A peer that accepts connections and sends nothing of its own accord. */
+/** A peer that accepts connections and sends nothing but what a test sets. */
 export interface SilentPeer {
   /** Identifier of the backend server that it is registered beside. */
   readonly identifier: string;
   /** Connections on which the offer of a call arrived. */
   readonly offers: readonly Socket[];
-  /** Number of connections accepted. */
-  readonly connections: number;
+  /**
+   * The status that it replies to a query for an offer; undefined means that it
+   * sends nothing.
+   */
+  status: OfferStatus | undefined;
   /** Answers the first offer as the node beside a backend server would. */
   answerFirstOffer(body: string): void;
   /** Closes the listener; open connections stay open. */
--- a/src/testing/mesh/start_silent_peer.ts
+++ b/src/testing/mesh/start_silent_peer.ts
@@ -2,6 +2,7 @@
 import { createServer, type Socket } from "node:net";
 import { OfferHeader } from "../../mesh/offer_header.ts";
 import { OfferOutcomeKind } from "../../mesh/offer_outcome_kind.ts";
+import type { OfferStatus } from "../../mesh/offer_status.ts";
 import { SourceValueKind } from "../../source/source_value_kind.ts";
 import { createSampleEntry } from "./create_sample_entry.ts";
 import type { MeshFleet } from "./mesh_fleet.ts";
@@ -28,22 +29,16 @@
     socket.on("error", () => undefined);
     socket.on("data", (data) => {
       if (data.includes(`${OfferHeader.Offer}:`)) offers.push(socket);
+      const isQuery = data.includes(`${OfferHeader.Status}:`);
+      if (isQuery && peer.status !== undefined) {
+        socket.write(createStatusReply(peer.status));
+      }
     });
   });
-  server.listen(listeners.nodes.port, host);
-  await once(server, "listening");
-  fleet.source.put(`server/${identifier}`, {
-    kind: SourceValueKind.BackendServer,
-    entry: {
-      ...createSampleEntry({ identifier, service, address: { host, port: 1 } }),
-    },
-  });
-  return {
+  const peer: SilentPeer = {
     identifier,
     offers,
-    get connections() {
-      return sockets.size;
-    },
+    status: undefined,
     answerFirstOffer: (body) => void offers[0]?.write(createAnswer(body)),
     stopListening: () => void server.close(),
     close: () => {
@@ -51,6 +46,25 @@
       sockets.forEach((socket) => socket.destroy());
     },
   };
+  server.listen(listeners.nodes.port, host);
+  await once(server, "listening");
+  fleet.source.put(`server/${identifier}`, {
+    kind: SourceValueKind.BackendServer,
+    entry: {
+      ...createSampleEntry({ identifier, service, address: { host, port: 1 } }),
+    },
+  });
+  return peer;
+}
+function createStatusReply(status: OfferStatus): string {
+  const lines = [
+    "HTTP/1.1 200 OK",
+    `${OfferHeader.Status}: ${status}`,
+    "content-length: 0",
+    "",
+    "",
+  ];
+  return lines.join("\r\n");
 }
 
 function createAnswer(body: string): string {
