--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -4,6 +4,7 @@
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { CallRequest } from "./call_request.ts";
+import { ContactLossCause } from "./contact_loss_cause.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { encodeOffer } from "./encode_offer.ts";
@@ -13,9 +14,8 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
+import { superviseOffer } from "./supervise_offer.ts";
 
-/** A live node confirms within this time that it received an offer. */
-const interimResponseTimeoutMilliseconds = 500;
 const unreachableRetryMilliseconds = 300;
 
 /**
@@ -23,9 +23,8 @@
  *
  * If contact ends before the offer was sent, the call has not run. If it ends
  * without a reply after that, the call may have run. The offer of an idempotent
- * call is cancelled early if the node sends neither an interim response nor a
- * reply. A stopping node does not cancel it, since its caller may have no time
- * left for another attempt and the backend server may be at work.
+ * call is given up early if the node has sent neither an interim response nor a
+ * reply, and a query shows that no reply will arrive.
  */
 export function offerToNode(
   node: MeshNode,
@@ -38,6 +37,7 @@
 ): Promise<OfferOutcome> {
   const { offer, address, signal } = options;
   return new Promise((resolve) => {
+    let cause = ContactLossCause.ConnectionEnded;
     const outgoing = sendRequest({
       agent: node.nodesAgent,
       host: address.host,
@@ -55,34 +55,38 @@
     });
     destroyOnAbort(outgoing, signal);
     const connection = sendWhenConnected(node, outgoing, request);
-    const interimResponseTimer = node.timers.at(
-      node.clock.now() + interimResponseTimeoutMilliseconds,
-      () => {
-        const mayGiveUp = offer.idempotent && !node.stopping;
-        if (mayGiveUp || !connection.isSent()) outgoing.destroy();
-      },
-    );
-    outgoing.once("information", () => interimResponseTimer.cancel());
+    const supervision = offer.idempotent
+      ? superviseOffer(node, { offer, address, onLost: giveUp })
+      : undefined;
+    outgoing.once("information", () => supervision?.stop());
     outgoing.once("response", (response) => {
-      interimResponseTimer.cancel();
+      supervision?.stop();
       resolve(createOutcome(response));
     });
     outgoing.on("error", handleEnd);
     // A switch of protocols ends the connection without an error.
     outgoing.once("close", handleEnd);
 
+    function giveUp(found: ContactLossCause): void {
+      cause = found;
+      outgoing.destroy();
+    }
+
     /** Has no effect after a response. */
     function handleEnd(): void {
-      interimResponseTimer.cancel();
-      resolve(connection.isSent() ? createLoss() : createUnreachableRefusal());
+      supervision?.stop();
+      resolve(
+        connection.isSent() ? createLoss(cause) : createUnreachableRefusal(),
+      );
     }
   });
 }
 
-function createLoss(): OfferOutcome {
+function createLoss(cause: ContactLossCause): OfferOutcome {
   return {
     kind: OfferOutcomeKind.Lost,
     reason: RefusalReason.ContactLost,
+    cause,
     load: undefined,
   };
 }
@@ -101,7 +105,7 @@
   const reply = decodeReply(response.headers[OfferHeader.Reply]);
   if (reply === undefined) {
     response.destroy();
-    return createLoss();
+    return createLoss(ContactLossCause.ConnectionEnded);
   }
   const { load } = reply;
   if (reply.kind !== OfferOutcomeKind.Answered) response.resume();
@@ -125,6 +129,7 @@
     .with(OfferOutcomeKind.Lost, (kind) => ({
       kind,
       reason: reply.reason ?? RefusalReason.ContactLost,
+      cause: undefined,
       load,
     }))
     .exhaustive();
