Wait at the end of a stop for offers that have no reply yet

A stopping node counted its callers' calls and those that occupy a slot, so an offer whose body was still being read, or whose reply was not written to its end, was cut when the process ended. Its caller was told that the outcome is unknown. The node now waits for every offer it holds. The test fails before.

--- a/src/mesh/stop_mesh_node.ts
+++ b/src/mesh/stop_mesh_node.ts
@@ -37,7 +37,7 @@
   return new Promise((resolve) => {
     function checkCompletion(): void {
       const now = node.clock.now();
-      const running = node.callerCalls + node.gate.running.size;
+      const running = node.callerCalls + node.offers.held.size;
       const isDone = now >= earliest && running === 0;
       if (!isDone && now < latest) {
         node.timers.at(now + pollMilliseconds, checkCompletion);
--- /dev/null
+++ b/src/mesh/stop_mesh_node_test.ts
@@ -0,0 +1,77 @@
+import test from "ava";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { waitUntil } from "../testing/calls/wait_until.ts";
+import { createSampleOffer } from "../testing/mesh/create_sample_offer.ts";
+import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
+import { encodeOffer } from "./encode_offer.ts";
+import { OfferHeader } from "./offer_header.ts";
+
+// Fleets share the hosts of the loopback interface, so the tests run one at a
+// time.
+const serialTest = test.serial;
+
+/** A connection to a node's listener for other nodes, and what was received on it. */
+interface PeerConnection {
+  readonly socket: Socket;
+  readonly received: () => string;
+}
+
+async function connectAsPeer(fleet: MeshFleet): Promise<PeerConnection> {
+  const { host, port } = fleet.settings[0]!.listeners.nodes;
+  const socket = connect(port, host);
+  let text = "";
+  socket.on("data", (data) => {
+    text += data.toString();
+  });
+  socket.on("error", () => undefined);
+  await once(socket, "connect");
+  return { socket, received: () => text };
+}
+
+function formatOfferHead(
+  callIdentifier: string,
+  { bodyBytes }: { readonly bodyBytes: number },
+): string {
+  const now = Date.now();
+  const offer = encodeOffer(createSampleOffer(callIdentifier, { now }), now);
+  const lines = [
+    "POST /cakes/1 HTTP/1.1",
+    "host: shop.example",
+    `${OfferHeader.Offer}: ${offer}`,
+    `${MeshHeader.Call}: ${callIdentifier}`,
+    `content-length: ${bodyBytes}`,
+    "",
+    "",
+  ];
+  return lines.join("\r\n");
+}
+
+function countReplies(connection: PeerConnection): number {
+  return connection.received().split(`${OfferHeader.Reply}:`).length - 1;
+}
+
+// Guards against cutting an offer that the node had accepted: its caller would
+// be told that the outcome is unknown, although the call has not run.
+serialTest(
+  "a planned stop waits for an offer whose body is still being sent",
+  async (t) => {
+    await withMeshFleet({ vms: 1, stopMilliseconds: 5_000 }, async (fleet) => {
+      const connection = await connectAsPeer(fleet);
+      const stopped = fleet.daemons[0]!.stop();
+      await delay(2_400);
+      connection.socket.write(formatOfferHead("order", { bodyBytes: 8 }));
+      connection.socket.write("half");
+      await delay(700);
+      connection.socket.write("half");
+      t.true(await waitUntil(() => countReplies(connection) === 1));
+      t.true(connection.received().includes(RefusalReason.NodeDraining));
+      await stopped;
+      t.deepEqual(fleet.backends[0]!.runs, []);
+    });
+  },
+);
