Refuse offers that cross the end of a stop instead of resetting them

At the end of a stop the listeners were destroyed at once. An offer in transit on an idle connection was reset, so a non-idempotent call that had not run got 502 from its own node. Callers' connections end as before: a response without a request must not be written to them.

--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -4,6 +4,7 @@
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
+import { createReplyHeaders } from "./create_reply_headers.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import type { GateOffer } from "./gate_offer.ts";
@@ -115,7 +116,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...createReplyHeaders(node, { kind, framed, load }),
+        ...createHeaders(node, { kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
@@ -127,7 +128,7 @@
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
         refusedStatus,
-        createReplyHeaders(node, {
+        createHeaders(node, {
           kind,
           reason,
           retryMilliseconds,
@@ -139,16 +140,15 @@
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
         lostStatus,
-        createReplyHeaders(node, { kind, reason, load }),
+        createHeaders(node, { kind, reason, load }),
       ).end();
     })
     .exhaustive();
 }
 
-function createReplyHeaders(node: MeshNode, message: ReplyMessage): string[] {
+function createHeaders(node: MeshNode, message: ReplyMessage): string[] {
   return [
-    OfferHeader.Reply,
-    JSON.stringify(message),
+    ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
     ...(node.stopping ? ["connection", "close"] : []),
   ];
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -6,6 +6,7 @@
 import type { Timers } from "../runtime/timers.ts";
 import type { SourceClient } from "../source/source_client.ts";
 import type { CallDialect } from "./call_dialect.ts";
+import { closeNodesListener } from "./close_nodes_listener.ts";
 import { createMeshNode } from "./create_mesh_node.ts";
 import { followMeshSource } from "./follow_mesh_source.ts";
 import { maintenanceIntervalMilliseconds } from "./maintenance_interval_milliseconds.ts";
@@ -33,7 +34,7 @@
   const node = createMeshNode(settings, options);
   const opened = await openMeshListeners(node);
   if (opened.isErr) return Result.err(opened.error);
-  const [callers] = opened.value;
+  const [callers, nodes] = opened.value;
   const follower = followMeshSource(node, { client: options.source, callers });
   const maintenance = setInterval(() => {
     recordLoopCheck(node.loopLag, {
@@ -50,6 +51,7 @@
       const cutCalls = await stopMeshNode(node);
       clearInterval(maintenance);
       follower.stop();
+      if (nodes !== undefined) await closeNodesListener(node, nodes);
       opened.value.forEach((listener) => listener.destroy());
       node.backendAgent.destroy();
       node.probeAgent.destroy();
--- a/src/mesh/stop_mesh_node_test.ts
+++ b/src/mesh/stop_mesh_node_test.ts
@@ -75,3 +75,24 @@
     });
   },
 );
+
+// Guards against a reset of an offer that is in transit when its connection
+// closes: the outcome would be unknown, although the call has not run.
+serialTest(
+  "an offer that crosses the close of an idle connection at the end of a stop gets the reply that it has not run",
+  async (t) => {
+    await withMeshFleet({ vms: 1, stopMilliseconds: 5_000 }, async (fleet) => {
+      const connection = await connectAsPeer(fleet);
+      connection.socket.write(formatOfferHead("first", { bodyBytes: 0 }));
+      t.true(await waitUntil(() => countReplies(connection) === 1));
+      const ended = once(connection.socket, "end");
+      await fleet.daemons[0]!.stop();
+      connection.socket.write(formatOfferHead("crossing", { bodyBytes: 0 }));
+      await ended;
+      t.is(countReplies(connection), 2);
+      t.true(connection.received().includes(RefusalReason.NodeDraining));
+      t.deepEqual(fleet.backends[0]!.runs, ["first"]);
+      connection.socket.destroy();
+    });
+  },
+);
