Notice a connection that was established while the event loop was blocked

The timeout of a connection attempt fires before its completion is read when the event loop was blocked for longer, so another VM counted as unreachable because this one was slow: its offers went elsewhere and it was avoided. The timer now lets the loop read the completion first. The test fails before.

--- a/src/mesh/track_connection.ts
+++ b/src/mesh/track_connection.ts
@@ -25,8 +25,10 @@
       handleConnected(false);
       return;
     }
+    // A late timer fires before a connection that was established meanwhile is
+    // noticed.
     const timeout = setTimeout(
-      () => socket.destroy(new ConnectTimeoutError(connectTimeoutMilliseconds)),
+      () => setImmediate(() => destroyIfConnecting(socket)),
       connectTimeoutMilliseconds,
     );
     socket.once("connect", () => {
@@ -37,3 +39,8 @@
   });
   return { isConnected: () => connected };
 }
+
+function destroyIfConnecting(socket: Socket): void {
+  if (!socket.connecting) return;
+  socket.destroy(new ConnectTimeoutError(connectTimeoutMilliseconds));
+}
