Give up an unconfirmed offer only when its VM is gone or its node says so

The test of a non-idempotent call at a silent node accepted an early refusal; it checks the time and the connection now.

--- a/src/mesh/check_offer.ts
+++ b/src/mesh/check_offer.ts
@@ -1,4 +1,4 @@
-import { get } from "node:http";
+import { get, type IncomingMessage } from "node:http";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferCheck } from "./offer_check.ts";
@@ -8,6 +8,7 @@
 import { trackConnection } from "./track_connection.ts";
 
 const replyTimeoutMilliseconds = 500;
+const rejectedCode = "ECONNREFUSED";
 
 const statuses: readonly unknown[] = Object.values(OfferStatus);
 
@@ -19,44 +20,48 @@
   node: MeshNode,
   options: {
     readonly address: NetworkAddress;
-    readonly callIdentifier: string;
+    readonly offerIdentifier: string;
   },
 ): Promise<OfferCheck> {
-  const { address, callIdentifier } = options;
+  const { address, offerIdentifier } = options;
   return new Promise((resolve) => {
+    let failure: OfferCheck = { kind: OfferCheckKind.NotConnected };
     const request = get({
       agent: false,
       host: address.host,
       port: address.port,
-      headers: { [OfferHeader.Status]: callIdentifier },
+      headers: { [OfferHeader.Status]: offerIdentifier },
+    });
+    trackConnection(request, () => {
+      failure = { kind: OfferCheckKind.NoReply };
     });
-    const connection = trackConnection(request);
     const timer = node.timers.at(
       node.clock.now() + replyTimeoutMilliseconds,
-      () => request.destroy(),
+      // Lets a reply be read that arrived before the timer fired.
+      () => setImmediate(() => request.destroy()),
     );
     request.once("response", (response) => {
       response.resume();
-      const status = response.headers[OfferHeader.Status];
-      resolve(
-        isOfferStatus(status)
-          ? { kind: OfferCheckKind.Status, status }
-          : { kind: OfferCheckKind.NoReply },
-      );
+      resolve(readCheck(response));
+    });
+    request.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code !== rejectedCode) return;
+      failure = { kind: OfferCheckKind.Rejected };
     });
-    // The close that follows ends the check.
-    request.on("error", () => undefined);
     request.once("close", () => {
       timer.cancel();
-      resolve({
-        kind: connection.isConnected()
-          ? OfferCheckKind.NoReply
-          : OfferCheckKind.Unreachable,
-      });
+      resolve(failure);
     });
   });
 }
 
+function readCheck(response: IncomingMessage): OfferCheck {
+  const status = response.headers[OfferHeader.Status];
+  return isOfferStatus(status)
+    ? { kind: OfferCheckKind.Status, status }
+    : { kind: OfferCheckKind.NotSupported };
+}
+
 function isOfferStatus(input: unknown): input is OfferStatus {
   return statuses.includes(input);
 }
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -1,4 +1,5 @@
 import { tryParseJson } from "../daemon/try_parse_json.ts";
+import { createOfferIdentifier } from "./create_offer_identifier.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { OfferMessage } from "./offer_message.ts";
 
@@ -15,6 +16,7 @@
   if (!isOfferMessage(message)) return undefined;
   return {
     callIdentifier: message.call,
+    offerIdentifier: message.offer ?? createOfferIdentifier(),
     service: message.service,
     identifier: message.identifier,
     callerService: message.callerService,
@@ -45,7 +47,9 @@
     message.waitMilliseconds,
   ];
   const flags = [message.idempotent, message.mayComeBack];
-  return flags.every((flag) => typeof flag === "boolean") &&
+  const isOfferValid = message.offer === undefined ||
+    typeof message.offer === "string";
+  return isOfferValid && flags.every((flag) => typeof flag === "boolean") &&
     texts.every((text) => typeof text === "string") &&
     numbers.every((number) => Number.isFinite(number));
 }
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -8,6 +8,7 @@
 export function encodeOffer(offer: GateOffer, now: number): string {
   const message: OfferMessage = {
     call: offer.callIdentifier,
+    offer: offer.offerIdentifier,
     service: offer.service,
     identifier: offer.identifier,
     callerService: offer.callerService,
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -5,6 +5,8 @@
  * a slot, and the data that forwarding needs.
  */
 export interface GateOffer extends SlotRequest {
+  /** Identifies this offer among all offers of all calls. */
+  readonly offerIdentifier: string;
   readonly service: string;
   /** Identifier of the intended incarnation. */
   readonly identifier: string;
--- a/src/mesh/get_offer_status.ts
+++ b/src/mesh/get_offer_status.ts
@@ -8,14 +8,14 @@
  */
 export function getOfferStatus(
   records: OfferRecords,
-  options: { readonly callIdentifier: string; readonly now: number },
+  options: { readonly offerIdentifier: string; readonly now: number },
 ): OfferStatus {
-  const { callIdentifier, now } = options;
-  if (records.held.has(callIdentifier)) return OfferStatus.Held;
-  const recent = records.recent.get(callIdentifier, now);
+  const { offerIdentifier, now } = options;
+  if (records.held.has(offerIdentifier)) return OfferStatus.Held;
+  const recent = records.recent.get(offerIdentifier, now);
   if (recent !== undefined) return recent;
   records.recent.set(
-    callIdentifier,
+    offerIdentifier,
     OfferStatus.Unknown,
     now + recentOfferMilliseconds,
   );
--- a/src/mesh/offer_check.ts
+++ b/src/mesh/offer_check.ts
@@ -7,5 +7,7 @@
     readonly kind: OfferCheckKind.Status;
     readonly status: OfferStatus;
   }
+  | { readonly kind: OfferCheckKind.NotSupported }
   | { readonly kind: OfferCheckKind.NoReply }
-  | { readonly kind: OfferCheckKind.Unreachable };
+  | { readonly kind: OfferCheckKind.Rejected }
+  | { readonly kind: OfferCheckKind.NotConnected };
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -8,8 +8,8 @@
   /** On a reply: the outcome of the offer, as JSON. */
   Reply = "catkinquay-reply",
   /**
-   * On a request: the identifier of a call, to query the status of its offer. On
-   * the reply: that status.
+   * On a request: the identifier of an offer, to query its status. On the reply:
+   * that status.
    */
   Status = "catkinquay-offer-status",
   /**
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -5,6 +5,8 @@
 export interface OfferMessage {
   /** Identifier of the call. */
   readonly call: string;
+  /** Identifier of the offer. Nodes of earlier versions do not send it. */
+  readonly offer?: string;
   readonly service: string;
   /** Identifier of the intended incarnation of the backend server. */
   readonly identifier: string;
--- a/src/mesh/offer_records.ts
+++ b/src/mesh/offer_records.ts
@@ -3,7 +3,7 @@
 
 /** What a node knows of the calls that other nodes offered to it. Mutable. */
 export interface OfferRecords {
-  /** Call identifiers of the offers that have no reply yet. */
+  /** Identifiers of the offers that have no reply yet. */
   readonly held: Set<string>;
   /** Offers that had a reply, and those queried before they arrived. */
   readonly recent: ExpiringMap<OfferStatus.Replied | OfferStatus.Unknown>;
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -24,7 +24,7 @@
  * If contact ends before the offer was sent, the call has not run. If it ends
  * without a reply after that, the call may have run. The offer of an idempotent
  * call is given up early if the node has sent neither an interim response nor a
- * reply, and a query shows that no reply will arrive.
+ * reply, and queries show that no reply can be expected.
  */
 export function offerToNode(
   node: MeshNode,
@@ -33,9 +33,11 @@
     readonly offer: GateOffer;
     readonly address: NetworkAddress;
     readonly signal: AbortSignal;
+    /** Whether another attempt may follow if this offer is given up. */
+    readonly canRetry: boolean;
   },
 ): Promise<OfferOutcome> {
-  const { offer, address, signal } = options;
+  const { offer, address, signal, canRetry } = options;
   return new Promise((resolve) => {
     let cause = ContactLossCause.ConnectionEnded;
     const outgoing = sendRequest({
@@ -56,7 +58,7 @@
     destroyOnAbort(outgoing, signal);
     const connection = sendWhenConnected(node, outgoing, request);
     const supervision = offer.idempotent
-      ? superviseOffer(node, { offer, address, onLost: giveUp })
+      ? superviseOffer(node, { offer, address, canRetry, onLost: giveUp })
       : undefined;
     outgoing.once("information", () => supervision?.stop());
     outgoing.once("response", (response) => {
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -8,11 +8,13 @@
 import { scriptAllBackends } from "../testing/mesh/script_all_backends.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import type { MeshResponse } from "../testing/mesh/mesh_response.ts";
+import { startBlockedPeer } from "../testing/mesh/start_blocked_peer.ts";
 import type { SilentPeer } from "../testing/mesh/silent_peer.ts";
 import { startSilentPeer } from "../testing/mesh/start_silent_peer.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import { ContactLossCause } from "./contact_loss_cause.ts";
+import { OfferCheckKind } from "./offer_check_kind.ts";
 import { OfferStatus } from "./offer_status.ts";
 
 // Fleets share the hosts of the loopback interface, so the tests run one at a
@@ -198,18 +200,59 @@
   },
 );
 
-// Guards against a second run of a call whose node is only silent.
+// Guards against a second run of a call whose node is only silent, and against
+// an early refusal in place of its answer.
 serialTest(
   "a non-idempotent call stays with a silent node until its deadline and is not reported as not run",
   async (t) => {
     const route = {
       kind: CallKind.NonIdempotent,
-      timeoutMilliseconds: 1_200,
+      timeoutMilliseconds: 1_400,
     };
     await withSilentPeer({ route }, async (fleet, peer) => {
-      const answer = await fleet.call(0, { method: "POST" });
+      const startedAt = performance.now();
+      const call = fleet.call(0, { method: "POST" });
+      t.true(await waitUntil(() => peer.offers.length === 1));
+      await delay(1_100);
+      t.false(peer.offers[0]!.destroyed);
+      const answer = await call;
       t.true(answer.status === 502 || answer.status === 504);
+      t.true(performance.now() - startedAt >= route.timeoutMilliseconds);
       t.is(peer.offers.length, 1);
     });
   },
 );
+
+// Guards against a refusal of a call that runs, for lost packets or a full
+// accept queue.
+serialTest(
+  "a call without another attempt stays at a VM that accepts no connections, also while its node stops",
+  async (t) => {
+    const route = { attemptsMaximum: 1, timeoutMilliseconds: 4_000 };
+    const options = { vms: 1, route, stopMilliseconds: 6_000 };
+    await withMeshFleet(options, async (fleet) => {
+      const peer = await startBlockedPeer(fleet);
+      try {
+        await fleet.backends[0]!.crash();
+        await delay(500);
+        const call = fleet.call(0, { remainingMilliseconds: 4_000 });
+        await peer.offered;
+        const stopped = fleet.daemons[0]!.stop();
+        await delay(2_000);
+        peer.resume();
+        const answer = await call;
+        t.is(answer.status, 200);
+        t.is(answer.body, "cake");
+        t.is(await stopped, 0);
+        const checks = fleet.events.filter(({ kind }) =>
+          kind === CallEventKind.OfferChecked
+        );
+        t.true(
+          checks.some(({ outcome }) => outcome === OfferCheckKind.NotConnected),
+        );
+      } finally {
+        await peer.close();
+      }
+    });
+  },
+);
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -5,6 +5,7 @@
 import type { CallPlan } from "./call_plan.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
+import { canRetryAfterAttempt } from "./can_retry_after_attempt.ts";
 import { chooseCandidate } from "./choose_candidate.ts";
 import { createCallProgress } from "./create_call_progress.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
@@ -64,6 +65,7 @@
     const outcome = await sendOffer(node, progress.plan, {
       candidate,
       waitDeadline,
+      canRetry: canRetryAfterAttempt(progress),
     });
     if (outcome.load !== undefined) {
       recordLoad(view, { load: outcome.load, now: node.clock.now() });
--- a/src/mesh/release_offer.ts
+++ b/src/mesh/release_offer.ts
@@ -8,12 +8,12 @@
  */
 export function releaseOffer(
   records: OfferRecords,
-  options: { readonly callIdentifier: string; readonly now: number },
+  options: { readonly offerIdentifier: string; readonly now: number },
 ): void {
-  const { callIdentifier, now } = options;
-  records.held.delete(callIdentifier);
+  const { offerIdentifier, now } = options;
+  records.held.delete(offerIdentifier);
   records.recent.set(
-    callIdentifier,
+    offerIdentifier,
     OfferStatus.Replied,
     now + recentOfferMilliseconds,
   );
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -1,6 +1,7 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { CallKind } from "../routing/call_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
+import { createOfferIdentifier } from "./create_offer_identifier.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { offerToNode } from "./offer_to_node.ts";
@@ -16,11 +17,14 @@
   options: {
     readonly candidate: GateCandidate;
     readonly waitDeadline: number;
+    /** Whether another attempt may follow this one. */
+    readonly canRetry: boolean;
   },
 ): Promise<OfferOutcome> {
   const { entry } = options.candidate;
   const offer = {
     callIdentifier: plan.callIdentifier,
+    offerIdentifier: createOfferIdentifier(),
     service: plan.service,
     identifier: entry.identifier,
     callerService: node.settings.service,
@@ -41,6 +45,7 @@
     : offerToNode(node, request, {
       offer,
       signal,
+      canRetry: options.canRetry,
       address: { host: entry.address.host, port: listeners.nodes.port },
     });
 }
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -27,7 +27,7 @@
 /**
  * Delay of the interim response that confirms to the other node that this one
  * received the offer. Most answers arrive sooner; the delay is well below the
- * time after which the other node cancels the offer.
+ * time after which the other node queries for the offer.
  */
 const interimResponseDelayMilliseconds = 200;
 
@@ -47,12 +47,9 @@
     response.writeHead(invalidStatus).end();
     return;
   }
-  const { callIdentifier } = offer;
-  const isHeld = tryHoldOffer(node.offers, {
-    callIdentifier,
-    now: node.clock.now(),
-  });
-  if (!isHeld) {
+  const { callIdentifier, offerIdentifier } = offer;
+  const now = node.clock.now();
+  if (!tryHoldOffer(node.offers, { offerIdentifier, now })) {
     request.resume();
     const reason = RefusalReason.Fenced;
     writeOutcome(
@@ -62,10 +59,7 @@
     );
     return;
   }
-  response.once(
-    "close",
-    () => releaseOffer(node.offers, { callIdentifier, now: node.clock.now() }),
-  );
+  releaseAtClose(node, { request, response, offerIdentifier });
   // The other node closes the connection when its caller disconnects.
   const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = node.timers.at(
@@ -84,6 +78,28 @@
     .finally(() => interimResponseTimer.cancel());
 }
 
+/**
+ * Releases an offer when its response or its connection is closed. A response
+ * that waits for an earlier one on its connection does not close with it.
+ */
+function releaseAtClose(
+  node: MeshNode,
+  options: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly offerIdentifier: string;
+  },
+): void {
+  const { request: { socket }, response, offerIdentifier } = options;
+  function release(): void {
+    socket.off("close", release);
+    response.off("close", release);
+    releaseOffer(node.offers, { offerIdentifier, now: node.clock.now() });
+  }
+  response.once("close", release);
+  socket.once("close", release);
+}
+
 async function processOffer(
   node: MeshNode,
   request: IncomingMessage,
--- a/src/mesh/serve_offer_status.ts
+++ b/src/mesh/serve_offer_status.ts
@@ -10,14 +10,14 @@
   node: MeshNode,
   request: IncomingMessage,
   options: {
-    readonly callIdentifier: string;
+    readonly offerIdentifier: string;
     readonly response: ServerResponse;
   },
 ): void {
-  const { callIdentifier, response } = options;
+  const { offerIdentifier, response } = options;
   request.resume();
   const now = node.clock.now();
-  const status = getOfferStatus(node.offers, { callIdentifier, now });
+  const status = getOfferStatus(node.offers, { offerIdentifier, now });
   response.writeHead(okStatus, {
     [OfferHeader.Status]: status,
     "connection": "close",
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -15,10 +15,10 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
-  const callIdentifier = request.headers[OfferHeader.Status];
-  if (callIdentifier !== undefined) {
+  const offerIdentifier = request.headers[OfferHeader.Status];
+  if (offerIdentifier !== undefined) {
     serveOfferStatus(node, request, {
-      callIdentifier: String(callIdentifier),
+      offerIdentifier: String(offerIdentifier),
       response,
     });
     return;
--- a/src/mesh/stop_mesh_node_test.ts
+++ b/src/mesh/stop_mesh_node_test.ts
@@ -96,3 +96,23 @@
     });
   },
 );
+
+// Guards against a stop that takes until its latest end for offers that are gone.
+serialTest(
+  "a planned stop does not wait for an offer behind another one on a connection that has ended",
+  async (t) => {
+    await withMeshFleet({ vms: 1, stopMilliseconds: 5_000 }, async (fleet) => {
+      fleet.backends[0]!.script = () => undefined;
+      const connection = await connectAsPeer(fleet);
+      connection.socket.write(
+        formatOfferHead("first", { bodyBytes: 0 }) +
+          formatOfferHead("second", { bodyBytes: 0 }),
+      );
+      t.true(await waitUntil(() => fleet.backends[0]!.runs.length === 2));
+      connection.socket.destroy();
+      const startedAt = performance.now();
+      t.is(await fleet.daemons[0]!.stop(), 0);
+      t.true(performance.now() - startedAt < 3_500);
+    });
+  },
+);
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -1,43 +1,49 @@
 import { setImmediate } from "node:timers/promises";
-import { recordContactFailure } from "../balancing/record_contact_failure.ts";
+import { match } from "ts-pattern";
+import { avoidUntil } from "../balancing/avoid_until.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import { checkOffer } from "./check_offer.ts";
 import type { ContactLossCause } from "./contact_loss_cause.ts";
+import { decideUnconfirmedOffer } from "./decide_unconfirmed_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
-import { getContactLossCause } from "./get_contact_loss_cause.ts";
 import { getGateView } from "./get_gate_view.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferCheck } from "./offer_check.ts";
 import { OfferCheckKind } from "./offer_check_kind.ts";
-import { OfferStatus } from "./offer_status.ts";
+import { OfferDecisionKind } from "./offer_decision_kind.ts";
 
 /** A node that is not slow confirms within this time that an offer arrived. */
 const confirmationTimeoutMilliseconds = 500;
+/** Delay of the next connection attempt after one that timed out. */
+const reconnectDelayMilliseconds = 100;
+/** Longer than a check takes. */
+const avoidMilliseconds = 1_000;
 
 /**
- * Supervises an offer that was sent until it is confirmed. While no confirmation
- * arrives, the other node is queried for the offer; `onLost` is called once if
- * that shows that no answer will arrive. A node that is only slow or silent
- * keeps the offer, but gets no further ones for a while.
+ * Supervises an offer until it is confirmed. While no confirmation arrives, the
+ * other node is queried for the offer, and gets no further ones if others can
+ * take them; `onLost` is called once if no answer can be expected.
  */
 export function superviseOffer(
   node: MeshNode,
   options: {
     readonly offer: GateOffer;
     readonly address: NetworkAddress;
+    /** Whether another attempt may follow if this offer is given up. */
+    readonly canRetry: boolean;
     readonly onLost: (cause: ContactLossCause) => void;
   },
 ): { readonly stop: () => void } {
-  const { offer, address, onLost } = options;
+  const { offer, address, canRetry, onLost } = options;
+  const { offerIdentifier } = offer;
   const offeredAt = node.clock.now();
   let stopped = false;
-  let repliedBefore = false;
-  let timer = schedule();
+  let previous: OfferCheck | undefined;
+  let timer = schedule(offeredAt + confirmationTimeoutMilliseconds);
 
-  function schedule(): TimerHandle {
-    const instant = node.clock.now() + confirmationTimeoutMilliseconds;
+  function schedule(instant: number): TimerHandle {
     return node.timers.at(instant, () => void check());
   }
 
@@ -45,23 +51,25 @@
     // Lets a confirmation be read that arrived before the timer fired.
     await setImmediate();
     if (stopped) return;
-    const { callIdentifier } = offer;
-    const found = await checkOffer(node, { address, callIdentifier });
+    avoidUntil(
+      getGateView(node, offer.identifier),
+      node.clock.now() + avoidMilliseconds,
+    );
+    const found = await checkOffer(node, { address, offerIdentifier });
     if (!stopped) handleCheck(found);
   }
 
   function handleCheck(found: OfferCheck): void {
     reportCheck(found);
-    const cause = getContactLossCause(found, { repliedBefore });
-    if (cause !== undefined) return onLost(cause);
-    if (found.kind === OfferCheckKind.NoReply) {
-      recordContactFailure(
-        getGateView(node, offer.identifier),
-        node.clock.now(),
-      );
-    }
-    repliedBefore = getStatus(found) === OfferStatus.Replied;
-    timer = schedule();
+    const decision = decideUnconfirmedOffer(found, { previous, canRetry });
+    previous = found;
+    match(decision)
+      .with({ kind: OfferDecisionKind.Keep }, stop)
+      .with({ kind: OfferDecisionKind.CheckAgain }, () => {
+        timer = schedule(getNextCheckInstant(found, node.clock.now()));
+      })
+      .with({ kind: OfferDecisionKind.GiveUp }, ({ cause }) => onLost(cause))
+      .exhaustive();
   }
 
   function reportCheck(found: OfferCheck): void {
@@ -71,19 +79,21 @@
       route: offer.route,
       service: offer.service,
       backendServer: offer.identifier,
-      outcome: getStatus(found) ?? found.kind,
+      outcome: found.kind === OfferCheckKind.Status ? found.status : found.kind,
       elapsedMilliseconds: Math.round(node.clock.now() - offeredAt),
     });
   }
 
-  return {
-    stop: () => {
-      stopped = true;
-      timer.cancel();
-    },
-  };
+  function stop(): void {
+    stopped = true;
+    timer.cancel();
+  }
+
+  return { stop };
 }
 
-function getStatus(check: OfferCheck): OfferStatus | undefined {
-  return check.kind === OfferCheckKind.Status ? check.status : undefined;
+function getNextCheckInstant(found: OfferCheck, now: number): number {
+  return found.kind === OfferCheckKind.NotConnected
+    ? now + reconnectDelayMilliseconds
+    : now + confirmationTimeoutMilliseconds;
 }
--- a/src/mesh/try_hold_offer.ts
+++ b/src/mesh/try_hold_offer.ts
@@ -8,12 +8,12 @@
  */
 export function tryHoldOffer(
   records: OfferRecords,
-  options: { readonly callIdentifier: string; readonly now: number },
+  options: { readonly offerIdentifier: string; readonly now: number },
 ): boolean {
-  const { callIdentifier, now } = options;
-  if (records.recent.get(callIdentifier, now) === OfferStatus.Unknown) {
+  const { offerIdentifier, now } = options;
+  if (records.recent.get(offerIdentifier, now) === OfferStatus.Unknown) {
     return false;
   }
-  records.held.add(callIdentifier);
+  records.held.add(offerIdentifier);
   return true;
 }
--- a/src/testing/mesh/create_sample_offer.ts
+++ b/src/testing/mesh/create_sample_offer.ts
@@ -10,6 +10,7 @@
   const deadline = now + remainingMilliseconds;
   return {
     callIdentifier,
+    offerIdentifier: callIdentifier,
     service: "vitrine",
     identifier: "server-0",
     callerService: "vitrine",
--- a/src/testing/mesh/start_silent_peer.ts
+++ b/src/testing/mesh/start_silent_peer.ts
@@ -1,12 +1,10 @@
 import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import { OfferHeader } from "../../mesh/offer_header.ts";
-import { OfferOutcomeKind } from "../../mesh/offer_outcome_kind.ts";
 import type { OfferStatus } from "../../mesh/offer_status.ts";
-import { SourceValueKind } from "../../source/source_value_kind.ts";
-import { createSampleEntry } from "./create_sample_entry.ts";
+import { createPeerAnswer } from "./create_peer_answer.ts";
 import type { MeshFleet } from "./mesh_fleet.ts";
-import { MeshHeader } from "./mesh_header.ts";
+import { publishPeer } from "./publish_peer.ts";
 import type { SilentPeer } from "./silent_peer.ts";
 
 const identifier = "silent-peer";
@@ -19,7 +17,7 @@
  * fleet's service.
  */
 export async function startSilentPeer(fleet: MeshFleet): Promise<SilentPeer> {
-  const [{ listeners, service }] = fleet.settings as [
+  const [{ listeners }] = fleet.settings as [
     MeshFleet["settings"][number],
   ];
   const sockets = new Set<Socket>();
@@ -39,7 +37,7 @@
     identifier,
     offers,
     status: undefined,
-    answerFirstOffer: (body) => void offers[0]?.write(createAnswer(body)),
+    answerFirstOffer: (body) => void offers[0]?.write(createPeerAnswer(body)),
     stopListening: () => void server.close(),
     close: () => {
       server.close();
@@ -48,12 +46,7 @@
   };
   server.listen(listeners.nodes.port, host);
   await once(server, "listening");
-  fleet.source.put(`server/${identifier}`, {
-    kind: SourceValueKind.BackendServer,
-    entry: {
-      ...createSampleEntry({ identifier, service, address: { host, port: 1 } }),
-    },
-  });
+  publishPeer(fleet, { identifier, host });
   return peer;
 }
 function createStatusReply(status: OfferStatus): string {
@@ -66,20 +59,3 @@
   ];
   return lines.join("\r\n");
 }
-
-function createAnswer(body: string): string {
-  const reply = JSON.stringify({
-    kind: OfferOutcomeKind.Answered,
-    framed: true,
-    load: { running: 1, queued: 0, slots: 4, cold: false },
-  });
-  const lines = [
-    "HTTP/1.1 200 OK",
-    `${OfferHeader.Reply}: ${reply}`,
-    `${MeshHeader.Signature}: signed`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    "",
-    body,
-  ];
-  return lines.join("\r\n");
-}
