--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -4,6 +4,7 @@
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
+import { createReplyHeaders } from "./create_reply_headers.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import type { GateOffer } from "./gate_offer.ts";
@@ -26,7 +27,7 @@
 /**
  * Delay of the interim response that confirms to the other node that this one
  * received the offer. Most answers arrive sooner; the delay is well below the
- * time after which the other node cancels the offer.
+ * time after which the other node queries for the offer.
  */
 const interimResponseDelayMilliseconds = 200;
 
@@ -46,12 +47,9 @@
     response.writeHead(invalidStatus).end();
     return;
   }
-  const { callIdentifier } = offer;
-  const isHeld = tryHoldOffer(node.offers, {
-    callIdentifier,
-    now: node.clock.now(),
-  });
-  if (!isHeld) {
+  const { callIdentifier, offerIdentifier } = offer;
+  const now = node.clock.now();
+  if (!tryHoldOffer(node.offers, { offerIdentifier, now })) {
     request.resume();
     const reason = RefusalReason.Fenced;
     writeOutcome(
@@ -61,10 +59,7 @@
     );
     return;
   }
-  response.once(
-    "close",
-    () => releaseOffer(node.offers, { callIdentifier, now: node.clock.now() }),
-  );
+  releaseAtClose(node, { request, response, offerIdentifier });
   // The other node closes the connection when its caller disconnects.
   const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = node.timers.at(
@@ -83,6 +78,28 @@
     .finally(() => interimResponseTimer.cancel());
 }
 
+/**
+ * Releases an offer when its response or its connection is closed. A response
+ * that waits for an earlier one on its connection does not close with it.
+ */
+function releaseAtClose(
+  node: MeshNode,
+  options: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly offerIdentifier: string;
+  },
+): void {
+  const { request: { socket }, response, offerIdentifier } = options;
+  function release(): void {
+    socket.off("close", release);
+    response.off("close", release);
+    releaseOffer(node.offers, { offerIdentifier, now: node.clock.now() });
+  }
+  response.once("close", release);
+  socket.once("close", release);
+}
+
 async function processOffer(
   node: MeshNode,
   request: IncomingMessage,
@@ -115,7 +132,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...createReplyHeaders(node, { kind, framed, load }),
+        ...createHeaders(node, { kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
@@ -127,7 +144,7 @@
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
         refusedStatus,
-        createReplyHeaders(node, {
+        createHeaders(node, {
           kind,
           reason,
           retryMilliseconds,
@@ -139,16 +156,15 @@
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
         lostStatus,
-        createReplyHeaders(node, { kind, reason, load }),
+        createHeaders(node, { kind, reason, load }),
       ).end();
     })
     .exhaustive();
 }
 
-function createReplyHeaders(node: MeshNode, message: ReplyMessage): string[] {
+function createHeaders(node: MeshNode, message: ReplyMessage): string[] {
   return [
-    OfferHeader.Reply,
-    JSON.stringify(message),
+    ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
     ...(node.stopping ? ["connection", "close"] : []),
   ];
