Forward no request whose caller left before its connection was accepted

Cause: a listener accepts one connection in each turn of the event loop (libuv 1.46 in Node.js 20). After a restart a node gets new connections faster than it runs turns, so a connection waits in the kernel, together with its request and the close that follows, for up to two seconds. The turns are short, the checks of the event loop are in time, and the node did not look for closed connections before it forwarded the request; it read the close in the next turn.

Change: the first request of a connection is held for two turns, as every request is while the event loop is behind. At rest a turn costs microseconds.

--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -47,6 +47,7 @@
     metrics,
     view: createMeshView(),
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
+    knownConnections: new WeakSet(),
     feed: createSourceFeed(),
     gate: createGateState(clock.now()),
     slotWaiters: new Map(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,4 +1,5 @@
 import type { Agent } from "node:http";
+import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { RetryCounts } from "../retries/retry_counts.ts";
@@ -29,6 +30,8 @@
   readonly view: MeshView;
   /** How far the event loop is behind. */
   readonly loopLag: LoopLag;
+  /** Connections of callers and other nodes that have carried a request. */
+  readonly knownConnections: WeakSet<Socket>;
   /** The feed that neighbours may follow. */
   readonly feed: SourceFeed;
   readonly gate: GateState;
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -74,7 +74,10 @@
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
-    await detectClosedConnections(node, { turns: 2 });
+    await detectClosedConnections(node, {
+      turns: 2,
+      connection: request.socket,
+    });
     const result = await processCall(node, plan);
     if (response.destroyed) {
       reportAbandoned(node, plan);
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -76,7 +76,10 @@
     const reason = body.error;
     return createOfferRefusal(node, { reason, retryMilliseconds: 0 });
   }
-  await detectClosedConnections(node, { turns: 2 });
+  await detectClosedConnections(node, {
+    turns: 2,
+    connection: request.socket,
+  });
   return await offerToOwnServer(node, {
     method: request.method ?? "GET",
     url: request.url ?? "/",
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -5,7 +5,10 @@
 import { Worker } from "node:worker_threads";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
+import type { NetworkAddress } from "../runtime/network_address.ts";
 import { CallEventKind } from "./call_event_kind.ts";
+import { encodeOffer } from "./encode_offer.ts";
+import { OfferHeader } from "./offer_header.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
@@ -122,6 +125,120 @@
   },
 );
 
+/**
+ * Sends requests from another thread, each on a new connection, and disconnects
+ * before this thread accepts the first of them. The event loop of this thread
+ * stands still for a few milliseconds only, so its checks are not late.
+ */
+async function sendAndLeaveBeforeAccept(
+  address: NetworkAddress,
+  options: { readonly requests: number; readonly lines: readonly string[] },
+): Promise<void> {
+  const { requests, lines } = options;
+  const left = new Int32Array(new SharedArrayBuffer(4));
+  const worker = new Worker(
+    `const { workerData: data, parentPort } = require("node:worker_threads");
+    const { connect } = require("node:net");
+    parentPort.once("message", () => {
+      let closed = 0;
+      for (let index = 0; index < data.requests; index += 1) {
+        const socket = connect(data.port, data.host, () =>
+          socket.end(data.text)
+        );
+        socket.on("error", () => undefined);
+        socket.once("finish", () => {
+          closed += 1;
+          if (closed < data.requests) return;
+          Atomics.store(data.left, 0, 1);
+          Atomics.notify(data.left, 0);
+        });
+      }
+    });
+    parentPort.postMessage("ready");`,
+    {
+      eval: true,
+      workerData: {
+        ...address,
+        requests,
+        text: [...lines, "", ""].join("\r\n"),
+        left,
+      },
+    },
+  );
+  await once(worker, "message");
+  worker.postMessage("send");
+  // Stops the event loop of this thread.
+  Atomics.wait(left, 0, 0, 1_000);
+  await delay(500);
+  await worker.terminate();
+}
+
+/** Occupies all slots once, so that a kept connection stands for each of them. */
+async function keepBackendConnections(
+  fleet: MeshFleet,
+  { slots }: { readonly slots: number },
+): Promise<void> {
+  scriptAll(fleet, (request, response) => {
+    setTimeout(() => sendCompleteAnswer(request, response), 50);
+  });
+  await Promise.all(Array.from({ length: slots }, () => fleet.call(0)));
+}
+
+serialTest(
+  "a caller that left before its connection was accepted: the call is not forwarded although the event loop is not behind",
+  async (t) => {
+    await withFleet({ vms: 1 }, async (fleet) => {
+      await keepBackendConnections(fleet, { slots: 4 });
+      const before = countRuns(fleet);
+      await sendAndLeaveBeforeAccept(fleet.settings[0]!.listeners.callers, {
+        requests: 20,
+        lines: [
+          "GET /cakes/1 HTTP/1.1",
+          "host: shop.example",
+          `${MeshHeader.Remaining}: 2000`,
+        ],
+      });
+      t.is(countRuns(fleet) - before, 0);
+      t.is((await fleet.call(0)).status, 200);
+    });
+  },
+);
+
+serialTest(
+  "a node that left before its connection was accepted: its offer is not forwarded although the event loop is not behind",
+  async (t) => {
+    await withFleet({ vms: 1 }, async (fleet) => {
+      await keepBackendConnections(fleet, { slots: 4 });
+      const before = countRuns(fleet);
+      const now = Date.now();
+      const deadline = now + 2_000;
+      const offer = encodeOffer({
+        callIdentifier: "offered",
+        service: fleet.settings[0]!.service,
+        identifier: "server-0",
+        callerService: "vitrine",
+        route: "cakes",
+        idempotent: true,
+        priority: 2,
+        deadline,
+        goalDeadline: deadline,
+        waitDeadline: deadline,
+        mayComeBack: true,
+      }, now);
+      await sendAndLeaveBeforeAccept(fleet.settings[0]!.listeners.nodes, {
+        requests: 20,
+        lines: [
+          "GET /cakes/1 HTTP/1.1",
+          "host: shop.example",
+          `${OfferHeader.Offer}: ${offer}`,
+        ],
+      });
+      t.is(countRuns(fleet) - before, 0);
+      t.is((await fleet.call(0)).status, 200);
+    });
+  },
+);
+
 serialTest(
   "a call to an unknown path is refused with status 404, and nothing runs",
   async (t) => {
