Log a call whose caller left as abandoned, not as refused

Change: the ended input tells that the caller has left, as the close of the response does. A call that the node ends at its deadline still gets its answer.

The test fails before: call-refused in place of call-abandoned.

--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -79,7 +79,8 @@
       connection: request.socket,
     });
     const result = await processCall(node, plan);
-    if (response.destroyed) {
+    // The response is closed some turns after the end of the caller's input.
+    if (response.destroyed || request.socket.readableEnded) {
       reportAbandoned(node, plan);
       return;
     }
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -498,6 +498,29 @@
   },
 );
 
+serialTest(
+  "the log of a call whose caller left says so, and does not report a refusal that nobody received",
+  async (t) => {
+    await withFleet({ vms: 1 }, async (fleet) => {
+      scriptAll(fleet, () => undefined);
+      const leaving = new AbortController();
+      const call = fleet.call(0, {
+        identifier: "leaving",
+        signal: leaving.signal,
+      });
+      t.true(await waitUntil(() => countRuns(fleet) === 1));
+      leaving.abort();
+      await call;
+      const getEnds = () =>
+        fleet.events.filter(({ call, kind }) =>
+          call === "leaving" && kind !== CallEventKind.Exchanged
+        ).map(({ kind }) => kind);
+      t.true(await waitUntil(() => getEnds().length > 0));
+      t.deepEqual(getEnds(), [CallEventKind.Abandoned]);
+    });
+  },
+);
+
 serialTest(
   "the route's timeout ends the wait for a silent backend server",
   async (t) => {
