Log late checks of the event loop

The log did not tell whether a node that forwarded requests late had a slow event loop. A check that comes more than 60 ms late writes one line with its lag, and the turns and events since the check before: at most six lines a second, none while the checks are in time.

--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -1,11 +1,13 @@
 import { Result } from "true-myth";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import type { Clock } from "../runtime/clock.ts";
+import { readLoopCounts } from "../runtime/read_loop_counts.ts";
 import { recordLoopCheck } from "../runtime/record_loop_check.ts";
 import type { RandomSource } from "../runtime/random_source.ts";
 import type { Timers } from "../runtime/timers.ts";
 import type { SourceClient } from "../source/source_client.ts";
 import type { CallDialect } from "./call_dialect.ts";
+import { createLoopLagReport } from "./create_loop_lag_report.ts";
 import { createMeshNode } from "./create_mesh_node.ts";
 import { followMeshSource } from "./follow_mesh_source.ts";
 import { maintenanceIntervalMilliseconds } from "./maintenance_interval_milliseconds.ts";
@@ -35,10 +37,16 @@
   if (opened.isErr) return Result.err(opened.error);
   const [callers] = opened.value;
   const follower = followMeshSource(node, { client: options.source, callers });
+  const reportLoopLag = createLoopLagReport(node.report, {
+    lag: node.loopLag,
+    readCounts: readLoopCounts,
+  });
   const maintenance = setInterval(() => {
+    const now = node.clock.now();
+    reportLoopLag(now);
     recordLoopCheck(node.loopLag, {
       intervalMilliseconds: maintenanceIntervalMilliseconds,
-      now: node.clock.now(),
+      now,
     });
     probeBackendServer(node);
     updateGate(node);
