--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -74,9 +74,13 @@
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
-    await detectClosedConnections(node, { turns: 2 });
+    await detectClosedConnections(node, {
+      turns: 2,
+      connection: request.socket,
+    });
     const result = await processCall(node, plan);
-    if (response.destroyed) {
+    // The response is closed some turns after the end of the caller's input.
+    if (response.destroyed || request.socket.readableEnded) {
       reportAbandoned(node, plan);
       return;
     }
