Test what a node does with endless bytes of a backend server

Cause: a backend server may send bytes without end, in a head or in a body, and no test played that.

Checked are the time of the answer, that it is never a whole success of these bytes, the close of the connection, the memory that a garbage collection leaves, other calls meanwhile, and the slots afterwards. Run one file at a time, with the other tests of real sockets.

Calls end at their timeout, or at once when the parser rejects the bytes.

--- /dev/null
+++ b/src/mesh/endless_bytes_test.ts
@@ -0,0 +1,341 @@
+import test, { type ExecutionContext } from "ava";
+import type { Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { BackendServerAvailability } from "../register/backend_server_availability.ts";
+import { CallKind } from "../routing/call_kind.ts";
+import { waitUntil } from "../testing/calls/wait_until.ts";
+import { measureRetainedBytes } from "../testing/mesh/measure_retained_bytes.ts";
+import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
+import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import type { MeshResponse } from "../testing/mesh/mesh_response.ts";
+import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
+import { sendEndlessBytes } from "../testing/mesh/send_endless_bytes.ts";
+import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
+
+// Fleets share the hosts of the loopback interface, so the tests run one at a
+// time.
+const serialTest = test.serial;
+
+const timeoutMilliseconds = 500;
+/** The operators allow half a second after the timeout of a route. */
+const lateMillisecondsMaximum = 500;
+/** Time after the end of a call until its connection must be closed. */
+const closeMillisecondsMaximum = 1_000;
+/** An answer of up to 1 MiB is held; the rest is for both ends of each connection. */
+const retainedBytesMaximum = 16 * 1_048_576;
+const otherCallMillisecondsMaximum = 400;
+const slots = 2;
+const partBytes = 65_536;
+
+/** What a backend server sends without end. */
+interface EndlessBytes {
+  readonly name: string;
+  readonly getHead: (call: string) => string;
+  readonly part: string;
+  readonly intervalMilliseconds?: number;
+  /** The complete body that precedes the endless bytes, if there is one. */
+  readonly body?: string;
+  /** Whether the head states that the call did not run. */
+  readonly notRun?: boolean;
+}
+
+function fill(text: string): string {
+  return text.repeat(Math.ceil(partBytes / text.length));
+}
+
+function createHead(call: string, lines = ""): string {
+  return `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\n${lines}`;
+}
+
+const chunked = "transfer-encoding: chunked\r\n\r\n";
+const chunk = "400\r\n" + "x".repeat(1_024) + "\r\n";
+
+const kinds: readonly EndlessBytes[] = [
+  {
+    name: "bytes that are not HTTP",
+    getHead: () => "",
+    part: fill("This is not HTTP "),
+  },
+  {
+    name: "empty lines before the status line",
+    getHead: () => "",
+    part: fill("\r\n"),
+  },
+  {
+    name: "a status line",
+    getHead: () => "HTTP/1.1 200 ",
+    part: fill("a"),
+  },
+  {
+    name: "one header",
+    getHead: (call) => createHead(call, "x-long: "),
+    part: fill("a"),
+  },
+  {
+    name: "spaces before the value of a header",
+    getHead: (call) => createHead(call, "x-long: "),
+    part: fill(" "),
+  },
+  {
+    name: "headers",
+    getHead: (call) => createHead(call),
+    part: fill("x-more: 1\r\n"),
+  },
+  {
+    name: "headers, slowly",
+    getHead: (call) => createHead(call),
+    part: "x-more: 1\r\n",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "interim responses 102",
+    getHead: () => "",
+    part: fill("HTTP/1.1 102 Processing\r\n\r\n"),
+  },
+  {
+    name: "interim responses 102, slowly",
+    getHead: () => "",
+    part: "HTTP/1.1 102 Processing\r\n\r\n",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "interim responses 100",
+    getHead: () => "",
+    part: fill("HTTP/1.1 100 Continue\r\n\r\n"),
+  },
+  {
+    name: "a chunk extension",
+    getHead: (call) => createHead(call, `${chunked}5;`),
+    part: fill("a"),
+  },
+  {
+    name: "a chunk size",
+    getHead: (call) => createHead(call, chunked),
+    part: fill("0"),
+  },
+  {
+    name: "trailers",
+    getHead: (call) => createHead(call, `${chunked}5\r\nhello\r\n0\r\n`),
+    part: fill("x-more: 1\r\n"),
+  },
+  {
+    name: "one trailer",
+    getHead: (call) =>
+      createHead(call, `${chunked}5\r\nhello\r\n0\r\nx-long: `),
+    part: fill("a"),
+  },
+  {
+    name: "a body without a length, slowly",
+    getHead: (call) => createHead(call, "\r\n"),
+    part: "x",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "a chunked body, slowly",
+    getHead: (call) => createHead(call, chunked),
+    part: "1\r\nx\r\n",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "a body longer than its length",
+    getHead: (call) => createHead(call, "content-length: 5\r\n\r\nhello"),
+    part: fill("x"),
+    body: "hello",
+  },
+  {
+    name: "further answers after a complete one",
+    getHead: (call) => createHead(call, "content-length: 5\r\n\r\nhello"),
+    part: fill(createHead("other", "content-length: 5\r\n\r\nother")),
+    body: "hello",
+  },
+  {
+    name: "interim responses after a complete answer",
+    getHead: (call) => createHead(call, "content-length: 5\r\n\r\nhello"),
+    part: fill("HTTP/1.1 102 Processing\r\n\r\n"),
+    body: "hello",
+  },
+  {
+    name: "the body of an answer to another call",
+    getHead: () => createHead("other", chunked),
+    part: fill(chunk),
+  },
+];
+
+async function withFleet(
+  kind: CallKind,
+  run: (fleet: MeshFleet) => Promise<void>,
+): Promise<void> {
+  const fleet = await startMeshFleet({
+    vms: 2,
+    slots,
+    route: { kind, timeoutMilliseconds },
+  });
+  try {
+    // Only the first backend server is used: the first node sends to it, and
+    // the second one offers to the first.
+    fleet.publishServer(1, {
+      availability: BackendServerAvailability.Draining,
+    });
+    await delay(100);
+    await run(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+/** Makes a backend server send endless bytes to calls named `endless`; returns the connections that it does so on. */
+function sendEndlessly(
+  backend: MeshBackend,
+  { getHead, part, intervalMilliseconds }: EndlessBytes,
+): readonly Socket[] {
+  const sockets: Socket[] = [];
+  backend.script = (request, response) => {
+    const call = request.headers[MeshHeader.Call]?.toString() ?? "";
+    if (!call.startsWith("endless")) {
+      sendCompleteAnswer(request, response);
+      return;
+    }
+    sockets.push(request.socket);
+    sendEndlessBytes(request.socket, {
+      head: getHead(call),
+      part,
+      ...(intervalMilliseconds === undefined ? {} : { intervalMilliseconds }),
+    });
+  };
+  return sockets;
+}
+
+/** Sends other calls one after the other until `isDone`; resolves with the longest time, or infinity if one of them failed. */
+async function measureOtherCalls(
+  fleet: MeshFleet,
+  isDone: () => boolean,
+): Promise<number> {
+  let longest = 0;
+  // Sequential, until the endless call has ended.
+  while (!isDone()) {
+    const startedAt = performance.now();
+    const { status } = await fleet.call(0, { identifier: "other" });
+    longest = Math.max(
+      longest,
+      status === 200 ? performance.now() - startedAt : Number.POSITIVE_INFINITY,
+    );
+    await delay(20);
+  }
+  return longest;
+}
+
+/** Sends an endless call and other calls beside it, and measures them. */
+async function sendEndlessCall(fleet: MeshFleet, vm: number) {
+  let isDone = false;
+  const startedAt = performance.now();
+  const others = measureOtherCalls(fleet, () => isDone);
+  const leaving = new AbortController();
+  const answer = await Promise.race([
+    fleet.call(vm, {
+      identifier: `endless-${vm}`,
+      method: "POST",
+      keptBytesMaximum: partBytes,
+      signal: leaving.signal,
+    }),
+    delay(4 * timeoutMilliseconds, undefined),
+  ]);
+  leaving.abort();
+  const elapsed = performance.now() - startedAt;
+  isDone = true;
+  return { answer, elapsed, longestOther: await others };
+}
+
+async function waitUntilClosed(sockets: readonly Socket[]): Promise<void> {
+  await Promise.race([
+    waitUntil(() => sockets.every(({ destroyed }) => destroyed)),
+    delay(closeMillisecondsMaximum),
+  ]);
+}
+
+function checkAnswer(
+  t: ExecutionContext,
+  { body, notRun = false }: EndlessBytes,
+  answer: MeshResponse,
+): void {
+  const isSuccess = answer.status >= 200 && answer.status < 300;
+  if (isSuccess && answer.whole) t.is(answer.body, body ?? "no whole success");
+  if (answer.status === 503) t.true(notRun);
+  if (answer.status === 500) t.false(answer.whole);
+  if (!isSuccess && answer.status !== 500) {
+    t.notRegex(answer.body, /xxxx|hello/);
+  }
+}
+
+[CallKind.Idempotent, CallKind.NonIdempotent].forEach((callKind) =>
+  kinds.forEach((kind) =>
+    serialTest(
+      `${kind.name}, sent without end: the ${callKind} call ends by its timeout and does not look complete, its connection is closed, its slot released, and other calls are served`,
+      async (t) => {
+        await withFleet(callKind, async (fleet) => {
+          const sockets = sendEndlessly(fleet.backends[0]!, kind);
+          // Sequential, so that the two measurements do not disturb each other.
+          for (const vm of [0, 1]) {
+            const place = vm === 0 ? "own" : "other";
+            const { value, retainedBytes, residentBytes } =
+              await measureRetainedBytes(() => sendEndlessCall(fleet, vm));
+            const { answer, elapsed, longestOther } = value;
+            await waitUntilClosed(sockets);
+            const sent = sockets.reduce(
+              (sum, { bytesWritten }) => sum + bytesWritten,
+              0,
+            );
+            t.log(
+              `${place}: status ${answer?.status} in ${elapsed.toFixed()} ms, ` +
+                `sent ${sent}, retained ${retainedBytes}, resident ${residentBytes}, ` +
+                `other calls ${longestOther.toFixed()} ms`,
+            );
+            t.true(sockets.length > 0, `${place}: nothing was sent`);
+            t.not(answer, undefined, `${place}: no end`);
+            if (answer !== undefined) checkAnswer(t, kind, answer);
+            t.true(
+              elapsed < timeoutMilliseconds + lateMillisecondsMaximum,
+              `${place}: ${elapsed} ms`,
+            );
+            t.true(
+              sockets.every(({ destroyed }) => destroyed),
+              `${place}: connection open`,
+            );
+            t.true(
+              retainedBytes < retainedBytesMaximum,
+              `${place}: ${retainedBytes} bytes retained`,
+            );
+            t.true(
+              longestOther < otherCallMillisecondsMaximum,
+              `${place}: another call took ${longestOther} ms`,
+            );
+            sockets.forEach((socket) => socket.destroy());
+          }
+          const after = await Promise.all(
+            Array.from({ length: slots }, () => fleet.call(0)),
+          );
+          t.deepEqual(after.map(({ status }) => status), [200, 200]);
+        });
+      },
+    )
+  )
+);
+
+serialTest(
+  "bytes sent without end on an idle connection do not last: the connection is closed",
+  async (t) => {
+    await withFleet(CallKind.Idempotent, async (fleet) => {
+      const sockets: Socket[] = [];
+      fleet.backends[0]!.script = (request, response) => {
+        sockets.push(request.socket);
+        sendCompleteAnswer(request, response);
+      };
+      t.is((await fleet.call(0)).status, 200);
+      await delay(50);
+      t.false(sockets[0]!.destroyed);
+      sendEndlessBytes(sockets[0]!, { head: "", part: fill("x") });
+      t.true(await waitUntil(() => sockets[0]!.destroyed));
+      t.is((await fleet.call(0)).status, 200);
+    });
+  },
+);
--- a/src/testing/mesh/mesh_backend.ts
+++ b/src/testing/mesh/mesh_backend.ts
@@ -16,6 +16,8 @@
   readonly probeConnections: Set<Socket>;
   /** Handles every request except health probes; a new script applies to later requests. */
   script: MeshBackendScript;
+  /** Handles health probes; undefined while it answers them as a healthy one. */
+  probeScript: MeshBackendScript | undefined;
   /** Remaining cold start that it reports to health probes. */
   coldMilliseconds: number;
   close(): Promise<void>;
--- a/src/testing/mesh/mesh_call.ts
+++ b/src/testing/mesh/mesh_call.ts
@@ -7,6 +7,8 @@
   /** Time until the caller's deadline; 2,000 if omitted. */
   readonly remainingMilliseconds?: number;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Bytes of the response's body that are kept, for one without end; all if omitted. */
+  readonly keptBytesMaximum?: number;
   /** Aborts the call, as a caller that closes its connection does. */
   readonly signal?: AbortSignal;
 }
--- a/src/testing/mesh/send_mesh_call.ts
+++ b/src/testing/mesh/send_mesh_call.ts
@@ -16,6 +16,7 @@
   address: NetworkAddress,
   call: MeshCall & { readonly identifier: string },
 ): Promise<MeshResponse> {
+  const { keptBytesMaximum = Number.POSITIVE_INFINITY } = call;
   return new Promise((resolve) => {
     const clientRequest = sendRequest({
       agent: new Agent({ keepAlive: false }),
@@ -32,7 +33,11 @@
       ...(call.signal === undefined ? {} : { signal: call.signal }),
     }, (response) => {
       const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      let bytes = 0;
+      response.on("data", (chunk: Buffer) => {
+        bytes += chunk.byteLength;
+        if (bytes <= keptBytesMaximum) chunks.push(chunk);
+      });
       response.on("error", () => undefined);
       response.once("close", () =>
         resolve({
--- a/src/testing/mesh/start_mesh_backend.ts
+++ b/src/testing/mesh/start_mesh_backend.ts
@@ -17,6 +17,10 @@
     return createServer((request, response) => {
       if (request.url === healthPath) {
         backend.probeConnections.add(request.socket);
+        if (backend.probeScript !== undefined) {
+          backend.probeScript(request, response);
+          return;
+        }
         response.writeHead(200, {
           [MeshHeader.Identifier]: identifier,
           [MeshHeader.Cold]: String(backend.coldMilliseconds),
@@ -56,6 +60,7 @@
     cancelled: 0,
     probeConnections: new Set(),
     script: sendCompleteAnswer,
+    probeScript: undefined,
     coldMilliseconds: 0,
     close: async () => {
       if (server.listening) await close();
