End an answer without end at the deadline of its call

Cause: the timer of a call's deadline was cancelled as soon as its result was known. An answer above 1 MiB is forwarded as it arrives from then on, so one without end went on for as long as the caller read, and held a slot.

Ruled out: unbounded buffering; the forwarding stops reading while the caller does not read.

Change: the timer runs until the response to the caller has closed. An answer that has arrived completely by then is still delivered.

--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -1,5 +1,5 @@
 import test, { type ExecutionContext } from "ava";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
@@ -160,6 +160,17 @@
     getHead: () => createHead("other", chunked),
     part: fill(chunk),
   },
+  {
+    name: "a chunked body",
+    getHead: (call) => createHead(call, chunked),
+    part: fill(chunk),
+  },
+  {
+    name: "a body of a length that is not reached",
+    getHead: (call) =>
+      createHead(call, "content-length: 9007199254740991\r\n\r\n"),
+    part: fill("x"),
+  },
 ];
 
 async function withFleet(
@@ -339,3 +350,31 @@
     });
   },
 );
+
+serialTest(
+  "an endless answer to a caller who does not read: memory stays bounded, and the call ends by its timeout",
+  async (t) => {
+    await withFleet(CallKind.NonIdempotent, async (fleet) => {
+      const sockets = sendEndlessly(fleet.backends[0]!, {
+        name: "a chunked body",
+        getHead: (call) => createHead(call, chunked),
+        part: fill(chunk),
+      });
+      const { host, port } = fleet.settings[0]!.listeners.callers;
+      const caller = connect(port, host);
+      caller.on("error", () => undefined);
+      caller.write(
+        `POST /cakes/1 HTTP/1.1\r\nhost: shop.example\r\n${MeshHeader.Call}: endless\r\n` +
+          "content-length: 0\r\n\r\n",
+      );
+      caller.pause();
+      const { retainedBytes } = await measureRetainedBytes(async () => {
+        await delay(timeoutMilliseconds + lateMillisecondsMaximum);
+      });
+      t.is(sockets.length, 1);
+      t.true(sockets[0]!.destroyed);
+      t.true(retainedBytes < retainedBytesMaximum, String(retainedBytes));
+      caller.destroy();
+    });
+  },
+);
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -66,7 +66,9 @@
     deadline + deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
-  serveRoute(route).catch(handleInternalError).finally(() => timer.cancel());
+  // An answer that is forwarded as it arrives may not have ended by then.
+  response.once("close", () => timer.cancel());
+  serveRoute(route).catch(handleInternalError);
 
   async function serveRoute(chosen: CallRoute): Promise<void> {
     const body = await readRequestBody(request, {
