Reset the connection of a caller whose answer without a length breaks off

Cause: an answer above 1 MiB without a length is forwarded without one, and ends with the connection. When it broke off, at its deadline or at its backend server, the connection to the caller was closed regularly, so that the part looked like the whole answer.

Ruled out: the path through another node; nodes send each other chunks, and a missing last one was detected. The first node then closed regularly too.

Change: break_off_response resets the connection; the same for an internal error after the head was sent.

--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -171,6 +171,16 @@
       createHead(call, "content-length: 9007199254740991\r\n\r\n"),
     part: fill("x"),
   },
+  {
+    name: "a body without a length",
+    getHead: (call) => createHead(call, "\r\n"),
+    part: fill("x"),
+  },
+  {
+    name: "the body of a failure",
+    getHead: (call) => `HTTP/1.1 500 X\r\n${MeshHeader.Call}: ${call}\r\n\r\n`,
+    part: fill("x"),
+  },
 ];
 
 async function withFleet(
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -5,6 +5,7 @@
 import type { CallRoute } from "../routing/call_route.ts";
 import { chooseTarget } from "../routing/choose_target.ts";
 import { findCallRoute } from "../routing/find_call_route.ts";
+import { breakOffResponse } from "./break_off_response.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallResult } from "./call_result.ts";
@@ -116,7 +117,7 @@
   function handleInternalError(error: unknown): void {
     reportInternalError(node, { callIdentifier, error });
     if (response.headersSent) {
-      response.destroy();
+      breakOffResponse(response);
       return;
     }
     respond({
--- a/src/mesh/write_call_result.ts
+++ b/src/mesh/write_call_result.ts
@@ -3,6 +3,7 @@
 import { createProblemDocument } from "../calls/create_problem_document.ts";
 import { refusalTable } from "../calls/refusal_table.ts";
 import type { AnswerBody } from "./answer_body.ts";
+import { breakOffResponse } from "./break_off_response.ts";
 import type { CallResult } from "./call_result.ts";
 import { CallResultKind } from "./call_result_kind.ts";
 import { getRefusalStatus } from "./get_refusal_status.ts";
@@ -69,7 +70,7 @@
   }
   response.write(held);
   // An answer that breaks off must not look complete.
-  rest.once("error", () => response.destroy());
+  rest.once("error", () => breakOffResponse(response));
   rest.pipe(response);
 }
 
