Bound the memory of bodies that arrive in tiny chunks

Cause: each received part was kept as a buffer of its own until the body was complete. A buffer takes far more memory than one byte, and it keeps the buffer that the part was read into.

--- a/src/mesh/collect_answer_body.ts
+++ b/src/mesh/collect_answer_body.ts
@@ -1,6 +1,7 @@
 import type { Readable } from "node:stream";
 import { Result } from "true-myth";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createByteCollector } from "../collections/create_byte_collector.ts";
 import type { AnswerBody } from "./answer_body.ts";
 
 /** An answer up to this size is sent to the caller only once it is complete. */
@@ -15,14 +16,12 @@
 ): Promise<Result<AnswerBody, RefusalReason>> {
   const { body, framed } = answer;
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = createByteCollector();
     const finish = (rest: Readable | undefined) =>
-      resolve(Result.ok({ held: Buffer.concat(chunks), rest, framed }));
+      resolve(Result.ok({ held: collector.concatenate(), rest, framed }));
     function onData(chunk: Buffer): void {
-      chunks.push(chunk);
-      bytes += chunk.byteLength;
-      if (bytes <= bufferedBytesMaximum) return;
+      collector.add(chunk);
+      if (collector.getLength() <= bufferedBytesMaximum) return;
       body.off("data", onData);
       body.pause();
       finish(body);
--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -181,6 +181,11 @@
     getHead: (call) => `HTTP/1.1 500 X\r\n${MeshHeader.Call}: ${call}\r\n\r\n`,
     part: fill("x"),
   },
+  {
+    name: "a body in chunks of one byte",
+    getHead: (call) => createHead(call, chunked),
+    part: fill("1\r\nx\r\n"),
+  },
 ];
 
 async function withFleet(
@@ -388,3 +393,29 @@
     });
   },
 );
+
+serialTest(
+  "request bodies in chunks of one byte: memory stays bounded by their size",
+  async (t) => {
+    await withFleet(CallKind.Idempotent, async (fleet) => {
+      const { host, port } = fleet.settings[0]!.listeners.callers;
+      const text = "1\r\nx\r\n".repeat(60_000);
+      const callers = Array.from({ length: 20 }, () => {
+        const caller = connect(port, host);
+        caller.on("error", () => undefined);
+        caller.resume();
+        return caller;
+      });
+      const { retainedBytes } = await measureRetainedBytes(async () => {
+        callers.forEach((caller) =>
+          caller.write(
+            `POST /cakes/1 HTTP/1.1\r\nhost: shop.example\r\n${chunked}${text}`,
+          )
+        );
+        await delay(timeoutMilliseconds);
+      });
+      t.true(retainedBytes < retainedBytesMaximum, String(retainedBytes));
+      callers.forEach((caller) => caller.destroy());
+    });
+  },
+);
--- a/src/mesh/read_request_body.ts
+++ b/src/mesh/read_request_body.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createByteCollector } from "../collections/create_byte_collector.ts";
 
 const noBody = Buffer.alloc(0);
 
@@ -19,18 +20,18 @@
     return Promise.resolve(Result.ok(noBody));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = createByteCollector();
     let bytes = 0;
     request.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
       if (bytes <= options.bytesMaximum) {
-        chunks.push(chunk);
+        collector.add(chunk);
         return;
       }
-      chunks.length = 0;
+      collector.clear();
       resolve(Result.err(RefusalReason.RequestTooLarge));
     });
-    request.once("end", () => resolve(Result.ok(Buffer.concat(chunks))));
+    request.once("end", () => resolve(Result.ok(collector.concatenate())));
     request.once("close", () => resolve(Result.err(RefusalReason.CallerLeft)));
     request.once("error", () => resolve(Result.err(RefusalReason.CallerLeft)));
   });
