Bound how long the body of a refusal is read

Cause: the body of an answer that states that the call did not run, and of another node's refusal or report of a loss, was read to its end, so that the connection could be used again. The call had ended by then and its timer with it, so a body without end was read for ever.

--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -1,8 +1,13 @@
 import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
 import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { CallKind } from "../routing/call_kind.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { SourceValueKind } from "../source/source_value_kind.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { measureRetainedBytes } from "../testing/mesh/measure_retained_bytes.ts";
 import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
@@ -12,6 +17,9 @@
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import { sendEndlessBytes } from "../testing/mesh/send_endless_bytes.ts";
 import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
+import { OfferHeader } from "./offer_header.ts";
+import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import type { ReplyMessage } from "./reply_message.ts";
 
 // Fleets share the hosts of the loopback interface, so the tests run one at a
 // time.
@@ -25,6 +33,8 @@
 /** An answer of up to 1 MiB is held; the rest is for both ends of each connection. */
 const retainedBytesMaximum = 16 * 1_048_576;
 const otherCallMillisecondsMaximum = 400;
+/** Time in which the nodes read a change of the source. */
+const changeMilliseconds = 600;
 const slots = 2;
 const partBytes = 65_536;
 
@@ -186,6 +196,19 @@
     getHead: (call) => createHead(call, chunked),
     part: fill("1\r\nx\r\n"),
   },
+  {
+    name: "the body of a statement that the call did not run",
+    getHead: () => `HTTP/1.1 503 X\r\n${MeshHeader.NotRun}: 1\r\n\r\n`,
+    part: fill("x"),
+    notRun: true,
+  },
+  {
+    name: "the body of an answer of another incarnation, slowly",
+    getHead: () => `HTTP/1.1 421 X\r\n${chunked}`,
+    part: "1\r\nx\r\n",
+    intervalMilliseconds: 20,
+    notRun: true,
+  },
 ];
 
 async function withFleet(
@@ -203,7 +226,7 @@
     fleet.publishServer(1, {
       availability: BackendServerAvailability.Draining,
     });
-    await delay(100);
+    await delay(changeMilliseconds);
     await run(fleet);
   } finally {
     await fleet.close();
@@ -419,3 +442,123 @@
     });
   },
 );
+
+const load = { running: 0, queued: 0, slots: 2, cold: false };
+
+/** What another node sends without end in reply to an offer. */
+const replies: readonly {
+  readonly name: string;
+  readonly head: string;
+  readonly part: string;
+}[] = [
+  {
+    name: "the body of a refusal",
+    head: createReplyHead({
+      kind: OfferOutcomeKind.Refused,
+      reason: RefusalReason.Full,
+      retryMilliseconds: 1,
+      load,
+    }),
+    part: fill(chunk),
+  },
+  {
+    name: "the body of a loss",
+    head: createReplyHead({
+      kind: OfferOutcomeKind.Lost,
+      reason: RefusalReason.AnswerBroken,
+      load,
+    }),
+    part: fill(chunk),
+  },
+  {
+    name: "the body of an answer",
+    head: createReplyHead({ kind: OfferOutcomeKind.Answered, load }),
+    part: fill(chunk),
+  },
+  {
+    name: "interim responses",
+    head: "",
+    part: fill("HTTP/1.1 102 Processing\r\n\r\n"),
+  },
+  {
+    name: "spaces of a header",
+    head: "HTTP/1.1 200 OK\r\nx:",
+    part: fill(" "),
+  },
+];
+
+function createReplyHead(reply: ReplyMessage): string {
+  return `HTTP/1.1 200 OK\r\n${OfferHeader.Reply}: ${
+    JSON.stringify(reply)
+  }\r\n${chunked}`;
+}
+
+/** Registers another node, which a test plays, as the only one to offer to. */
+async function withOtherNode(
+  fleet: MeshFleet,
+  { listener, run }: {
+    readonly listener: RequestListener;
+    readonly run: () => Promise<void>;
+  },
+): Promise<void> {
+  const host = "127.0.0.10";
+  const server = createServer(listener);
+  server.listen(fleet.settings[0]!.listeners.nodes.port, host);
+  await once(server, "listening");
+  fleet.publishServer(0, { availability: BackendServerAvailability.Draining });
+  fleet.source.put("server/other", {
+    kind: SourceValueKind.BackendServer,
+    entry: createSampleEntry({
+      identifier: "other",
+      zone: "sul-c",
+      address: { host, port: 1 },
+    }),
+  });
+  await delay(changeMilliseconds);
+  try {
+    await run();
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+replies.forEach(({ name, head, part }) =>
+  serialTest(
+    `${name} of another node, sent without end: the call ends by its timeout and does not look complete, and the connection is closed`,
+    async (t) => {
+      await withFleet(CallKind.NonIdempotent, async (fleet) => {
+        const sockets: Socket[] = [];
+        const listener: RequestListener = (request) => {
+          sockets.push(request.socket);
+          sendEndlessBytes(request.socket, { head, part });
+        };
+        await withOtherNode(fleet, {
+          listener,
+          run: async () => {
+            const { value: [answer, elapsed], retainedBytes } =
+              await measureRetainedBytes(async () => {
+                const startedAt = performance.now();
+                const answer = await fleet.call(0, {
+                  method: "POST",
+                  keptBytesMaximum: partBytes,
+                });
+                return [answer, performance.now() - startedAt] as const;
+              });
+            await waitUntilClosed(sockets);
+            t.log(`status ${answer.status} in ${elapsed.toFixed()} ms`);
+            t.true(sockets.length > 0);
+            t.false(answer.status === 200 && answer.whole);
+            t.is(
+              answer.status === 503,
+              head.includes(OfferOutcomeKind.Refused),
+            );
+            t.true(elapsed < timeoutMilliseconds + lateMillisecondsMaximum);
+            t.true(sockets.every(({ destroyed }) => destroyed));
+            t.true(retainedBytes < retainedBytesMaximum, String(retainedBytes));
+          },
+        });
+      });
+    },
+  )
+);
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -6,6 +6,7 @@
 import type { CallRequest } from "./call_request.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
+import { discardBody } from "./discard_body.ts";
 import { encodeOffer } from "./encode_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -65,7 +66,7 @@
     outgoing.once("information", () => interimResponseTimer.cancel());
     outgoing.once("response", (response) => {
       interimResponseTimer.cancel();
-      resolve(createOutcome(response));
+      resolve(createOutcome(node, response));
     });
     outgoing.on("error", handleEnd);
     // A switch of protocols ends the connection without an error.
@@ -97,14 +98,17 @@
   };
 }
 
-function createOutcome(response: IncomingMessage): OfferOutcome {
+function createOutcome(
+  node: MeshNode,
+  response: IncomingMessage,
+): OfferOutcome {
   const reply = decodeReply(response.headers[OfferHeader.Reply]);
   if (reply === undefined) {
     response.destroy();
     return createLoss();
   }
   const { load } = reply;
-  if (reply.kind !== OfferOutcomeKind.Answered) response.resume();
+  if (reply.kind !== OfferOutcomeKind.Answered) discardBody(node, response);
   return match(reply.kind)
     .returnType<OfferOutcome>()
     .with(OfferOutcomeKind.Answered, (kind) => ({
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -4,6 +4,7 @@
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { CallRequest } from "./call_request.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
+import { discardBody } from "./discard_body.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
 
@@ -67,7 +68,7 @@
         resolve({ kind, found: `answer with status ${answer.statusCode}` });
         return;
       }
-      answer.resume();
+      discardBody(node, answer);
       resolve({ kind, head });
     });
     outgoing.on("error", (error) => {
