Bound the bytes of the answer to a health probe

Cause: the answer to a probe was read to its end, limited only by the two seconds after which a probe is given up. The backend server is on the same VM, so its bytes come as fast as they can be read, at every probe.

Ruled out: a probe that does not end; its timer runs until the connection has closed, also while a body arrives slowly.

Change: limit_received_bytes ends a probe after 64 KiB, whatever they are.

Measured: four of the nine new tests failed before (349 MB of spaces, 10 MB of interim responses, 541 and 301 MB of a body, all in 2.0 s) and pass: about 200 kB sent, most of it in the buffers of the sockets, closed after 1 to 76 ms.

--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -562,3 +562,111 @@
     },
   )
 );
+
+/** A probe ends within 2 s; half a second more for a busy machine. */
+const probeMillisecondsMaximum = 2_500;
+/** The limit of a probe, and what the buffers of both sockets may hold. */
+const probeBytesMaximum = 4 * 1_048_576;
+
+const probeAnswers: readonly Omit<EndlessBytes, "notRun">[] = [
+  { name: "bytes that are not HTTP", getHead: () => "", part: fill("x") },
+  {
+    name: "headers",
+    getHead: () => createHead("probe"),
+    part: fill("x-more: 1\r\n"),
+  },
+  {
+    name: "spaces of a header",
+    getHead: () => createHead("probe", "x:"),
+    part: fill(" "),
+  },
+  {
+    name: "interim responses",
+    getHead: () => "",
+    part: fill("HTTP/1.1 102 Processing\r\n\r\n"),
+  },
+  {
+    name: "interim responses, slowly",
+    getHead: () => "",
+    part: "HTTP/1.1 102 Processing\r\n\r\n",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "a body without a length",
+    getHead: () => createHead("probe", "\r\n"),
+    part: fill("x"),
+  },
+  {
+    name: "a body without a length, slowly",
+    getHead: () => createHead("probe", "\r\n"),
+    part: "x",
+    intervalMilliseconds: 20,
+  },
+  {
+    name: "a chunked body",
+    getHead: () => createHead("probe", chunked),
+    part: fill(chunk),
+  },
+  {
+    name: "a body longer than its length",
+    getHead: () => createHead("probe", "content-length: 1\r\n\r\n"),
+    part: fill("x"),
+  },
+];
+
+probeAnswers.forEach(({ name, getHead, part, intervalMilliseconds }) =>
+  serialTest(
+    `${name}, sent without end to a health probe: its connection is bounded in time and bytes, calls are served, and the next probe works`,
+    async (t) => {
+      const fleet = await startMeshFleet({ vms: 1 });
+      t.teardown(() => fleet.close());
+      const [backend] = fleet.backends;
+      const sockets: Socket[] = [];
+      const durations: number[] = [];
+      let healthyProbes = 0;
+      backend!.probeScript = (request, response) => {
+        if (sockets.length > 0) {
+          healthyProbes += 1;
+          response.end();
+          return;
+        }
+        const startedAt = performance.now();
+        sockets.push(request.socket);
+        request.socket.once(
+          "close",
+          () => durations.push(performance.now() - startedAt),
+        );
+        sendEndlessBytes(request.socket, {
+          head: getHead(""),
+          part,
+          ...(intervalMilliseconds === undefined
+            ? {}
+            : { intervalMilliseconds }),
+        });
+      };
+      const { value: longestOther, retainedBytes } = await measureRetainedBytes(
+        async () => {
+          let isDone = false;
+          const others = measureOtherCalls(fleet, () => isDone);
+          await waitUntil(() => sockets.length > 0);
+          await waitUntil(() => durations.length > 0);
+          isDone = true;
+          return await others;
+        },
+      );
+      const [socket] = sockets;
+      t.log(`${durations[0]} ms, ${socket?.bytesWritten} bytes`);
+      t.true((durations[0] ?? Infinity) < probeMillisecondsMaximum);
+      t.true(
+        (socket?.bytesWritten ?? Infinity) < probeBytesMaximum,
+        String(socket?.bytesWritten),
+      );
+      t.true(retainedBytes < retainedBytesMaximum, String(retainedBytes));
+      t.true(
+        longestOther < otherCallMillisecondsMaximum,
+        String(longestOther),
+      );
+      t.true(await waitUntil(() => healthyProbes > 0));
+    },
+  )
+);
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -1,6 +1,7 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
+import { limitReceivedBytes } from "./limit_received_bytes.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { setServerCondition } from "./set_server_condition.ts";
 import { updateGate } from "./update_gate.ts";
@@ -8,6 +9,7 @@
 
 /** A probe may wait for a slot of the backend server like any other request. */
 const answerTimeoutMilliseconds = 2_000;
+const answerBytesMaximum = 65_536;
 const upIntervalMilliseconds = 2_000;
 const downIntervalMilliseconds = 200;
 /** Health path of a service that is not in the rules yet. */
@@ -35,6 +37,7 @@
     now + answerTimeoutMilliseconds,
     () => outgoing.destroy(),
   );
+  limitReceivedBytes(outgoing, { bytesMaximum: answerBytesMaximum });
   const connection = trackConnection(outgoing);
   outgoing.once("response", (answer: IncomingMessage) => {
     answer.resume();
