Bound the length of a feed's line

Cause: a node that follows a neighbour read its lines with readline, which keeps a line until it ends. A line without end was kept for 1.4 s, until the feed counted as stale.

Ruled out: the time; a line that arrives slowly does not delay the end of the feed, since only complete lines confirm the view.

Change: create_line_splitter, with a limit of 12 MiB, above the largest valid line. The feed then ends as lost, and another neighbour or the source is read.

--- a/src/mesh/follow_feed.ts
+++ b/src/mesh/follow_feed.ts
@@ -1,5 +1,5 @@
 import { get, type IncomingMessage } from "node:http";
-import { createInterface } from "node:readline";
+import { createLineSplitter } from "../collections/create_line_splitter.ts";
 import { tryDecodeFeedLine } from "../source/try_decode_feed_line.ts";
 import type { FeedAge } from "../source/feed_age.ts";
 import { FeedEndKind } from "../source/feed_end_kind.ts";
@@ -20,6 +20,8 @@
  * already stale still waits this long for it.
  */
 const firstLineTimeoutMilliseconds = 300;
+/** A line of 8 MiB that cannot be compressed, in base64. */
+const lineBytesMaximum = 12_582_912;
 
 /**
  * Follows the feed of a neighbour until it ends, becomes stale, or is ended by
@@ -75,10 +77,13 @@
     function handleResponse(response: IncomingMessage): void {
       response.on("error", () => end(FeedEndKind.Lost));
       if (response.statusCode !== okStatus) return end(FeedEndKind.Refused);
-      createInterface({ input: response })
-        .on("line", handleLine)
-        // The interface emits the errors of its input again.
-        .on("error", () => end(FeedEndKind.Lost));
+      const splitLines = createLineSplitter({
+        bytesMaximum: lineBytesMaximum,
+        onLine: handleLine,
+      });
+      response.on("data", (part: Buffer) => {
+        if (!ended && !splitLines(part)) end(FeedEndKind.Lost);
+      });
       response.once("close", () => end(FeedEndKind.Lost));
     }
 
