--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -29,6 +29,7 @@
   "dist/scenarios/processes_test.js",
   "dist/src/daemon/**/*_test.js",
   "dist/src/mesh/offer_to_node_test.js",
+  "dist/src/mesh/endless_bytes_test.js",
   "dist/src/mesh/serve_offer_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/src/mesh/stop_mesh_node_test.js",
