Ask a neighbour again while the source turns a node away

Cause: a node that the source turned away depends on its neighbours. When the feed of its only neighbour ended as lost or stale, that neighbour was left alone for 3 s, longer than the bound of 2 s on the delay of a change. Refusals add up as well (200, 400, 800, 1,600 ms). A pause of the event loop of 400 ms is enough: the age of the last line passes 1,400 ms, since lines come every 1,200 ms, and the feed ends as stale.

Ruled out: the choice of the host at the start and the refusals alone (at most three of them beside ten busy processes on two cores, 1.1 s until the feed was followed).

Change: when the node's own reads fail and no neighbour is free, the neighbour whose backoff ends first is asked. The delay between the failed reads of the source limits these requests. Whether followers are expected is decided as before.

Measured: the new tests of create_neighbour_feeds_test failed before (gaps of 3,036 and 4,431 ms between two requests) and pass now, with the other tests of the file.

--- a/src/mesh/create_neighbour_feeds.ts
+++ b/src/mesh/create_neighbour_feeds.ts
@@ -1,4 +1,5 @@
 import { chooseFeedHost } from "../source/choose_feed_host.ts";
+import { chooseFeedHostInBackoff } from "../source/choose_feed_host_in_backoff.ts";
 import { endFeed } from "../source/end_feed.ts";
 import type { FeedAge } from "../source/feed_age.ts";
 import { FeedEndKind } from "../source/feed_end_kind.ts";
@@ -25,12 +26,12 @@
   };
   const closing = new AbortController();
 
-  function chooseHost(): string | undefined {
-    return chooseFeedHost(listZoneHosts(node), {
-      ownHost,
-      backoffByHost,
-      now: node.clock.now(),
-    });
+  function getChoiceOptions() {
+    return { ownHost, backoffByHost, now: node.clock.now() };
+  }
+
+  function chooseAvailableHost(): string | undefined {
+    return chooseFeedHost(listZoneHosts(node), getChoiceOptions());
   }
 
   function recordFailure(host: string, kind: FeedEndKind): void {
@@ -42,10 +43,12 @@
   }
 
   return {
-    chooseHost,
+    chooseHost: () =>
+      chooseAvailableHost() ??
+        chooseFeedHostInBackoff(listZoneHosts(node), getChoiceOptions()),
     hasFollowers: () =>
       node.feed.subscribers.size > 0 ||
-      (chooseHost() === undefined &&
+      (chooseAvailableHost() === undefined &&
         listZoneHosts(node).some((host) => host !== ownHost)),
     follow: async (host, { after, onReading }) => {
       let position = after;
--- a/src/mesh/create_neighbour_feeds_test.ts
+++ b/src/mesh/create_neighbour_feeds_test.ts
@@ -1,6 +1,10 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
-import { createServer, type RequestListener } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { encodeFeedLine } from "../source/encode_feed_line.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
@@ -95,13 +99,14 @@
 }
 
 /**
- * Listens on a host that sorts before the second VM in its zone, and registers
- * it as a node to follow.
+ * Listens on a host that sorts before the second VM in its zone and after the
+ * first, and registers it as a node to follow.
  */
-async function withFirstNeighbour(
+async function withNeighbour(
   fleet: MeshFleet,
-  { listener, run }: {
+  { listener, zone, run }: {
     readonly listener: RequestListener;
+    readonly zone: string;
     readonly run: () => Promise<void>;
   },
 ): Promise<void> {
@@ -114,7 +119,7 @@
     entry: createSampleEntry({
       identifier: "first",
       service: "fornadas",
-      zone: "sul-b",
+      zone,
       address: { host, port: 1 },
     }),
   });
@@ -174,7 +179,8 @@
   async (t) => {
     let requests = 0;
     await withFleet((fleet) =>
-      withFirstNeighbour(fleet, {
+      withNeighbour(fleet, {
+        zone: "sul-b",
         // The line is correct when it is sent: the change is published
         // afterwards.
         listener: (_request, response) => {
@@ -202,7 +208,8 @@
   async (t) => {
     let requests = 0;
     await withFleet((fleet) =>
-      withFirstNeighbour(fleet, {
+      withNeighbour(fleet, {
+        zone: "sul-b",
         listener: (_request, response) => {
           requests += 1;
           response.writeHead(200);
@@ -220,3 +227,48 @@
     );
   },
 );
+
+interface EndingFeed {
+  readonly name: string;
+  /** Ends the feed after its first line. */
+  readonly end: (response: ServerResponse) => void;
+}
+
+const endingFeeds: readonly EndingFeed[] = [
+  { name: "closes its feed", end: (response) => void response.end() },
+  { name: "sends nothing more", end: () => undefined },
+];
+
+endingFeeds.forEach(({ name, end }) =>
+  serialTest(
+    `a node that the source rejects is not without changes for longer than the bound when its only neighbour ${name}`,
+    async (t) => {
+      const requestedAt: number[] = [];
+      const fleet = await startMeshFleet({ vms: 1 });
+      try {
+        await withNeighbour(fleet, {
+          zone: "sul-a",
+          listener: (_request, response) => {
+            requestedAt.push(Date.now());
+            response.writeHead(200);
+            response.write(encodeFeedLine(createSampleLine()));
+            end(response);
+          },
+          run: async () => {
+            await delay(changeMilliseconds);
+            fleet.source.setRejecting(0, true);
+            t.true(await waitUntil(() => requestedAt.length > 2));
+          },
+        });
+      } finally {
+        await fleet.close();
+      }
+      assertInTime(
+        t,
+        requestedAt.slice(1).map((instant, index) =>
+          instant - requestedAt[index]!
+        ),
+      );
+    },
+  )
+);
--- a/src/source/choose_feed_host.ts
+++ b/src/source/choose_feed_host.ts
@@ -1,7 +1,5 @@
 import type { FeedHostBackoff } from "./feed_host_backoff.ts";
-
-/** Number of neighbours considered before a node reads the source itself. */
-const candidateNeighboursMaximum = 3;
+import { listFeedNeighbours } from "./list_feed_neighbours.ts";
 
 /**
  * Returns the host whose feed a node should follow, or undefined if the node
@@ -19,10 +17,8 @@
   },
 ): string | undefined {
   const { ownHost, backoffByHost: backoffs, now } = options;
-  const ordered = [...new Set(hosts)].sort();
-  const neighbours = ordered.filter((host) => host !== ownHost)
-    .slice(0, candidateNeighboursMaximum);
-  const chosen = ordered
+  const neighbours = listFeedNeighbours(hosts, { ownHost });
+  const chosen = [...new Set(hosts)].sort()
     .filter((host) => host === ownHost || neighbours.includes(host))
     .find((host) => (backoffs.get(host)?.backoffUntil ?? 0) <= now);
   return chosen === ownHost ? undefined : chosen;
