Run the tests of the neighbour feeds one file at a time

The file has real sockets and real time, as the others on the list, but ran in the step with the tests in virtual time, beside other files. Its bounds are unchanged.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -28,6 +28,7 @@
 const realTimeTests = [
   "dist/scenarios/processes_test.js",
   "dist/src/daemon/**/*_test.js",
+  "dist/src/mesh/create_neighbour_feeds_test.js",
   "dist/src/mesh/serve_offer_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/platform/create_store_client_test.js",
