Show what a node uses that starts while the store is back from a copy

Question: can a withdrawn thing be in use again at a node that starts while the store is back from an older copy, although its neighbours know better? It can. source_era_start_test restarts one of two nodes of a zone after the return; a change that the copy lacks had withdrawn a zone, a backend server or a route.

Cause: a node that stores nothing has only the copy, and a feed carries only what the source has changed in its era. A mend needs a message of its own between the nodes of a zone, with what is held and until when, at the start of every node.

Ruled out: sending what is held as changes of the feed, since a complete reading of the copy takes them back and the first node of a zone follows nobody.

The source of the tests can come back from an older copy with the next era; a watch from a revision that the copy lacks fails there as lost history.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -30,6 +30,7 @@
   "dist/src/daemon/**/*_test.js",
   "dist/src/mesh/create_neighbour_feeds_test.js",
   "dist/src/mesh/serve_offer_test.js",
+  "dist/src/mesh/source_era_start_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/platform/create_store_client_test.js",
   "dist/platform/main_test.js",
--- a/src/testing/mesh/create_source_fake.ts
+++ b/src/testing/mesh/create_source_fake.ts
@@ -12,12 +12,16 @@
   kind: SourceFailureKind.Rejected,
   found: "reads are rejected",
 };
+const historyLostFailure: SourceFailure = {
+  kind: SourceFailureKind.HistoryLost,
+  found: "a revision that the copy does not have",
+};
 
 /** Creates an empty source in memory, at revision 1. */
 export function createSourceFake(): SourceFake {
-  const items = new Map<string, SourceItem>();
-  const history: SourceItem[] = [];
-  const era = 0;
+  let items = new Map<string, SourceItem>();
+  let history: readonly SourceItem[] = [];
+  let era = 0;
   let revision = 1;
   let failure: SourceFailure | undefined;
   const reads: number[] = [];
@@ -26,9 +30,23 @@
   function write(key: string, fact: SourceValue | undefined): void {
     revision += 1;
     const item = { key, revision, fact };
-    history.push(item);
-    if (fact === undefined) items.delete(key);
-    else items.set(key, item);
+    history = [...history, item];
+    applyItem(item);
+  }
+
+  function applyItem(item: SourceItem): void {
+    if (item.fact === undefined) items.delete(item.key);
+    else items.set(item.key, item);
+  }
+
+  function restoreCopy(
+    { changesLost }: { readonly changesLost: number },
+  ): void {
+    history = history.slice(0, -changesLost);
+    items = new Map();
+    history.forEach(applyItem);
+    revision = history.at(-1)?.revision ?? 1;
+    era += 1;
   }
 
   function createClient(): SourceClient {
@@ -60,14 +78,17 @@
         for (
           let step = 0;
           step * pollIntervalMilliseconds < waitMilliseconds &&
-          getChanges().length === 0 && getFailure() === undefined && !closed;
+          getChanges().length === 0 && after.revision <= revision &&
+          getFailure() === undefined && !closed;
           step += 1
         ) {
           await new Promise((resolve) =>
             setTimeout(resolve, pollIntervalMilliseconds)
           );
         }
-        return respond(() => ({ items: getChanges(), era, revision }));
+        return after.revision > revision
+          ? Result.err(historyLostFailure)
+          : respond(() => ({ items: getChanges(), era, revision }));
       },
       close: () => {
         closed = true;
@@ -78,6 +99,7 @@
   return {
     put: write,
     remove: (key) => write(key, undefined),
+    restoreCopy,
     setDown: (down) => {
       failure = down
         ? { kind: SourceFailureKind.Unreachable, found: "down" }
