Give both programs one log that never blocks, is bounded and ends

`catkinquay node` wrote its log synchronously: with a reader of standard output that does not read, 500 malformed forwarded calls filled the pipe and the node answered nothing more. The node on the platform wrote through pino's destination, which had three faults of its own:

- A write to a full pipe occupies a thread, and at the end the process waits for that thread: SIGTERM did not end it within the grace time.
- If the reader has left, the last flush tries again without end.
- Lines dropped by its full buffer were not counted.

Ruled out: pino's options. `retryEAGAIN` does not end the loop on EPIPE, and after a partial write the last flush writes the first part twice.

`createBoundedLog` joins pino with a destination of our own and the rate limiter, which moved from src/mesh. Pipes and sockets are made non-blocking and written directly; files are written asynchronously. The buffer holds 1 MiB. At the end of the process it is written, for half a second at most if nobody reads. Lines dropped by the rate limit are now reported at the next flush too, not only with a later line, so a burst before the end is counted. In the older node the limit is on debug, warn and error lines, which follow from what others send; audit entries are limited by the buffer only.

--- a/src/mesh/create_mesh_log.ts
+++ b/src/mesh/create_mesh_log.ts
@@ -1,18 +1,9 @@
-import pino from "pino";
+import { createBoundedLog } from "../telemetry/create_bounded_log.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { CallEvent } from "./call_event.ts";
 import { CallEventKind } from "./call_event_kind.ts";
-import { createLogRateLimiter } from "./create_log_rate_limiter.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 
-/** Lines are written in blocks of at least this size. */
-const writeBytesMinimum = 4_096;
-/**
- * Lines that cannot be written are buffered up to this size and dropped beyond
- * it.
- */
-const bufferedBytesMaximum = 1_048_576;
-const flushMilliseconds = 500;
 /** One in this many successful calls is logged. */
 const routineSampleInterval = 50;
 
@@ -27,24 +18,14 @@
 export function createMeshLog(
   options: { readonly vm: string; readonly zone: string },
 ): MeshReporter {
-  const destination = pino.destination({
-    dest: 1,
-    sync: false,
-    minLength: writeBytesMinimum,
-    maxLength: bufferedBytesMaximum,
-    periodicFlush: flushMilliseconds,
-  });
-  const logger = pino({ base: options }, destination);
-  const limiter = createLogRateLimiter((dropped) =>
-    logger.warn({ dropped }, "Log lines were dropped")
-  );
+  const { logger, tryAcquireLine } = createBoundedLog({ base: options });
   return {
     call: (event) => {
       if (isRoutine(event) && !isSampled(event.call)) return;
-      if (limiter.tryAcquire(Date.now())) logger.info(event);
+      if (tryAcquireLine()) logger.info(event);
     },
     viewChange: (change) => {
-      if (limiter.tryAcquire(Date.now())) logger.info(change);
+      if (tryAcquireLine()) logger.info(change);
     },
     state: (subject, fields) => logger.info({ subject, ...fields }),
   };
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,4 +1,8 @@
-/** A structured log with the levels of `pino`. */
+/**
+ * A structured log with the levels of `pino`. Lines of the level `info` tell of
+ * changes of the node itself. The others may follow from what other processes
+ * send, and their number per second is limited.
+ */
 export interface Log {
   debug(fields: object, message: string): void;
   info(fields: object, message: string): void;
--- a/src/mesh/log_rate_limiter.ts
+++ b/src/telemetry/log_rate_limiter.ts
@@ -5,4 +5,6 @@
    * Unix epoch.
    */
   tryAcquire(now: number): boolean;
+  /** Reports the lines dropped in a second that is over at `now`. */
+  reportDropped(now: number): void;
 }
