Name the file in errors of settings, and give each command's help an example

The help of five commands had no example, and that of `status` and `trail` no exit statuses.

Two tests ask for these now, for each command; both failed before on the text that is missing (the help had no `Example:` line, the diagnostic no file).

--- a/src/command_line/check_command.ts
+++ b/src/command_line/check_command.ts
@@ -30,6 +30,8 @@
   --json                  write one JSON object for each file
   -h, --help              show this text
 
+Example: catkinquay check next.json --against 127.0.0.1:6001 --expect sul-a
+
 Exit status: 0 if every document can be published, 1 if one cannot or an input
 cannot be read, 2 for invalid arguments.
 `;
--- a/src/command_line/node_command.ts
+++ b/src/command_line/node_command.ts
@@ -9,6 +9,7 @@
 import { ExitStatus } from "./exit_status.ts";
 import { readTextFile } from "./read_text_file.ts";
 import { reportDiagnostics } from "./report_diagnostics.ts";
+import { reportDiagnosticsWithSubject } from "./report_diagnostics_with_subject.ts";
 import type { ParsedCommandLine } from "./parsed_command_line.ts";
 
 const usage = "catkinquay node --settings FILE [--check-settings]";
@@ -23,6 +24,8 @@
   --check-settings   check the settings file and exit
   -h, --help         show this text
 
+Example: catkinquay node --settings docs/samples/settings_vm_1.json
+
 Exit status: 0 after a shutdown that aborted no call, 1 after a failure or a
 shutdown that aborted calls, 2 for invalid arguments or settings.
 `;
@@ -76,7 +79,7 @@
   }
   const settings = parseNodeSettings(text.value, path);
   if (settings.isErr) {
-    reportDiagnostics(settings.error, output);
+    reportDiagnosticsWithSubject(output, settings.error, { subject: path });
     return ExitStatus.Usage;
   }
   if (values["check-settings"] === true) {
--- a/src/command_line/routes_command.ts
+++ b/src/command_line/routes_command.ts
@@ -21,6 +21,8 @@
   --json      write one JSON object
   -h, --help  show this text
 
+Example: catkinquay routes docs/samples/configuration.json
+
 Exit status: 0 if the document is valid, 1 if it is not or cannot be read,
 2 for invalid arguments.
 `;
--- a/src/command_line/run_command_line_test.ts
+++ b/src/command_line/run_command_line_test.ts
@@ -12,12 +12,17 @@
   return { status, written: written.join(""), errors: errors.join("") };
 }
 
-test("every command prints its help", async (t) => {
+test("no help of a command leaves out an example or the exit statuses", async (t) => {
   const commands = ["node", "check", "routes", "status", "trail", "explain"];
   const runs = await Promise.all(commands.map((name) => run(name, "--help")));
   runs.forEach(({ status, written }, index) => {
     t.is(status, ExitStatus.Success);
     t.true(written.startsWith(`Usage: catkinquay ${commands[index]}`));
+    t.regex(
+      written,
+      new RegExp(`^Example: catkinquay ${commands[index]} `, "m"),
+    );
+    t.regex(written, /^Exit status: 0 .* 1 [^]*2 for invalid/m);
   });
   const { status, written } = await run("--help");
   t.is(status, ExitStatus.Success);
@@ -54,6 +59,16 @@
   });
 });
 
+test("a diagnostic on settings does not leave out the file, the field, the value and what is allowed", async (t) => {
+  const path = "docs/samples/vms.json";
+  const { status, errors } = await run("node", "--settings", path);
+  t.is(status, ExitStatus.Usage);
+  t.regex(
+    errors,
+    /^docs\/samples\/vms\.json: error CQ1003: Settings field "vm" is missing, but must be a name/m,
+  );
+});
+
 test("a command exits with status 1 if the node is unreachable", async (t) => {
   const { status, errors } = await run("status", "127.0.0.1:1");
   t.is(status, ExitStatus.Failure);
--- a/src/command_line/status_command.ts
+++ b/src/command_line/status_command.ts
@@ -18,6 +18,10 @@
 
   --json       write one JSON object
   -h, --help   show this text
+
+Example: catkinquay status 127.0.0.1:6001
+
+Exit status: 0 if the node responded, 1 if it did not, 2 for invalid arguments.
 `;
 
 /** `catkinquay status`: shows the status of a node. */
--- a/src/command_line/trail_command.ts
+++ b/src/command_line/trail_command.ts
@@ -20,6 +20,10 @@
   --once       show the entries recorded so far and exit
   --json       write one JSON object for each entry
   -h, --help   show this text
+
+Example: catkinquay trail 127.0.0.1:6001 --once
+
+Exit status: 0 if the node responded, 1 if it did not, 2 for invalid arguments.
 `;
 
 /** `catkinquay trail`: shows or follows the audit trail of a node. */
