Say when standard output of a node becomes blocking again

Node.js restores the flags of a pipe when a process ends. If several nodes write to the same pipe and one of them ends, the others would block on a reader that does not read.

--- a/src/telemetry/create_log_destination.ts
+++ b/src/telemetry/create_log_destination.ts
@@ -126,7 +126,8 @@
 function setNonBlocking(): boolean {
   const status = fstatSync(standardOutput);
   if (!status.isFIFO() && !status.isSocket()) return false;
-  // Node.js makes the descriptor non-blocking when the stream is created.
+  // Node.js makes the descriptor non-blocking when the stream is created, and
+  // blocking again at its end, also for processes that share the same pipe.
   return process.stdout.fd === standardOutput;
 }
 
