--- a/src/command_line/describe_call_cause.ts
+++ b/src/command_line/describe_call_cause.ts
@@ -2,13 +2,12 @@
 import { Outcome } from "../calls/outcome.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "../mesh/call_event_kind.ts";
+import { OfferCheckKind } from "../mesh/offer_check_kind.ts";
+import { OfferStatus } from "../mesh/offer_status.ts";
 import { describeOfferLoss } from "./describe_offer_loss.ts";
 import { describeRefusalReason } from "./describe_refusal_reason.ts";
 import type { LogLine } from "./log_line.ts";
 
-/** The kind of a line on a query about an offer that was not confirmed. */
-const offerCheckedKind = "offer-checked";
-
 const endKinds: ReadonlySet<string> = new Set([
   CallEventKind.Answered,
   CallEventKind.Refused,
@@ -18,11 +17,13 @@
 
 /** What the values of `outcome` on a line `offer-checked` say of the other node. */
 const checkTexts: Readonly<Record<string, string>> = {
-  held: "still held the call",
-  replied: "had replied already",
-  unknown: "did not know the call",
-  "no-reply": "did not reply to a query",
-  unreachable: "could not be reached",
+  [OfferStatus.Held]: "still held the call",
+  [OfferStatus.Replied]: "had replied already",
+  [OfferStatus.Unknown]: "did not know the call",
+  [OfferCheckKind.NoReply]: "did not reply to a query",
+  [OfferCheckKind.Rejected]: "was not running",
+  [OfferCheckKind.NotConnected]: "could not be reached",
+  [OfferCheckKind.NotSupported]: "is of an earlier version",
 };
 
 /**
@@ -121,7 +122,7 @@
 }
 
 function describeLastCheck(lines: readonly LogLine[]): readonly string[] {
-  const line = selectKind(lines, offerCheckedKind).at(-1);
+  const line = selectKind(lines, CallEventKind.OfferChecked).at(-1);
   if (line === undefined) return [];
   const { backendServer, outcome } = line.details;
   const text = checkTexts[String(outcome)] ?? `was checked: ${outcome}`;
--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { describeCallCause } from "./describe_call_cause.ts";
+import { OfferCheckKind } from "../mesh/offer_check_kind.ts";
+import { OfferStatus } from "../mesh/offer_status.ts";
 import type { LogLine } from "./log_line.ts";
 
 function createLine(
@@ -132,7 +134,11 @@
   ));
 
 test("the last check of an offer that was not confirmed is shown if the caller left", (t) =>
-  ["held", "replied", "unknown", "no-reply", "unreachable", "other"].forEach(
+  [
+    ...Object.values(OfferStatus),
+    ...Object.values(OfferCheckKind),
+    "other",
+  ].forEach(
     (outcome) =>
       t.regex(
         describeCallCause([
--- a/src/command_line/describe_offer_loss.ts
+++ b/src/command_line/describe_offer_loss.ts
@@ -1,14 +1,17 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { ContactLossCause } from "../mesh/contact_loss_cause.ts";
 import type { LogLine } from "./log_line.ts";
 
 /** What the values of `cause` on a line `offer-lost` say. */
 const causeTexts: Readonly<Record<string, (node: string) => string>> = {
-  "connection-ended": (node) =>
+  [ContactLossCause.ConnectionEnded]: (node) =>
     `the connection to ${node} ended before its reply`,
-  "node-unreachable": (node) =>
+  [ContactLossCause.NodeUnreachable]: (node) =>
     `${node} did not confirm the call and could not be reached`,
-  "not-received": (node) => `${node} stated that the call did not arrive`,
-  "reply-lost": (node) => `${node} replied, but the reply did not arrive`,
+  [ContactLossCause.NotReceived]: (node) =>
+    `${node} stated that the call did not arrive`,
+  [ContactLossCause.ReplyLost]: (node) =>
+    `${node} replied, but the reply did not arrive`,
 };
 
 /** Describes why an offer that had been sent was lost, from its line `offer-lost`. */
