--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -9,7 +9,14 @@
 import { ViewChangeKind } from "./view_change_kind.ts";
 
 /** Subjects of the lines that `MeshReporter.state` writes. */
-const subjects = ["process", "settings", "source", "backend-server", "feed"];
+const subjects = [
+  "process",
+  "settings",
+  "source",
+  "backend-server",
+  "event-loop",
+  "feed",
+];
 const alarms = readFileSync("docs/operations/alarms.md", "utf8");
 const operations = readFileSync("docs/OPERATIONS.md", "utf8");
 
