--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -5,6 +5,7 @@
 import type { CallRoute } from "../routing/call_route.ts";
 import { chooseTarget } from "../routing/choose_target.ts";
 import { findCallRoute } from "../routing/find_call_route.ts";
+import { breakOffResponse } from "./break_off_response.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallResult } from "./call_result.ts";
@@ -66,7 +67,9 @@
     deadline + deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
-  serveRoute(route).catch(handleInternalError).finally(() => timer.cancel());
+  // An answer that is forwarded as it arrives may not have ended by then.
+  response.once("close", () => timer.cancel());
+  serveRoute(route).catch(handleInternalError);
 
   async function serveRoute(chosen: CallRoute): Promise<void> {
     const body = await readRequestBody(request, {
@@ -74,9 +77,13 @@
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
-    await detectClosedConnections(node, { turns: 2 });
+    await detectClosedConnections(node, {
+      turns: 2,
+      connection: request.socket,
+    });
     const result = await processCall(node, plan);
-    if (response.destroyed) {
+    // The response is closed some turns after the end of the caller's input.
+    if (response.destroyed || request.socket.readableEnded) {
       reportAbandoned(node, plan);
       return;
     }
@@ -114,7 +121,7 @@
   function handleInternalError(error: unknown): void {
     reportInternalError(node, { callIdentifier, error });
     if (response.headersSent) {
-      response.destroy();
+      breakOffResponse(response);
       return;
     }
     respond({
