Close the connection of a sender whose request does not end

Cause: a request that is refused before its body has arrived was read on without a limit, so that its connection could be used again: after a body above the limit, an unknown path, an invalid offer or request for the feed, a question for readiness. And the refusal of a request that is not HTTP was lost if more input followed at once: the connection was destroyed with it unread.

Change: close_unread_request closes the connection one second after the response, in which it can still be read. refuse_invalid_request drops further input for up to one second instead of destroying the connection.

--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -7,6 +7,7 @@
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
+import { closeUnreadRequest } from "./close_unread_request.ts";
 import { createConnectionTracker } from "./create_connection_tracker.ts";
 import type { Listener } from "./listener.ts";
 
@@ -52,6 +53,7 @@
       return;
     }
     response.once("close", () => tracker.endRequest(socket));
+    response.once("finish", () => closeUnreadRequest(request));
     options.onRequest(request, response);
   });
   server.on("connection", tracker.add);
--- a/src/daemon/refuse_invalid_request.ts
+++ b/src/daemon/refuse_invalid_request.ts
@@ -30,17 +30,26 @@
   detail: "The request is not valid HTTP/1.1",
 };
 
-/** Refuses a request that is not valid HTTP, or whose header is too large or late, and closes the connection. */
+/** Time in which the sender may read the refusal and close the connection. */
+const closeTimeoutMilliseconds = 1_000;
+
+/**
+ * Refuses a request that is not valid HTTP, or whose header is too large or
+ * late, and closes the connection. It is called again for further input, which
+ * is read and dropped, because unread input would discard the refusal.
+ */
 export function refuseInvalidRequest(
   error: NodeJS.ErrnoException,
   socket: Duplex,
 ): void {
   if (!socket.writable) {
-    socket.destroy();
+    if (!socket.writableEnded) socket.destroy();
     return;
   }
   const { status, reason, detail } = responses[error.code ?? ""] ??
     invalidResponse;
+  const timeout = setTimeout(() => socket.destroy(), closeTimeoutMilliseconds);
+  socket.once("close", () => clearTimeout(timeout));
   socket.end(formatRawResponse({
     status,
     headers: [
