End a request whose body does not end at the deadline of its call

Cause: a call's deadline was not applied while its body was read, so a body that arrives slowly, or a chunk size without end, was read for ever. The node beside a backend server had no timer at all: it relied on the other node closing the connection, and an endless answer to a node that neither reads nor leaves held its slot.

Change: readRequestBody fails with DeadlinePassed when its signal is aborted; the call is refused as not run, which is true. serve_offer aborts an offer 250 ms after its deadline, when the node that made it has had time to do so.

--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -828,12 +828,31 @@
     ...fastBody,
     statuses: [413],
   },
+  {
+    name: "a chunked body, slowly",
+    head: callHead + chunked,
+    ...slowBody,
+    statuses: [503],
+  },
   {
     name: "a body of a length that is not reached",
     head: `${callHead}content-length: 9007199254740991\r\n\r\n`,
     part: fill("x"),
     statuses: [413],
   },
+  {
+    name: "a body of a length that is not reached, slowly",
+    head: `${callHead}content-length: 9007199254740991\r\n\r\n`,
+    part: "x",
+    intervalMilliseconds: 20,
+    statuses: [413, 503],
+  },
+  {
+    name: "a chunk size",
+    head: callHead + chunked,
+    part: fill("0"),
+    statuses: [400, 503],
+  },
   {
     name: "a chunk extension",
     head: `${callHead}${chunked}5;`,
@@ -902,6 +921,13 @@
     ...fastBody,
     statuses: [503],
   },
+  {
+    name: "the body of an offer, slowly",
+    listener: "nodes",
+    head: `${callHead}${OfferHeader.Offer}: OFFER\r\n${chunked}`,
+    ...slowBody,
+    statuses: [503],
+  },
   {
     name: "the body of an invalid offer",
     listener: "nodes",
@@ -1013,3 +1039,31 @@
     },
   )
 );
+
+serialTest(
+  "an endless answer to another node that does not read and does not leave: the connection to the backend server is closed after the deadline, and the slot released",
+  async (t) => {
+    await withFleet(CallKind.NonIdempotent, async (fleet) => {
+      const sockets = sendEndlessly(fleet.backends[0]!, {
+        name: "a chunked body",
+        getHead: (call) => createHead(call, chunked),
+        part: fill(chunk),
+      });
+      const { host, port } = fleet.settings[0]!.listeners.nodes;
+      const offering = connect(port, host);
+      t.teardown(() => offering.destroy());
+      offering.on("error", () => undefined);
+      offering.pause();
+      offering.write(
+        `${callHead}${OfferHeader.Offer}: ${createOfferText()}\r\ncontent-length: 0\r\n\r\n`,
+      );
+      await delay(timeoutMilliseconds + lateMillisecondsMaximum);
+      t.is(sockets.length, 1);
+      t.true(sockets[0]!.destroyed);
+      const after = await Promise.all(
+        Array.from({ length: slots }, () => fleet.call(0)),
+      );
+      t.deepEqual(after.map(({ status }) => status), [200, 200]);
+    });
+  },
+);
--- a/src/mesh/read_request_body.ts
+++ b/src/mesh/read_request_body.ts
@@ -7,11 +7,12 @@
 
 /**
  * Reads a complete request body. Fails with `RequestTooLarge` above the limit,
- * and with `CallerLeft` if the request breaks off.
+ * with `CallerLeft` if the request breaks off, and with `DeadlinePassed` if
+ * `signal` is aborted before its end.
  */
 export function readRequestBody(
   request: IncomingMessage,
-  options: { readonly bytesMaximum: number },
+  options: { readonly bytesMaximum: number; readonly signal: AbortSignal },
 ): Promise<Result<Buffer, RefusalReason>> {
   const declared = request.headers["content-length"];
   const isChunked = request.headers["transfer-encoding"] !== undefined;
@@ -22,6 +23,11 @@
   return new Promise((resolve) => {
     const collector = createByteCollector();
     let bytes = 0;
+    options.signal.addEventListener(
+      "abort",
+      () => resolve(Result.err(RefusalReason.DeadlinePassed)),
+      { once: true },
+    );
     request.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
       if (bytes <= options.bytesMaximum) {
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -74,6 +74,7 @@
   async function serveRoute(chosen: CallRoute): Promise<void> {
     const body = await readRequestBody(request, {
       bytesMaximum: getBodyBytesMaximum(node),
+      signal: cancellation.signal,
     });
     if (body.isErr) return refuse(body.error);
     const plan = createPlan(chosen, body.value);
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -26,6 +26,8 @@
  * time after which the other node cancels the offer.
  */
 const interimResponseDelayMilliseconds = 200;
+/** The other node, which ends the call at its deadline, goes first. */
+const deadlineGraceMilliseconds = 250;
 
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
@@ -51,6 +53,11 @@
       if (!response.destroyed) response.writeProcessing();
     },
   );
+  const deadlineTimer = node.timers.at(
+    offer.deadline + deadlineGraceMilliseconds,
+    () => cancellation.abort(),
+  );
+  response.once("close", () => deadlineTimer.cancel());
   processOffer(node, request, { offer, signal: cancellation.signal })
     .then((outcome) => writeOutcome(node, response, outcome))
     .catch((error: unknown) => {
@@ -71,6 +78,7 @@
 ): Promise<OfferOutcome> {
   const body = await readRequestBody(request, {
     bytesMaximum: getBodyBytesMaximum(node),
+    signal: options.signal,
   });
   if (body.isErr) {
     const reason = body.error;
