Close an idle connection to the store that delivers bytes

Cause: the agent of the store's client did not notice bytes on an idle connection; they were read and dropped without end.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -32,6 +32,7 @@
   "dist/src/mesh/serve_offer_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/platform/create_store_client_test.js",
+  "dist/platform/endless_store_bytes_test.js",
   "dist/platform/main_test.js",
   "dist/stand_ins/soak/run_soak_test.js",
 ];
--- a/src/mesh/create_connection_agent.ts
+++ b/src/mesh/create_connection_agent.ts
@@ -27,12 +27,16 @@
 
 /**
  * Creates an agent that closes idle connections after a timeout in
- * milliseconds.
+ * milliseconds; undefined: after none.
  */
-export function createConnectionAgent(idleMilliseconds: number): Agent {
+export function createConnectionAgent(
+  idleMilliseconds: number | undefined,
+  options: { readonly connectionsMaximum?: number } = {},
+): Agent {
   return new ConnectionAgent({
     keepAlive: true,
-    timeout: idleMilliseconds,
     scheduling: "lifo",
+    maxSockets: options.connectionsMaximum ?? Number.POSITIVE_INFINITY,
+    ...(idleMilliseconds === undefined ? {} : { timeout: idleMilliseconds }),
   });
 }
