Close a connection on which a client sends empty lines between requests

Cause: any byte ends the idle timeout of a connection in Node.js, and the timeout of a header begins with the first byte of a request, which an empty line is not. A client that sends empty lines after a request kept its connection for ever.

Ruled out: empty lines before the first request; the timeout of the header counts from the connection then (408 after 3.0 to 4.0 s).

Change: the listener closes connections on which no request began within the idle timeout and the header timeout of the last one, at the interval at which headers are checked.

Four tests each of open_listener and refuse_invalid_request pass.

--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -13,6 +13,8 @@
  */
 export function createConnectionTracker(): ConnectionTracker {
   const activeRequestCounts = new Map<Socket, number>();
+  /** When the last request of a connection without one ended; not on the time of day. */
+  const idleSince = new Map<Socket, number>();
   const closing = new WeakSet<Socket>();
 
   function closeAfterResponse(socket: Socket, finalResponse: string): void {
@@ -28,12 +30,16 @@
   return {
     add: (socket) => {
       activeRequestCounts.set(socket, 0);
-      socket.once("close", () => activeRequestCounts.delete(socket));
+      socket.once("close", () => {
+        activeRequestCounts.delete(socket);
+        idleSince.delete(socket);
+      });
     },
     tryBeginRequest: (socket) => {
       if (closing.has(socket)) {
         return false;
       }
+      idleSince.delete(socket);
       activeRequestCounts.set(
         socket,
         (activeRequestCounts.get(socket) ?? 0) + 1,
@@ -42,9 +48,15 @@
     },
     endRequest: (socket) => {
       const requestCount = activeRequestCounts.get(socket);
-      if (requestCount !== undefined) {
-        activeRequestCounts.set(socket, requestCount - 1);
-      }
+      if (requestCount === undefined) return;
+      activeRequestCounts.set(socket, requestCount - 1);
+      if (requestCount === 1) idleSince.set(socket, performance.now());
+    },
+    closeOverdue: (milliseconds) => {
+      const latest = performance.now() - milliseconds;
+      Array.from(idleSince)
+        .filter(([, since]) => since < latest)
+        .forEach(([socket]) => socket.destroy());
     },
     closeIdle: (finalResponse) =>
       [...activeRequestCounts]
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -57,6 +57,14 @@
     options.onRequest(request, response);
   });
   server.on("connection", tracker.add);
+  // Empty lines between two requests end the idle timeout of the server and
+  // begin no request, whose header would have a timeout.
+  const overdueCheck = setInterval(
+    () => tracker.closeOverdue(server.keepAliveTimeout + server.headersTimeout),
+    options.headerCheckIntervalMilliseconds ??
+      defaultHeaderCheckIntervalMilliseconds,
+  ).unref();
+  server.once("close", () => clearInterval(overdueCheck));
   server.on("clientError", options.onInvalidRequest);
 
   function close(finalResponse: string): Promise<void> {
--- a/src/daemon/open_listener_test.ts
+++ b/src/daemon/open_listener_test.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { once } from "node:events";
 import { nextTick } from "node:process";
+import { setTimeout as delay } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { DiagnosticError } from "../diagnostics/diagnostic_error.ts";
 import type { Listener } from "./listener.ts";
@@ -79,3 +80,28 @@
   t.regex(received, /^HTTP\/1\.1 (200|503) /);
   await closed;
 });
+
+test("empty lines that a client sends without end after a request do not keep its connection", async (t) => {
+  const opened = await openListener({
+    address: { host: "127.0.0.1", port: 0 },
+    requestHeaderBytes: 16_384,
+    headerCheckIntervalMilliseconds: 100,
+    onInvalidRequest: refuseInvalidRequest,
+    onRequest: (_request, response) => response.end("ran"),
+  });
+  if (opened.isErr) throw new DiagnosticError(opened.error);
+  const listener = opened.value;
+  listener.setLimits({ headerMilliseconds: 300, idleMilliseconds: 300 });
+  const socket = await openIdleConnection(listener);
+  socket.on("error", () => undefined);
+  const lines = setInterval(() => socket.write("\r\n"), 20);
+  const startedAt = performance.now();
+  const ended = await Promise.race([
+    once(socket, "close").then(() => true),
+    delay(3_000, false),
+  ]);
+  clearInterval(lines);
+  t.true(ended);
+  t.true(performance.now() - startedAt >= 550);
+  listener.destroy();
+});
