Move the decisions about offers to a folder of their own

src/mesh has over 130 files; what is known of an offer and when it is given up needs no network. Moved with every import, nothing else changed.

--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { describeCallCause } from "./describe_call_cause.ts";
-import { OfferCheckKind } from "../mesh/offer_check_kind.ts";
-import { OfferStatus } from "../mesh/offer_status.ts";
+import { OfferCheckKind } from "../offers/offer_check_kind.ts";
+import { OfferStatus } from "../offers/offer_status.ts";
 import type { LogLine } from "./log_line.ts";
 
 function createLine(
--- a/src/command_line/describe_offer_loss.ts
+++ b/src/command_line/describe_offer_loss.ts
@@ -1,5 +1,5 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
-import { ContactLossCause } from "../mesh/contact_loss_cause.ts";
+import { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import type { LogLine } from "./log_line.ts";
 
 /** What the values of `cause` on a line `offer-lost` say. */
--- a/src/mesh/check_offer.ts
+++ b/src/mesh/check_offer.ts
@@ -1,10 +1,10 @@
 import { get, type IncomingMessage } from "node:http";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import type { OfferCheck } from "./offer_check.ts";
-import { OfferCheckKind } from "./offer_check_kind.ts";
+import type { OfferCheck } from "../offers/offer_check.ts";
+import { OfferCheckKind } from "../offers/offer_check_kind.ts";
 import { OfferHeader } from "./offer_header.ts";
-import { OfferStatus } from "./offer_status.ts";
+import { OfferStatus } from "../offers/offer_status.ts";
 import { trackConnection } from "./track_connection.ts";
 
 const replyTimeoutMilliseconds = 500;
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -3,7 +3,7 @@
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
-import { createOfferRecords } from "./create_offer_records.ts";
+import { createOfferRecords } from "../offers/create_offer_records.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -1,5 +1,5 @@
 import { tryParseJson } from "../daemon/try_parse_json.ts";
-import { createOfferIdentifier } from "./create_offer_identifier.ts";
+import { createOfferIdentifier } from "../offers/create_offer_identifier.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { OfferMessage } from "./offer_message.ts";
 
--- a/src/mesh/handle_offer_loss.ts
+++ b/src/mesh/handle_offer_loss.ts
@@ -5,7 +5,7 @@
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
-import type { ContactLossCause } from "./contact_loss_cause.ts";
+import type { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { reportOffer } from "./report_offer.ts";
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -14,7 +14,7 @@
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
-import type { OfferRecords } from "./offer_records.ts";
+import type { OfferRecords } from "../offers/offer_records.ts";
 import type { ServerProbeState } from "./server_probe_state.ts";
 import type { SlotWaiter } from "./slot_waiter.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
--- a/src/mesh/offer_outcome.ts
+++ b/src/mesh/offer_outcome.ts
@@ -1,7 +1,7 @@
 import type { Readable } from "node:stream";
 import type { GateLoad } from "../balancing/gate_load.ts";
 import type { RefusalReason } from "../calls/refusal_reason.ts";
-import type { ContactLossCause } from "./contact_loss_cause.ts";
+import type { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import type { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 
 /**
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -4,7 +4,7 @@
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { CallRequest } from "./call_request.ts";
-import { ContactLossCause } from "./contact_loss_cause.ts";
+import { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { discardBody } from "./discard_body.ts";
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -13,9 +13,9 @@
 import { startSilentPeer } from "../testing/mesh/start_silent_peer.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 import { CallEventKind } from "./call_event_kind.ts";
-import { ContactLossCause } from "./contact_loss_cause.ts";
-import { OfferCheckKind } from "./offer_check_kind.ts";
-import { OfferStatus } from "./offer_status.ts";
+import { ContactLossCause } from "../offers/contact_loss_cause.ts";
+import { OfferCheckKind } from "../offers/offer_check_kind.ts";
+import { OfferStatus } from "../offers/offer_status.ts";
 
 // Fleets share the hosts of the loopback interface, so the tests run one at a
 // time.
--- a/src/mesh/report_offer.ts
+++ b/src/mesh/report_offer.ts
@@ -2,7 +2,7 @@
 import type { RefusalReason } from "../calls/refusal_reason.ts";
 import type { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
-import type { ContactLossCause } from "./contact_loss_cause.ts";
+import type { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -15,11 +15,11 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
-import { releaseOffer } from "./release_offer.ts";
+import { releaseOffer } from "../offers/release_offer.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 import { reportInternalError } from "./report_internal_error.ts";
-import { tryHoldOffer } from "./try_hold_offer.ts";
+import { tryHoldOffer } from "../offers/try_hold_offer.ts";
 
 const refusedStatus = 503;
 const lostStatus = 502;
--- a/src/mesh/serve_offer_status.ts
+++ b/src/mesh/serve_offer_status.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { getOfferStatus } from "./get_offer_status.ts";
+import { getOfferStatus } from "../offers/get_offer_status.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 
--- a/src/mesh/serve_offer_test.ts
+++ b/src/mesh/serve_offer_test.ts
@@ -15,7 +15,7 @@
 import { encodeOffer } from "./encode_offer.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { OfferHeader } from "./offer_header.ts";
-import { OfferStatus } from "./offer_status.ts";
+import { OfferStatus } from "../offers/offer_status.ts";
 
 const serialTest = test.serial;
 
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -5,14 +5,14 @@
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import { checkOffer } from "./check_offer.ts";
-import type { ContactLossCause } from "./contact_loss_cause.ts";
-import { decideUnconfirmedOffer } from "./decide_unconfirmed_offer.ts";
+import type { ContactLossCause } from "../offers/contact_loss_cause.ts";
+import { decideUnconfirmedOffer } from "../offers/decide_unconfirmed_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateView } from "./get_gate_view.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import type { OfferCheck } from "./offer_check.ts";
-import { OfferCheckKind } from "./offer_check_kind.ts";
-import { OfferDecisionKind } from "./offer_decision_kind.ts";
+import type { OfferCheck } from "../offers/offer_check.ts";
+import { OfferCheckKind } from "../offers/offer_check_kind.ts";
+import { OfferDecisionKind } from "../offers/offer_decision_kind.ts";
 
 /** A node that is not slow confirms within this time that an offer arrived. */
 const confirmationTimeoutMilliseconds = 500;
--- a/src/testing/mesh/silent_peer.ts
+++ b/src/testing/mesh/silent_peer.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import type { OfferStatus } from "../../mesh/offer_status.ts";
+import type { OfferStatus } from "../../offers/offer_status.ts";
 
 /** A peer that accepts connections and sends nothing but what a test sets. */
 export interface SilentPeer {
--- a/src/testing/mesh/start_silent_peer.ts
+++ b/src/testing/mesh/start_silent_peer.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import { OfferHeader } from "../../mesh/offer_header.ts";
-import type { OfferStatus } from "../../mesh/offer_status.ts";
+import type { OfferStatus } from "../../offers/offer_status.ts";
 import { createPeerAnswer } from "./create_peer_answer.ts";
 import type { MeshFleet } from "./mesh_fleet.ts";
 import { publishPeer } from "./publish_peer.ts";
