--- a/src/testing/mesh/measure_retained_bytes.ts
+++ b/src/testing/mesh/measure_retained_bytes.ts
@@ -2,6 +2,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 
+const microsecondsPerMillisecond = 1_000;
 const sampleIntervalMilliseconds = 100;
 
 setFlagsFromString("--expose-gc");
@@ -10,7 +11,8 @@
 /**
  * Runs an action and resolves with its result and with the highest growth of
  * the memory meanwhile, in bytes: of what a garbage collection leaves, and of
- * the process.
+ * the process. The processor time shows whether a process that took long had
+ * been waiting for a processor.
  */
 export async function measureRetainedBytes<Value>(
   action: () => Promise<Value>,
@@ -19,9 +21,11 @@
     readonly value: Value;
     readonly retainedBytes: number;
     readonly residentBytes: number;
+    readonly processorMilliseconds: number;
   }
 > {
   const before = takeSample();
+  const processorBefore = process.cpuUsage();
   const growths: { readonly retained: number; readonly resident: number }[] =
     [];
   const interval = setInterval(() => {
@@ -33,10 +37,12 @@
   }, sampleIntervalMilliseconds);
   try {
     const value = await action();
+    const { user, system } = process.cpuUsage(processorBefore);
     return {
       value,
       retainedBytes: Math.max(0, ...growths.map(({ retained }) => retained)),
       residentBytes: Math.max(0, ...growths.map(({ resident }) => resident)),
+      processorMilliseconds: (user + system) / microsecondsPerMillisecond,
     };
   } finally {
     clearInterval(interval);
