Mend what a newcomer stumbled over in the change

Names: the status of an offer says not-received and ended in place of unknown, which means something else for a call, and replied, which was also recorded without a reply; the query that fences an offer is named for it. The avoidance of a node that is checked outlasts the interval of the checks (1.5 s).

--- a/src/collections/map_concurrently.ts
+++ b/src/collections/map_concurrently.ts
@@ -1,6 +1,7 @@
 /**
  * Maps the items with an asynchronous function that runs at most `concurrency`
- * times at once. Returns the results in the order of the items.
+ * times at once. Resolves with the results in the order of the items; rejects
+ * with the first rejection.
  */
 export async function mapConcurrently<Item, Mapped>(
   items: readonly Item[],
@@ -11,12 +12,12 @@
 ): Promise<readonly Mapped[]> {
   const results = new Array<Mapped>(items.length);
   const remaining = items.entries();
-  const lanes = Array.from({ length: options.concurrency }, async () => {
-    // The lanes share the iterator, so each item is taken once.
+  const workers = Array.from({ length: options.concurrency }, async () => {
+    // The workers share the iterator, so each item is taken once.
     for (const [index, item] of remaining) {
       results[index] = await options.map(item);
     }
   });
-  await Promise.all(lanes);
+  await Promise.all(workers);
   return results;
 }
--- a/src/command_line/describe_call_cause.ts
+++ b/src/command_line/describe_call_cause.ts
@@ -16,15 +16,20 @@
 ]);
 
 /** What the values of `outcome` on a line `offer-checked` say of the other node. */
-const checkTexts: Readonly<Record<string, string>> = {
+const checkTexts: Readonly<
+  Record<OfferStatus | Exclude<OfferCheckKind, OfferCheckKind.Status>, string>
+> = {
   [OfferStatus.Held]: "still held the call",
-  [OfferStatus.Replied]: "had replied already",
-  [OfferStatus.Unknown]: "did not know the call",
+  [OfferStatus.Ended]: "had ended the offer already",
+  [OfferStatus.NotReceived]: "had not received the call",
   [OfferCheckKind.NoReply]: "did not reply to a query",
   [OfferCheckKind.Rejected]: "was not running",
   [OfferCheckKind.NotConnected]: "could not be reached",
   [OfferCheckKind.NotSupported]: "is of an earlier version",
 };
+const checkTextsByValue: ReadonlyMap<string, string> = new Map(
+  Object.entries(checkTexts),
+);
 
 /**
  * Describes how a call ended and why, in one line. `lines` are its log lines in
@@ -125,7 +130,8 @@
   const line = selectKind(lines, CallEventKind.OfferChecked).at(-1);
   if (line === undefined) return [];
   const { backendServer, outcome } = line.details;
-  const text = checkTexts[String(outcome)] ?? `was checked: ${outcome}`;
+  const text = checkTextsByValue.get(String(outcome)) ??
+    `was checked: ${outcome}`;
   return [`the node beside ${backendServer} ${text}`];
 }
 
--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -40,7 +40,7 @@
   },
   {
     cause: "reply-lost",
-    text: "the node beside i-1 replied, but the reply did not arrive",
+    text: "the node beside i-1 had ended the call, but no reply arrived",
   },
   {
     cause: undefined,
@@ -68,7 +68,7 @@
   });
   t.is(
     describeCallCause([lost("reply-lost"), end]),
-    "refused after 7 ms, outcome unknown, it may have run: the node beside i-1 replied, but the reply did not arrive; then the retry budget was spent (retry-budget-spent)",
+    "refused after 7 ms, outcome unknown, it may have run: the node beside i-1 had ended the call, but no reply arrived; then the retry budget was spent (retry-budget-spent)",
   );
 });
 
--- a/src/command_line/describe_offer_loss.ts
+++ b/src/command_line/describe_offer_loss.ts
@@ -3,7 +3,9 @@
 import type { LogLine } from "./log_line.ts";
 
 /** What the values of `cause` on a line `offer-lost` say. */
-const causeTexts: Readonly<Record<string, (node: string) => string>> = {
+const causeTexts: Readonly<
+  Record<ContactLossCause, (node: string) => string>
+> = {
   [ContactLossCause.ConnectionEnded]: (node) =>
     `the connection to ${node} ended before its reply`,
   [ContactLossCause.NodeUnreachable]: (node) =>
@@ -11,9 +13,12 @@
   [ContactLossCause.NotReceived]: (node) =>
     `${node} stated that the call did not arrive`,
   [ContactLossCause.ReplyLost]: (node) =>
-    `${node} replied, but the reply did not arrive`,
+    `${node} had ended the call, but no reply arrived`,
 };
 
+const causeTextsByValue: ReadonlyMap<string, (node: string) => string> =
+  new Map(Object.entries(causeTexts));
+
 /** Describes why an offer that had been sent was lost, from its line `offer-lost`. */
 export function describeOfferLoss(line: LogLine): string {
   const { backendServer, reason, cause } = line.details;
@@ -21,7 +26,7 @@
     return `the answer of backend server ${backendServer} was truncated or malformed`;
   }
   const node = `the node beside ${backendServer}`;
-  const describe = causeTexts[String(cause)];
+  const describe = causeTextsByValue.get(String(cause));
   return describe === undefined
     ? `contact with ${node} was lost after the call had been sent`
     : describe(node);
--- a/src/command_line/read_call_lines.ts
+++ b/src/command_line/read_call_lines.ts
@@ -9,7 +9,7 @@
 import { parseLogLine } from "./parse_log_line.ts";
 
 const blockBytes = 1_048_576;
-/** A longer line is none of a node. */
+/** No node writes a longer line. */
 const lineBytesMaximum = 1_048_576;
 const lineFeed = 0x0a;
 
--- a/src/mesh/close_nodes_listener.ts
+++ b/src/mesh/close_nodes_listener.ts
@@ -6,7 +6,7 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 
-/** Round trips to other nodes take a few milliseconds. */
+/** Longest wait for other nodes to close their connections. */
 const closeMillisecondsMaximum = 300;
 const refusedStatus = 503;
 
--- a/src/mesh/detect_closed_connections.ts
+++ b/src/mesh/detect_closed_connections.ts
@@ -17,7 +17,8 @@
  * @param options `turns` is the number of turns of the event loop. The close of
  * a connection is read in the turn after its last request, so a request that was
  * just read needs two; one turn is enough for what arrived before this turn.
- * `connection` is the one on which the request arrived.
+ * `connection` is the one on which the request arrived; it is new until its
+ * first request has been held.
  */
 export async function detectClosedConnections(
   node: MeshNode,
--- a/src/mesh/discard_body.ts
+++ b/src/mesh/discard_body.ts
@@ -3,6 +3,7 @@
 
 /** Size up to which a body that nobody needs is read to its end. */
 const discardedBytesMaximum = 65_536;
+/** Time in which the rest of a body may arrive before its connection is closed. */
 const discardMilliseconds = 500;
 
 /**
@@ -19,6 +20,7 @@
     bytes += part.byteLength;
     if (bytes > discardedBytesMaximum) body.destroy();
   });
+  // The close that follows ends the reading.
   body.on("error", () => undefined);
   body.once("close", () => timer.cancel());
 }
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -161,7 +161,7 @@
   "an offer that was lost on a silent connection is made to another backend server",
   async (t) => {
     await withSilentPeerBesideOwnServer(async (fleet, peer) => {
-      peer.status = OfferStatus.Unknown;
+      peer.status = OfferStatus.NotReceived;
       const onOffered = () => undefined;
       const response = await callUntilOffered(fleet, { peer, onOffered });
       t.is(response?.status, 200);
@@ -177,7 +177,7 @@
   "a call whose reply was lost on a silent connection is offered to another backend server",
   async (t) => {
     await withSilentPeerBesideOwnServer(async (fleet, peer) => {
-      peer.status = OfferStatus.Replied;
+      peer.status = OfferStatus.Ended;
       const onOffered = () => undefined;
       const response = await callUntilOffered(fleet, { peer, onOffered });
       t.is(response?.status, 200);
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -2,6 +2,7 @@
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
+import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
 import { createReplyHeaders } from "./create_reply_headers.ts";
@@ -53,23 +54,13 @@
   const now = node.clock.now();
   if (!tryHoldOffer(node.offers, { offerIdentifier, now })) {
     request.resume();
-    const reason = RefusalReason.Fenced;
-    writeOutcome(
-      node,
-      response,
-      createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
-    );
+    refuseFenced(node, response);
     return;
   }
   releaseAtClose(node, { request, response, offerIdentifier });
   // The other node closes the connection when its caller disconnects.
   const cancellation = createDisconnectController(request, response);
-  const interimResponseTimer = node.timers.at(
-    node.clock.now() + interimResponseDelayMilliseconds,
-    () => {
-      if (!response.destroyed) response.writeProcessing();
-    },
-  );
+  const interimResponseTimer = startInterimResponseTimer(node, response);
   const deadlineTimer = node.timers.at(
     offer.deadline + deadlineGraceMilliseconds,
     () => cancellation.abort(),
@@ -85,6 +76,27 @@
     .finally(() => interimResponseTimer.cancel());
 }
 
+function refuseFenced(node: MeshNode, response: ServerResponse): void {
+  const reason = RefusalReason.Fenced;
+  writeOutcome(
+    node,
+    response,
+    createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
+  );
+}
+
+function startInterimResponseTimer(
+  node: MeshNode,
+  response: ServerResponse,
+): TimerHandle {
+  return node.timers.at(
+    node.clock.now() + interimResponseDelayMilliseconds,
+    () => {
+      if (!response.destroyed) response.writeProcessing();
+    },
+  );
+}
+
 /**
  * Releases an offer when its response or its connection is closed. A response
  * that waits for an earlier one on its connection does not close with it.
@@ -143,7 +155,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...createHeaders(node, { kind, framed, load }),
+        ...createReplyHeadersOfNode(node, { kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
@@ -155,7 +167,7 @@
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
         refusedStatus,
-        createHeaders(node, {
+        createReplyHeadersOfNode(node, {
           kind,
           reason,
           retryMilliseconds,
@@ -167,13 +179,16 @@
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
         lostStatus,
-        createHeaders(node, { kind, reason, load }),
+        createReplyHeadersOfNode(node, { kind, reason, load }),
       ).end();
     })
     .exhaustive();
 }
 
-function createHeaders(node: MeshNode, message: ReplyMessage): string[] {
+function createReplyHeadersOfNode(
+  node: MeshNode,
+  message: ReplyMessage,
+): string[] {
   return [
     ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
--- a/src/mesh/serve_offer_status.ts
+++ b/src/mesh/serve_offer_status.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { getOfferStatus } from "../offers/get_offer_status.ts";
+import { replyToOfferQuery } from "../offers/reply_to_offer_query.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 
@@ -17,7 +17,7 @@
   const { offerIdentifier, response } = options;
   request.resume();
   const now = node.clock.now();
-  const status = getOfferStatus(node.offers, { offerIdentifier, now });
+  const status = replyToOfferQuery(node.offers, { offerIdentifier, now });
   response.writeHead(okStatus, {
     [OfferHeader.Status]: status,
     "connection": "close",
--- a/src/mesh/serve_offer_test.ts
+++ b/src/mesh/serve_offer_test.ts
@@ -85,7 +85,7 @@
     const fleet = await startMeshFleet({ vms: 1 });
     const query = { [OfferHeader.Status]: "late" };
     const queried = await requestAsNode(fleet, query);
-    t.is(queried[OfferHeader.Status], OfferStatus.Unknown);
+    t.is(queried[OfferHeader.Status], OfferStatus.NotReceived);
     const now = Date.now();
     const offered = await requestAsNode(fleet, {
       [OfferHeader.Offer]: encodeOffer(
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -16,13 +16,15 @@
 
 /** A node that is not slow confirms within this time that an offer arrived. */
 const confirmationTimeoutMilliseconds = 500;
+const checkIntervalMilliseconds = 500;
 /** Delay of the next connection attempt after one that timed out. */
 const reconnectDelayMilliseconds = 100;
-/** Longer than a check takes. */
-const avoidMilliseconds = 1_000;
+/** The next check renews it sooner. */
+const avoidMilliseconds = 1_500;
 
 /**
- * Supervises an offer until it is confirmed. While no confirmation arrives, the
+ * Supervises an offer until it is confirmed, found at the other node, or given
+ * up. While no confirmation arrives, the
  * other node is queried for the offer, and gets no further ones if others can
  * take them; `onLost` is called once if no answer can be expected.
  */
@@ -95,5 +97,5 @@
 function getNextCheckInstant(found: OfferCheck, now: number): number {
   return found.kind === OfferCheckKind.NotConnected
     ? now + reconnectDelayMilliseconds
-    : now + confirmationTimeoutMilliseconds;
+    : now + checkIntervalMilliseconds;
 }
--- a/src/offers/contact_loss_cause.ts
+++ b/src/offers/contact_loss_cause.ts
@@ -6,6 +6,6 @@
   NodeUnreachable = "node-unreachable",
   /** The node states that the offer did not arrive. */
   NotReceived = "not-received",
-  /** The node states that it replied, but the reply did not arrive. */
+  /** The node states that the offer has ended there, but no reply arrived. */
   ReplyLost = "reply-lost",
 }
--- a/src/offers/decide_unconfirmed_offer.ts
+++ b/src/offers/decide_unconfirmed_offer.ts
@@ -46,11 +46,11 @@
       () => keep,
     )
     .with(
-      { kind: OfferCheckKind.Status, status: OfferStatus.Unknown },
+      { kind: OfferCheckKind.Status, status: OfferStatus.NotReceived },
       () => giveUp(ContactLossCause.NotReceived),
     )
     .with(
-      { kind: OfferCheckKind.Status, status: OfferStatus.Replied },
+      { kind: OfferCheckKind.Status, status: OfferStatus.Ended },
       // A reply that was just sent may still be on its way.
       () => isRepeated ? giveUp(ContactLossCause.ReplyLost) : checkAgain,
     )
--- a/src/offers/decide_unconfirmed_offer_test.ts
+++ b/src/offers/decide_unconfirmed_offer_test.ts
@@ -71,17 +71,20 @@
 });
 
 // Guards against waiting until the deadline for an offer that is certainly lost.
-test("an offer that did not arrive is given up at once", (t) => {
-  const unknown = createStatusCheck(OfferStatus.Unknown);
+test("an offer that did not arrive does not wait for a second check", (t) => {
+  const notReceived = createStatusCheck(OfferStatus.NotReceived);
   t.deepEqual(
-    decideUnconfirmedOffer(unknown, { previous: undefined, canRetry: false }),
+    decideUnconfirmedOffer(notReceived, {
+      previous: undefined,
+      canRetry: false,
+    }),
     createGiveUp(ContactLossCause.NotReceived),
   );
 });
 
 // Guards against giving up an answer that is on its way.
 test("a reply that was sent gets the time until the next check to arrive", (t) => {
-  const replied = createStatusCheck(OfferStatus.Replied);
+  const replied = createStatusCheck(OfferStatus.Ended);
   t.deepEqual(
     decideUnconfirmedOffer(replied, { previous: undefined, canRetry }),
     checkAgain,
--- a/src/offers/offer_records.ts
+++ b/src/offers/offer_records.ts
@@ -6,5 +6,5 @@
   /** Identifiers of the offers that have no reply yet. */
   readonly held: Set<string>;
   /** Offers that had a reply, and those queried before they arrived. */
-  readonly recent: ExpiringMap<OfferStatus.Replied | OfferStatus.Unknown>;
+  readonly recent: ExpiringMap<OfferStatus.Ended | OfferStatus.NotReceived>;
 }
--- a/src/offers/offer_status.ts
+++ b/src/offers/offer_status.ts
@@ -2,11 +2,11 @@
 export enum OfferStatus {
   /** The offer arrived and has no reply yet. */
   Held = "held",
-  /** The node has sent its reply. */
-  Replied = "replied",
+  /** The node has sent its reply, or the connection of the offer has ended. */
+  Ended = "ended",
   /**
-   * The offer has not arrived since the node started, and will be refused if it
-   * does.
+   * The offer has not arrived since the node started, and is refused if it
+   * arrives later.
    */
-  Unknown = "unknown",
+  NotReceived = "not-received",
 }
--- a/src/offers/release_offer.ts
+++ b/src/offers/release_offer.ts
@@ -14,7 +14,7 @@
   records.held.delete(offerIdentifier);
   records.recent.set(
     offerIdentifier,
-    OfferStatus.Replied,
+    OfferStatus.Ended,
     now + recentOfferMilliseconds,
   );
 }
--- a/src/offers/get_offer_status.ts
+++ b/src/offers/reply_to_offer_query.ts
@@ -3,10 +3,11 @@
 import { recentOfferMilliseconds } from "./recent_offer_milliseconds.ts";
 
 /**
- * Returns the status of an offer. One that has not arrived is fenced: it is
- * refused if it arrives later. `now` is in milliseconds since the Unix epoch.
+ * Returns the status of an offer for the node that made it. Fences an offer that
+ * has not arrived: it is refused if it arrives later. `now` is in milliseconds
+ * since the Unix epoch.
  */
-export function getOfferStatus(
+export function replyToOfferQuery(
   records: OfferRecords,
   options: { readonly offerIdentifier: string; readonly now: number },
 ): OfferStatus {
@@ -16,8 +17,8 @@
   if (recent !== undefined) return recent;
   records.recent.set(
     offerIdentifier,
-    OfferStatus.Unknown,
+    OfferStatus.NotReceived,
     now + recentOfferMilliseconds,
   );
-  return OfferStatus.Unknown;
+  return OfferStatus.NotReceived;
 }
--- a/src/offers/try_hold_offer.ts
+++ b/src/offers/try_hold_offer.ts
@@ -11,7 +11,7 @@
   options: { readonly offerIdentifier: string; readonly now: number },
 ): boolean {
   const { offerIdentifier, now } = options;
-  if (records.recent.get(offerIdentifier, now) === OfferStatus.Unknown) {
+  if (records.recent.get(offerIdentifier, now) === OfferStatus.NotReceived) {
     return false;
   }
   records.held.add(offerIdentifier);
--- a/src/source/choose_feed_host_in_backoff.ts
+++ b/src/source/choose_feed_host_in_backoff.ts
@@ -4,10 +4,10 @@
 /**
  * Returns the neighbour to follow although it is in backoff, for a node whose
  * own reads of the source fail and that `chooseFeedHost` gives no host; undefined
- * if the node can read the source. The backoff that ends first is ignored: it
- * may exceed the bound on the delay of a change, and nothing else brings
- * changes to this node. The delay between the failed reads of the source limits
- * the requests.
+ * if the node can read the source. It is the neighbour whose backoff ends first;
+ * waiting for that end could delay a change beyond the bound, and nothing else
+ * brings changes to this node. The delay between the failed reads of the source
+ * limits the requests.
  */
 export function chooseFeedHostInBackoff(
   hosts: readonly string[],
@@ -15,6 +15,7 @@
     readonly ownHost: string;
     /** Failures by host; a host without recent failures has no entry. */
     readonly backoffByHost: ReadonlyMap<string, FeedHostBackoff>;
+    /** In milliseconds since the Unix epoch. */
     readonly now: number;
   },
 ): string | undefined {
--- a/src/telemetry/create_log_destination.ts
+++ b/src/telemetry/create_log_destination.ts
@@ -40,7 +40,7 @@
     bytesMaximum: bufferedBytesMaximum,
     blockBytesMaximum,
   });
-  const neverBlocks = setNonBlocking();
+  const isNonBlocking = trySetNonBlocking();
   let isWriting = false;
   let isClosed = false;
 
@@ -51,7 +51,8 @@
       reportDropped();
       flush();
     } else {
-      // Other errors, such as a full pipe or disk, may pass; the next flush tries again.
+      // With EPIPE the reader has left for good; after any other error, such as a
+      // full pipe or disk, the next flush tries again.
       isClosed = error.code === "EPIPE";
     }
   }
@@ -66,7 +67,7 @@
     const block = buffer.peek();
     if (block.length === 0 || isWriting || isClosed) return;
     isWriting = true;
-    if (neverBlocks) {
+    if (isNonBlocking) {
       const result = tryWrite(block);
       handleWritten(
         result.isErr ? result.error : null,
@@ -79,7 +80,8 @@
 
   function flushAtExit(): void {
     options.onFlush(Infinity);
-    // A thread completes the write that is under way.
+    // A thread completes the write that is under way, so its block must not be
+    // written again.
     if (isWriting) buffer.remove(buffer.peek().length);
     writeUntil(performance.now() + exitMillisecondsMaximum);
     reportDropped();
@@ -123,7 +125,7 @@
  * with `EAGAIN` instead of blocking. Otherwise a reader that does not read
  * would block a thread, and the process could not end.
  */
-function setNonBlocking(): boolean {
+function trySetNonBlocking(): boolean {
   const status = fstatSync(standardOutput);
   if (!status.isFIFO() && !status.isSocket()) return false;
   // Node.js makes the descriptor non-blocking when the stream is created, and
