--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -2,6 +2,7 @@
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
+import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
 import { createReplyHeaders } from "./create_reply_headers.ts";
@@ -15,11 +16,11 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
-import { releaseOffer } from "./release_offer.ts";
+import { releaseOffer } from "../offers/release_offer.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 import { reportInternalError } from "./report_internal_error.ts";
-import { tryHoldOffer } from "./try_hold_offer.ts";
+import { tryHoldOffer } from "../offers/try_hold_offer.ts";
 
 const refusedStatus = 503;
 const lostStatus = 502;
@@ -30,6 +31,8 @@
  * time after which the other node queries for the offer.
  */
 const interimResponseDelayMilliseconds = 200;
+/** The other node, which ends the call at its deadline, goes first. */
+const deadlineGraceMilliseconds = 250;
 
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
@@ -51,23 +54,18 @@
   const now = node.clock.now();
   if (!tryHoldOffer(node.offers, { offerIdentifier, now })) {
     request.resume();
-    const reason = RefusalReason.Fenced;
-    writeOutcome(
-      node,
-      response,
-      createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
-    );
+    refuseFenced(node, response);
     return;
   }
   releaseAtClose(node, { request, response, offerIdentifier });
   // The other node closes the connection when its caller disconnects.
   const cancellation = createDisconnectController(request, response);
-  const interimResponseTimer = node.timers.at(
-    node.clock.now() + interimResponseDelayMilliseconds,
-    () => {
-      if (!response.destroyed) response.writeProcessing();
-    },
+  const interimResponseTimer = startInterimResponseTimer(node, response);
+  const deadlineTimer = node.timers.at(
+    offer.deadline + deadlineGraceMilliseconds,
+    () => cancellation.abort(),
   );
+  response.once("close", () => deadlineTimer.cancel());
   processOffer(node, request, { offer, signal: cancellation.signal })
     .then((outcome) => writeOutcome(node, response, outcome))
     .catch((error: unknown) => {
@@ -78,6 +76,27 @@
     .finally(() => interimResponseTimer.cancel());
 }
 
+function refuseFenced(node: MeshNode, response: ServerResponse): void {
+  const reason = RefusalReason.Fenced;
+  writeOutcome(
+    node,
+    response,
+    createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
+  );
+}
+
+function startInterimResponseTimer(
+  node: MeshNode,
+  response: ServerResponse,
+): TimerHandle {
+  return node.timers.at(
+    node.clock.now() + interimResponseDelayMilliseconds,
+    () => {
+      if (!response.destroyed) response.writeProcessing();
+    },
+  );
+}
+
 /**
  * Releases an offer when its response or its connection is closed. A response
  * that waits for an earlier one on its connection does not close with it.
@@ -107,6 +126,7 @@
 ): Promise<OfferOutcome> {
   const body = await readRequestBody(request, {
     bytesMaximum: getBodyBytesMaximum(node),
+    signal: options.signal,
   });
   if (body.isErr) {
     const reason = body.error;
@@ -135,7 +155,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...createHeaders(node, { kind, framed, load }),
+        ...createReplyHeadersOfNode(node, { kind, framed, load }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
@@ -147,7 +167,7 @@
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
         refusedStatus,
-        createHeaders(node, {
+        createReplyHeadersOfNode(node, {
           kind,
           reason,
           retryMilliseconds,
@@ -159,13 +179,16 @@
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
         lostStatus,
-        createHeaders(node, { kind, reason, load }),
+        createReplyHeadersOfNode(node, { kind, reason, load }),
       ).end();
     })
     .exhaustive();
 }
 
-function createHeaders(node: MeshNode, message: ReplyMessage): string[] {
+function createReplyHeadersOfNode(
+  node: MeshNode,
+  message: ReplyMessage,
+): string[] {
   return [
     ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
--- a/src/mesh/serve_offer_test.ts
+++ b/src/mesh/serve_offer_test.ts
@@ -15,7 +15,7 @@
 import { encodeOffer } from "./encode_offer.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { OfferHeader } from "./offer_header.ts";
-import { OfferStatus } from "./offer_status.ts";
+import { OfferStatus } from "../offers/offer_status.ts";
 
 const serialTest = test.serial;
 
@@ -85,7 +85,7 @@
     const fleet = await startMeshFleet({ vms: 1 });
     const query = { [OfferHeader.Status]: "late" };
     const queried = await requestAsNode(fleet, query);
-    t.is(queried[OfferHeader.Status], OfferStatus.Unknown);
+    t.is(queried[OfferHeader.Status], OfferStatus.NotReceived);
     const now = Date.now();
     const offered = await requestAsNode(fleet, {
       [OfferHeader.Offer]: encodeOffer(
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -5,24 +5,26 @@
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import { checkOffer } from "./check_offer.ts";
-import type { ContactLossCause } from "./contact_loss_cause.ts";
-import { decideUnconfirmedOffer } from "./decide_unconfirmed_offer.ts";
+import type { ContactLossCause } from "../offers/contact_loss_cause.ts";
+import { decideUnconfirmedOffer } from "../offers/decide_unconfirmed_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateView } from "./get_gate_view.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import type { OfferCheck } from "./offer_check.ts";
-import { OfferCheckKind } from "./offer_check_kind.ts";
-import { OfferDecisionKind } from "./offer_decision_kind.ts";
+import type { OfferCheck } from "../offers/offer_check.ts";
+import { OfferCheckKind } from "../offers/offer_check_kind.ts";
+import { OfferDecisionKind } from "../offers/offer_decision_kind.ts";
 
 /** A node that is not slow confirms within this time that an offer arrived. */
 const confirmationTimeoutMilliseconds = 500;
+const checkIntervalMilliseconds = 500;
 /** Delay of the next connection attempt after one that timed out. */
 const reconnectDelayMilliseconds = 100;
-/** Longer than a check takes. */
-const avoidMilliseconds = 1_000;
+/** The next check renews it sooner. */
+const avoidMilliseconds = 1_500;
 
 /**
- * Supervises an offer until it is confirmed. While no confirmation arrives, the
+ * Supervises an offer until it is confirmed, found at the other node, or given
+ * up. While no confirmation arrives, the
  * other node is queried for the offer, and gets no further ones if others can
  * take them; `onLost` is called once if no answer can be expected.
  */
@@ -95,5 +97,5 @@
 function getNextCheckInstant(found: OfferCheck, now: number): number {
   return found.kind === OfferCheckKind.NotConnected
     ? now + reconnectDelayMilliseconds
-    : now + confirmationTimeoutMilliseconds;
+    : now + checkIntervalMilliseconds;
 }
