--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -7,6 +7,7 @@
 import { DiagnosticCode } from "../diagnostics/diagnostic_code.ts";
 import { formatAddress } from "../runtime/format_address.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
+import { closeUnreadRequest } from "./close_unread_request.ts";
 import { createConnectionTracker } from "./create_connection_tracker.ts";
 import type { Listener } from "./listener.ts";
 
@@ -52,9 +53,18 @@
       return;
     }
     response.once("close", () => tracker.endRequest(socket));
+    response.once("finish", () => closeUnreadRequest(request));
     options.onRequest(request, response);
   });
   server.on("connection", tracker.add);
+  // Empty lines between two requests end the idle timeout of the server and
+  // begin no request, whose header would have a timeout.
+  const overdueCheck = setInterval(
+    () => tracker.closeOverdue(server.keepAliveTimeout + server.headersTimeout),
+    options.headerCheckIntervalMilliseconds ??
+      defaultHeaderCheckIntervalMilliseconds,
+  ).unref();
+  server.once("close", () => clearInterval(overdueCheck));
   server.on("clientError", options.onInvalidRequest);
 
   function close(finalResponse: string): Promise<void> {
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -3,7 +3,7 @@
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
-import { createOfferRecords } from "./create_offer_records.ts";
+import { createOfferRecords } from "../offers/create_offer_records.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
@@ -48,6 +48,7 @@
     metrics,
     view: createMeshView(),
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
+    knownConnections: new WeakSet(),
     feed: createSourceFeed(),
     gate: createGateState(clock.now()),
     slotWaiters: new Map(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,4 +1,5 @@
 import type { Agent } from "node:http";
+import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { RetryCounts } from "../retries/retry_counts.ts";
@@ -13,7 +14,7 @@
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
-import type { OfferRecords } from "./offer_records.ts";
+import type { OfferRecords } from "../offers/offer_records.ts";
 import type { ServerProbeState } from "./server_probe_state.ts";
 import type { SlotWaiter } from "./slot_waiter.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
@@ -30,6 +31,8 @@
   readonly view: MeshView;
   /** How far the event loop is behind. */
   readonly loopLag: LoopLag;
+  /** Connections of callers and other nodes that have carried a request. */
+  readonly knownConnections: WeakSet<Socket>;
   /** The feed that neighbours may follow. */
   readonly feed: SourceFeed;
   readonly gate: GateState;
--- a/src/mesh/read_request_body.ts
+++ b/src/mesh/read_request_body.ts
@@ -1,16 +1,18 @@
 import type { IncomingMessage } from "node:http";
 import { Result } from "true-myth";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createByteCollector } from "../collections/create_byte_collector.ts";
 
 const noBody = Buffer.alloc(0);
 
 /**
  * Reads a complete request body. Fails with `RequestTooLarge` above the limit,
- * and with `CallerLeft` if the request breaks off.
+ * with `CallerLeft` if the request breaks off, and with `DeadlinePassed` if
+ * `signal` is aborted before its end.
  */
 export function readRequestBody(
   request: IncomingMessage,
-  options: { readonly bytesMaximum: number },
+  options: { readonly bytesMaximum: number; readonly signal: AbortSignal },
 ): Promise<Result<Buffer, RefusalReason>> {
   const declared = request.headers["content-length"];
   const isChunked = request.headers["transfer-encoding"] !== undefined;
@@ -19,18 +21,23 @@
     return Promise.resolve(Result.ok(noBody));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = createByteCollector();
     let bytes = 0;
+    options.signal.addEventListener(
+      "abort",
+      () => resolve(Result.err(RefusalReason.DeadlinePassed)),
+      { once: true },
+    );
     request.on("data", (chunk: Buffer) => {
       bytes += chunk.byteLength;
       if (bytes <= options.bytesMaximum) {
-        chunks.push(chunk);
+        collector.add(chunk);
         return;
       }
-      chunks.length = 0;
+      collector.clear();
       resolve(Result.err(RefusalReason.RequestTooLarge));
     });
-    request.once("end", () => resolve(Result.ok(Buffer.concat(chunks))));
+    request.once("end", () => resolve(Result.ok(collector.concatenate())));
     request.once("close", () => resolve(Result.err(RefusalReason.CallerLeft)));
     request.once("error", () => resolve(Result.err(RefusalReason.CallerLeft)));
   });
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -15,11 +15,11 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
-import { releaseOffer } from "./release_offer.ts";
+import { releaseOffer } from "../offers/release_offer.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 import { reportInternalError } from "./report_internal_error.ts";
-import { tryHoldOffer } from "./try_hold_offer.ts";
+import { tryHoldOffer } from "../offers/try_hold_offer.ts";
 
 const refusedStatus = 503;
 const lostStatus = 502;
@@ -30,6 +30,8 @@
  * time after which the other node queries for the offer.
  */
 const interimResponseDelayMilliseconds = 200;
+/** The other node, which ends the call at its deadline, goes first. */
+const deadlineGraceMilliseconds = 250;
 
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
@@ -68,6 +70,11 @@
       if (!response.destroyed) response.writeProcessing();
     },
   );
+  const deadlineTimer = node.timers.at(
+    offer.deadline + deadlineGraceMilliseconds,
+    () => cancellation.abort(),
+  );
+  response.once("close", () => deadlineTimer.cancel());
   processOffer(node, request, { offer, signal: cancellation.signal })
     .then((outcome) => writeOutcome(node, response, outcome))
     .catch((error: unknown) => {
@@ -107,12 +114,16 @@
 ): Promise<OfferOutcome> {
   const body = await readRequestBody(request, {
     bytesMaximum: getBodyBytesMaximum(node),
+    signal: options.signal,
   });
   if (body.isErr) {
     const reason = body.error;
     return createOfferRefusal(node, { reason, retryMilliseconds: 0 });
   }
-  await detectClosedConnections(node, { turns: 2 });
+  await detectClosedConnections(node, {
+    turns: 2,
+    connection: request.socket,
+  });
   return await offerToOwnServer(node, {
     method: request.method ?? "GET",
     url: request.url ?? "/",
