Stop a node once, however often it is told to

A second SIGTERM began a second stop: it accepted callers again for 2.6 s and opened the gate for a second, while the first stop ended the process at its own time. Calls accepted meanwhile were cut without an answer. A further stop now joins the first one.

The test failed before with a connection closed without an answer (status 0 in place of 503).

--- a/src/mesh/mesh_daemon.ts
+++ b/src/mesh/mesh_daemon.ts
@@ -7,6 +7,9 @@
    * start.
    */
   reload(settings: MeshSettings): void;
-  /** Stops gracefully; resolves with the number of calls that were cut off. */
+  /**
+   * Stops gracefully; resolves with the number of calls that were cut off. A
+   * further call has no effect and resolves with the same number.
+   */
   stop(): Promise<number>;
 }
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -36,7 +36,8 @@
   const node = createMeshNode(settings, options);
   const opened = await openMeshListeners(node);
   if (opened.isErr) return Result.err(opened.error);
-  const [callers, nodes] = opened.value;
+  const listeners = opened.value;
+  const [callers, nodes] = listeners;
   const follower = followMeshSource(node, { client: options.source, callers });
   const reportLoopLag = createLoopLagReport(node.report, {
     lag: node.loopLag,
@@ -53,19 +54,23 @@
     probeBackendServer(node);
     updateGate(node);
   }, maintenanceIntervalMilliseconds);
+  let stopping: Promise<number> | undefined;
+
+  async function stop(): Promise<number> {
+    const cutCalls = await stopMeshNode(node);
+    clearInterval(maintenance);
+    follower.stop();
+    if (nodes !== undefined) await closeNodesListener(node, nodes);
+    listeners.forEach((listener) => listener.destroy());
+    node.backendAgent.destroy();
+    node.probeAgent.destroy();
+    node.recentBackendAgent.destroy();
+    node.nodesAgent.destroy();
+    return cutCalls;
+  }
+
   return Result.ok({
     reload: (changed) => reloadSettings(node, changed),
-    stop: async () => {
-      const cutCalls = await stopMeshNode(node);
-      clearInterval(maintenance);
-      follower.stop();
-      if (nodes !== undefined) await closeNodesListener(node, nodes);
-      opened.value.forEach((listener) => listener.destroy());
-      node.backendAgent.destroy();
-      node.probeAgent.destroy();
-      node.recentBackendAgent.destroy();
-      node.nodesAgent.destroy();
-      return cutCalls;
-    },
+    stop: () => stopping ??= stop(),
   });
 }
--- a/src/mesh/stop_mesh_node_test.ts
+++ b/src/mesh/stop_mesh_node_test.ts
@@ -7,6 +7,8 @@
 import { createSampleOffer } from "../testing/mesh/create_sample_offer.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { scriptAllBackends } from "../testing/mesh/script_all_backends.ts";
+import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 import { encodeOffer } from "./encode_offer.ts";
 import { OfferHeader } from "./offer_header.ts";
@@ -116,3 +118,28 @@
     });
   },
 );
+
+// Guards against calls that are accepted after a second signal and cut by the
+// end of the stop that the first one began.
+serialTest(
+  "a second stop of a node that is stopping does not make it accept callers again",
+  async (t) => {
+    const route = { timeoutMilliseconds: 6_000 };
+    const options = { vms: 2, route, stopMilliseconds: 6_000 };
+    await withMeshFleet(options, async (fleet) => {
+      scriptAllBackends(fleet, (request, response) => {
+        setTimeout(() => sendCompleteAnswer(request, response), 3_000);
+      });
+      const call = () => fleet.call(0, { remainingMilliseconds: 6_000 });
+      const stops = [fleet.daemons[0]!.stop()];
+      await delay(2_000);
+      const running = call();
+      await delay(400);
+      stops.push(fleet.daemons[0]!.stop());
+      await delay(600);
+      t.is((await call()).status, 503);
+      t.is((await running).status, 200);
+      t.deepEqual(await Promise.all(stops), [0, 0]);
+    });
+  },
+);
