--- a/src/mesh/check_offer.ts
+++ b/src/mesh/check_offer.ts
@@ -37,8 +37,7 @@
     });
     const timer = node.timers.at(
       node.clock.now() + replyTimeoutMilliseconds,
-      // Lets a reply be read that arrived before the timer fired.
-      () => setImmediate(() => request.destroy()),
+      () => request.destroy(),
     );
     request.once("response", (response) => {
       response.resume();
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -1,4 +1,3 @@
-import { setImmediate } from "node:timers/promises";
 import { match } from "ts-pattern";
 import { avoidUntil } from "../balancing/avoid_until.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
@@ -24,9 +23,9 @@
 
 /**
  * Supervises an offer until it is confirmed, found at the other node, or given
- * up. While no confirmation arrives, the
- * other node is queried for the offer, and gets no further ones if others can
- * take them; `onLost` is called once if no answer can be expected.
+ * up. While no confirmation arrives, the other node is queried for the offer, and
+ * gets no further ones if others can take them; `onLost` is called once if no
+ * answer can be expected.
  */
 export function superviseOffer(
   node: MeshNode,
@@ -50,9 +49,6 @@
   }
 
   async function check(): Promise<void> {
-    // Lets a confirmation be read that arrived before the timer fired.
-    await setImmediate();
-    if (stopped) return;
     avoidUntil(
       getGateView(node, offer.identifier),
       node.clock.now() + avoidMilliseconds,
--- a/src/mesh/track_connection.ts
+++ b/src/mesh/track_connection.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import { scheduleAfterInput } from "../runtime/schedule_after_input.ts";
 import { ConnectTimeoutError } from "./connect_timeout_error.ts";
 
 /** A round trip takes a few milliseconds; a VM without power never responds. */
@@ -25,22 +26,15 @@
       handleConnected(false);
       return;
     }
-    // A late timer fires before a connection that was established meanwhile is
-    // noticed.
-    const timeout = setTimeout(
-      () => setImmediate(() => destroyIfConnecting(socket)),
+    const timeout = scheduleAfterInput(
       connectTimeoutMilliseconds,
+      () => socket.destroy(new ConnectTimeoutError(connectTimeoutMilliseconds)),
     );
     socket.once("connect", () => {
-      clearTimeout(timeout);
+      timeout.cancel();
       handleConnected(true);
     });
-    socket.once("close", () => clearTimeout(timeout));
+    socket.once("close", timeout.cancel);
   });
   return { isConnected: () => connected };
 }
-
-function destroyIfConnecting(socket: Socket): void {
-  if (!socket.connecting) return;
-  socket.destroy(new ConnectTimeoutError(connectTimeoutMilliseconds));
-}
