Log a caller that left while its body was read, and send answers that are ready

The end of a caller's input now also ends the reading of its body, and that was logged and counted as a refusal with deadline-passed that nobody received. And an answer that was ready when the end of the input was read was not sent. The new test fails before with call-refused.

--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -9,6 +9,7 @@
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallResult } from "./call_result.ts";
+import { CallResultKind } from "./call_result_kind.ts";
 import { canCallerRetry } from "./can_caller_retry.ts";
 import { createCallIdentifier } from "./create_call_identifier.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
@@ -76,21 +77,38 @@
       bytesMaximum: getBodyBytesMaximum(node),
       signal: cancellation.signal,
     });
-    if (body.isErr) return refuse(body.error);
+    if (body.isErr) {
+      return hasLeft() ? reportAbandoned(chosen.name) : refuse(body.error);
+    }
     const plan = createPlan(chosen, body.value);
     await detectClosedConnections(node, {
       turns: 2,
       connection: request.socket,
     });
     const result = await processCall(node, plan);
-    // The response is closed some turns after the end of the caller's input.
-    if (response.destroyed || request.socket.readableEnded) {
-      reportAbandoned(node, plan);
-      return;
+    // An answer that is ready is sent even if the caller may have left.
+    const isAnswered = result.kind === CallResultKind.Answered;
+    if (response.destroyed || (hasLeft() && !isAnswered)) {
+      return reportAbandoned(chosen.name, plan.service);
     }
     respond(result, plan);
   }
 
+  /** The response is closed some turns after the end of the caller's input. */
+  function hasLeft(): boolean {
+    return response.destroyed || request.socket.readableEnded;
+  }
+
+  function reportAbandoned(routeName: string, service?: string): void {
+    node.report.call({
+      kind: CallEventKind.Abandoned,
+      call: callIdentifier,
+      route: routeName,
+      ...(service === undefined ? {} : { service }),
+      elapsedMilliseconds: Math.round(node.clock.now() - receivedAt),
+    });
+  }
+
   function createPlan(chosen: CallRoute, body: Buffer): CallPlan {
     const longestMilliseconds = recordRemainingMilliseconds(node, {
       route: chosen.name,
@@ -141,13 +159,3 @@
     reportCallResult(node, result, { callIdentifier, receivedAt, plan });
   }
 }
-
-function reportAbandoned(node: MeshNode, plan: CallPlan): void {
-  node.report.call({
-    kind: CallEventKind.Abandoned,
-    call: plan.callIdentifier,
-    route: plan.route.name,
-    service: plan.service,
-    elapsedMilliseconds: Math.round(node.clock.now() - plan.receivedAt),
-  });
-}
--- a/src/mesh/start_mesh_node_test.ts
+++ b/src/mesh/start_mesh_node_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { once } from "node:events";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
@@ -488,6 +488,27 @@
   },
 );
 
+serialTest(
+  "the log of a call whose caller left while its body was read does not report a refusal that nobody received",
+  async (t) => {
+    await withMeshFleet({ vms: 1 }, async (fleet) => {
+      const { host, port } = fleet.settings[0]!.listeners.callers;
+      const caller = connect(port, host);
+      caller.on("error", () => undefined);
+      caller.write(
+        `POST /cakes/1 HTTP/1.1\r\nhost: shop.example\r\n${MeshHeader.Call}: leaving\r\ncontent-length: 8\r\n\r\nhalf`,
+      );
+      await delay(100);
+      caller.destroy();
+      const getEnds = () =>
+        fleet.events.filter(({ call }) => call === "leaving")
+          .map(({ kind }) => kind);
+      t.true(await waitUntil(() => getEnds().length > 0));
+      t.deepEqual(getEnds(), [CallEventKind.Abandoned]);
+    });
+  },
+);
+
 serialTest(
   "the route's timeout ends the wait for a silent backend server",
   async (t) => {
