--- a/src/mesh/endless_bytes_test.ts
+++ b/src/mesh/endless_bytes_test.ts
@@ -240,7 +240,7 @@
     sendEndlessBytes(request.socket, {
       head: getHead(call),
       part,
-      ...(intervalMilliseconds === undefined ? {} : { intervalMilliseconds }),
+      intervalMilliseconds,
     });
   };
   return sockets;
--- a/src/mesh/endless_feeds_test.ts
+++ b/src/mesh/endless_feeds_test.ts
@@ -87,9 +87,7 @@
         sendEndlessBytes(request.socket, {
           head: getHead(""),
           part,
-          ...(intervalMilliseconds === undefined
-            ? {}
-            : { intervalMilliseconds }),
+          intervalMilliseconds,
         });
       }).listen(0, "127.0.0.10");
       await once(server, "listening");
--- a/src/mesh/endless_probe_answers_test.ts
+++ b/src/mesh/endless_probe_answers_test.ts
@@ -98,9 +98,7 @@
         sendEndlessBytes(request.socket, {
           head: getHead(""),
           part,
-          ...(intervalMilliseconds === undefined
-            ? {}
-            : { intervalMilliseconds }),
+          intervalMilliseconds,
         });
       };
       const { value: longestOther, retainedBytes } = await measureRetainedBytes(
--- a/src/mesh/endless_requests_test.ts
+++ b/src/mesh/endless_requests_test.ts
@@ -200,7 +200,7 @@
   sendEndlessBytes(socket, {
     head: head.replace("OFFER", createEndlessOfferText()),
     part,
-    ...(intervalMilliseconds === undefined ? {} : { intervalMilliseconds }),
+    intervalMilliseconds,
   });
   await Promise.race([
     new Promise((resolve) => socket.once("close", resolve)),
--- a/src/testing/mesh/send_endless_bytes.ts
+++ b/src/testing/mesh/send_endless_bytes.ts
@@ -10,7 +10,7 @@
   options: {
     readonly head: string;
     readonly part: string;
-    readonly intervalMilliseconds?: number;
+    readonly intervalMilliseconds?: number | undefined;
   },
 ): void {
   const { head, part, intervalMilliseconds } = options;
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -4,13 +4,12 @@
 import type { MeshSettings } from "../../mesh/mesh_settings.ts";
 import { BackendServerAvailability } from "../../register/backend_server_availability.ts";
 import type { RegisterEntry } from "../../register/register_entry.ts";
-import { CallKind } from "../../routing/call_kind.ts";
-import type { CallRoute } from "../../routing/call_route.ts";
 import { createRandomSource } from "../../runtime/create_random_source.ts";
 import { createMonotonicClock } from "../../runtime/create_monotonic_clock.ts";
 import { createSystemTimers } from "../../runtime/create_system_timers.ts";
 import { SourceValueKind } from "../../source/source_value_kind.ts";
 import { waitUntil } from "../calls/wait_until.ts";
+import { createFleetRules } from "./create_fleet_rules.ts";
 import { createSourceFake } from "./create_source_fake.ts";
 import type { MeshBackend } from "./mesh_backend.ts";
 import type { MeshCall } from "./mesh_call.ts";
@@ -57,7 +56,7 @@
   );
   source.put("rules", {
     kind: SourceValueKind.Rules,
-    rules: createRules(options.route ?? {}),
+    rules: createFleetRules(service, options.route ?? {}),
   });
   entries.forEach(publish);
   const daemons = await Promise.all(
@@ -196,35 +195,3 @@
     sequence: 1,
   };
 }
-
-function createRules(routeOverrides: Partial<CallRoute>) {
-  const route: CallRoute = {
-    name: "cakes",
-    host: "shop.example",
-    pathPrefix: "/cakes/",
-    kind: CallKind.Idempotent,
-    attemptsMaximum: 2,
-    timeoutMilliseconds: 1_500,
-    goalMilliseconds: 400,
-    priority: 2,
-    targets: [{ service, weight: 1 }],
-    ...routeOverrides,
-  };
-  return {
-    version: 1,
-    routes: [route],
-    services: new Map([[service, {
-      name: service,
-      healthPath: "/health",
-      connectionsMaximum: 120,
-      coldMilliseconds: 500,
-      coldCallsPerSecond: 14,
-    }]]),
-    limits: {
-      headerBytesMaximum: 16_384,
-      bodyBytesMaximum: 65_536,
-      headerMilliseconds: 3_000,
-      idleMilliseconds: 15_000,
-    },
-  };
-}
