--- a/src/mesh/backend_answer_head.ts
+++ b/src/mesh/backend_answer_head.ts
@@ -20,4 +20,11 @@
   readonly identifier: string | undefined;
   /** Remaining time of the cold start; undefined if the header is missing. */
   readonly coldMilliseconds: number | undefined;
+  /**
+   * The most calls a second that the backend server takes from all nodes
+   * together; undefined if it states no limit.
+   */
+  readonly callsPerSecondLimit: number | undefined;
+  /** Whether the backend server states that it is about to leave. */
+  readonly leaving: boolean;
 }
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -28,6 +28,8 @@
     queued: 2,
     slots: 12,
     cold: true,
+    callsPerSecondLimit: -1,
+    leaving: false,
     open: false,
     callerCalls: 3,
     stopping: false,
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -19,6 +19,8 @@
     queued,
     slots,
     cold,
+    callsPerSecondLimit: node.serverStatement.callsPerSecondLimit ?? -1,
+    leaving: node.serverStatement.leaving,
     open: gate.closedReason === undefined &&
       gate.condition !== ServerCondition.Down,
     callerCalls: node.callerCalls,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -21,6 +21,10 @@
   readonly slots: number;
   /** Whether the backend server of this VM is in cold start. */
   readonly cold: boolean;
+  /** The most calls a second that it states to take; -1 if it states no limit. */
+  readonly callsPerSecondLimit: number;
+  /** Whether it states that it is about to leave. */
+  readonly leaving: boolean;
   /** Whether the backend server of this VM may receive new calls. */
   readonly open: boolean;
   /** Calls of callers that have no response yet. */
--- a/src/mesh/record_backend_exchange.ts
+++ b/src/mesh/record_backend_exchange.ts
@@ -3,6 +3,7 @@
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { recordServerStatement } from "./record_server_statement.ts";
 import { scheduleEarlyProbe } from "./schedule_early_probe.ts";
 import { setServerCondition } from "./set_server_condition.ts";
 
@@ -15,6 +16,12 @@
     .with(
       { kind: BackendExchangeKind.Answered },
       { kind: BackendExchangeKind.NotRun },
+      ({ head }) => {
+        recordServerStatement(node, head);
+        setServerCondition(node, ServerCondition.Up);
+      },
+    )
+    .with(
       { kind: BackendExchangeKind.ConnectionRejected },
       () => setServerCondition(node, ServerCondition.Up),
     )
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -18,6 +18,9 @@
   queued: "Calls that wait for a slot of it",
   slots: "Its slots",
   cold: "1 while it is in cold start",
+  callsPerSecondLimit:
+    "Calls a second that it states to take from all nodes; -1 for no limit",
+  leaving: "1 while it states that it is about to leave",
   open: "1 while it may get new work",
   callerCalls: "Calls of callers that have no answer yet",
   stopping: "1 while the node stops",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -32,6 +32,8 @@
     queued: 1,
     slots: 1,
     cold: false,
+    callsPerSecondLimit: -1,
+    leaving: false,
     open: true,
     callerCalls: 1,
     stopping: false,
--- a/src/testing/mesh/mesh_header.ts
+++ b/src/testing/mesh/mesh_header.ts
@@ -15,4 +15,8 @@
   CallerService = "test-caller-service",
   /** Remaining cold start of the backend server, in milliseconds. */
   Cold = "test-cold",
+  /** The most calls a second that the backend server takes from all nodes. */
+  Limit = "test-limit",
+  /** Present if the backend server is about to leave. */
+  Leaving = "test-leaving",
 }
--- a/src/testing/mesh/test_dialect.ts
+++ b/src/testing/mesh/test_dialect.ts
@@ -24,6 +24,7 @@
   ],
   readBackendAnswerHead: ({ headers, statusCode }) => {
     const cold = headers[MeshHeader.Cold];
+    const limit = headers[MeshHeader.Limit];
     return {
       callIdentifier: headers[MeshHeader.Call]?.toString(),
       notRun: headers[MeshHeader.NotRun] !== undefined,
@@ -32,6 +33,8 @@
       misdirected: statusCode === misdirectedRequestStatus,
       identifier: headers[MeshHeader.Identifier]?.toString(),
       coldMilliseconds: cold === undefined ? undefined : Number(cold),
+      callsPerSecondLimit: limit === undefined ? undefined : Number(limit),
+      leaving: headers[MeshHeader.Leaving] !== undefined,
     };
   },
 };
