Enforce the rate of a cold start by a token bucket of its own type

The bucket's fields become a type; decisions stay, but for one: a queue that waits for a slot while a token is left is no longer processed every millisecond.

--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -2,6 +2,7 @@
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
 import type { RunningCall } from "./running_call.ts";
 import type { ServerCondition } from "./server_condition.ts";
+import type { TokenBucket } from "./token_bucket.ts";
 
 /** The mutable state of the gate of one backend server, kept by the node beside it. */
 export interface GateState {
@@ -12,14 +13,8 @@
   closedReason: RefusalReason | undefined;
   /** End of the cold start, in milliseconds since the Unix epoch; 0 for none. */
   coldUntil: number;
-  /** Rate limit in cold start, in calls a second. */
-  coldCallsPerSecond: number;
-  /** Size of the token bucket that enforces the rate limit, in calls. */
-  coldBurstCalls: number;
-  /** Tokens in the bucket; a call in cold start uses one. Fractions accumulate over time. */
-  coldTokens: number;
-  /** When `coldTokens` was last refilled, in milliseconds since the Unix epoch. */
-  coldTokensRefilledAt: number;
+  /** Rate limit in cold start. */
+  readonly coldBucket: TokenBucket;
   /** Calls that occupy a slot, by call identifier. */
   readonly running: Map<string, RunningCall>;
   /** Calls that wait for a slot, sorted when the queue is processed; new calls are appended. */
--- a/src/gate/get_next_queue_instant.ts
+++ b/src/gate/get_next_queue_instant.ts
@@ -1,8 +1,8 @@
 import type { GateState } from "./gate_state.ts";
 import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
+import { getTokenWaitMilliseconds } from "./get_token_wait_milliseconds.ts";
 import { isCold } from "./is_cold.ts";
-
-const millisecondsPerSecond = 1_000;
+import { listActiveBuckets } from "./list_active_buckets.ts";
 
 /**
  * Returns the instant at which the queue must be processed again even if no
@@ -21,9 +21,18 @@
       )
     ),
   ) + 1;
-  if (!isCold(state, now)) return nextRefusal;
-  const missingTokens = Math.max(0, 1 - state.coldTokens);
-  const nextToken = now + 1 + missingTokens * millisecondsPerSecond /
-      Math.max(1, state.coldCallsPerSecond);
-  return Math.min(nextRefusal, nextToken, state.coldUntil + 1);
+  const tokenWait = Math.max(
+    0,
+    ...listActiveBuckets(state, now).map((bucket) =>
+      getTokenWaitMilliseconds(bucket, { tokens: 1 })
+    ),
+  );
+  // With a token left, the queue waits for a slot, whose release processes it.
+  const nextToken = tokenWait > 0
+    ? now + 1 + tokenWait
+    : Number.POSITIVE_INFINITY;
+  const coldEnd = isCold(state, now)
+    ? state.coldUntil + 1
+    : Number.POSITIVE_INFINITY;
+  return Math.min(nextRefusal, nextToken, coldEnd);
 }
--- /dev/null
+++ b/src/gate/list_active_buckets.ts
@@ -0,0 +1,11 @@
+import type { GateState } from "./gate_state.ts";
+import { isCold } from "./is_cold.ts";
+import type { TokenBucket } from "./token_bucket.ts";
+
+/** Returns the rate limits that apply to the backend server now. */
+export function listActiveBuckets(
+  state: GateState,
+  now: number,
+): readonly TokenBucket[] {
+  return isCold(state, now) ? [state.coldBucket] : [];
+}
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -118,7 +118,7 @@
     callsPerSecond: coldCallsPerSecond,
     allowance: { factor: 1.5, slack: 5 },
   });
-  gate.coldTokensRefilledAt = start;
+  gate.coldBucket.refilledAt = start;
   const grants = Array.from({ length: 5_000 }, (_, millisecond) => {
     const now = start + millisecond;
     const callIdentifier = `call-${millisecond}`;
--- a/src/gate/set_cold_rate.ts
+++ b/src/gate/set_cold_rate.ts
@@ -22,7 +22,7 @@
 ): void {
   const { callsPerSecond, allowance } = options;
   const excess = Math.max(0, allowance.factor - 1) * usedExcessShare;
-  state.coldCallsPerSecond = callsPerSecond * (1 + excess) +
+  state.coldBucket.tokensPerSecond = callsPerSecond * (1 + excess) +
     allowance.slack * rateSlackShare;
-  state.coldBurstCalls = Math.max(1, allowance.slack * burstSlackShare);
+  state.coldBucket.burstTokens = Math.max(1, allowance.slack * burstSlackShare);
 }
--- a/src/mesh/set_server_condition.ts
+++ b/src/mesh/set_server_condition.ts
@@ -26,8 +26,8 @@
   if (hasRecovered) {
     const cold = view.rules?.services.get(settings.service)?.coldMilliseconds;
     gate.coldUntil = Math.max(gate.coldUntil, node.clock.now() + (cold ?? 0));
-    gate.coldTokens = 0;
-    gate.coldTokensRefilledAt = node.clock.now();
+    gate.coldBucket.tokens = 0;
+    gate.coldBucket.refilledAt = node.clock.now();
   }
   processWaitingCalls(node);
 }
