--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -34,7 +34,7 @@
   "dist/src/mesh/serve_offer_test.js",
   "dist/src/mesh/source_era_start_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
-  "dist/src/mesh/stated_limit_test.js",
+  "dist/src/mesh/stated_*_test.js",
   "dist/src/mesh/stop_mesh_node_test.js",
   "dist/platform/create_store_client_test.js",
   "dist/platform/endless_store_bytes_test.js",
