Send no call to a backend server that states its departure in its answers

A backend server that is about to leave says so in all its answers (Server-Leaving); nodes went on sending calls to it as long as the register listed it as ready.

Cause: no node evaluated the header. Now the node beside the backend server closes its gate for that incarnation at once, and replies to other nodes name it. Each node that has seen such a reply keeps the departure itself, so it holds when the node beside the backend server restarts and while the source is away.

--- a/src/balancing/gate_load.ts
+++ b/src/balancing/gate_load.ts
@@ -1,3 +1,5 @@
+import type { ServerDeparture } from "../register/server_departure.ts";
+
 /** The load of a backend server, which the node beside it reports with each reply. */
 export interface GateLoad {
   /** Number of calls that occupy a slot. */
@@ -12,4 +14,6 @@
    * states no limit, and missing if the node does not know.
    */
   readonly callsPerSecondLimit?: number | null;
+  /** Present if the backend server states that it is about to leave. */
+  readonly departure?: ServerDeparture;
 }
--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -19,7 +19,7 @@
       refilledAt: now,
     },
     statedLimit: { kind: StatedLimitKind.Unknown },
-    leaving: false,
+    departure: undefined,
     bornAt: 0,
     running: new Map(),
     queue: [],
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -1,3 +1,4 @@
+import type { ServerDeparture } from "../register/server_departure.ts";
 import type { RefusalReason } from "../calls/refusal_reason.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
 import type { RunningCall } from "./running_call.ts";
@@ -18,8 +19,8 @@
   readonly coldBucket: TokenBucket;
   /** Rate limit that the backend server states in its answers. */
   statedLimit: StatedLimit;
-  /** Whether the backend server states that it is about to leave. */
-  leaving: boolean;
+  /** The incarnation that states that it is about to leave; undefined if none does. */
+  departure: ServerDeparture | undefined;
   /** Start of the incarnation in the register, in milliseconds since the Unix epoch; 0 if unknown. */
   bornAt: number;
   /** Calls that occupy a slot, by call identifier. */
--- a/src/gate/get_gate_closed_reason.ts
+++ b/src/gate/get_gate_closed_reason.ts
@@ -10,7 +10,10 @@
 ): RefusalReason | undefined {
   if (status.stopping) return RefusalReason.NodeDraining;
   if (status.zoneTakenOut) return RefusalReason.ZoneTakenOut;
-  const { record } = status;
+  const { record, departure } = status;
+  const isDeparting = departure !== undefined &&
+    departure.identifier === (record?.entry.identifier ?? departure.identifier);
+  if (isDeparting) return RefusalReason.BackendServerLeaving;
   if (record === undefined) {
     return status.probedIdentifier === undefined
       ? RefusalReason.BackendServerUnknown
--- a/src/gate/get_gate_closed_reason_test.ts
+++ b/src/gate/get_gate_closed_reason_test.ts
@@ -25,6 +25,7 @@
   return getGateClosedReason({
     record: createRecord(),
     zoneTakenOut: false,
+    departure: undefined,
     stopping: false,
     probedIdentifier: undefined,
     ...change,
@@ -44,6 +45,17 @@
   t.is(getReason({ stopping: true }), RefusalReason.NodeDraining);
 });
 
+// Guards against new calls for a backend server that is about to leave, and
+// against none for the one that takes its place.
+test("a stated departure closes the gate until the register lists another incarnation", (t) => {
+  const departure = { identifier: createRecord().entry.identifier };
+  const reason = RefusalReason.BackendServerLeaving;
+  t.is(getReason({ departure }), reason);
+  t.is(getReason({ departure, record: undefined }), reason);
+  const record = createRecord({ identifier: "successor" });
+  t.is(getReason({ departure, record }), undefined);
+});
+
 test("a removed entry closes the gate once the removal counts", (t) => {
   const record = createRecord({}, now - 10);
   t.is(getReason({ record }), RefusalReason.BackendServerLeaving);
--- a/src/gate/own_server_status.ts
+++ b/src/gate/own_server_status.ts
@@ -1,3 +1,4 @@
+import type { ServerDeparture } from "../register/server_departure.ts";
 import type { RegisterRecord } from "../register/register_record.ts";
 
 /** The state that determines whether the gate of a node is open. */
@@ -6,6 +7,8 @@
   readonly record: RegisterRecord | undefined;
   /** Whether the operators took the node's zone out of service. */
   readonly zoneTakenOut: boolean;
+  /** The incarnation that states that it is about to leave; undefined if none does. */
+  readonly departure: ServerDeparture | undefined;
   /** Whether the node is stopping and admits no new calls. */
   readonly stopping: boolean;
   /** The identifier of the incarnation that the last probe returned; undefined if no probe has returned one. */
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -65,6 +65,7 @@
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     offers: createOfferRecords(),
     gateViews: new Map(),
+    departures: new Map(),
     splitStates: new Map(),
     retryCounts: new Map(),
     answerBytes: new Map(),
--- a/src/mesh/decode_reply.ts
+++ b/src/mesh/decode_reply.ts
@@ -1,3 +1,4 @@
+import type { ServerDeparture } from "../register/server_departure.ts";
 import type { GateLoad } from "../balancing/gate_load.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { tryParseJson } from "../daemon/try_parse_json.ts";
@@ -27,11 +28,18 @@
   if (typeof input !== "object" || input === null) return false;
   const load = input as Partial<Record<keyof GateLoad, unknown>>;
   return typeof load.cold === "boolean" &&
+    (load.departure === undefined || isServerDeparture(load.departure)) &&
     (load.callsPerSecondLimit === null ||
       isAmount(load.callsPerSecondLimit)) &&
     [load.running, load.queued, load.slots].every(Number.isFinite);
 }
 
+function isServerDeparture(input: unknown): input is ServerDeparture {
+  if (typeof input !== "object" || input === null) return false;
+  const departure = input as Partial<Record<keyof ServerDeparture, unknown>>;
+  return typeof departure.identifier === "string" && isAmount(departure.bornAt);
+}
+
 function isReplyMessage(input: unknown): input is ReplyMessage {
   if (typeof input !== "object" || input === null) return false;
   const message = input as Partial<Record<keyof ReplyMessage, unknown>>;
--- a/src/mesh/get_gate_load.ts
+++ b/src/mesh/get_gate_load.ts
@@ -12,6 +12,7 @@
     queued: gate.queue.length,
     slots: gate.slots,
     cold: isCold(gate, node.clock.now()),
+    ...(gate.departure === undefined ? {} : { departure: gate.departure }),
     ...(callsPerSecondLimit === undefined ? {} : { callsPerSecondLimit }),
   };
 }
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -21,7 +21,7 @@
     slots,
     cold,
     callsPerSecondLimit: getStatedCallsPerSecond(gate.statedLimit) ?? -1,
-    leaving: gate.leaving,
+    leaving: gate.departure !== undefined,
     open: gate.closedReason === undefined &&
       gate.condition !== ServerCondition.Down,
     callerCalls: node.callerCalls,
--- a/src/mesh/list_candidates.ts
+++ b/src/mesh/list_candidates.ts
@@ -1,3 +1,4 @@
+import { hasDeparted } from "../register/has_departed.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
@@ -7,7 +8,8 @@
 
 /**
  * Returns the backend servers of a service that may receive calls: not
- * draining, not confirmed as removed, and not in a zone that is taken out.
+ * draining or about to leave, not confirmed as removed, and not in a zone that is
+ * taken out.
  */
 export function listCandidates(
   node: MeshNode,
@@ -19,6 +21,7 @@
     .filter((record) =>
       record.entry.availability === BackendServerAvailability.Ready &&
       !zonesTakenOut.has(record.entry.zone) &&
+      !hasDeparted(node.departures, record.entry) &&
       !isRemovalConfirmed(record, now)
     )
     .map(({ entry, removedAt }) => ({
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,3 +1,4 @@
+import type { Departures } from "../register/departures.ts";
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
@@ -59,6 +60,7 @@
   readonly offers: OfferRecords;
   /** By identifier of the backend server. */
   readonly gateViews: Map<string, GateView>;
+  readonly departures: Departures;
   /** By route. */
   readonly splitStates: Map<string, SplitState>;
   /** By service. */
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -1,3 +1,4 @@
+import { recordDeparture } from "../register/record_departure.ts";
 import { match } from "ts-pattern";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { recordLoad } from "../balancing/record_load.ts";
@@ -69,6 +70,10 @@
     });
     if (outcome.load !== undefined) {
       recordLoad(view, { load: outcome.load, now: node.clock.now() });
+      const { departure } = outcome.load;
+      if (departure !== undefined) {
+        recordDeparture(node.departures, { entry, departure });
+      }
     }
     return await handleOutcome(node, progress, {
       candidate,
--- a/src/mesh/record_server_statement.ts
+++ b/src/mesh/record_server_statement.ts
@@ -1,3 +1,6 @@
+import type { ServerDeparture } from "../register/server_departure.ts";
+import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
+import { updateGate } from "./update_gate.ts";
 import { recordUnlimitedAnswer } from "../gate/record_unlimited_answer.ts";
 import { setStatedLimit } from "../gate/set_stated_limit.ts";
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
@@ -25,7 +28,7 @@
   const { ranSince } = options;
   const now = node.clock.now();
   reportStatementChange(node, () => {
-    if (leaving) gate.leaving = true;
+    if (leaving) gate.departure ??= createDeparture(node);
     if (callsPerSecondLimit !== undefined) {
       setStatedLimit(gate, { callsPerSecond: callsPerSecondLimit, now });
       return;
@@ -33,4 +36,16 @@
     if (ranSince === undefined || !head.signed) return;
     recordUnlimitedAnswer(gate, { sentAt: ranSince });
   });
+  // Closes the gate for the calls that follow.
+  if (leaving) updateGate(node);
+}
+
+/** Returns undefined if it is not known which incarnation has answered. */
+function createDeparture(node: MeshNode): ServerDeparture | undefined {
+  const identifier = getOwnServerIdentifier(node);
+  if (identifier === undefined) return undefined;
+  const entry = node.view.register.get(identifier)?.entry;
+  return entry === undefined
+    ? { identifier }
+    : { identifier, bornAt: entry.bornAt };
 }
--- a/src/mesh/report_statement_change.ts
+++ b/src/mesh/report_statement_change.ts
@@ -12,10 +12,10 @@
   const { gate } = node;
   const getLimit = () => getStatedCallsPerSecond(gate.statedLimit) ?? null;
   const previousLimit = getLimit();
-  const wasLeaving = gate.leaving;
+  const wasLeaving = gate.departure !== undefined;
   applyChange();
   const callsPerSecondLimit = getLimit();
-  const { leaving } = gate;
+  const leaving = gate.departure !== undefined;
   if (callsPerSecondLimit === previousLimit && leaving === wasLeaving) return;
   node.report.state("backend-server", { callsPerSecondLimit, leaving });
 }
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -28,6 +28,7 @@
   gate.closedReason = getGateClosedReason({
     record,
     zoneTakenOut: view.zonesTakenOut.has(settings.zone),
+    departure: gate.departure,
     stopping: node.gateClosesAt <= now,
     probedIdentifier: node.serverProbe.probedIdentifier,
   }, now);
