Log crashes of backend servers with the fingerprints of the requests that ran

After an exchange that broke, a node checks whether its backend server still accepts connections; the calls that broke together share one check. A request has the same fingerprint at every node (method, host, path, caller, body). No decision uses it yet.

--- a/src/gate/occupy_slot.ts
+++ b/src/gate/occupy_slot.ts
@@ -7,8 +7,12 @@
   state: GateState,
   options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  const { callIdentifier, route } = options.request;
-  state.running.set(callIdentifier, { route, startedAt: options.now });
+  const { callIdentifier, route, fingerprint } = options.request;
+  state.running.set(callIdentifier, {
+    route,
+    fingerprint,
+    startedAt: options.now,
+  });
   listActiveBuckets(state, options.now).forEach((bucket) => {
     bucket.tokens -= 1;
   });
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -59,6 +59,7 @@
       nextProbeAt: 0,
       probing: false,
     },
+    serverCrash: { check: undefined, recordedAt: Number.NEGATIVE_INFINITY },
     backendAgent: createConnectionAgent(backendIdleMilliseconds),
     probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,3 +1,4 @@
+import type { ServerCrashState } from "./server_crash_state.ts";
 import type { Departures } from "../register/departures.ts";
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
@@ -42,6 +43,7 @@
   /** Triggers the next processing of the gate's queue. */
   gateTimer: TimerHandle | undefined;
   readonly serverProbe: ServerProbeState;
+  readonly serverCrash: ServerCrashState;
   /** Connections to the backend server of this VM. */
   readonly backendAgent: Agent;
   /**
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -1,3 +1,4 @@
+import { getOfferFingerprint } from "./get_offer_fingerprint.ts";
 import { adoptStatedLimit } from "./adopt_stated_limit.ts";
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
@@ -38,7 +39,10 @@
   const offeredAt = node.clock.now();
   const runOffer = () =>
     runAdmittedOffer(node, request, { ...options, offeredAt });
-  const decision = requestSlot(node.gate, offer, { now: offeredAt });
+  const fingerprint = getOfferFingerprint(request, offer);
+  const decision = requestSlot(node.gate, { ...offer, fingerprint }, {
+    now: offeredAt,
+  });
   return await match(decision)
     .with({ kind: SlotDecisionKind.Granted }, runOffer)
     .with(
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -1,3 +1,4 @@
+import { checkServerCrash } from "./check_server_crash.ts";
 import type { IncomingMessage } from "node:http";
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
@@ -52,6 +53,9 @@
   // The result of an exchange that the caller cancelled does not show the state
   // of the backend server, so it is not recorded.
   if (!signal.aborted) {
+    if (exchange.kind === BackendExchangeKind.Broken) {
+      void checkServerCrash(node);
+    }
     recordBackendExchange(node, exchange, { sentAt: startedAt });
   }
   node.report.call({
