Quarantine requests under which backend servers crash

Cause: nothing related one run of a request to the next. Each node saw a broken answer, and the next node admitted the next copy. Our own retries carried it to a second backend server within the same attempt, together with the requests that had run beside it. Ruled out: crashes for load in cold start, since they also begin with all backend servers warm.

A request is known again by its fingerprint at any node. The node beside a backend server that crashed suspects the requests that were running there, but for those that it answered of late; of several, those that ran in the most crashes before. Suspects run one at a time at a backend server, so that the next crash tells the cause from what ran beside it. The evidence goes to the nodes of the service, and that of a quarantined request to all nodes, directly and again until they reply; a node that starts queries a few others. After two crashes a request is refused for 10 s, after three for 10 minutes, by the first node and by each gate, as not run. An answer clears it. Memory is bounded.

The test of a restart fails without the query at the start.

--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -11,6 +11,10 @@
   NodeDraining = "node-draining",
   BackendServerDraining = "backend-server-draining",
   BackendServerLeaving = "backend-server-leaving",
+  /** The backend server ended while it ran the call. */
+  BackendServerCrashed = "backend-server-crashed",
+  /** Backend servers crashed while they ran the same request. */
+  RequestQuarantined = "request-quarantined",
   BackendServerDown = "backend-server-down",
   /** The node that received the call is not beside this backend server. */
   BackendServerUnknown = "backend-server-unknown",
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -35,6 +35,19 @@
     detail: "The backend server is marked as leaving and takes nothing new",
     retryMilliseconds: 1000,
   },
+  [RefusalReason.BackendServerCrashed]: {
+    status: 502,
+    title: "Backend server crashed",
+    detail: "The backend server ended while it ran the request",
+    retryMilliseconds: 1000,
+  },
+  [RefusalReason.RequestQuarantined]: {
+    status: 503,
+    title: "Request quarantined",
+    detail:
+      "Backend servers have crashed while they ran this request; it is not sent to further ones",
+    retryMilliseconds: 10000,
+  },
   [RefusalReason.BackendServerDown]: {
     status: 503,
     title: "Backend server down",
--- a/src/command_line/describe_refusal_reason.ts
+++ b/src/command_line/describe_refusal_reason.ts
@@ -7,6 +7,10 @@
   [RefusalReason.NodeDraining]: "the node was stopping",
   [RefusalReason.BackendServerDraining]: "the backend server was draining",
   [RefusalReason.BackendServerLeaving]: "the backend server was leaving",
+  [RefusalReason.BackendServerCrashed]:
+    "the backend server crashed while it ran the call",
+  [RefusalReason.RequestQuarantined]:
+    "backend servers had crashed while they ran the same request",
   [RefusalReason.BackendServerDown]: "the backend server could not be reached",
   [RefusalReason.BackendServerUnknown]:
     "another backend server is at the address of the intended one",
--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -6,8 +6,12 @@
 const initialServiceMilliseconds = 100;
 
 /** Creates the gate of a backend server whose slots and condition are not known yet. */
-export function createGateState(now: number): GateState {
+export function createGateState(
+  now: number,
+  suspects: GateState["suspects"] = new Map(),
+): GateState {
   return {
+    suspects,
     slots: 1,
     condition: ServerCondition.Unknown,
     closedReason: undefined,
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -8,6 +8,8 @@
 
 /** The mutable state of the gate of one backend server, kept by the node beside it. */
 export interface GateState {
+  /** Requests that were running when backend servers crashed, by fingerprint. */
+  readonly suspects: ReadonlyMap<string, unknown>;
   /** The most calls that may run at the backend server at once. */
   slots: number;
   condition: ServerCondition;
--- /dev/null
+++ b/src/gate/is_held_as_suspect.ts
@@ -0,0 +1,16 @@
+import type { GateState } from "./gate_state.ts";
+import type { SlotRequest } from "./slot_request.ts";
+
+/**
+ * Whether a call waits for another one to end because backend servers crashed
+ * while they ran either of them. They run one at a time, so that a further crash
+ * tells which one is the cause.
+ */
+export function isHeldAsSuspect(
+  state: GateState,
+  { fingerprint }: SlotRequest,
+): boolean {
+  const { suspects, running } = state;
+  return suspects.has(fingerprint) &&
+    Array.from(running.values()).some((call) => suspects.has(call.fingerprint));
+}
--- a/src/gate/process_gate_queue.ts
+++ b/src/gate/process_gate_queue.ts
@@ -5,7 +5,7 @@
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
 import { getLatestStart } from "./get_latest_start.ts";
-import { hasFreeSlot } from "./has_free_slot.ts";
+import { canStart } from "./can_start.ts";
 import type { QueueResult } from "./queue_result.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
 import { ServerCondition } from "./server_condition.ts";
@@ -81,7 +81,7 @@
   now: number,
 ): readonly QueuedSlotRequest[] {
   return removeFromQueue(state, ({ request }) => {
-    if (!hasFreeSlot(state, now)) return false;
+    if (!canStart(state, { request, now })) return false;
     occupySlot(state, { request, now });
     return true;
   });
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -1,10 +1,11 @@
+import { canStart } from "./can_start.ts";
+import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
 import { getFullReason } from "./get_full_reason.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { getLatestStart } from "./get_latest_start.ts";
-import { hasFreeSlot } from "./has_free_slot.ts";
 import { ServerCondition } from "./server_condition.ts";
 import type { SlotDecision } from "./slot_decision.ts";
 import { SlotDecisionKind } from "./slot_decision_kind.ts";
@@ -30,12 +31,15 @@
   if (state.condition === ServerCondition.Down) {
     return refuse(RefusalReason.BackendServerDown, closedRetryMilliseconds);
   }
-  if (state.queue.length === 0 && hasFreeSlot(state, now)) {
+  if (state.queue.length === 0 && canStart(state, { request, now })) {
     occupySlot(state, { request, now });
     return { kind: SlotDecisionKind.Granted };
   }
   const ahead = countQueuedAhead(state, request, { now });
-  const wait = getExpectedWaitMilliseconds(state, { ahead, now });
+  const wait = Math.max(
+    getExpectedWaitMilliseconds(state, { ahead, now }),
+    isHeldAsSuspect(state, request) ? state.serviceMilliseconds : 0,
+  );
   // A call that would end after its deadline is refused at once, not after a useless wait.
   if (now + wait > getLatestStart(state, request)) {
     return refuse(
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -32,6 +32,7 @@
     leaving: false,
     open: false,
     callerCalls: 3,
+    quarantinedRequests: 0,
     stopping: false,
   });
   t.regex(
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -1,3 +1,4 @@
+import { createQuarantineState } from "../quarantine/create_quarantine_state.ts";
 import { createGateState } from "../gate/create_gate_state.ts";
 import { createSourceFeed } from "../source/create_source_feed.ts";
 import { createConnectionAgent } from "./create_connection_agent.ts";
@@ -38,6 +39,7 @@
       options.report.call(event);
     },
   };
+  const quarantine = createQuarantineState();
   return {
     settings,
     dialect,
@@ -50,7 +52,8 @@
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
     knownConnections: new WeakSet(),
     feed: createSourceFeed(),
-    gate: createGateState(clock.now()),
+    quarantine,
+    gate: createGateState(clock.now(), quarantine.suspects),
     slotWaiters: new Map(),
     gateTimer: undefined,
     serverProbe: {
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -1,3 +1,4 @@
+import { queryCrashEvidence } from "./query_crash_evidence.ts";
 import type { Listener } from "../daemon/listener.ts";
 import { endFeed } from "../source/end_feed.ts";
 import { followSource } from "../source/follow_source.ts";
@@ -25,6 +26,7 @@
   },
 ): SourceFollower {
   const { client, callers } = options;
+  let hasQueriedCrashes = false;
   return followSource({
     client,
     neighbours: createNeighbourFeeds(node),
@@ -43,6 +45,9 @@
         applyCallerLimits(node, callers);
         removeUnregisteredGateViews(node);
         updateGate(node);
+        if (hasQueriedCrashes || node.view.register.size === 0) return;
+        hasQueriedCrashes = true;
+        void queryCrashEvidence(node);
       },
       onLost: (failure) => {
         setSourceAvailableSince(node.view, {
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -1,3 +1,4 @@
+import { getQuarantineEnd } from "../quarantine/get_quarantine_end.ts";
 import { getStatedCallsPerSecond } from "../gate/get_stated_calls_per_second.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
 import { getGateLoad } from "./get_gate_load.ts";
@@ -25,6 +26,8 @@
     open: gate.closedReason === undefined &&
       gate.condition !== ServerCondition.Down,
     callerCalls: node.callerCalls,
+    quarantinedRequests: Array.from(node.quarantine.suspects.values())
+      .filter((suspect) => getQuarantineEnd(suspect) > node.clock.now()).length,
     stopping: node.stopping,
   };
 }
--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -1,3 +1,5 @@
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { createQuarantineRefusal } from "./create_quarantine_refusal.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { isFullReason } from "../balancing/is_full_reason.ts";
 import { recordAnswer } from "../balancing/record_answer.ts";
@@ -38,6 +40,9 @@
   if (progress.plan.signal.aborted) return undefined;
   const kind = CallEventKind.OfferRefused;
   reportOffer(node, progress, { kind, candidate, reason, offeredAt });
+  if (reason === RefusalReason.RequestQuarantined) {
+    return createQuarantineRefusal(progress, { retryMilliseconds });
+  }
   if (refused.load === undefined) recordContactFailure(view, now);
   else recordGateRefusal(view, { reason, retryMilliseconds, now });
   if (isFullReason(reason)) {
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -29,5 +29,7 @@
   readonly open: boolean;
   /** Calls of callers that have no response yet. */
   readonly callerCalls: number;
+  /** Requests that are refused because backend servers crashed under them. */
+  readonly quarantinedRequests: number;
   readonly stopping: boolean;
 }
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,3 +1,4 @@
+import type { QuarantineState } from "../quarantine/quarantine_state.ts";
 import type { ServerCrashState } from "./server_crash_state.ts";
 import type { Departures } from "../register/departures.ts";
 import type { Agent } from "node:http";
@@ -58,6 +59,7 @@
   readonly probeAgent: Agent;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
+  readonly quarantine: QuarantineState;
   /** Calls that other nodes offered to this one. */
   readonly offers: OfferRecords;
   /** By identifier of the backend server. */
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -17,4 +17,9 @@
    * follows the changes of the source.
    */
   Feed = "catkinquay-feed",
+  /**
+   * On a request: why the sender exchanges evidence of crashes, which is the
+   * body of request and reply.
+   */
+  CrashEvidence = "catkinquay-crash-evidence",
 }
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -1,3 +1,5 @@
+import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
+import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import { getOfferFingerprint } from "./get_offer_fingerprint.ts";
 import { adoptStatedLimit } from "./adopt_stated_limit.ts";
 import { match } from "ts-pattern";
@@ -37,9 +39,13 @@
   }
   adoptStatedLimit(node, offer);
   const offeredAt = node.clock.now();
-  const runOffer = () =>
-    runAdmittedOffer(node, request, { ...options, offeredAt });
   const fingerprint = getOfferFingerprint(request, offer);
+  const retryMilliseconds = getQuarantineMilliseconds(node, fingerprint);
+  if (retryMilliseconds > 0) {
+    return createQuarantineOfferRefusal(node, { retryMilliseconds });
+  }
+  const runOffer = () =>
+    runAdmittedOffer(node, request, { ...options, fingerprint, offeredAt });
   const decision = requestSlot(node.gate, { ...offer, fingerprint }, {
     now: offeredAt,
   });
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -1,3 +1,4 @@
+import { tryRefuseQuarantinedCall } from "./try_refuse_quarantined_call.ts";
 import { recordDeparture } from "../register/record_departure.ts";
 import { match } from "ts-pattern";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
@@ -36,6 +37,8 @@
   const progress = createCallProgress(plan);
   // Sequential, since the next candidate depends on the last outcome.
   while (!plan.signal.aborted) {
+    const quarantined = tryRefuseQuarantinedCall(node, progress);
+    if (quarantined !== undefined) return quarantined;
     const candidate = chooseCandidate(node, progress);
     if (candidate === undefined) {
       if (progress.isWaitingRound) break;
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -23,6 +23,7 @@
   leaving: "1 while it states that it is about to leave",
   open: "1 while it may get new work",
   callerCalls: "Calls of callers that have no answer yet",
+  quarantinedRequests: "Requests refused for the crashes under them",
   stopping: "1 while the node stops",
 };
 
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -11,6 +11,7 @@
 /** Subjects of the lines that `MeshReporter.state` writes. */
 const subjects = [
   "process",
+  "quarantine",
   "settings",
   "source",
   "backend-server",
@@ -36,6 +37,7 @@
     leaving: false,
     open: true,
     callerCalls: 1,
+    quarantinedRequests: 0,
     stopping: false,
   });
   return Array.from(text.matchAll(/^# TYPE (\w+)/gm), ([, name = ""]) => name);
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -1,3 +1,6 @@
+import { recordAnsweredRequest } from "../quarantine/record_answered_request.ts";
+import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
+import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import { checkServerCrash } from "./check_server_crash.ts";
 import type { IncomingMessage } from "node:http";
 import { match } from "ts-pattern";
@@ -30,13 +33,20 @@
   request: CallRequest,
   options: {
     readonly offer: GateOffer;
+    readonly fingerprint: string;
     readonly offeredAt: number;
     readonly signal: AbortSignal;
   },
 ): Promise<OfferOutcome> {
-  const { offer, signal } = options;
+  const { offer, fingerprint, signal } = options;
   const { callIdentifier, idempotent } = offer;
   const startedAt = node.clock.now();
+  // The request may have been quarantined while it waited for its slot.
+  const retryMilliseconds = getQuarantineMilliseconds(node, fingerprint);
+  if (retryMilliseconds > 0) {
+    release(node, { callIdentifier, answered: false });
+    return createQuarantineOfferRefusal(node, { retryMilliseconds });
+  }
   const headers = node.dialect.addBackendRequestHeaders(request.headers, {
     identifier: getOwnServerIdentifier(node) ?? offer.identifier,
     callerService: offer.callerService,
@@ -53,11 +63,12 @@
   // The result of an exchange that the caller cancelled does not show the state
   // of the backend server, so it is not recorded.
   if (!signal.aborted) {
-    if (exchange.kind === BackendExchangeKind.Broken) {
-      void checkServerCrash(node);
-    }
     recordBackendExchange(node, exchange, { sentAt: startedAt });
   }
+  if (exchange.kind === BackendExchangeKind.Answered) {
+    const now = node.clock.now();
+    recordAnsweredRequest(node.quarantine, { fingerprint, now });
+  }
   node.report.call({
     kind: CallEventKind.Exchanged,
     call: callIdentifier,
@@ -69,8 +80,13 @@
     elapsedMilliseconds: Math.round(node.clock.now() - startedAt),
   });
   if (exchange.kind !== BackendExchangeKind.Answered) {
+    const hasCrashed = !signal.aborted &&
+      exchange.kind === BackendExchangeKind.Broken &&
+      await checkServerCrash(node);
     release(node, { callIdentifier, answered: false });
-    return createFailedOutcome(node, exchange.kind);
+    return hasCrashed
+      ? createCrashOutcome(node)
+      : createFailedOutcome(node, exchange.kind);
   }
   const { answer } = exchange;
   releaseAtClose(node, { callIdentifier, answer });
@@ -109,6 +125,15 @@
   answer.once("close", onClose);
 }
 
+function createCrashOutcome(node: MeshNode): OfferOutcome {
+  return {
+    kind: OfferOutcomeKind.Lost,
+    reason: RefusalReason.BackendServerCrashed,
+    cause: undefined,
+    load: getGateLoad(node),
+  };
+}
+
 function createFailedOutcome(
   node: MeshNode,
   kind: Exclude<BackendExchangeKind, BackendExchangeKind.Answered>,
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -1,3 +1,4 @@
+import { serveCrashEvidence } from "./serve_crash_evidence.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { tryParseSourcePosition } from "../source/try_parse_source_position.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -8,7 +9,7 @@
 
 /**
  * Serves a request of another node: the offer of a call, a query for the status
- * of one, or a subscription to the feed.
+ * of one, evidence of crashes, or a subscription to the feed.
  */
 export function servePeer(
   node: MeshNode,
@@ -23,6 +24,11 @@
     });
     return;
   }
+  const purpose = request.headers[OfferHeader.CrashEvidence];
+  if (purpose !== undefined) {
+    serveCrashEvidence(node, request, { purpose: String(purpose), response });
+    return;
+  }
   const after = request.headers[OfferHeader.Feed];
   if (after === undefined) {
     serveOffer(node, request, response);
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -1,3 +1,4 @@
+import { deleteExpiredSuspects } from "../quarantine/delete_expired_suspects.ts";
 import { Result } from "true-myth";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
 import type { Clock } from "../runtime/clock.ts";
@@ -50,7 +51,8 @@
       intervalMilliseconds: maintenanceIntervalMilliseconds,
       now,
     });
-    node.offers.recent.sweep(node.clock.now());
+    node.offers.recent.sweep(now);
+    deleteExpiredSuspects(node.quarantine, now);
     probeBackendServer(node);
     updateGate(node);
   }, maintenanceIntervalMilliseconds);
