Let the soak state limits and departures, and send requests that crash

Three new faults and a check of each rule: calls beyond a stated limit, calls to a backend server that states its departure, and runs of a request that crashed three backend servers.

--- a/stand_ins/soak/apply_soak_fault.ts
+++ b/stand_ins/soak/apply_soak_fault.ts
@@ -1,3 +1,4 @@
+import { crashingPath } from "./crashing_path.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { match } from "ts-pattern";
 import { relayModeSchema } from "../relay/relay_mode_schema.ts";
@@ -8,6 +9,7 @@
 import type { SoakVm } from "./soak_vm.ts";
 
 const delayMilliseconds = 120;
+const limitedCallsPerSecond = 5;
 /** Age of the copy from which the store comes back. */
 const copyAgeMilliseconds = 2_000;
 /** Time until the operators write again what the store lost. */
@@ -28,6 +30,8 @@
     /** The zones that the operators have taken out. */
     readonly zonesTakenOut: Set<string>;
     readonly publishRules: () => void;
+    /** The requests that crash backend servers. */
+    readonly crashingUrls: string[];
     /** Writes again what the operators have written. */
     readonly rewrite: () => void;
   },
@@ -89,6 +93,22 @@
         vm.publishHeartbeat("ready");
       };
     })
+    .with(SoakFaultKind.LimitServer, () => {
+      backend.setLimit(limitedCallsPerSecond);
+      return () => backend.setLimit(undefined);
+    })
+    .with(SoakFaultKind.LeaveServer, () => {
+      backend.leave();
+      return async () => {
+        await backend.crash();
+        await backend.start();
+      };
+    })
+    .with(SoakFaultKind.CrashingRequest, () => {
+      // It comes until the end of the soak.
+      options.crashingUrls.push(`${crashingPath}${fault.startsAt}`);
+      return doNothing;
+    })
     .with(SoakFaultKind.StoreFault, () => {
       const kind = storeFaults[fault.startsAt % storeFaults.length];
       store.setFault(kind ?? StoreFault.Busy);
--- a/stand_ins/soak/find_soak_violations.ts
+++ b/stand_ins/soak/find_soak_violations.ts
@@ -1,3 +1,6 @@
+import { findCrashViolations } from "./find_crash_violations.ts";
+import { findDepartureViolations } from "./find_departure_violations.ts";
+import { findLimitViolations } from "./find_limit_violations.ts";
 import { groupBy } from "../../src/collections/group_by.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakRecord } from "./soak_record.ts";
@@ -19,6 +22,9 @@
       findCallViolations(call, runs.get(call.identifier) ?? [])
     ),
     ...record.runs.flatMap((run) => findRunViolations(run, record)),
+    ...findLimitViolations(record),
+    ...findDepartureViolations(record),
+    ...findCrashViolations(record),
     ...findVersionRegressions(calls),
     ...findLateVersions(calls, record),
   ];
--- a/stand_ins/soak/find_soak_violations_test.ts
+++ b/stand_ins/soak/find_soak_violations_test.ts
@@ -19,6 +19,8 @@
   url: "/orders/a",
   service: "encomendas",
   callerService: "vitrine",
+  server: "server",
+  receivedAt: 1_000,
 };
 
 function findBrokenPromises(
@@ -28,6 +30,13 @@
   return findSoakViolations({
     calls: new Map(calls.map((one) => [one.identifier, one])),
     runs: [...runs],
+    limits: [{
+      server: "limited",
+      callsPerSecond: 1,
+      from: 0,
+      until: Number.POSITIVE_INFINITY,
+    }],
+    disturbances: [{ vm: 1, from: 0, until: 20_000 }],
     settledAt: 5_000,
   }).map(({ promise }) => promise);
 }
@@ -56,3 +65,79 @@
   t.deepEqual(findBrokenPromises([{ ...unknown, sentAt: 4_999 }], []), []);
   t.is(findBrokenPromises([{ ...unknown, sentAt: 5_000 }], []).length, 1);
 });
+
+/** Creates calls of a VM, one every 100 ms, and the run of each. */
+function createTraffic(
+  options: {
+    readonly vm: number;
+    readonly server: string;
+    readonly url?: string;
+    readonly count: number;
+    readonly change?: Partial<SoakCall>;
+  },
+) {
+  const { vm, server, url = "/look/a", count, change } = options;
+  const calls = Array.from({ length: count }, (_, index): SoakCall => ({
+    ...call,
+    vm,
+    url,
+    identifier: `${vm}-${server}-${index}`,
+    idempotent: true,
+    sentAt: 1_000 + index * 100,
+    respondedAt: 1_010 + index * 100,
+    ...change,
+  }));
+  const runs = calls.map(({ identifier, sentAt }): SoakRun => ({
+    ...run,
+    url,
+    server,
+    callIdentifier: identifier,
+    receivedAt: sentAt,
+  }));
+  return { calls, runs };
+}
+
+test("calls beyond a stated limit are reported, but for those of a disturbed VM", (t) => {
+  const countBroken = (vm: number, count: number) => {
+    const { calls, runs } = createTraffic({
+      vm,
+      server: "limited",
+      count,
+      change: { limitedServer: "limited" },
+    });
+    return findBrokenPromises(calls, runs).length;
+  };
+  t.is(countBroken(0, 10), 0);
+  t.is(countBroken(0, 30), 1);
+  t.is(countBroken(1, 30), 0);
+});
+
+test("calls to a backend server that leaves are reported, from VMs that had passed that on", (t) => {
+  const countBroken = (vm: number, count: number) => {
+    const { calls, runs } = createTraffic({
+      vm,
+      server: "leaving",
+      count,
+      change: { leavingServer: "leaving" },
+    });
+    return findBrokenPromises(calls, runs).length;
+  };
+  t.is(countBroken(0, 20), 0);
+  t.true(countBroken(0, 30) > 0);
+  t.is(countBroken(1, 30), 0);
+});
+
+test("runs of a request that has crashed three backend servers are reported", (t) => {
+  const countBroken = (count: number) => {
+    const { calls, runs } = createTraffic({
+      vm: 0,
+      server: "any",
+      url: "/look/crash-1",
+      count,
+      change: { status: 502 },
+    });
+    return findBrokenPromises(calls, runs).length;
+  };
+  t.is(countBroken(30), 0);
+  t.is(countBroken(40), 1);
+});
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -1,3 +1,4 @@
+import { listDisturbances } from "./list_disturbances.ts";
 import { mkdtempSync, rmSync } from "node:fs";
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
@@ -28,6 +29,8 @@
 /** Duration of the traffic after `settledAt`, in which a change that is not in force is a violation. */
 const verificationMilliseconds = 1_500;
 const nonIdempotentShare = 0.4;
+/** Share of the calls that send a request which crashes backend servers, while there is one. */
+const crashingShare = 0.05;
 const callersPerVm = 3;
 
 /** Runs one soak with real node processes and faults from outside, and checks the promises against everything observed. */
@@ -42,6 +45,8 @@
   const record: SoakRecord = {
     calls: new Map(),
     runs: [],
+    limits: [],
+    disturbances: [],
     settledAt: Number.POSITIVE_INFINITY,
   };
   const store = await startStoreServer({ host: "127.0.0.1", port: 0 });
@@ -51,6 +56,7 @@
     store.put("op/config", createSoakRules(version));
   };
   publishRules();
+  const crashingUrls: string[] = [];
   const zonesTakenOut = new Set<string>();
   const rewrite = () => {
     store.put("op/config", createSoakRules(version));
@@ -74,6 +80,9 @@
   await delay(warmUpMilliseconds);
   const plan = createSoakPlan(options);
   const lastFaultEndsAt = Math.max(...plan.map(({ endsAt }) => endsAt));
+  record.disturbances.push(
+    ...listDisturbances(plan, { startedAt: Date.now() }),
+  );
   record.settledAt = Date.now() + lastFaultEndsAt + changeMilliseconds;
   const faults = plan.map(async (fault) => {
     await delay(fault.startsAt);
@@ -83,6 +92,7 @@
       store,
       zonesTakenOut,
       publishRules,
+      crashingUrls,
       rewrite,
     });
     await delay(fault.endsAt - fault.startsAt);
@@ -102,6 +112,7 @@
         name: `${index}-${caller}`,
         index,
         getVersion: () => version,
+        crashingUrls,
       }))
   );
   await Promise.all([...faults, ...callers]);
@@ -135,6 +146,7 @@
     readonly name: string;
     readonly index: number;
     readonly getVersion: () => number;
+    readonly crashingUrls: readonly string[];
   },
 ): Promise<void> {
   const { vm, record, random } = options;
@@ -143,7 +155,12 @@
   while (Date.now() < options.endsAt) {
     count += 1;
     const identifier = `call-${options.name}-${count}`;
-    const idempotent = random.next() > nonIdempotentShare;
+    const crashingUrl = random.next() < crashingShare
+      ? options
+        .crashingUrls[Math.floor(random.next() * options.crashingUrls.length)]
+      : undefined;
+    const idempotent = crashingUrl !== undefined ||
+      random.next() > nonIdempotentShare;
     const route = idempotent
       ? random.next() < 0.7 ? "look" : `v${options.getVersion()}`
       : "order";
@@ -151,7 +168,7 @@
       identifier,
       idempotent,
       callerService: vm.backend.service,
-      url: `/${route}/${identifier}`,
+      url: crashingUrl ?? `/${route}/${identifier}`,
       sentAt: Date.now(),
       vm: options.index,
       incarnation: vm.node.getIncarnation(),
--- a/stand_ins/soak/send_soak_call.ts
+++ b/stand_ins/soak/send_soak_call.ts
@@ -1,4 +1,8 @@
-import { type Agent, request as sendRequest } from "node:http";
+import {
+  type Agent,
+  type IncomingMessage,
+  request as sendRequest,
+} from "node:http";
 import type { NetworkAddress } from "../../src/runtime/network_address.ts";
 import type { SoakCall } from "./soak_call.ts";
 
@@ -28,6 +32,7 @@
       },
       signal: AbortSignal.timeout(remainingMilliseconds + 500),
     }, (response) => {
+      recordStatements(call, response);
       const chunks: Buffer[] = [];
       response.on("data", (chunk: Buffer) => chunks.push(chunk));
       response.on("error", () => finish(0, false));
@@ -43,3 +48,13 @@
     outgoing.end(call.idempotent ? undefined : "order");
   });
 }
+
+/** Records what the answering backend server states about itself. */
+function recordStatements(call: SoakCall, response: IncomingMessage): void {
+  const { headers } = response;
+  const server = headers["x-instance-id"];
+  if (typeof server !== "string") return;
+  call.respondedAt = Date.now();
+  if (headers["server-limit"] !== undefined) call.limitedServer = server;
+  if (headers["server-leaving"] !== undefined) call.leavingServer = server;
+}
--- a/stand_ins/soak/soak_backend.ts
+++ b/stand_ins/soak/soak_backend.ts
@@ -8,6 +8,10 @@
   getIdentifier(): string;
   /** Sets whether it truncates some of its answers and sends a further response after others. */
   setGarbling(garbling: boolean): void;
+  /** Sets the calls a second that it states to take; undefined for no limit. */
+  setLimit(callsPerSecond: number | undefined): void;
+  /** States in all answers that it is about to leave, until it starts again. */
+  leave(): void;
   /** Closes every connection; accepts none until it is started again. */
   crash(): Promise<void>;
   /** Accepts connections again, as a new incarnation that is cold. */
--- a/stand_ins/soak/soak_call.ts
+++ b/stand_ins/soak/soak_call.ts
@@ -13,6 +13,12 @@
   readonly incarnation: number;
   /** Undefined until the request ends; 0 if the connection ended without a complete response. */
   status: number | undefined;
+  /** When the response arrived, in milliseconds since the Unix epoch; undefined without one. */
+  respondedAt?: number;
+  /** The backend server whose answer stated a rate limit. */
+  limitedServer?: string;
+  /** The backend server whose answer stated that it is about to leave. */
+  leavingServer?: string;
   /** Whether the response is the complete answer to this request. */
   whole: boolean;
 }
--- a/stand_ins/soak/soak_fault_kind.ts
+++ b/stand_ins/soak/soak_fault_kind.ts
@@ -22,6 +22,12 @@
   GarbleServer = "garble-server",
   /** A backend server reports that it drains, and is started again as a new incarnation. */
   DrainServer = "drain-server",
+  /** A backend server states a rate limit in its answers. */
+  LimitServer = "limit-server",
+  /** A backend server states in its answers alone that it is about to leave, and is started again as a new incarnation. */
+  LeaveServer = "leave-server",
+  /** A request that crashes the backend server that runs it is sent again and again, at all nodes. */
+  CrashingRequest = "crashing-request",
   /** The store fails for all nodes. */
   StoreFault = "store-fault",
   /** Open connections of a node to the store silently drop all further data. */
--- a/stand_ins/soak/soak_record.ts
+++ b/stand_ins/soak/soak_record.ts
@@ -1,3 +1,5 @@
+import type { SoakDisturbance } from "./soak_disturbance.ts";
+import type { SoakLimit } from "./soak_limit.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakRun } from "./soak_run.ts";
 
@@ -6,6 +8,10 @@
   /** By identifier. */
   readonly calls: Map<string, SoakCall>;
   readonly runs: SoakRun[];
+  /** Rate limits that backend servers stated. */
+  readonly limits: SoakLimit[];
+  /** Faults that excuse a VM from what it had learnt. */
+  readonly disturbances: SoakDisturbance[];
   /** The instant from which every change must be in force on every node, in milliseconds since the Unix epoch. */
   settledAt: number;
 }
--- a/stand_ins/soak/soak_run.ts
+++ b/stand_ins/soak/soak_run.ts
@@ -4,4 +4,8 @@
   readonly url: string;
   readonly service: string;
   readonly callerService: string;
+  /** Identifier of the incarnation that ran it. */
+  readonly server: string;
+  /** In milliseconds since the Unix epoch. */
+  readonly receivedAt: number;
 }
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -1,3 +1,5 @@
+import { crashingPath } from "./crashing_path.ts";
+import type { SoakLimit } from "./soak_limit.ts";
 import { once } from "node:events";
 import {
   createServer,
@@ -13,6 +15,8 @@
 const serviceTimeMilliseconds = 30;
 const coldMilliseconds = 1_000;
 const garbledShare = 0.3;
+/** Time until a backend server is back that a request has crashed. */
+const recoveryMilliseconds = 1_000;
 const healthPath = "/healthz";
 
 /** Starts a backend server that implements the platform's protocol and records each request that it runs. */
@@ -28,6 +32,8 @@
   let incarnation = 0;
   let coldUntil = 0;
   let garbling = false;
+  let limit: SoakLimit | undefined;
+  let isLeaving = false;
   let server: Server = createServer(handleRequest);
 
   const getIdentifier = () => `i-${address.host}-${incarnation}`;
@@ -39,7 +45,7 @@
     request.resume();
     if (request.url === healthPath) {
       response.writeHead(200, {
-        "x-instance-id": getIdentifier(),
+        ...getStatementHeaders(),
         "x-cold-ms": String(Math.max(0, coldUntil - Date.now())),
       }).end();
       return;
@@ -57,13 +63,59 @@
       url: request.url ?? "",
       service,
       callerService: String(request.headers["x-caller-service"]),
+      server: getIdentifier(),
+      receivedAt: Date.now(),
     });
+    if (request.url?.startsWith(crashingPath)) {
+      setTimeout(crashForAWhile, serviceTimeMilliseconds * random.next());
+      return;
+    }
     setTimeout(
       () => sendAnswer(response, callIdentifier),
       serviceTimeMilliseconds * (0.5 + random.next()),
     );
   }
 
+  function getStatementHeaders(): Readonly<Record<string, string>> {
+    return {
+      "x-instance-id": getIdentifier(),
+      ...(limit === undefined
+        ? {}
+        : { "server-limit": String(limit.callsPerSecond) }),
+      ...(isLeaving ? { "server-leaving": "1" } : {}),
+    };
+  }
+
+  function setLimit(callsPerSecond: number | undefined): void {
+    if (limit?.callsPerSecond === callsPerSecond) return;
+    const now = Date.now();
+    if (limit !== undefined) limit.until = now;
+    limit = callsPerSecond === undefined ? undefined : {
+      server: getIdentifier(),
+      callsPerSecond,
+      from: now,
+      until: Number.POSITIVE_INFINITY,
+    };
+    if (limit !== undefined) record.limits.push(limit);
+  }
+
+  async function crash(): Promise<void> {
+    if (!server.listening) return;
+    const closed = once(server, "close");
+    server.close();
+    server.closeAllConnections();
+    setLimit(undefined);
+    await closed;
+  }
+
+  async function startAgain(): Promise<void> {
+    if (!server.listening) await start();
+  }
+
+  function crashForAWhile(): void {
+    crash().then(() => setTimeout(startAgain, recoveryMilliseconds));
+  }
+
   function sendAnswer(response: ServerResponse, callIdentifier: string): void {
     if (response.destroyed) return;
     const body = `answer to ${callIdentifier}`;
@@ -72,6 +124,7 @@
       "x-attempt-id": callIdentifier,
       "x-server-seal": "seal",
       "content-length": String(body.length),
+      ...getStatementHeaders(),
     });
     if (!isGarbled) {
       response.end(body);
@@ -91,6 +144,7 @@
 
   async function start(): Promise<void> {
     incarnation += 1;
+    isLeaving = false;
     coldUntil = Date.now() + (incarnation > 1 ? coldMilliseconds : 0);
     server = createServer(handleRequest);
     server.listen(address.port, address.host);
@@ -105,15 +159,11 @@
     setGarbling: (isGarbling) => {
       garbling = isGarbling;
     },
-    crash: async () => {
-      if (!server.listening) return;
-      const closed = once(server, "close");
-      server.close();
-      server.closeAllConnections();
-      await closed;
-    },
-    start: async () => {
-      if (!server.listening) await start();
+    setLimit,
+    leave: () => {
+      isLeaving = true;
     },
+    crash,
+    start: startAgain,
   };
 }
