--- a/src/mesh/push_crash_evidence.ts
+++ b/src/mesh/push_crash_evidence.ts
@@ -5,8 +5,8 @@
 import { listPeerHosts } from "./list_peer_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Pauses before the attempts to reach a node; packets may be lost for seconds. */
-const pausesMilliseconds = [0, 300, 800, 1_500];
+/** Pauses before further attempts to reach a node; packets may be lost for seconds. */
+const retryPausesMilliseconds = [300, 800, 1_500];
 /** Nodes that are sent evidence at the same time; bounds the connections. */
 const concurrentNodesMaximum = 64;
 
@@ -23,9 +23,10 @@
   const quarantined = evidence.filter(({ fingerprint }) =>
     getQuarantineEnd(node.quarantine.suspects.get(fingerprint)) > 0
   );
-  await pushToHosts(node, { hosts: ownService, evidence });
-  if (quarantined.length === 0) return;
-  await pushToHosts(node, { hosts: otherServices, evidence: quarantined });
+  await Promise.all([
+    pushToHosts(node, { hosts: ownService, evidence }),
+    pushToHosts(node, { hosts: otherServices, evidence: quarantined }),
+  ]);
 }
 
 interface Push {
@@ -35,36 +36,39 @@
 
 async function pushToHosts(node: MeshNode, push: Push): Promise<void> {
   const { hosts, evidence } = push;
-  if (hosts.length === 0) return;
+  if (hosts.length === 0 || evidence.length === 0) return;
   const batch = hosts.slice(0, concurrentNodesMaximum);
-  const attempts = batch.map((host) =>
-    pushToHost(node, { host, evidence, attempt: 0 })
+  await Promise.all(
+    batch.map((host) => pushToHost(node, { host, evidence, retries: 0 })),
   );
   const rest = hosts.slice(concurrentNodesMaximum);
-  // The next nodes do not wait for those that cannot be reached.
-  await Promise.all(attempts.map(({ first }) => first));
   await pushToHosts(node, { hosts: rest, evidence });
 }
 
-/** Sends evidence until the node replies; `first` is the first attempt. */
-function pushToHost(
+/**
+ * Sends evidence to a node, again after a pause if it does not reply. Resolves
+ * after the first attempt, so that the next nodes do not wait for this one.
+ */
+async function pushToHost(
   node: MeshNode,
   options: {
     readonly host: string;
     readonly evidence: readonly CrashEvidence[];
-    readonly attempt: number;
+    /** Number of attempts before this one. */
+    readonly retries: number;
   },
-): { readonly first: Promise<void> } {
-  const { host, evidence, attempt } = options;
+): Promise<void> {
+  const { host, evidence, retries } = options;
   const purpose = CrashEvidencePurpose.Push;
-  const first = exchangeCrashEvidence(node, { host, purpose, evidence })
-    .then((hasReplied) => {
-      const pause = pausesMilliseconds[attempt + 1];
-      if (hasReplied || pause === undefined) return;
-      node.timers.at(
-        node.clock.now() + pause,
-        () => void pushToHost(node, { host, evidence, attempt: attempt + 1 }),
-      );
-    });
-  return { first };
+  const hasReplied = await exchangeCrashEvidence(node, {
+    host,
+    purpose,
+    evidence,
+  });
+  const pause = retryPausesMilliseconds[retries];
+  if (hasReplied || pause === undefined) return;
+  node.timers.at(
+    node.clock.now() + pause,
+    () => void pushToHost(node, { host, evidence, retries: retries + 1 }),
+  );
 }
