--- a/src/mesh/query_crash_evidence.ts
+++ b/src/mesh/query_crash_evidence.ts
@@ -4,8 +4,10 @@
 import { listPeerHosts } from "./list_peer_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Nodes of each kind that are queried; one may be down or just started too. */
-const queriedNodes = 2;
+/** Nodes of the same service that are queried; one may have just started too. */
+const queriedNodesOfService = 2;
+/** Nodes of other services that are queried, which know what is quarantined. */
+const queriedOtherNodes = 1;
 const attemptsMaximum = 4;
 const attemptIntervalMilliseconds = 500;
 
@@ -18,9 +20,10 @@
   attempt = 1,
 ): Promise<void> {
   const { ownService, otherServices } = listPeerHosts(node);
-  const choose = (hosts: readonly string[]) =>
-    shuffle(hosts, node.random).slice(0, queriedNodes);
-  const hosts = [...choose(ownService), ...choose(otherServices)];
+  const hosts = [
+    ...shuffle(ownService, node.random).slice(0, queriedNodesOfService),
+    ...shuffle(otherServices, node.random).slice(0, queriedOtherNodes),
+  ];
   const purpose = CrashEvidencePurpose.Query;
   const replies = await Promise.all(
     hosts.map((host) =>
