Reach nodes that were paused with evidence of crashes, and share what is bounded

The push of evidence is repeated for 21 s in place of 2.6 s, since a node that was frozen for some seconds missed it. One function creates evidence, one keeps a map bounded.

--- a/src/mesh/push_crash_evidence.ts
+++ b/src/mesh/push_crash_evidence.ts
@@ -5,8 +5,11 @@
 import { listPeerHosts } from "./list_peer_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
-/** Pauses before further attempts to reach a node; packets may be lost for seconds. */
-const retryPausesMilliseconds = [300, 800, 1_500];
+/**
+ * Pauses before further attempts to reach a node. The last ones reach a node that
+ * was paused or cut off for some seconds.
+ */
+const retryPausesMilliseconds = [300, 800, 1_500, 3_000, 5_000, 10_000];
 /** Nodes that are sent evidence at the same time; bounds the connections. */
 const concurrentNodesMaximum = 64;
 
--- a/src/quarantine/list_crash_evidence.ts
+++ b/src/quarantine/list_crash_evidence.ts
@@ -1,3 +1,4 @@
+import { createCrashEvidence } from "./create_crash_evidence.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
 import type { QuarantineState } from "./quarantine_state.ts";
 
@@ -7,10 +8,6 @@
 ): readonly CrashEvidence[] {
   return Array.from(
     state.suspects,
-    ([fingerprint, { crashIdentifiers, crashes }]) => ({
-      fingerprint,
-      crashIdentifiers,
-      crashes,
-    }),
+    ([fingerprint, suspect]) => createCrashEvidence(fingerprint, suspect),
   );
 }
--- a/src/quarantine/record_crash.ts
+++ b/src/quarantine/record_crash.ts
@@ -1,3 +1,4 @@
+import { createCrashEvidence } from "./create_crash_evidence.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
 import { hasAnsweredRecently } from "./has_answered_recently.ts";
 import { mergeCrashEvidence } from "./merge_crash_evidence.ts";
@@ -40,10 +41,8 @@
         now,
       });
       const suspect = state.suspects.get(fingerprint);
-      return suspect === undefined ? [] : [{
-        fingerprint,
-        crashIdentifiers: suspect.crashIdentifiers,
-        crashes: suspect.crashes,
-      }];
+      return suspect === undefined
+        ? []
+        : [createCrashEvidence(fingerprint, suspect)];
     });
 }
--- a/src/register/record_departure.ts
+++ b/src/register/record_departure.ts
@@ -1,3 +1,4 @@
+import { setBounded } from "../collections/set_bounded.ts";
 import type { Departures } from "./departures.ts";
 import type { RegisterEntry } from "./register_entry.ts";
 import type { ServerDeparture } from "./server_departure.ts";
@@ -18,9 +19,9 @@
 ): void {
   const { entry, departure } = options;
   if (departure.identifier !== entry.identifier) return;
-  departures.set(entry.identifier, departure.bornAt ?? entry.bornAt);
-  const [oldest] = departures.keys();
-  if (departures.size > departuresMaximum && oldest !== undefined) {
-    departures.delete(oldest);
-  }
+  setBounded(departures, {
+    key: entry.identifier,
+    value: departure.bornAt ?? entry.bornAt,
+    sizeMaximum: departuresMaximum,
+  });
 }
