Suspect a request also if its backend server crashes in the middle of the answer

Only a complete answer clears it now, and an answer that breaks off is followed by the same check. The report of an exchange has its own module.

--- a/src/mesh/crashing_request_test.ts
+++ b/src/mesh/crashing_request_test.ts
@@ -1,7 +1,8 @@
-import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
 import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
 import { sendCompleteAnswer } from "../testing/mesh/send_complete_answer.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 
@@ -90,6 +91,31 @@
   },
 );
 
+// Guards against a crash that is not seen, since the answer had begun.
+serialTest(
+  "a request under which backend servers crash in the middle of their answer is refused as well",
+  async (t) => {
+    await withMeshFleet({ vms: 3 }, async (fleet) => {
+      fleet.backends.forEach((backend) => {
+        backend.script = (request, response) => {
+          response.writeHead(200, {
+            [MeshHeader.Call]: request.headers[MeshHeader.Call]!.toString(),
+            [MeshHeader.Signature]: "signed",
+            "content-length": "100",
+          });
+          response.write("part");
+          setTimeout(() => void crash(backend), workMilliseconds);
+        };
+      });
+      await repeatCrashing(fleet, { rounds: 8 });
+      t.true(
+        countCrashingRuns(fleet) <= crashesMaximum + furtherRunsMaximum,
+        `${countCrashingRuns(fleet)} runs`,
+      );
+    });
+  },
+);
+
 // Guards against one crash after the other within one attempt of the caller.
 serialTest(
   "copies of a crashing request at all nodes at once do not take away every backend server",
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -1,25 +1,25 @@
-import { recordAnsweredRequest } from "../quarantine/record_answered_request.ts";
-import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
-import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
-import { checkServerCrash } from "./check_server_crash.ts";
 import type { IncomingMessage } from "node:http";
 import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import { releaseSlot } from "../gate/release_slot.ts";
+import { recordAnsweredRequest } from "../quarantine/record_answered_request.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
-import { CallEventKind } from "./call_event_kind.ts";
 import type { CallRequest } from "./call_request.ts";
+import { checkServerCrash } from "./check_server_crash.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
+import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
 import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
+import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import { isFramedAnswer } from "./is_framed_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { processWaitingCalls } from "./process_waiting_calls.ts";
 import { recordBackendExchange } from "./record_backend_exchange.ts";
+import { reportExchange } from "./report_exchange.ts";
 import { sendToBackendServer } from "./send_to_backend_server.ts";
 import { unavailableRetryMilliseconds } from "./unavailable_retry_milliseconds.ts";
 
@@ -65,19 +65,11 @@
   if (!signal.aborted) {
     recordBackendExchange(node, exchange, { sentAt: startedAt });
   }
-  if (exchange.kind === BackendExchangeKind.Answered) {
-    const now = node.clock.now();
-    recordAnsweredRequest(node.quarantine, { fingerprint, now });
-  }
-  node.report.call({
-    kind: CallEventKind.Exchanged,
-    call: callIdentifier,
-    route: offer.route,
-    service: offer.service,
-    outcome: exchange.kind,
+  reportExchange(node, offer, {
+    exchange,
     cancelled: signal.aborted,
-    waitedMilliseconds: Math.round(startedAt - options.offeredAt),
-    elapsedMilliseconds: Math.round(node.clock.now() - startedAt),
+    offeredAt: options.offeredAt,
+    startedAt,
   });
   if (exchange.kind !== BackendExchangeKind.Answered) {
     const hasCrashed = !signal.aborted &&
@@ -89,7 +81,7 @@
       : createFailedOutcome(node, exchange.kind);
   }
   const { answer } = exchange;
-  releaseAtClose(node, { callIdentifier, answer });
+  releaseAtClose(node, { callIdentifier, fingerprint, answer, signal });
   return {
     kind: OfferOutcomeKind.Answered,
     status: answer.statusCode ?? 0,
@@ -112,12 +104,21 @@
   node: MeshNode,
   options: {
     readonly callIdentifier: string;
+    readonly fingerprint: string;
     readonly answer: IncomingMessage;
+    readonly signal: AbortSignal;
   },
 ): void {
-  const { callIdentifier, answer } = options;
-  const onClose = () =>
+  const { callIdentifier, fingerprint, answer, signal } = options;
+  function onClose(): void {
+    if (answer.complete) {
+      const now = node.clock.now();
+      recordAnsweredRequest(node.quarantine, { fingerprint, now });
+    } else if (!signal.aborted) {
+      void checkServerCrash(node);
+    }
     release(node, { callIdentifier, answered: answer.complete });
+  }
   if (answer.closed) {
     onClose();
     return;
