--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -1,6 +1,6 @@
-import { StatedLimitKind } from "./stated_limit_kind.ts";
 import type { GateState } from "./gate_state.ts";
 import { ServerCondition } from "./server_condition.ts";
+import { StatedLimitKind } from "./stated_limit_kind.ts";
 
 /** Service time assumed before the first answer; the order of magnitude of a typical call. */
 const initialServiceMilliseconds = 100;
--- a/src/gate/process_gate_queue.ts
+++ b/src/gate/process_gate_queue.ts
@@ -1,15 +1,15 @@
-import { getFullReason } from "./get_full_reason.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { canStart } from "./can_start.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
-import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
+import { getFullReason } from "./get_full_reason.ts";
 import { getLatestStart } from "./get_latest_start.ts";
-import { canStart } from "./can_start.ts";
+import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
+import { occupySlot } from "./occupy_slot.ts";
 import type { QueueResult } from "./queue_result.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
 import { ServerCondition } from "./server_condition.ts";
-import { occupySlot } from "./occupy_slot.ts";
 
 /** Share of the service time that must remain before the deadline for a call to be started. */
 const remainingServiceShareMinimum = 0.5;
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -1,16 +1,16 @@
-import { canStart } from "./can_start.ts";
-import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
-import { getFullReason } from "./get_full_reason.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
-import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
+import { canStart } from "./can_start.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
+import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
+import { getFullReason } from "./get_full_reason.ts";
 import { getLatestStart } from "./get_latest_start.ts";
+import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
+import { occupySlot } from "./occupy_slot.ts";
 import { ServerCondition } from "./server_condition.ts";
 import type { SlotDecision } from "./slot_decision.ts";
 import { SlotDecisionKind } from "./slot_decision_kind.ts";
 import type { SlotRequest } from "./slot_request.ts";
-import { occupySlot } from "./occupy_slot.ts";
 
 /** Retry delay of refusals by a closed gate or for a backend server that is down, where no wait can be estimated. */
 const closedRetryMilliseconds = 500;
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -1,10 +1,10 @@
-import { createQuarantineState } from "../quarantine/create_quarantine_state.ts";
 import { createGateState } from "../gate/create_gate_state.ts";
+import { createOfferRecords } from "../offers/create_offer_records.ts";
+import { createQuarantineState } from "../quarantine/create_quarantine_state.ts";
 import { createSourceFeed } from "../source/create_source_feed.ts";
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
-import { createOfferRecords } from "../offers/create_offer_records.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -1,4 +1,3 @@
-import { queryCrashEvidence } from "./query_crash_evidence.ts";
 import type { Listener } from "../daemon/listener.ts";
 import { endFeed } from "../source/end_feed.ts";
 import { followSource } from "../source/follow_source.ts";
@@ -9,6 +8,7 @@
 import { createNeighbourFeeds } from "./create_neighbour_feeds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { publishReading } from "./publish_reading.ts";
+import { queryCrashEvidence } from "./query_crash_evidence.ts";
 import { removeUnregisteredGateViews } from "./remove_unregistered_gate_views.ts";
 import { setSourceAvailableSince } from "./set_source_available_since.ts";
 import { updateGate } from "./update_gate.ts";
--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -1,14 +1,14 @@
-import { RefusalReason } from "../calls/refusal_reason.ts";
-import { createQuarantineRefusal } from "./create_quarantine_refusal.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { isFullReason } from "../balancing/is_full_reason.ts";
 import { recordAnswer } from "../balancing/record_answer.ts";
 import { recordContactFailure } from "../balancing/record_contact_failure.ts";
 import { recordGateRefusal } from "../balancing/record_gate_refusal.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
+import { createQuarantineRefusal } from "./create_quarantine_refusal.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import type { OfferOutcomeKind } from "./offer_outcome_kind.ts";
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,26 +1,26 @@
-import type { QuarantineState } from "../quarantine/quarantine_state.ts";
-import type { ServerCrashState } from "./server_crash_state.ts";
-import type { Departures } from "../register/departures.ts";
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { GateState } from "../gate/gate_state.ts";
+import type { OfferRecords } from "../offers/offer_records.ts";
+import type { QuarantineState } from "../quarantine/quarantine_state.ts";
+import type { Departures } from "../register/departures.ts";
 import type { RetryCounts } from "../retries/retry_counts.ts";
 import type { SplitState } from "../routing/split_state.ts";
-import type { RandomSource } from "../runtime/random_source.ts";
-import type { SourceFeed } from "../source/source_feed.ts";
 import type { Clock } from "../runtime/clock.ts";
 import type { LoopLag } from "../runtime/loop_lag.ts";
+import type { RandomSource } from "../runtime/random_source.ts";
+import type { TimerHandle } from "../runtime/timer_handle.ts";
 import type { Timers } from "../runtime/timers.ts";
+import type { SourceFeed } from "../source/source_feed.ts";
 import type { CallDialect } from "./call_dialect.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
-import type { OfferRecords } from "../offers/offer_records.ts";
+import type { ServerCrashState } from "./server_crash_state.ts";
 import type { ServerProbeState } from "./server_probe_state.ts";
 import type { SlotWaiter } from "./slot_waiter.ts";
-import type { TimerHandle } from "../runtime/timer_handle.ts";
 
 /** The state of one running node. */
 export interface MeshNode {
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -1,13 +1,13 @@
-import { recordProbedIdentifier } from "./record_probed_identifier.ts";
-import { recordServerStatement } from "./record_server_statement.ts";
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
+import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { limitReceivedBytes } from "./limit_received_bytes.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { recordProbedIdentifier } from "./record_probed_identifier.ts";
+import { recordServerStatement } from "./record_server_statement.ts";
 import { setServerCondition } from "./set_server_condition.ts";
-import { updateGate } from "./update_gate.ts";
 import { trackConnection } from "./track_connection.ts";
+import { updateGate } from "./update_gate.ts";
 
 /** A probe may wait for a slot of the backend server like any other request. */
 const answerTimeoutMilliseconds = 2_000;
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -1,8 +1,7 @@
-import { tryRefuseQuarantinedCall } from "./try_refuse_quarantined_call.ts";
-import { recordDeparture } from "../register/record_departure.ts";
 import { match } from "ts-pattern";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { recordLoad } from "../balancing/record_load.ts";
+import { recordDeparture } from "../register/record_departure.ts";
 import { countCallForRetries } from "../retries/count_call_for_retries.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallProgress } from "./call_progress.ts";
@@ -20,6 +19,7 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendOffer } from "./send_offer.ts";
+import { tryRefuseQuarantinedCall } from "./try_refuse_quarantined_call.ts";
 
 /**
  * Processes a call until it has a result. The first round searches for a
--- a/src/mesh/record_backend_exchange.ts
+++ b/src/mesh/record_backend_exchange.ts
@@ -1,9 +1,9 @@
-import { recordProbedIdentifier } from "./record_probed_identifier.ts";
 import { match } from "ts-pattern";
 import { ServerCondition } from "../gate/server_condition.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { recordProbedIdentifier } from "./record_probed_identifier.ts";
 import { recordServerStatement } from "./record_server_statement.ts";
 import { scheduleEarlyProbe } from "./schedule_early_probe.ts";
 import { setServerCondition } from "./set_server_condition.ts";
--- a/src/mesh/record_server_statement.ts
+++ b/src/mesh/record_server_statement.ts
@@ -1,11 +1,11 @@
-import type { ServerDeparture } from "../register/server_departure.ts";
-import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
-import { updateGate } from "./update_gate.ts";
 import { recordUnlimitedAnswer } from "../gate/record_unlimited_answer.ts";
 import { setStatedLimit } from "../gate/set_stated_limit.ts";
+import type { ServerDeparture } from "../register/server_departure.ts";
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
+import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { reportStatementChange } from "./report_statement_change.ts";
+import { updateGate } from "./update_gate.ts";
 
 /**
  * Records what the backend server of this VM states about itself in an answer.
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -1,7 +1,7 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { createOfferIdentifier } from "../offers/create_offer_identifier.ts";
 import { CallKind } from "../routing/call_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
-import { createOfferIdentifier } from "../offers/create_offer_identifier.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { offerToNode } from "./offer_to_node.ts";
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -1,8 +1,8 @@
-import { serveCrashEvidence } from "./serve_crash_evidence.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { tryParseSourcePosition } from "../source/try_parse_source_position.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
+import { serveCrashEvidence } from "./serve_crash_evidence.ts";
 import { serveFeed } from "./serve_feed.ts";
 import { serveOffer } from "./serve_offer.ts";
 import { serveOfferStatus } from "./serve_offer_status.ts";
--- a/src/mesh/set_server_condition.ts
+++ b/src/mesh/set_server_condition.ts
@@ -1,8 +1,8 @@
 import { forgetIncarnation } from "../gate/forget_incarnation.ts";
-import { reportStatementChange } from "./report_statement_change.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processWaitingCalls } from "./process_waiting_calls.ts";
+import { reportStatementChange } from "./report_statement_change.ts";
 
 /**
  * Records the observed condition of the backend server. A backend server that
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -1,10 +1,10 @@
-import { deleteExpiredSuspects } from "../quarantine/delete_expired_suspects.ts";
 import { Result } from "true-myth";
 import type { Diagnostic } from "../diagnostics/diagnostic.ts";
+import { deleteExpiredSuspects } from "../quarantine/delete_expired_suspects.ts";
 import type { Clock } from "../runtime/clock.ts";
+import type { RandomSource } from "../runtime/random_source.ts";
 import { readLoopCounts } from "../runtime/read_loop_counts.ts";
 import { recordLoopCheck } from "../runtime/record_loop_check.ts";
-import type { RandomSource } from "../runtime/random_source.ts";
 import type { Timers } from "../runtime/timers.ts";
 import type { SourceClient } from "../source/source_client.ts";
 import type { CallDialect } from "./call_dialect.ts";
--- a/src/mesh/stated_limit_test.ts
+++ b/src/mesh/stated_limit_test.ts
@@ -1,5 +1,5 @@
-import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import type { MeshBackend } from "../testing/mesh/mesh_backend.ts";
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -1,10 +1,10 @@
 import { forgetIncarnation } from "../gate/forget_incarnation.ts";
-import { reportStatementChange } from "./report_statement_change.ts";
-import { setColdRate } from "../gate/set_cold_rate.ts";
 import { getGateClosedReason } from "../gate/get_gate_closed_reason.ts";
+import { setColdRate } from "../gate/set_cold_rate.ts";
 import { findOwnServerRecord } from "./find_own_server_record.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processWaitingCalls } from "./process_waiting_calls.ts";
+import { reportStatementChange } from "./report_statement_change.ts";
 
 /**
  * Updates the gate from the view: slots, cold start, and whether it is open.
--- a/src/quarantine/merge_crash_evidence.ts
+++ b/src/quarantine/merge_crash_evidence.ts
@@ -1,7 +1,7 @@
+import { setBounded } from "../collections/set_bounded.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
 import { hasAnsweredRecently } from "./has_answered_recently.ts";
 import type { QuarantineState } from "./quarantine_state.ts";
-import { setBounded } from "../collections/set_bounded.ts";
 
 /** Bounds the memory to about a megabyte. */
 const suspectsMaximum = 4_096;
--- a/src/quarantine/record_answered_request.ts
+++ b/src/quarantine/record_answered_request.ts
@@ -1,5 +1,5 @@
-import type { QuarantineState } from "./quarantine_state.ts";
 import { setBounded } from "../collections/set_bounded.ts";
+import type { QuarantineState } from "./quarantine_state.ts";
 
 /** Bounds the memory to about a megabyte. */
 const answersMaximum = 8_192;
--- a/src/quarantine/record_crash.ts
+++ b/src/quarantine/record_crash.ts
@@ -1,5 +1,5 @@
-import { createCrashEvidence } from "./create_crash_evidence.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
+import { createCrashEvidence } from "./create_crash_evidence.ts";
 import { hasAnsweredRecently } from "./has_answered_recently.ts";
 import { mergeCrashEvidence } from "./merge_crash_evidence.ts";
 import type { QuarantineState } from "./quarantine_state.ts";
--- a/stand_ins/soak/apply_soak_fault.ts
+++ b/stand_ins/soak/apply_soak_fault.ts
@@ -1,9 +1,9 @@
-import { crashingPath } from "./crashing_path.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { match } from "ts-pattern";
 import { relayModeSchema } from "../relay/relay_mode_schema.ts";
-import type { StoreServer } from "../store/store_server.ts";
 import { StoreFault } from "../store/store_fault.ts";
+import type { StoreServer } from "../store/store_server.ts";
+import { crashingPath } from "./crashing_path.ts";
 import type { SoakFault } from "./soak_fault.ts";
 import { SoakFaultKind } from "./soak_fault_kind.ts";
 import type { SoakVm } from "./soak_vm.ts";
--- a/stand_ins/soak/find_soak_violations.ts
+++ b/stand_ins/soak/find_soak_violations.ts
@@ -1,7 +1,7 @@
+import { groupBy } from "../../src/collections/group_by.ts";
 import { findCrashViolations } from "./find_crash_violations.ts";
 import { findDepartureViolations } from "./find_departure_violations.ts";
 import { findLimitViolations } from "./find_limit_violations.ts";
-import { groupBy } from "../../src/collections/group_by.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakRecord } from "./soak_record.ts";
 import type { SoakRun } from "./soak_run.ts";
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -1,4 +1,3 @@
-import { listDisturbances } from "./list_disturbances.ts";
 import { mkdtempSync, rmSync } from "node:fs";
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
@@ -12,6 +11,7 @@
 import { createSoakPlan } from "./create_soak_plan.ts";
 import { createSoakRules } from "./create_soak_rules.ts";
 import { findSoakViolations } from "./find_soak_violations.ts";
+import { listDisturbances } from "./list_disturbances.ts";
 import { sendSoakCall } from "./send_soak_call.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakOptions } from "./soak_options.ts";
--- a/stand_ins/soak/soak_record.ts
+++ b/stand_ins/soak/soak_record.ts
@@ -1,6 +1,6 @@
+import type { SoakCall } from "./soak_call.ts";
 import type { SoakDisturbance } from "./soak_disturbance.ts";
 import type { SoakLimit } from "./soak_limit.ts";
-import type { SoakCall } from "./soak_call.ts";
 import type { SoakRun } from "./soak_run.ts";
 
 /** Everything that callers and backend servers observed during a soak. */
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -1,5 +1,3 @@
-import { crashingPath } from "./crashing_path.ts";
-import type { SoakLimit } from "./soak_limit.ts";
 import { once } from "node:events";
 import {
   createServer,
@@ -7,9 +5,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { RandomSource } from "../../src/runtime/random_source.ts";
 import type { NetworkAddress } from "../../src/runtime/network_address.ts";
+import type { RandomSource } from "../../src/runtime/random_source.ts";
+import { crashingPath } from "./crashing_path.ts";
 import type { SoakBackend } from "./soak_backend.ts";
+import type { SoakLimit } from "./soak_limit.ts";
 import type { SoakRecord } from "./soak_record.ts";
 
 const serviceTimeMilliseconds = 30;
