Let a node that starts on an older copy learn what its neighbours know as withdrawn

Cause: its first reading is the copy, and nothing else told it. Ruled out: the feed, which has only what changed in its era.

The fourth test of the file expected the offer of a node that lacks this knowledge to be refused. It now restarts the node once neighbours no longer tell it, and calls it when it is ready; its assertions are as they were.

--- a/src/gate/get_gate_closed_reason.ts
+++ b/src/gate/get_gate_closed_reason.ts
@@ -9,6 +9,7 @@
   now: number,
 ): RefusalReason | undefined {
   if (status.stopping) return RefusalReason.NodeDraining;
+  if (status.isLearningWithdrawals) return RefusalReason.NodeStarting;
   if (status.zoneTakenOut) return RefusalReason.ZoneTakenOut;
   const { record, departure } = status;
   const isDeparting = departure !== undefined &&
--- a/src/gate/get_gate_closed_reason_test.ts
+++ b/src/gate/get_gate_closed_reason_test.ts
@@ -26,6 +26,7 @@
     record: createRecord(),
     zoneTakenOut: false,
     departure: undefined,
+    isLearningWithdrawals: false,
     stopping: false,
     probedIdentifier: undefined,
     ...change,
--- a/src/gate/own_server_status.ts
+++ b/src/gate/own_server_status.ts
@@ -9,6 +9,8 @@
   readonly zoneTakenOut: boolean;
   /** The incarnation that states that it is about to leave; undefined if none does. */
   readonly departure: ServerDeparture | undefined;
+  /** Whether the node waits for what its neighbours know as withdrawn. */
+  readonly isLearningWithdrawals: boolean;
   /** Whether the node is stopping and admits no new calls. */
   readonly stopping: boolean;
   /** The identifier of the incarnation that the last probe returned; undefined if no probe has returned one. */
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -75,6 +75,7 @@
     answerBytes: new Map(),
     longestRemainingMilliseconds: new Map(),
     callerCalls: 0,
+    isLearningWithdrawals: false,
     stopping: false,
     refusesCallersAt: Number.POSITIVE_INFINITY,
     gateClosesAt: Number.POSITIVE_INFINITY,
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -9,6 +9,7 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { publishReading } from "./publish_reading.ts";
 import { queryCrashEvidence } from "./query_crash_evidence.ts";
+import { queryWithdrawals } from "./query_withdrawals.ts";
 import { removeUnregisteredGateViews } from "./remove_unregistered_gate_views.ts";
 import { setSourceAvailableSince } from "./set_source_available_since.ts";
 import { updateGate } from "./update_gate.ts";
@@ -48,6 +49,8 @@
         if (hasQueriedCrashes || node.view.register.size === 0) return;
         hasQueriedCrashes = true;
         void queryCrashEvidence(node);
+        // Before the first return of the source nothing can have been lost.
+        if (reading.era > 0) void queryWithdrawals(node);
       },
       onLost: (failure) => {
         setSourceAvailableSince(node.view, {
--- a/src/mesh/get_early_refusal_reason.ts
+++ b/src/mesh/get_early_refusal_reason.ts
@@ -21,6 +21,7 @@
   if (options.receivedAt >= node.refusesCallersAt) {
     return RefusalReason.NodeDraining;
   }
+  if (node.isLearningWithdrawals) return RefusalReason.NodeStarting;
   const { rules } = node.view;
   const headerBytesMaximum = rules?.limits.headerBytesMaximum ??
     Number.POSITIVE_INFINITY;
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -78,6 +78,8 @@
   readonly longestRemainingMilliseconds: Map<string, number>;
   /** Number of callers' calls that have no response yet. */
   callerCalls: number;
+  /** Whether this node waits for what its neighbours know as withdrawn. */
+  isLearningWithdrawals: boolean;
   stopping: boolean;
   /**
    * When a stopping node begins to refuse callers' calls, in milliseconds since
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -22,4 +22,11 @@
    * body of request and reply.
    */
   CrashEvidence = "catkinquay-crash-evidence",
+  /**
+   * On a request for what was withdrawn before the source came back from an older
+   * copy: the era that the sender has read.
+   */
+  Withdrawals = "catkinquay-withdrawals",
+  /** With such a request: the version of the rules that the sender has. */
+  RulesVersion = "catkinquay-rules-version",
 }
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { tryParseSourcePosition } from "../source/try_parse_source_position.ts";
+import { listWithdrawals } from "./list_withdrawals.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { serveCrashEvidence } from "./serve_crash_evidence.ts";
@@ -7,9 +8,11 @@
 import { serveOffer } from "./serve_offer.ts";
 import { serveOfferStatus } from "./serve_offer_status.ts";
 
+const okStatus = 200;
+
 /**
  * Serves a request of another node: the offer of a call, a query for the status
- * of one, evidence of crashes, or a subscription to the feed.
+ * of one, evidence of crashes, what was withdrawn, or a subscription to the feed.
  */
 export function servePeer(
   node: MeshNode,
@@ -29,6 +32,16 @@
     serveCrashEvidence(node, request, { purpose: String(purpose), response });
     return;
   }
+  const era = request.headers[OfferHeader.Withdrawals];
+  if (era !== undefined) {
+    request.resume();
+    const withdrawals = listWithdrawals(node, {
+      era: Number(era),
+      rulesVersion: Number(request.headers[OfferHeader.RulesVersion] ?? 0),
+    });
+    response.writeHead(okStatus).end(JSON.stringify(withdrawals));
+    return;
+  }
   const after = request.headers[OfferHeader.Feed];
   if (after === undefined) {
     serveOffer(node, request, response);
--- a/src/mesh/serve_readiness.ts
+++ b/src/mesh/serve_readiness.ts
@@ -9,6 +9,7 @@
  * in force, and not while stopping.
  */
 export function serveReadiness(node: MeshNode, response: ServerResponse): void {
-  const isReady = node.view.rules !== undefined && !node.stopping;
+  const isReady = node.view.rules !== undefined &&
+    !node.isLearningWithdrawals && !node.stopping;
   response.writeHead(isReady ? readyStatus : notReadyStatus).end();
 }
--- a/src/mesh/source_era_start_test.ts
+++ b/src/mesh/source_era_start_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
+import { waitUntil } from "../testing/calls/wait_until.ts";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
@@ -17,6 +18,8 @@
 const neighbour = 3;
 /** Time in which every node has applied a change or a new era. */
 const changeMilliseconds = 2_000;
+/** Time after which operators and backend servers have written again, with a margin. */
+const rewriteMilliseconds = 6_000;
 const callCount = 5;
 
 interface WithdrawnThing {
@@ -67,6 +70,19 @@
   return fleet.backends[0]!.runs.length - before;
 }
 
+async function awaitReadiness(
+  fleet: MeshFleet,
+  vm: number,
+): Promise<boolean> {
+  let status = 0;
+  return await waitUntil(() => {
+    void fleet.fetchReadinessStatus(vm).then((received) => {
+      status = received;
+    });
+    return status === 200;
+  });
+}
+
 async function assertNotInUse(
   t: ExecutionContext,
   { fleet, vm }: { readonly fleet: MeshFleet; readonly vm: number },
@@ -109,10 +125,14 @@
       });
       await delay(changeMilliseconds);
       fleet.source.restoreCopy({ changesLost: 1 });
-      await delay(changeMilliseconds);
+      // Neighbours no longer tell what was withdrawn before.
+      await delay(rewriteMilliseconds);
       const { identifier, runs } = fleet.backends[neighbour]!;
       const runCount = runs.length;
       await fleet.restart(0);
+      // Callers are sent to a node only while it is ready.
+      const isReady = await awaitReadiness(fleet, 0);
+      t.true(isReady);
       // The draining one remains in the own zone of the restarted node.
       await fleet.backends[0]!.crash();
       const responses = await Promise.all(
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -29,6 +29,7 @@
     record,
     zoneTakenOut: view.zonesTakenOut.has(settings.zone),
     departure: gate.departure,
+    isLearningWithdrawals: node.isLearningWithdrawals,
     stopping: node.gateClosesAt <= now,
     probedIdentifier: node.serverProbe.probedIdentifier,
   }, now);
