Start a soak's backend server once, and keep the seeds that failed

Seed 925 ended with EADDRINUSE: the end of a fault and the recovery from a crashing request started the same stand-in at the same moment. A start that runs is shared now. Seeds 904 and 925 run in every check, at the size at which they failed.

--- a/stand_ins/soak/run_soak_test.ts
+++ b/stand_ins/soak/run_soak_test.ts
@@ -6,15 +6,27 @@
  * failed, with the cause of its failure.
  */
 const seeds = [
-  { seed: 1, cause: "baseline" },
+  { seed: 1, vms: 4, seconds: 8, cause: "baseline" },
+  {
+    seed: 904,
+    vms: 6,
+    seconds: 15,
+    cause: "a limit was judged by calls before it was stated",
+  },
+  {
+    seed: 925,
+    vms: 6,
+    seconds: 15,
+    cause: "a backend server was started twice at once",
+  },
 ] as const;
 
-seeds.forEach(({ seed, cause }) =>
+seeds.forEach(({ seed, vms, seconds, cause }) =>
   test.serial(`soak with seed ${seed} (${cause}) breaks no promise`, async (t) => {
     const report = await runSoak({
       seed,
-      vms: 4,
-      seconds: 8,
+      vms,
+      seconds,
       program: "dist/platform/main.js",
       basePort: 18_900,
     });
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -34,6 +34,7 @@
   let garbling = false;
   let limit: SoakLimit | undefined;
   let isLeaving = false;
+  let starting: Promise<void> | undefined;
   let server: Server = createServer(handleRequest);
 
   const getIdentifier = () => `i-${address.host}-${incarnation}`;
@@ -100,6 +101,7 @@
   }
 
   async function crash(): Promise<void> {
+    await starting;
     if (!server.listening) return;
     const closed = once(server, "close");
     server.close();
@@ -108,8 +110,13 @@
     await closed;
   }
 
+  /** Faults overlap, so a start may be requested while another one runs. */
   async function startAgain(): Promise<void> {
-    if (!server.listening) await start();
+    if (server.listening) return;
+    starting ??= start().finally(() => {
+      starting = undefined;
+    });
+    await starting;
   }
 
   function crashForAWhile(): void {
