--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -188,5 +188,5 @@
   await vm.node.waitForExit();
   vm.nodesRelay.close();
   vm.storeRelay.close();
-  await vm.backend.crash();
+  await vm.backend.close();
 }
--- a/stand_ins/soak/run_soak_test.ts
+++ b/stand_ins/soak/run_soak_test.ts
@@ -17,7 +17,7 @@
     seed: 925,
     vms: 6,
     seconds: 15,
-    cause: "a backend server was started twice at once",
+    cause: "a backend server of the run before was started again",
   },
 ] as const;
 
--- a/stand_ins/soak/soak_backend.ts
+++ b/stand_ins/soak/soak_backend.ts
@@ -16,4 +16,6 @@
   crash(): Promise<void>;
   /** Accepts connections again, as a new incarnation that is cold. */
   start(): Promise<void>;
+  /** Closes every connection, and is not started again. */
+  close(): Promise<void>;
 }
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -35,6 +35,7 @@
   let limit: SoakLimit | undefined;
   let isLeaving = false;
   let starting: Promise<void> | undefined;
+  let closed = false;
   let server: Server = createServer(handleRequest);
 
   const getIdentifier = () => `i-${address.host}-${incarnation}`;
@@ -112,7 +113,7 @@
 
   /** Faults overlap, so a start may be requested while another one runs. */
   async function startAgain(): Promise<void> {
-    if (server.listening) return;
+    if (server.listening || closed) return;
     starting ??= start().finally(() => {
       starting = undefined;
     });
@@ -172,5 +173,9 @@
     },
     crash,
     start: startAgain,
+    close: async () => {
+      closed = true;
+      await crash();
+    },
   };
 }
