Compute a request's fingerprint only when it is needed

Each offer paid for a hash, and only a call that was admitted needs it, or one that arrives while there are suspects. The hash is made in one call now.

--- a/src/gate/is_held_as_suspect.ts
+++ b/src/gate/is_held_as_suspect.ts
@@ -8,9 +8,10 @@
  */
 export function isHeldAsSuspect(
   state: GateState,
-  { fingerprint }: SlotRequest,
+  { getFingerprint }: SlotRequest,
 ): boolean {
   const { suspects, running } = state;
-  return suspects.has(fingerprint) &&
-    Array.from(running.values()).some((call) => suspects.has(call.fingerprint));
+  if (suspects.size === 0 || !suspects.has(getFingerprint())) return false;
+  return Array.from(running.values())
+    .some((call) => suspects.has(call.getFingerprint()));
 }
--- a/src/gate/occupy_slot.ts
+++ b/src/gate/occupy_slot.ts
@@ -7,10 +7,10 @@
   state: GateState,
   options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  const { callIdentifier, route, fingerprint } = options.request;
+  const { callIdentifier, route, getFingerprint } = options.request;
   state.running.set(callIdentifier, {
     route,
-    fingerprint,
+    getFingerprint,
     startedAt: options.now,
   });
   listActiveBuckets(state, options.now).forEach((bucket) => {
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -34,7 +34,7 @@
   return {
     callIdentifier,
     route: "catalogo",
-    fingerprint: callIdentifier,
+    getFingerprint: () => callIdentifier,
     priority: 2,
     goalDeadline: start + 400,
     deadline: start + 1_200,
--- a/src/gate/running_call.ts
+++ b/src/gate/running_call.ts
@@ -2,8 +2,8 @@
 export interface RunningCall {
   /** Name of the call's route. */
   readonly route: string;
-  /** Identifies the request when it comes again. */
-  readonly fingerprint: string;
+  /** Returns what identifies the request when it comes again; computed at the first use. */
+  readonly getFingerprint: () => string;
   /** When the call got its slot, in milliseconds since the Unix epoch. */
   readonly startedAt: number;
 }
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -3,8 +3,8 @@
   readonly callIdentifier: string;
   /** Name of the call's route. */
   readonly route: string;
-  /** Identifies the request when it comes again. */
-  readonly fingerprint: string;
+  /** Returns what identifies the request when it comes again; computed at the first use. */
+  readonly getFingerprint: () => string;
   /** 0 is the highest priority. */
   readonly priority: number;
   /** Instant until which an answer meets the route's latency goal, in milliseconds since the Unix epoch. */
--- a/src/mesh/check_server_crash.ts
+++ b/src/mesh/check_server_crash.ts
@@ -25,7 +25,7 @@
   // The calls that run now leave the gate as their connections end.
   const running = Array.from(
     gate.running.values(),
-    ({ fingerprint }) => fingerprint,
+    ({ getFingerprint }) => getFingerprint(),
   );
   const hasCrashed = await isServerRefusingConnections(
     node.settings.backendServer,
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -4,7 +4,7 @@
  * A call as it is offered to the node beside a backend server: the request for
  * a slot, and the data that forwarding needs.
  */
-export interface GateOffer extends Omit<SlotRequest, "fingerprint"> {
+export interface GateOffer extends Omit<SlotRequest, "getFingerprint"> {
   /** Identifies this offer among all offers of all calls. */
   readonly offerIdentifier: string;
   readonly service: string;
--- a/src/mesh/get_quarantine_milliseconds.ts
+++ b/src/mesh/get_quarantine_milliseconds.ts
@@ -4,8 +4,10 @@
 /** Returns for how long a request is refused; 0 if it may run. */
 export function getQuarantineMilliseconds(
   node: MeshNode,
-  fingerprint: string,
+  getFingerprint: () => string,
 ): number {
-  const suspect = node.quarantine.suspects.get(fingerprint);
+  const { suspects } = node.quarantine;
+  if (suspects.size === 0) return 0;
+  const suspect = suspects.get(getFingerprint());
   return Math.max(0, getQuarantineEnd(suspect) - node.clock.now());
 }
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -9,7 +9,7 @@
 import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
-import { getOfferFingerprint } from "./get_offer_fingerprint.ts";
+import { createFingerprintGetter } from "./create_fingerprint_getter.ts";
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
@@ -39,14 +39,14 @@
   }
   adoptStatedLimit(node, offer);
   const offeredAt = node.clock.now();
-  const fingerprint = getOfferFingerprint(request, offer);
-  const retryMilliseconds = getQuarantineMilliseconds(node, fingerprint);
+  const getFingerprint = createFingerprintGetter(request, offer);
+  const retryMilliseconds = getQuarantineMilliseconds(node, getFingerprint);
   if (retryMilliseconds > 0) {
     return createQuarantineOfferRefusal(node, { retryMilliseconds });
   }
   const runOffer = () =>
-    runAdmittedOffer(node, request, { ...options, fingerprint, offeredAt });
-  const decision = requestSlot(node.gate, { ...offer, fingerprint }, {
+    runAdmittedOffer(node, request, { ...options, getFingerprint, offeredAt });
+  const decision = requestSlot(node.gate, { ...offer, getFingerprint }, {
     now: offeredAt,
   });
   return await match(decision)
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -33,16 +33,16 @@
   request: CallRequest,
   options: {
     readonly offer: GateOffer;
-    readonly fingerprint: string;
+    readonly getFingerprint: () => string;
     readonly offeredAt: number;
     readonly signal: AbortSignal;
   },
 ): Promise<OfferOutcome> {
-  const { offer, fingerprint, signal } = options;
+  const { offer, getFingerprint, signal } = options;
   const { callIdentifier, idempotent } = offer;
   const startedAt = node.clock.now();
   // The request may have been quarantined while it waited for its slot.
-  const retryMilliseconds = getQuarantineMilliseconds(node, fingerprint);
+  const retryMilliseconds = getQuarantineMilliseconds(node, getFingerprint);
   if (retryMilliseconds > 0) {
     release(node, { callIdentifier, answered: false });
     return createQuarantineOfferRefusal(node, { retryMilliseconds });
@@ -81,7 +81,7 @@
       : createFailedOutcome(node, exchange.kind);
   }
   const { answer } = exchange;
-  releaseAtClose(node, { callIdentifier, fingerprint, answer, signal });
+  releaseAtClose(node, { callIdentifier, getFingerprint, answer, signal });
   return {
     kind: OfferOutcomeKind.Answered,
     status: answer.statusCode ?? 0,
@@ -104,16 +104,19 @@
   node: MeshNode,
   options: {
     readonly callIdentifier: string;
-    readonly fingerprint: string;
+    readonly getFingerprint: () => string;
     readonly answer: IncomingMessage;
     readonly signal: AbortSignal;
   },
 ): void {
-  const { callIdentifier, fingerprint, answer, signal } = options;
+  const { callIdentifier, getFingerprint, answer, signal } = options;
   function onClose(): void {
     if (answer.complete) {
       const now = node.clock.now();
-      recordAnsweredRequest(node.quarantine, { fingerprint, now });
+      recordAnsweredRequest(node.quarantine, {
+        fingerprint: getFingerprint(),
+        now,
+      });
     } else if (!signal.aborted) {
       void checkServerCrash(node);
     }
--- a/src/mesh/try_refuse_quarantined_call.ts
+++ b/src/mesh/try_refuse_quarantined_call.ts
@@ -2,7 +2,7 @@
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
 import { createQuarantineRefusal } from "./create_quarantine_refusal.ts";
-import { getOfferFingerprint } from "./get_offer_fingerprint.ts";
+import { createFingerprintGetter } from "./create_fingerprint_getter.ts";
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
@@ -14,11 +14,12 @@
   node: MeshNode,
   progress: CallProgress,
 ): CallResult | undefined {
-  if (node.quarantine.suspects.size === 0) return undefined;
-  const fingerprint = getOfferFingerprint(progress.plan.request, {
-    callerService: node.settings.service,
-  });
-  const retryMilliseconds = getQuarantineMilliseconds(node, fingerprint);
+  const retryMilliseconds = getQuarantineMilliseconds(
+    node,
+    createFingerprintGetter(progress.plan.request, {
+      callerService: node.settings.service,
+    }),
+  );
   if (retryMilliseconds === 0) return undefined;
   progress.lastReason = RefusalReason.RequestQuarantined;
   return createQuarantineRefusal(progress, { retryMilliseconds });
--- a/src/quarantine/get_request_fingerprint.ts
+++ b/src/quarantine/get_request_fingerprint.ts
@@ -1,8 +1,8 @@
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 import type { FingerprintedRequest } from "./fingerprinted_request.ts";
 
-/** Long enough that no two requests of a fleet share a fingerprint. */
-const fingerprintBytes = 12;
+/** 12 bytes in base64url: no two requests of a fleet share a fingerprint. */
+const fingerprintCharacters = 16;
 
 /**
  * Returns what identifies a request when it comes again, at any node and under
@@ -11,10 +11,9 @@
 export function getRequestFingerprint(request: FingerprintedRequest): string {
   const { method, host, url, callerService, body } = request;
   // JSON separates the parts unambiguously.
-  return createHash("sha256")
-    .update(JSON.stringify([method, host, url, callerService]))
-    .update(body)
-    .digest()
-    .subarray(0, fingerprintBytes)
-    .toString("base64url");
+  const head = JSON.stringify([method, host, url, callerService]);
+  const input = body.length === 0
+    ? head
+    : Buffer.concat([Buffer.from(head), body]);
+  return hash("sha256", input, "base64url").slice(0, fingerprintCharacters);
 }
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -117,7 +117,7 @@
     const goalDeadline = caller.startedAt + goalMilliseconds;
     const decision = admission.request(gate, {
       callIdentifier: caller.identifier,
-      fingerprint: caller.identifier,
+      getFingerprint: () => caller.identifier,
       route: "catalogo",
       priority: 2,
       goalDeadline,
