Decode organisations and public routes, and pass them on between nodes

Cause: the configuration of a deployment may hold organisations with API keys, a priority and a quota. No source file knew them, so the parts that authenticate calls and enforce quotas had no data to work on. Ruled out: keeping the keys themselves in memory and in feeds, since a log line or a message could disclose them; sending all organisations with each version, since versions follow each other several times a second and a link may have 10 Mbit/s. Change: rules hold organisations by name, with hashes of their keys; routes say whether they are public; a change between two versions states only the organisations that differ, in the way that it states routes.

--- a/src/mesh/create_neighbour_feeds_test.ts
+++ b/src/mesh/create_neighbour_feeds_test.ts
@@ -68,6 +68,7 @@
         headerMilliseconds: 3_000,
         idleMilliseconds: 15_000,
       },
+      organisations: new Map(),
     },
   });
   const startedAt = Date.now();
--- a/src/routing/call_route.ts
+++ b/src/routing/call_route.ts
@@ -16,6 +16,8 @@
   readonly goalMilliseconds: number;
   /** 0 is the highest priority. */
   readonly priority: number;
+  /** Whether calls need no key even if the rules contain organisations. */
+  readonly isPublic: boolean;
   /** The services that share the calls; at least one. */
   readonly targets: readonly RouteTarget[];
 }
--- a/src/routing/choose_target_test.ts
+++ b/src/routing/choose_target_test.ts
@@ -20,6 +20,7 @@
     timeoutMilliseconds: 1_000,
     goalMilliseconds: 400,
     priority: 2,
+    isPublic: false,
     targets: weights.map((weight, index) => ({
       service: `service-${index}`,
       weight,
--- a/src/routing/create_rules_change.ts
+++ b/src/routing/create_rules_change.ts
@@ -7,20 +7,40 @@
   before: Rules | undefined,
   after: Rules,
 ): RulesChange {
-  const previousRoutes = new Map(
-    before?.routes.map((route) => [route.name, route]),
+  const routes = compareNamed(before?.routes ?? [], after.routes);
+  const organisations = compareNamed(
+    Array.from(before?.organisations.values() ?? []),
+    Array.from(after.organisations.values()),
   );
-  const currentNames = new Set(after.routes.map(({ name }) => name));
   return {
     version: after.version,
     from: before?.version,
-    routes: after.routes.filter((route) =>
-      !isDeepStrictEqual(route, previousRoutes.get(route.name))
+    routes: routes.changed,
+    removedRoutes: routes.removed,
+    services: Array.from(after.services.values()),
+    limits: after.limits,
+    organisations: organisations.changed,
+    removedOrganisations: organisations.removed,
+  };
+}
+
+interface Named {
+  readonly name: string;
+}
+
+/** Returns the elements that were added or changed, and the names of those that were removed. */
+function compareNamed<T extends Named>(
+  before: readonly T[],
+  after: readonly T[],
+): { readonly changed: readonly T[]; readonly removed: readonly string[] } {
+  const previous = new Map(before.map((element) => [element.name, element]));
+  const currentNames = new Set(after.map(({ name }) => name));
+  return {
+    changed: after.filter((element) =>
+      !isDeepStrictEqual(element, previous.get(element.name))
     ),
-    removedRoutes: Array.from(previousRoutes.keys()).filter((name) =>
+    removed: Array.from(previous.keys()).filter((name) =>
       !currentNames.has(name)
     ),
-    services: Array.from(after.services.values()),
-    limits: after.limits,
   };
 }
--- a/src/routing/find_call_route_test.ts
+++ b/src/routing/find_call_route_test.ts
@@ -18,6 +18,7 @@
     timeoutMilliseconds: 1_000,
     goalMilliseconds: 400,
     priority: 2,
+    isPublic: false,
     targets: [{ service: "vitrine", weight: 1 }],
   };
 }
--- a/src/routing/rules.ts
+++ b/src/routing/rules.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "./call_route.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import type { ServiceRules } from "./service_rules.ts";
@@ -9,4 +10,6 @@
   /** By service name. */
   readonly services: ReadonlyMap<string, ServiceRules>;
   readonly limits: CallerLimits;
+  /** By name. If there is none, calls need no key. */
+  readonly organisations: ReadonlyMap<string, Organisation>;
 }
--- a/src/routing/rules_change.ts
+++ b/src/routing/rules_change.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "./call_route.ts";
 import type { CallerLimits } from "./caller_limits.ts";
 import type { ServiceRules } from "./service_rules.ts";
@@ -14,4 +15,8 @@
   /** All services of the new version, whether changed or not. */
   readonly services: readonly ServiceRules[];
   readonly limits: CallerLimits;
+  /** Added and changed organisations. */
+  readonly organisations: readonly Organisation[];
+  /** Names of the organisations to remove. */
+  readonly removedOrganisations: readonly string[];
 }
--- a/src/routing/rules_change_schema.ts
+++ b/src/routing/rules_change_schema.ts
@@ -11,6 +11,7 @@
   timeoutMilliseconds: z.number(),
   goalMilliseconds: z.number(),
   priority: z.number(),
+  isPublic: z.boolean().default(false),
   targets: z.array(z.object({ service: z.string(), weight: z.number() })),
 });
 
@@ -29,6 +30,14 @@
   idleMilliseconds: z.number(),
 });
 
+const organisationSchema = z.object({
+  name: z.string(),
+  keyHashes: z.array(z.string()),
+  priority: z.number().optional().transform((priority) => priority),
+  callsPerSecond: z.number(),
+  burstCalls: z.number(),
+});
+
 /** Validates a change of the rules that another node sends. */
 export const rulesChangeSchema: z.ZodType<RulesChange> = z.object({
   version: z.number(),
@@ -37,4 +46,7 @@
   removedRoutes: z.array(z.string()),
   services: z.array(serviceSchema),
   limits: limitsSchema,
+  // Absent in a change from a node of an earlier version.
+  organisations: z.array(organisationSchema).default([]),
+  removedOrganisations: z.array(z.string()).default([]),
 });
--- a/src/routing/try_apply_rules_change_test.ts
+++ b/src/routing/try_apply_rules_change_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
+import type { Organisation } from "../organisations/organisation.ts";
 import { createRulesChange } from "./create_rules_change.ts";
 import type { Rules } from "./rules.ts";
 import { tryApplyRulesChange } from "./try_apply_rules_change.ts";
@@ -70,6 +71,49 @@
   t.deepEqual(change.removedRoutes, ["slots"]);
 });
 
+function createOrganisation(
+  name: string,
+  callsPerSecond: number,
+): Organisation {
+  const keyHashes = [`hash-of-${name}`];
+  return {
+    name,
+    keyHashes,
+    priority: undefined,
+    callsPerSecond,
+    burstCalls: 5,
+  };
+}
+
+function createOrganisationRules(
+  version: number,
+  rates: Readonly<Record<string, number>>,
+): Rules {
+  const organisations = Object.entries(rates).map(([name, rate]) =>
+    [name, createOrganisation(name, rate)] as const
+  );
+  return createSampleRules({
+    version,
+    organisations: new Map(organisations),
+  });
+}
+
+test("a change contains only the organisations that differ, and applies to the rest", (t) => {
+  const before = createOrganisationRules(1, {
+    bakery: 10,
+    hotel: 20,
+    school: 5,
+  });
+  const after = createOrganisationRules(2, { bakery: 10, hotel: 8, market: 3 });
+  const change = createRulesChange(before, after);
+  t.deepEqual(
+    change.organisations.map(({ name }) => name),
+    ["hotel", "market"],
+  );
+  t.deepEqual(change.removedOrganisations, ["school"]);
+  t.deepEqual(tryApplyRulesChange(before, change), after);
+});
+
 test("a change of another version is not applied, not even in part", (t) => {
   const change = createRulesChange(
     createRules(3, { cakes: 1 }),
--- a/src/testing/mesh/create_fleet_rules.ts
+++ b/src/testing/mesh/create_fleet_rules.ts
@@ -16,6 +16,7 @@
     timeoutMilliseconds: 1_500,
     goalMilliseconds: 400,
     priority: 2,
+    isPublic: false,
     targets: [{ service, weight: 1 }],
     ...routeOverrides,
   };
@@ -35,5 +36,6 @@
       headerMilliseconds: 3_000,
       idleMilliseconds: 15_000,
     },
+    organisations: new Map(),
   };
 }
--- a/src/testing/mesh/create_sample_route.ts
+++ b/src/testing/mesh/create_sample_route.ts
@@ -14,6 +14,7 @@
     timeoutMilliseconds: 400,
     goalMilliseconds: 120,
     priority: 1,
+    isPublic: false,
     targets: [],
     ...overrides,
   };
--- a/src/testing/mesh/create_sample_rules.ts
+++ b/src/testing/mesh/create_sample_rules.ts
@@ -12,6 +12,7 @@
       headerMilliseconds: 1,
       idleMilliseconds: 1,
     },
+    organisations: new Map(),
     ...overrides,
   };
 }
