Give a call plan its organisation and priority

Cause: keys and quotas need the caller's organisation along the way of a call, and an organisation may have a priority that replaces the route's. Ruled out: reading both from the route, which serves many organisations. Change: two fields of the plan; no call has an organisation yet, and the priority is the route's, so nothing is served differently. Measured: the tests of the module that builds plans by hand pass.

--- a/src/mesh/call_plan.ts
+++ b/src/mesh/call_plan.ts
@@ -1,3 +1,4 @@
+import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "../routing/call_route.ts";
 import type { CallRequest } from "./call_request.ts";
 
@@ -9,6 +10,10 @@
   readonly callIdentifier: string;
   readonly request: CallRequest;
   readonly route: CallRoute;
+  /** The organisation of the caller; undefined if the call has no key. */
+  readonly organisation: Organisation | undefined;
+  /** 0 is the highest priority. */
+  readonly priority: number;
   /** The service chosen among the route's targets. */
   readonly service: string;
   readonly rulesVersion: number;
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -30,7 +30,7 @@
     callerService: node.settings.service,
     route: plan.route.name,
     idempotent: plan.route.kind === CallKind.Idempotent,
-    priority: plan.route.priority,
+    priority: plan.priority,
     deadline: plan.deadline,
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -123,6 +123,8 @@
         body,
       },
       route: chosen,
+      organisation: undefined,
+      priority: chosen.priority,
       service: chooseTarget(chosen, getSplitState(node, chosen.name)),
       rulesVersion: node.view.rules?.version ?? 0,
       receivedAt,
