Build a plan with the new fields in the test of wait deadlines

Change: the two fields in the test; its checks are as before. Measured: the build is clean, its 3 tests pass.

--- a/src/mesh/get_wait_deadline_test.ts
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -25,6 +25,8 @@
   request: { method: "GET", url: "/", headers: [], body: Buffer.alloc(0) },
   route: createSampleRoute(),
   service: "fornadas",
+  organisation: undefined,
+  priority: 0,
   rulesVersion: 1,
   receivedAt: now,
   deadline: now + 344,
