--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -41,6 +41,13 @@
   AnswerBroken = "answer-broken",
   /** An unexpected error ended the call at the node. */
   InternalError = "internal-error",
+  /** The route requires an API key, and the request has none. */
+  ApiKeyMissing = "api-key-missing",
+  /** No organisation of the rules in force holds the API key. */
+  ApiKeyUnknown = "api-key-unknown",
+  /** The rules may be too old to decide on API keys. */
+  ApiKeysUnconfirmed = "api-keys-unconfirmed",
+  /** The route requires an idempotency key. */
   KeyRequired = "key-required",
   /** The key was used before with a different request. */
   KeyMismatch = "key-mismatch",
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -134,6 +134,25 @@
     detail: "An unexpected error ended the request at the node",
     retryMilliseconds: 1000,
   },
+  [RefusalReason.ApiKeyMissing]: {
+    status: 401,
+    title: "API key required",
+    detail: "The route requires an API key, and the request has none",
+    retryMilliseconds: 5000,
+  },
+  [RefusalReason.ApiKeyUnknown]: {
+    status: 401,
+    title: "API key unknown",
+    detail: "The API key is not valid",
+    retryMilliseconds: 5000,
+  },
+  [RefusalReason.ApiKeysUnconfirmed]: {
+    status: 503,
+    title: "API keys unconfirmed",
+    detail:
+      "The node has not read the configuration recently enough to decide on API keys; ask another one",
+    retryMilliseconds: 1000,
+  },
   [RefusalReason.KeyRequired]: {
     status: 428,
     title: "Idempotency key required",
--- a/src/command_line/describe_refusal_reason.ts
+++ b/src/command_line/describe_refusal_reason.ts
@@ -31,6 +31,12 @@
   [RefusalReason.AnswerBroken]:
     "the answer of the backend server was truncated or malformed",
   [RefusalReason.InternalError]: "an unexpected error ended the call",
+  [RefusalReason.ApiKeyMissing]:
+    "the request had no API key, which its route requires",
+  [RefusalReason.ApiKeyUnknown]:
+    "no organisation of the rules in force held its API key",
+  [RefusalReason.ApiKeysUnconfirmed]:
+    "the node's rules might be too old to decide on API keys",
   [RefusalReason.KeyRequired]: "the route requires an idempotency key",
   [RefusalReason.KeyMismatch]:
     "the key was used before with a different request",
--- a/src/mesh/apply_source_item.ts
+++ b/src/mesh/apply_source_item.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import { updateKeyIndex } from "../organisations/update_key_index.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
 import { putEntry } from "../register/put_entry.ts";
@@ -63,6 +64,10 @@
     return [{ kind: ViewChangeKind.RulesOlderIgnored, subject }];
   }
   view.routes = createRouteTable(rules.routes);
+  updateKeyIndex(view.organisationsByKeyHash, {
+    before: view.rules?.organisations ?? new Map(),
+    after: rules.organisations,
+  });
   view.rules = rules;
   return [{ kind: ViewChangeKind.RulesInForce, subject }];
 }
--- a/src/mesh/backend_request_context.ts
+++ b/src/mesh/backend_request_context.ts
@@ -6,6 +6,8 @@
   readonly identifier: string | undefined;
   /** Service that the request comes from. */
   readonly callerService: string;
+  /** Name of the caller's organisation; undefined if there is none. */
+  readonly organisation: string | undefined;
   /** Time until the caller's deadline. */
   readonly remainingMilliseconds: number;
 }
--- a/src/mesh/call_dialect.ts
+++ b/src/mesh/call_dialect.ts
@@ -10,6 +10,11 @@
 export interface CallDialect {
   /** Returns what a caller states about its request. */
   readCallerHead(request: IncomingMessage): CallerHead;
+  /**
+   * Returns `headers` (alternating names and values) without the caller's key
+   * and without the name of an organisation, which callers cannot set.
+   */
+  removeCallerIdentity(headers: readonly string[]): readonly string[];
   /**
    * Returns `headers` (alternating names and values) with the mesh's own
    * headers for a backend server added.
--- a/src/mesh/caller_head.ts
+++ b/src/mesh/caller_head.ts
@@ -6,4 +6,6 @@
   readonly callIdentifier: string | undefined;
   /** Time until the caller's deadline; undefined if the header is missing. */
   readonly remainingMilliseconds: number | undefined;
+  /** The caller's API key; undefined if there is none. Must not be kept or logged. */
+  readonly key: string | undefined;
 }
--- /dev/null
+++ b/src/mesh/confirm_rules.ts
@@ -0,0 +1,18 @@
+import { isConfirmationStale } from "../organisations/is_confirmation_stale.ts";
+import { recordConfirmation } from "../organisations/record_confirmation.ts";
+import type { ClockReading } from "../runtime/clock_reading.ts";
+import { getRulesAge } from "./get_rules_age.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Records that the rules of a node were current at an instant. */
+export function confirmRules(node: MeshNode, instant: ClockReading): void {
+  const { rulesConfirmation, view, settings } = node;
+  recordConfirmation(rulesConfirmation, instant, {
+    heldUntil: view.heldZonesUntil,
+  });
+  if (!rulesConfirmation.isStaleReported) return;
+  const ageMilliseconds = getRulesAge(node);
+  if (isConfirmationStale(ageMilliseconds, settings.sourceBounds)) return;
+  rulesConfirmation.isStaleReported = false;
+  node.report.state("keys", { state: "confirmed", ageMilliseconds });
+}
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -1,6 +1,7 @@
 import { createGateState } from "../gate/create_gate_state.ts";
 import { createOfferRecords } from "../offers/create_offer_records.ts";
 import { createQuarantineState } from "../quarantine/create_quarantine_state.ts";
+import { systemClock } from "../runtime/system_clock.ts";
 import { createSourceFeed } from "../source/create_source_feed.ts";
 import { createConnectionAgent } from "./create_connection_agent.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
@@ -25,12 +26,11 @@
 /** Creates the state of a node that has received no configuration yet. */
 export function createMeshNode(
   settings: MeshSettings,
-  options: Pick<
-    MeshNode,
-    "dialect" | "clock" | "timers" | "random" | "report"
-  >,
+  options:
+    & Pick<MeshNode, "dialect" | "clock" | "timers" | "random" | "report">
+    & Partial<Pick<MeshNode, "timeOfDay">>,
 ): MeshNode {
-  const { dialect, clock, timers, random } = options;
+  const { dialect, clock, timers, random, timeOfDay = systemClock } = options;
   const metrics = createMeshMetrics();
   const report: MeshReporter = {
     ...options.report,
@@ -44,11 +44,18 @@
     settings,
     dialect,
     clock,
+    timeOfDay,
     timers,
     random,
     report,
     metrics,
     view: createMeshView(),
+    rulesConfirmation: {
+      readStartedAt: undefined,
+      confirmedAt: undefined,
+      heldUntil: Number.NEGATIVE_INFINITY,
+      isStaleReported: false,
+    },
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
     knownConnections: new WeakSet(),
     feed: createSourceFeed(),
--- a/src/mesh/create_mesh_view.ts
+++ b/src/mesh/create_mesh_view.ts
@@ -5,6 +5,7 @@
   return {
     rules: undefined,
     routes: new Map(),
+    organisationsByKeyHash: new Map(),
     register: new Map(),
     recordsByService: new Map(),
     zonesTakenOut: new Set(),
--- a/src/mesh/create_neighbour_feeds.ts
+++ b/src/mesh/create_neighbour_feeds.ts
@@ -7,9 +7,11 @@
 import type { FeedHostBackoff } from "../source/feed_host_backoff.ts";
 import { getFeedHostBackoff } from "../source/get_feed_host_backoff.ts";
 import type { NeighbourFeeds } from "../source/neighbour_feeds.ts";
+import { confirmRulesByLine } from "./confirm_rules_by_line.ts";
 import { followFeed } from "./follow_feed.ts";
 import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { readClocks } from "./read_clocks.ts";
 import { tryCreateLineReading } from "./try_create_line_reading.ts";
 
 /**
@@ -53,6 +55,8 @@
     follow: async (host, { after, onReading }) => {
       let position = after;
       let following = false;
+      const requestedAt = readClocks(node);
+      let firstSentAt: number | undefined;
       const reportFollowing = () =>
         node.report.state("feed", { state: "following", host, ...position });
       age.minimumClockOffset = Number.POSITIVE_INFINITY;
@@ -70,9 +74,9 @@
         backoffByHost.delete(host);
         position = { era: reading.era, revision: reading.revision };
         onReading(reading);
-        return listZoneHosts(node).includes(host)
-          ? undefined
-          : FeedEndKind.Leaving;
+        firstSentAt ??= line.sentAt;
+        if (!listZoneHosts(node).includes(host)) return FeedEndKind.Leaving;
+        return confirmRulesByLine(node, line, { requestedAt, firstSentAt });
       }
       const kind = await followFeed(node, {
         host,
@@ -84,7 +88,7 @@
         signal: closing.signal,
       });
       node.report.state("feed", { state: "ended", host, kind, ...position });
-      if (kind !== FeedEndKind.Gap) recordFailure(host, kind);
+      if (!isExpectedEnd(kind)) recordFailure(host, kind);
       return kind;
     },
     recordOwnRead: ({ succeeded }) => {
@@ -95,3 +99,8 @@
     close: () => closing.abort(),
   };
 }
+
+/** Returns whether a feed ended that may be followed again at once. */
+function isExpectedEnd(kind: FeedEndKind): boolean {
+  return kind === FeedEndKind.Gap || kind === FeedEndKind.Renewed;
+}
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -1,5 +1,6 @@
 import { tryParseJson } from "../daemon/try_parse_json.ts";
 import { createOfferIdentifier } from "../offers/create_offer_identifier.ts";
+import { isOrganisationName } from "../organisations/is_organisation_name.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { OfferMessage } from "./offer_message.ts";
 
@@ -21,6 +22,7 @@
     identifier: message.identifier,
     callerService: message.callerService,
     route: message.route,
+    organisation: message.organisation,
     idempotent: message.idempotent,
     priority: message.priority,
     deadline: now + message.remainingMilliseconds,
@@ -53,7 +55,10 @@
     (typeof limit === "number" && Number.isFinite(limit) && limit >= 0);
   const isOfferValid = message.offer === undefined ||
     typeof message.offer === "string";
-  return isOfferValid && isLimitValid &&
+  const { organisation } = message;
+  const isOrganisationValid = organisation === undefined ||
+    (typeof organisation === "string" && isOrganisationName(organisation));
+  return isOfferValid && isLimitValid && isOrganisationValid &&
     flags.every((flag) => typeof flag === "boolean") &&
     texts.every((text) => typeof text === "string") &&
     numbers.every((number) => Number.isFinite(number));
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -1,6 +1,8 @@
 import type { GateOffer } from "./gate_offer.ts";
 import type { OfferMessage } from "./offer_message.ts";
 
+const nonAsciiPattern = /[^ -~]/g;
+
 /**
  * Encodes an offer as the value of its header. `now` is in milliseconds since
  * the Unix epoch.
@@ -19,9 +21,20 @@
     goalMilliseconds: Math.round(offer.goalDeadline - now),
     waitMilliseconds: Math.round(offer.waitDeadline - now),
     mayComeBack: offer.mayComeBack,
+    ...(offer.organisation === undefined
+      ? {}
+      : { organisation: offer.organisation }),
     ...(offer.callsPerSecondLimit === undefined
       ? {}
       : { callsPerSecondLimit: offer.callsPerSecondLimit }),
   };
-  return JSON.stringify(message);
+  return escapeNonAscii(JSON.stringify(message));
+}
+
+/** Names may contain characters that a header cannot. */
+function escapeNonAscii(text: string): string {
+  return text.replace(
+    nonAsciiPattern,
+    (unit) => `\\u${unit.charCodeAt(0).toString(16).padStart(4, "0")}`,
+  );
 }
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -5,11 +5,13 @@
 import type { SourceFollower } from "../source/source_follower.ts";
 import { applyCallerLimits } from "./apply_caller_limits.ts";
 import { applySourceReading } from "./apply_source_reading.ts";
+import { confirmRulesByReading } from "./confirm_rules_by_reading.ts";
 import { createNeighbourFeeds } from "./create_neighbour_feeds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { publishReading } from "./publish_reading.ts";
 import { queryCrashEvidence } from "./query_crash_evidence.ts";
 import { queryWithdrawals } from "./query_withdrawals.ts";
+import { readClocks } from "./read_clocks.ts";
 import { removeUnregisteredGateViews } from "./remove_unregistered_gate_views.ts";
 import { setSourceAvailableSince } from "./set_source_available_since.ts";
 import { updateGate } from "./update_gate.ts";
@@ -38,8 +40,12 @@
         node.timers.at(node.clock.now() + milliseconds, resolve)
       ),
     handler: {
+      onReadStart: () => {
+        node.rulesConfirmation.readStartedAt = readClocks(node);
+      },
       onReading: (reading, { complete, direct }) => {
         const now = node.clock.now();
+        if (direct) confirmRulesByReading(node, reading);
         if (direct) publishReading(node, reading, { complete });
         applySourceReading(node.view, reading, { complete, now })
           .forEach(node.report.viewChange);
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -11,6 +11,8 @@
   /** Identifier of the intended incarnation. */
   readonly identifier: string;
   readonly callerService: string;
+  /** Name of the caller's organisation; undefined if there is none. */
+  readonly organisation: string | undefined;
   /** Whether the request may run more than once. */
   readonly idempotent: boolean;
   /**
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { GateState } from "../gate/gate_state.ts";
+import type { RulesConfirmation } from "../organisations/rules_confirmation.ts";
 import type { OfferRecords } from "../offers/offer_records.ts";
 import type { QuarantineState } from "../quarantine/quarantine_state.ts";
 import type { Departures } from "../register/departures.ts";
@@ -27,11 +28,15 @@
   settings: MeshSettings;
   readonly dialect: CallDialect;
   readonly clock: Clock;
+  /** The system's clock, which counts a suspension of the VM and may be set back. */
+  readonly timeOfDay: Clock;
   readonly timers: Timers;
   readonly random: RandomSource;
   readonly report: MeshReporter;
   readonly metrics: MeshMetrics;
   readonly view: MeshView;
+  /** Since when the rules of the view may be out of date. */
+  readonly rulesConfirmation: RulesConfirmation;
   /** How far the event loop is behind. */
   readonly loopLag: LoopLag;
   /** Connections of callers and other nodes that have carried a request. */
--- a/src/mesh/mesh_view.ts
+++ b/src/mesh/mesh_view.ts
@@ -1,3 +1,4 @@
+import type { KeyIndex } from "../organisations/key_index.ts";
 import type { RegisterRecord } from "../register/register_record.ts";
 import type { RegisterState } from "../register/register_state.ts";
 import type { RouteTable } from "../routing/route_table.ts";
@@ -11,6 +12,8 @@
   /** The rules in force; undefined before the first version. */
   rules: Rules | undefined;
   routes: RouteTable;
+  /** The organisations of the rules in force, by the hashes of their keys. */
+  readonly organisationsByKeyHash: KeyIndex;
   readonly register: RegisterState;
   /** Records of the register by service, cached until the register changes. */
   readonly recordsByService: Map<string, readonly RegisterRecord[]>;
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -12,6 +12,8 @@
   readonly identifier: string;
   /** The service of the backend server beside the sending node. */
   readonly callerService: string;
+  /** Name of the caller's organisation; absent if there is none. */
+  readonly organisation?: string;
   /** Name of the route. */
   readonly route: string;
   readonly idempotent: boolean;
--- a/src/mesh/publish_reading.ts
+++ b/src/mesh/publish_reading.ts
@@ -1,5 +1,6 @@
 import type { SourceReading } from "../source/source_reading.ts";
 import { publishFeedReading } from "../source/publish_feed_reading.ts";
+import { getStatedRulesAge } from "./get_stated_rules_age.ts";
 import { listReadingItems } from "./list_reading_items.ts";
 import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -17,7 +18,7 @@
  * Sends the changes of a reading to the subscribers of this node's feed. Must be
  * called before the reading is applied to the view, since the changes are
  * computed against the view in force. With `complete`, keys that the reading
- * lacks are sent as removals.
+ * lacks are sent as removals. The reading must have confirmed the rules before.
  */
 export function publishReading(
   node: MeshNode,
@@ -34,6 +35,7 @@
   publishFeedReading(feed, { ...reading, items }, {
     rules: view.rules,
     now: node.clock.now(),
+    rulesAgeMilliseconds: getStatedRulesAge(node),
     bytesMaximum: linkBytesPerSecond * linkSeconds / otherNodeCount,
   });
 }
--- a/src/mesh/query_withdrawals.ts
+++ b/src/mesh/query_withdrawals.ts
@@ -2,6 +2,7 @@
 import { shuffle } from "../peers/shuffle.ts";
 import { withdrawalsSchema } from "../source/withdrawals_schema.ts";
 import { applyWithdrawals } from "./apply_withdrawals.ts";
+import { holdRulesConfirmation } from "./hold_rules_confirmation.ts";
 import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
@@ -30,7 +31,7 @@
   const deadline = node.clock.now() + queryMilliseconds;
   node.isLearningWithdrawals = true;
   updateGate(node);
-  await Promise.all(
+  const replies = await Promise.all(
     hosts.map(async (host) => {
       const reply = await requestNode(node, {
         host,
@@ -38,16 +39,19 @@
         body: "",
         deadline,
       });
-      if (reply !== undefined) applyReply(node, reply);
+      return reply !== undefined && applyReply(node, reply);
     }),
   );
+  holdRulesConfirmation(node, { hasReply: replies.includes(true) });
   node.isLearningWithdrawals = false;
   updateGate(node);
 }
 
-function applyReply(node: MeshNode, reply: string): void {
+/** Returns whether the reply was valid. */
+function applyReply(node: MeshNode, reply: string): boolean {
   const parsed = withdrawalsSchema.safeParse(tryParseJson(reply));
-  if (!parsed.success) return;
+  if (!parsed.success) return false;
   applyWithdrawals(node.view, parsed.data, { now: node.clock.now() })
     .forEach(node.report.viewChange);
+  return true;
 }
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -13,6 +13,7 @@
 import { getGateLoad } from "./get_gate_load.ts";
 import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
+import { hasOrganisations } from "./has_organisations.ts";
 import { isFramedAnswer } from "./is_framed_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
@@ -20,6 +21,7 @@
 import { processWaitingCalls } from "./process_waiting_calls.ts";
 import { recordBackendExchange } from "./record_backend_exchange.ts";
 import { reportExchange } from "./report_exchange.ts";
+import { selectBackendHeaders } from "./select_backend_headers.ts";
 import { sendToBackendServer } from "./send_to_backend_server.ts";
 import { unavailableRetryMilliseconds } from "./unavailable_retry_milliseconds.ts";
 
@@ -47,9 +49,14 @@
     release(node, { callIdentifier, answered: false });
     return createQuarantineOfferRefusal(node, { retryMilliseconds });
   }
-  const headers = node.dialect.addBackendRequestHeaders(request.headers, {
+  const forwarded = selectBackendHeaders(node, {
+    headers: request.headers,
+    isKeyRequired: offer.organisation !== undefined || hasOrganisations(node),
+  });
+  const headers = node.dialect.addBackendRequestHeaders(forwarded, {
     identifier: getOwnServerIdentifier(node) ?? offer.identifier,
     callerService: offer.callerService,
+    organisation: offer.organisation,
     remainingMilliseconds: Math.max(1, Math.floor(offer.deadline - startedAt)),
   });
   const exchange = await sendToBackendServer(node, { ...request, headers }, {
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -28,6 +28,7 @@
     service: plan.service,
     identifier: entry.identifier,
     callerService: node.settings.service,
+    organisation: plan.organisation?.name,
     route: plan.route.name,
     idempotent: plan.route.kind === CallKind.Idempotent,
     priority: plan.priority,
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -5,6 +5,7 @@
 import type { CallRoute } from "../routing/call_route.ts";
 import { chooseTarget } from "../routing/choose_target.ts";
 import { findCallRoute } from "../routing/find_call_route.ts";
+import { authenticateCaller } from "./authenticate_caller.ts";
 import { breakOffResponse } from "./break_off_response.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
@@ -19,12 +20,14 @@
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
 import { getSplitState } from "./get_split_state.ts";
+import { hasOrganisations } from "./has_organisations.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processCall } from "./process_call.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { recordRemainingMilliseconds } from "./record_remaining_milliseconds.ts";
 import { reportCallResult } from "./report_call_result.ts";
 import { reportInternalError } from "./report_internal_error.ts";
+import { selectBackendHeaders } from "./select_backend_headers.ts";
 import { writeCallResult } from "./write_call_result.ts";
 
 /** An answer that is in transit at the deadline is still delivered. */
@@ -61,6 +64,14 @@
     if (reason !== undefined) refuse(reason);
     return;
   }
+  const isKeyRequired = hasOrganisations(node);
+  const caller = authenticateCaller(node, { route, key: head.key });
+  if (caller.isErr) {
+    request.resume();
+    refuse(caller.error);
+    return;
+  }
+  const organisation = caller.value;
   const { remainingMilliseconds = Number.POSITIVE_INFINITY } = head;
   const deadline = receivedAt +
     Math.min(route.timeoutMilliseconds, remainingMilliseconds);
@@ -119,12 +130,15 @@
       request: {
         method: request.method ?? "GET",
         url: request.url ?? "/",
-        headers: selectForwardedHeaders(request.rawHeaders),
+        headers: selectBackendHeaders(node, {
+          headers: selectForwardedHeaders(request.rawHeaders),
+          isKeyRequired,
+        }),
         body,
       },
       route: chosen,
-      organisation: undefined,
-      priority: chosen.priority,
+      organisation,
+      priority: organisation?.priority ?? chosen.priority,
       service: chooseTarget(chosen, getSplitState(node, chosen.name)),
       rulesVersion: node.view.rules?.version ?? 0,
       receivedAt,
--- a/src/source/feed_end_kind.ts
+++ b/src/source/feed_end_kind.ts
@@ -8,6 +8,8 @@
   Stale = "stale",
   /** Changes are missing because they exceed the size limit or cannot be applied here. */
   Gap = "gap",
+  /** The feed no longer shows well enough that the rules are current. */
+  Renewed = "renewed",
   /** The neighbour is leaving. */
   Leaving = "leaving",
 }
--- a/src/source/feed_line.ts
+++ b/src/source/feed_line.ts
@@ -6,6 +6,11 @@
   readonly sentAt: number;
   /** Time since the sender's view was last known to be current. */
   readonly ageMilliseconds: number;
+  /**
+   * Time since the sender's rules were certainly current; absent if it does not
+   * know, and from a node of an earlier version.
+   */
+  readonly rulesAgeMilliseconds?: number | undefined;
   /** Era of the sender's view. */
   readonly era: number;
   /** Revision of the sender's view. */
--- a/src/source/feed_line_schema.ts
+++ b/src/source/feed_line_schema.ts
@@ -6,6 +6,7 @@
 export const feedLineSchema = z.object({
   sentAt: z.number(),
   ageMilliseconds: z.number(),
+  rulesAgeMilliseconds: z.number().optional(),
   era: z.number(),
   revision: z.number(),
   items: z.array(feedItemSchema),
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -70,6 +70,7 @@
     });
     const readsAll = remainingFullReads > 0 || remainingEraReads > 0;
     const after = readsAll ? undefined : position;
+    handler.onReadStart();
     const result = after === undefined
       ? await client.readAll()
       : await client.readChanges(after, {
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -52,6 +52,7 @@
       close: () => undefined,
     },
     handler: {
+      onReadStart: () => undefined,
       onReading: ({ items }, { complete }) =>
         events.push(`${complete ? "complete" : "changes"} ${items.length}`),
       onLost: ({ kind }) => events.push(`lost ${kind}`),
--- a/src/source/get_source_read_timing.ts
+++ b/src/source/get_source_read_timing.ts
@@ -11,6 +11,9 @@
 const followedIntervalFraction = 0.38;
 const followedWatchFraction = 0.22;
 
+/** Share of the withdrawal bound that the age of the rules may reach between two reads. */
+const confirmedFraction = 0.6;
+
 /**
  * Returns the longest interval and watch, and so the fewest reads, that keep the
  * bounds. An unresponsive connection is detected only at the end of a watch.
@@ -28,11 +31,31 @@
       ),
     };
   }
+  const intervalMilliseconds = bounds.changeMilliseconds * intervalFraction;
   return {
-    intervalMilliseconds: bounds.changeMilliseconds * intervalFraction,
+    intervalMilliseconds,
     watchMilliseconds: Math.max(
       watchMillisecondsMinimum,
-      bounds.contactMilliseconds - reconnectMilliseconds,
+      Math.min(
+        bounds.contactMilliseconds - reconnectMilliseconds,
+        getWatchMaximum(bounds, { intervalMilliseconds }),
+      ),
     ),
   };
 }
+
+/**
+ * Returns the longest watch with which API keys can be decided on at any time.
+ * Only the start of a watch confirms the rules, so their age reaches two watches
+ * and the interval between them.
+ */
+function getWatchMaximum(
+  { withdrawalMilliseconds }: SourceBounds,
+  { intervalMilliseconds }: { readonly intervalMilliseconds: number },
+): number {
+  return withdrawalMilliseconds === undefined
+    ? Number.POSITIVE_INFINITY
+    : Math.round(
+      (withdrawalMilliseconds * confirmedFraction - intervalMilliseconds) / 2,
+    );
+}
--- a/src/source/publish_feed_reading.ts
+++ b/src/source/publish_feed_reading.ts
@@ -24,11 +24,13 @@
     readonly rules: Rules | undefined;
     /** In milliseconds since the Unix epoch. */
     readonly now: number;
+    /** Age of the sender's rules with this reading; undefined if it is not stated. */
+    readonly rulesAgeMilliseconds?: number | undefined;
     /** Maximum size of a line, in bytes. */
     readonly bytesMaximum: number;
   },
 ): void {
-  const { rules, now, bytesMaximum } = options;
+  const { rules, now, rulesAgeMilliseconds, bytesMaximum } = options;
   const { era, revision } = reading;
   if (feed.era !== undefined && feed.era !== era) endFeed(feed);
   // Compares with the feed's revision instead of the last revision of each key:
@@ -44,6 +46,7 @@
   const commonFields = {
     sentAt: now,
     ageMilliseconds: 0,
+    rulesAgeMilliseconds,
     heldMilliseconds: 0,
     era,
     revision,
--- a/src/source/source_handler.ts
+++ b/src/source/source_handler.ts
@@ -3,6 +3,8 @@
 
 /** Handles the readings and failures of the source. */
 export interface SourceHandler {
+  /** Called before each read of the source; reads follow each other. */
+  onReadStart(): void;
   /** Called for each successful read and for each line of a neighbour's feed. */
   onReading(
     reading: SourceReading,
--- a/src/source/try_get_initial_feed_lines.ts
+++ b/src/source/try_get_initial_feed_lines.ts
@@ -14,6 +14,8 @@
     /** In milliseconds since the Unix epoch. */
     readonly now: number;
     readonly staleMilliseconds: number;
+    /** Age of the sender's rules; undefined if it is not stated. */
+    readonly rulesAgeMilliseconds?: number | undefined;
   },
 ): string | undefined {
   const { after, now, staleMilliseconds } = options;
@@ -31,10 +33,14 @@
   };
   const missing = readings.filter(({ revision }) => revision > after.revision);
   return (missing.length > 0 ? missing : [emptyReading])
-    .map(({ revision, items, readAt }) =>
+    .map(({ revision, items, readAt }, index, readings) =>
       encodeFeedLine({
         sentAt: now,
         ageMilliseconds: now - confirmedAt,
+        // The age holds once all of the readings have been applied.
+        rulesAgeMilliseconds: index === readings.length - 1
+          ? options.rulesAgeMilliseconds
+          : undefined,
         heldMilliseconds: now - readAt,
         era,
         revision,
--- a/src/testing/mesh/create_sample_offer.ts
+++ b/src/testing/mesh/create_sample_offer.ts
@@ -14,6 +14,7 @@
     service: "vitrine",
     identifier: "server-0",
     callerService: "vitrine",
+    organisation: undefined,
     route: "cakes",
     idempotent: true,
     priority: 2,
--- a/src/testing/mesh/mesh_header.ts
+++ b/src/testing/mesh/mesh_header.ts
@@ -12,6 +12,10 @@
   Target = "test-target",
   /** Incarnation of the backend server that answered. */
   Identifier = "test-identifier",
+  /** API key of the caller. */
+  Key = "test-key",
+  /** Name of the caller's organisation. */
+  Organisation = "test-organisation",
   CallerService = "test-caller-service",
   /** Remaining cold start of the backend server, in milliseconds. */
   Cold = "test-cold",
--- a/src/testing/mesh/test_dialect.ts
+++ b/src/testing/mesh/test_dialect.ts
@@ -3,6 +3,11 @@
 
 const misdirectedRequestStatus = 421;
 
+const identityHeaders: ReadonlySet<string> = new Set([
+  MeshHeader.Key,
+  MeshHeader.Organisation,
+]);
+
 /** The call dialect of tests, with the headers of `MeshHeader`. */
 export const testDialect: CallDialect = {
   readCallerHead: ({ headers }) => {
@@ -12,10 +17,18 @@
       remainingMilliseconds: remaining === undefined
         ? undefined
         : Number(remaining),
+      key: headers[MeshHeader.Key]?.toString(),
     };
   },
+  removeCallerIdentity: (headers) =>
+    headers.filter((_, index) =>
+      !identityHeaders.has(headers[index - index % 2]!.toLowerCase())
+    ),
   addBackendRequestHeaders: (headers, context) => [
     ...headers,
+    ...(context.organisation === undefined
+      ? []
+      : [MeshHeader.Organisation, context.organisation]),
     MeshHeader.CallerService,
     context.callerService,
     ...(context.identifier === undefined
