--- a/src/mesh/call_event.ts
+++ b/src/mesh/call_event.ts
@@ -7,6 +7,8 @@
   readonly call: string;
   readonly route?: string;
   readonly service?: string;
+  /** Name of the caller's organisation. */
+  readonly organisation?: string;
   /** Identifier of the backend server. */
   readonly backendServer?: string;
   readonly status?: number;
--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -2,9 +2,11 @@
 import { getOrCreate } from "../collections/get_or_create.ts";
 import { createLatencyHistogram } from "../telemetry/create_latency_histogram.ts";
 import type { CallEvent } from "./call_event.ts";
+import { countOrganisationCall } from "./count_organisation_call.ts";
 import type { CallEventCount } from "./call_event_count.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
+import type { OrganisationCount } from "./organisation_count.ts";
 
 const microsecondsPerMillisecond = 1_000;
 
@@ -14,6 +16,7 @@
  */
 export function createMeshMetrics(): MeshMetrics {
   const counts = new Map<string, CallEventCount>();
+  const organisationCounts = new Map<string, OrganisationCount>();
   const histograms = new Map<string, Histogram>();
 
   function recordLatency(
@@ -43,12 +46,14 @@
       getOrCreate(counts, `${kind} ${reason} ${outcome}`, {
         create: () => ({ labels: { kind, reason, outcome }, events: 0 }),
       }).events += 1;
+      countOrganisationCall(organisationCounts, event);
       observeLatencies(event);
     },
     render: async (gauges) => {
       const { renderMeshMetrics } = await import("./render_mesh_metrics.ts");
       return await renderMeshMetrics({
         counts: Array.from(counts.values()),
+        organisationCounts: Array.from(organisationCounts.values()),
         histograms,
         gauges,
       });
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -21,6 +21,8 @@
     rulesVersion: 7,
     sourceEra: 3,
     sourceSoundMilliseconds: -1,
+    rulesAgeMilliseconds: 40,
+    organisations: 2,
     feedFollowers: 2,
     registeredServers: 12,
     zonesTakenOut: 0,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -9,6 +9,13 @@
    * it does not.
    */
   readonly sourceSoundMilliseconds: number;
+  /**
+   * Milliseconds since the rules were certainly current; -1 if they never were,
+   * and without a bound on withdrawn keys.
+   */
+  readonly rulesAgeMilliseconds: number;
+  /** Number of organisations of the rules in force. */
+  readonly organisations: number;
   /** Number of neighbours that follow the feed of this node. */
   readonly feedFollowers: number;
   readonly registeredServers: number;
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -3,6 +3,7 @@
 import { latencyQuantiles } from "../telemetry/latency_quantiles.ts";
 import type { CallEventCount } from "./call_event_count.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
+import type { OrganisationCount } from "./organisation_count.ts";
 
 const microsecondsPerMillisecond = 1_000;
 
@@ -11,6 +12,9 @@
   sourceEra: "How often the source came back from an older copy",
   sourceSoundMilliseconds:
     "Since when the source has answered without a failure; -1 while it does not",
+  rulesAgeMilliseconds:
+    "Since when the rules may lack a withdrawal of keys; -1 if no bound is set",
+  organisations: "Organisations of the rules in force",
   feedFollowers: "Neighbours that learn of the source from this node",
   registeredServers: "Backend servers in the register",
   zonesTakenOut: "Availability zones that get no new work",
@@ -31,12 +35,13 @@
 export function renderMeshMetrics(
   options: {
     readonly counts: readonly CallEventCount[];
+    readonly organisationCounts: readonly OrganisationCount[];
     /** Latencies in microseconds, by place. */
     readonly histograms: ReadonlyMap<string, Histogram>;
     readonly gauges: MeshGauges;
   },
 ): Promise<string> {
-  const { counts, histograms, gauges } = options;
+  const { counts, organisationCounts, histograms, gauges } = options;
   const registry = new Registry();
   const registers = [registry];
   const events = new Counter({
@@ -46,6 +51,15 @@
     registers,
   });
   counts.forEach(({ labels, events: count }) => events.inc(labels, count));
+  const organisationCalls = new Counter({
+    name: "catkinquay_organisation_calls_total",
+    help: "Ended calls by the caller's organisation and kind of end",
+    labelNames: ["organisation", "kind"],
+    registers,
+  });
+  organisationCounts.forEach(({ labels, calls }) =>
+    organisationCalls.inc(labels, calls)
+  );
   const latency = new Gauge({
     name: "catkinquay_latency_milliseconds",
     help: "Times since the start, by place and quantile",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -17,6 +17,7 @@
   "backend-server",
   "event-loop",
   "feed",
+  "keys",
 ];
 const alarms = readFileSync("docs/operations/alarms.md", "utf8");
 const operations = readFileSync("docs/OPERATIONS.md", "utf8");
@@ -26,6 +27,8 @@
     rulesVersion: 1,
     sourceEra: 1,
     sourceSoundMilliseconds: 1,
+    rulesAgeMilliseconds: 1,
+    organisations: 1,
     feedFollowers: 1,
     registeredServers: 1,
     zonesTakenOut: 1,
--- a/src/mesh/report_call_result.ts
+++ b/src/mesh/report_call_result.ts
@@ -26,6 +26,9 @@
     ...(plan === undefined
       ? {}
       : { route: plan.route.name, service: plan.service }),
+    ...(plan?.organisation === undefined
+      ? {}
+      : { organisation: plan.organisation.name }),
     elapsedMilliseconds: Math.round(node.clock.now() - options.receivedAt),
     rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -116,6 +116,9 @@
       call: callIdentifier,
       route: routeName,
       ...(service === undefined ? {} : { service }),
+      ...(organisation === undefined
+        ? {}
+        : { organisation: organisation.name }),
       elapsedMilliseconds: Math.round(node.clock.now() - receivedAt),
     });
   }
--- a/src/mesh/write_call_result.ts
+++ b/src/mesh/write_call_result.ts
@@ -8,6 +8,7 @@
 import { CallResultKind } from "./call_result_kind.ts";
 import { getRefusalStatus } from "./get_refusal_status.ts";
 
+const unauthorizedStatus = 401;
 const millisecondsPerSecond = 1_000;
 
 /**
@@ -45,6 +46,9 @@
         String(Buffer.byteLength(document)),
         "retry-after",
         seconds.toFixed(3),
+        ...(status === unauthorizedStatus
+          ? ["www-authenticate", "Bearer"]
+          : []),
         ...closeHeaders,
       ]).end(document);
     })
--- a/src/testing/mesh/mesh_fleet.ts
+++ b/src/testing/mesh/mesh_fleet.ts
@@ -15,6 +15,8 @@
   readonly daemons: MeshDaemon[];
   /** Call events that the nodes reported, in order. */
   readonly events: CallEvent[];
+  /** Everything that the nodes reported, call events included, as JSON. */
+  readonly reports: string[];
   /** Publishes the register entry of a backend server with changed fields and the next sequence number. */
   publishServer(index: number, change: Partial<RegisterEntry>): void;
   /** Sends a call to the callers' listener of a node. */
--- a/src/testing/mesh/mesh_fleet_options.ts
+++ b/src/testing/mesh/mesh_fleet_options.ts
@@ -5,6 +5,8 @@
   readonly vms: number;
   /** Replaces fields of the one route, `/cakes/` of `shop.example`. */
   readonly route?: Partial<CallRoute>;
+  /** Time after its withdrawal from which every node refuses a key; no bound if omitted. */
+  readonly withdrawalMilliseconds?: number;
   /** Slots of each backend server; 4 if omitted. */
   readonly slots?: number;
   /** How long a node may take to stop; 1,000 if omitted. */
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -48,9 +48,11 @@
       index,
       ports,
       stopMilliseconds: options.stopMilliseconds ?? 1_000,
+      withdrawalMilliseconds: options.withdrawalMilliseconds,
     })
   );
   const events: CallEvent[] = [];
+  const reports: string[] = [];
   const entries = backends.map((backend, index) =>
     createEntry(backend, { index, slots: options.slots ?? defaultSlots })
   );
@@ -84,9 +86,13 @@
       },
       random: createRandomSource(1),
       report: {
-        call: (event) => void events.push(event),
-        viewChange: () => undefined,
-        state: () => undefined,
+        call: (event) => {
+          events.push(event);
+          reports.push(JSON.stringify(event));
+        },
+        viewChange: (change) => void reports.push(JSON.stringify(change)),
+        state: (subject, fields) =>
+          void reports.push(JSON.stringify({ subject, ...fields })),
       },
     });
     if (started.isErr) throw new Error("Test node failed to start");
@@ -99,6 +105,7 @@
     settings,
     daemons,
     events,
+    reports,
     publishServer: (index, change) => {
       const entry = { ...entries[index]!, ...change };
       entries[index] = { ...entry, sequence: entry.sequence + 1 };
@@ -155,9 +162,11 @@
     readonly index: number;
     readonly ports: readonly number[];
     readonly stopMilliseconds: number;
+    readonly withdrawalMilliseconds: number | undefined;
   },
 ): MeshSettings {
   const host = getHost(options.index);
+  const { withdrawalMilliseconds } = options;
   const [callers = 0, nodes = 0, readiness = 0] = options.ports;
   return {
     vm: `vm-${options.index}`,
@@ -171,7 +180,13 @@
       metrics: undefined,
     },
     source: { host, port: 1 },
-    sourceBounds: { changeMilliseconds: 2_000, contactMilliseconds: 3_000 },
+    sourceBounds: {
+      changeMilliseconds: 2_000,
+      contactMilliseconds: 3_000,
+      ...(withdrawalMilliseconds === undefined
+        ? {}
+        : { withdrawalMilliseconds }),
+    },
     retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
     coldAllowance: { factor: 1.5, slack: 5 },
     linkMegabitsPerSecond: 1_000,
