Explain refusals for keys to operators, and test keys on real nodes

The test that compares the page on alarms with the reasons that a node writes now also reads src/organisations, where the reasons for keys are.

--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -180,3 +180,30 @@
     ]),
     "an unexpected error ended the call on vm-1: x is undefined",
   ));
+
+[
+  {
+    reason: RefusalReason.ApiKeyMissing,
+    text: "the request had no API key, which its route requires",
+  },
+  {
+    reason: RefusalReason.ApiKeyUnknown,
+    text: "no organisation of the rules in force held its API key",
+  },
+  {
+    reason: RefusalReason.ApiKeysUnconfirmed,
+    text: "the node's rules might be too old to decide on API keys",
+  },
+].forEach(({ reason, text }) =>
+  test(`a refusal for a key is not left unexplained: ${reason}`, (t) =>
+    t.is(
+      describeCallCause([
+        createLine("call-refused", {
+          reason,
+          outcome: "not-run",
+          elapsedMilliseconds: 1,
+        }),
+      ]),
+      `refused after 1 ms, not run: ${text} (${reason})`,
+    ))
+);
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -58,11 +58,12 @@
 
 /** Returns the reasons that occur in the modules of a node on the users' platform, which are not all. */
 function findWrittenReasons(): readonly RefusalReason[] {
-  const sources = ["src/mesh", "src/gate", "src/balancing"].flatMap((folder) =>
-    readdirSync(folder)
-      .filter((name) => !name.endsWith("_test.ts"))
-      .map((name) => readFileSync(join(folder, name), "utf8"))
-  ).join("\n");
+  const sources = ["src/mesh", "src/gate", "src/balancing", "src/organisations"]
+    .flatMap((folder) =>
+      readdirSync(folder)
+        .filter((name) => !name.endsWith("_test.ts"))
+        .map((name) => readFileSync(join(folder, name), "utf8"))
+    ).join("\n");
   return Object.entries(RefusalReason)
     .filter(([member]) => sources.includes(`RefusalReason.${member}`))
     .map(([, reason]) => reason);
--- a/src/organisations/update_key_index_test.ts
+++ b/src/organisations/update_key_index_test.ts
@@ -35,7 +35,10 @@
 ): readonly (string | undefined)[] {
   const index: KeyIndex = new Map();
   versions.forEach((after, position) =>
-    updateKeyIndex(index, { before: versions[position - 1] ?? new Map(), after })
+    updateKeyIndex(index, {
+      before: versions[position - 1] ?? new Map(),
+      after,
+    })
   );
   return keys.map((key) => index.get(hashApiKey(key))?.name);
 }
@@ -65,7 +68,10 @@
 
 test("config storm: unchanged organisations are not indexed again", (t) => {
   const before = createVersion({ bakery: ["a"], school: ["b"] });
-  const after = new Map([...before, ["mill", createOrganisation("mill", ["c"])]]);
+  const after = new Map([...before, [
+    "mill",
+    createOrganisation("mill", ["c"]),
+  ]]);
   const writes: string[] = [];
   class CountedIndex extends Map<string, Organisation> {
     override set(hash: string, organisation: Organisation): this {
--- a/src/source/get_source_read_timing_test.ts
+++ b/src/source/get_source_read_timing_test.ts
@@ -35,3 +35,19 @@
   });
   t.true(relaxed.intervalMilliseconds > strict.intervalMilliseconds);
 });
+
+test("a bound on withdrawn keys makes watches as short as the age of the rules needs, and no longer bound changes them", (t) => {
+  const bounds = { changeMilliseconds: 2_500, contactMilliseconds: 3_000 };
+  const timing = getSourceReadTiming({
+    ...bounds,
+    withdrawalMilliseconds: 5_000,
+  });
+  // Only the start of a watch confirms the rules.
+  const ageMaximum = 2 * (timing.watchMilliseconds + slowResponseMilliseconds) +
+    timing.intervalMilliseconds;
+  t.true(ageMaximum < 5_000 * 0.9);
+  t.deepEqual(
+    getSourceReadTiming({ ...bounds, withdrawalMilliseconds: 60_000 }),
+    getSourceReadTiming(bounds),
+  );
+});
--- a/src/source/publish_feed_reading_test.ts
+++ b/src/source/publish_feed_reading_test.ts
@@ -4,6 +4,7 @@
 import { tryGetInitialFeedLines } from "./try_get_initial_feed_lines.ts";
 import type { SourceFeed } from "./source_feed.ts";
 import type { Rules } from "../routing/rules.ts";
+import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { tryCreateSourceItem } from "./try_create_source_item.ts";
@@ -213,3 +214,38 @@
     undefined,
   );
 });
+
+test("a feed states the age of the rules on the last of its first lines only, which completes them", (t) => {
+  const feed = createSourceFeed();
+  [1, 2, 3].forEach((revision) =>
+    publishFeedReading(feed, {
+      items: [{ key: "k", revision, fact: undefined }],
+      era: 0,
+      revision,
+    }, {
+      rules: undefined,
+      now: revision,
+      bytesMaximum: 10_000,
+      rulesAgeMilliseconds: 7,
+    })
+  );
+  const lines = tryGetInitialFeedLines(feed, {
+    after: { era: 0, revision: 1 },
+    now: 10,
+    staleMilliseconds: 1_000,
+    rulesAgeMilliseconds: 40,
+  });
+  t.deepEqual(
+    lines?.trim().split("\n").map((line) =>
+      JSON.parse(line).rulesAgeMilliseconds
+    ),
+    [undefined, 40],
+  );
+});
+
+test("a line without the age of the rules, as nodes of earlier versions send it, is valid", (t) => {
+  const { rulesAgeMilliseconds: _, ...line } = createSampleLine();
+  t.like(tryDecodeFeedLine(JSON.stringify(line)), {
+    rulesAgeMilliseconds: undefined,
+  });
+});
