Let the soak withdraw keys and check that no node accepts them later

One route of the soak needs a key, each version adds one key and withdraws another, and all calls state a name of an organisation that the mesh must not pass on.

--- a/stand_ins/soak/create_soak_rules.ts
+++ b/stand_ins/soak/create_soak_rules.ts
@@ -1,11 +1,17 @@
+import { soakKeys } from "./soak_keys.ts";
+
 const routeDurations = { timeout: "1000ms", goal: "300ms" };
 
-/** Returns the operators' rules of a version: two routes that every version has, and one added route for each version up to this one. */
+/**
+ * Returns the operators' rules of a version: three routes that every version has, and one added route for each
+ * version up to this one. Calls to one route need a key; a version adds a key and withdraws another one.
+ */
 export function createSoakRules(version: number): unknown {
   const commonRouteFields = {
     ...routeDurations,
     host: "soak.example",
     attempts: 2,
+    public: true,
   };
   const service = {
     healthPath: "/healthz",
@@ -36,6 +42,14 @@
           { service: "encomendas", weight: 1 },
         ],
       },
+      keyed: {
+        ...commonRouteFields,
+        public: false,
+        prefix: "/keyed/",
+        kind: "idempotent",
+        priority: 2,
+        service: "vitrine",
+      },
       order: {
         ...commonRouteFields,
         prefix: "/order/",
@@ -46,6 +60,12 @@
       ...Object.fromEntries(addedRoutes),
     },
     services: { vitrine: service, encomendas: service },
+    tenants: {
+      [soakKeys.lastingOrganisation]: { apiKeys: [soakKeys.lasting] },
+      [soakKeys.changingOrganisation]: {
+        apiKeys: [soakKeys.ofVersion(version), soakKeys.ofVersion(version - 1)],
+      },
+    },
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_048_576,
--- a/stand_ins/soak/find_soak_violations.ts
+++ b/stand_ins/soak/find_soak_violations.ts
@@ -1,6 +1,7 @@
 import { groupBy } from "../../src/collections/group_by.ts";
 import { findCrashViolations } from "./find_crash_violations.ts";
 import { findDepartureViolations } from "./find_departure_violations.ts";
+import { findKeyViolations } from "./find_key_violations.ts";
 import { findLimitViolations } from "./find_limit_violations.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakRecord } from "./soak_record.ts";
@@ -25,6 +26,7 @@
     ...findLimitViolations(record),
     ...findDepartureViolations(record),
     ...findCrashViolations(record),
+    ...findKeyViolations(record),
     ...findVersionRegressions(calls),
     ...findLateVersions(calls, record),
   ];
--- a/stand_ins/soak/find_soak_violations_test.ts
+++ b/stand_ins/soak/find_soak_violations_test.ts
@@ -36,6 +36,7 @@
       from: 0,
       until: Number.POSITIVE_INFINITY,
     }],
+    withdrawnAt: new Map([["bakery-key-1", 1_000]]),
     disturbances: [{ vm: 1, from: 0, until: 20_000 }],
     settledAt: 5_000,
   }).map(({ promise }) => promise);
@@ -141,3 +142,27 @@
   t.is(countBroken(30), 0);
   t.is(countBroken(40), 1);
 });
+
+test("a key that is accepted after its withdrawal, passed on, or not the organisation's is reported", (t) => {
+  const keyed = { ...call, key: "bakery-key-1", sentAt: 6_000 };
+  const keyedRun = { ...run, organisation: "bakery" };
+  t.deepEqual(findBrokenPromises([keyed], [keyedRun]), []);
+  t.deepEqual(findBrokenPromises([{ ...keyed, sentAt: 6_001 }], [keyedRun]), [
+    "No node accepts a withdrawn key",
+  ]);
+  t.deepEqual(findBrokenPromises([keyed], [{ ...keyedRun, hasKey: true }]), [
+    "No backend server receives a key",
+  ]);
+  [run, { ...run, organisation: "school" }].forEach((other) =>
+    t.deepEqual(findBrokenPromises([keyed], [other]), [
+      "A backend server receives the organisation of the key",
+    ])
+  );
+  t.deepEqual(findBrokenPromises([call], [keyedRun]), [
+    "A backend server receives the organisation of the key",
+  ]);
+  const unknown = { ...call, key: "school-key", status: 401 };
+  t.deepEqual(findBrokenPromises([unknown], []), [
+    "A key that every version has is never unknown",
+  ]);
+});
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -13,6 +13,7 @@
 import { findSoakViolations } from "./find_soak_violations.ts";
 import { listDisturbances } from "./list_disturbances.ts";
 import { sendSoakCall } from "./send_soak_call.ts";
+import { soakKeys } from "./soak_keys.ts";
 import type { SoakCall } from "./soak_call.ts";
 import type { SoakOptions } from "./soak_options.ts";
 import type { SoakRecord } from "./soak_record.ts";
@@ -32,6 +33,9 @@
 /** Share of the calls that send a request which crashes backend servers, while there is one. */
 const crashingShare = 0.05;
 const callersPerVm = 3;
+const callsPerKey = 4;
+/** The lasting key, and those of the last versions. */
+const keyAges = 6;
 
 /** Runs one soak with real node processes and faults from outside, and checks the promises against everything observed. */
 export async function runSoak(
@@ -46,6 +50,7 @@
     calls: new Map(),
     runs: [],
     limits: [],
+    withdrawnAt: new Map(),
     disturbances: [],
     settledAt: Number.POSITIVE_INFINITY,
   };
@@ -54,6 +59,7 @@
   const publishRules = () => {
     version += 1;
     store.put("op/config", createSoakRules(version));
+    record.withdrawnAt.set(soakKeys.ofVersion(version - 2), Date.now());
   };
   publishRules();
   const crashingUrls: string[] = [];
@@ -161,13 +167,18 @@
       : undefined;
     const idempotent = crashingUrl !== undefined ||
       random.next() > nonIdempotentShare;
-    const route = idempotent
+    const publicRoute = idempotent
       ? random.next() < 0.7 ? "look" : `v${options.getVersion()}`
       : "order";
+    const key = idempotent && crashingUrl === undefined
+      ? chooseKey(count, { version: options.getVersion() })
+      : undefined;
+    const route = key === undefined ? publicRoute : "keyed";
     const call: SoakCall = {
       identifier,
       idempotent,
       callerService: vm.backend.service,
+      ...(key === undefined ? {} : { key }),
       url: crashingUrl ?? `/${route}/${identifier}`,
       sentAt: Date.now(),
       vm: options.index,
@@ -182,6 +193,16 @@
   agent.destroy();
 }
 
+/** Returns the key of every fourth call, undefined for others; some of the keys have been withdrawn. */
+function chooseKey(
+  count: number,
+  { version }: { readonly version: number },
+): string | undefined {
+  if (count % callsPerKey !== 0) return undefined;
+  const turn = count / callsPerKey % keyAges;
+  return turn === 0 ? soakKeys.lasting : soakKeys.ofVersion(version - turn + 1);
+}
+
 async function stopVm(vm: SoakVm): Promise<void> {
   vm.node.signal("SIGCONT");
   vm.node.signal("SIGKILL");
--- a/stand_ins/soak/send_soak_call.ts
+++ b/stand_ins/soak/send_soak_call.ts
@@ -29,6 +29,11 @@
         host: "soak.example",
         "x-attempt-id": call.identifier,
         "x-deadline-ms": String(remainingMilliseconds),
+        // The mesh must not pass on what a caller states here.
+        "X-Tenant": "of-the-caller",
+        ...(call.key === undefined
+          ? {}
+          : { authorization: `Bearer ${call.key}` }),
       },
       signal: AbortSignal.timeout(remainingMilliseconds + 500),
     }, (response) => {
--- a/stand_ins/soak/soak_call.ts
+++ b/stand_ins/soak/soak_call.ts
@@ -5,6 +5,8 @@
   /** The service of the backend server on the VM from which it was sent. */
   readonly callerService: string;
   readonly url: string;
+  /** API key that was sent; undefined for a call to a public route. */
+  readonly key?: string;
   /** In milliseconds since the Unix epoch. */
   readonly sentAt: number;
   /** Index of the VM from which it was sent. */
--- a/stand_ins/soak/soak_record.ts
+++ b/stand_ins/soak/soak_record.ts
@@ -10,6 +10,8 @@
   readonly runs: SoakRun[];
   /** Rate limits that backend servers stated. */
   readonly limits: SoakLimit[];
+  /** When each key was withdrawn, in milliseconds since the Unix epoch. */
+  readonly withdrawnAt: Map<string, number>;
   /** Faults that excuse a VM from what it had learnt. */
   readonly disturbances: SoakDisturbance[];
   /** The instant from which every change must be in force on every node, in milliseconds since the Unix epoch. */
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -65,6 +65,10 @@
       url: request.url ?? "",
       service,
       callerService: String(request.headers["x-caller-service"]),
+      ...(request.headers["x-tenant"] === undefined
+        ? {}
+        : { organisation: String(request.headers["x-tenant"]) }),
+      hasKey: request.headers["authorization"] !== undefined,
       server: getIdentifier(),
       receivedAt: Date.now(),
     });
--- a/stand_ins/soak/start_soak_vm.ts
+++ b/stand_ins/soak/start_soak_vm.ts
@@ -7,6 +7,7 @@
 import type { SoakRecord } from "./soak_record.ts";
 import type { SoakVm } from "./soak_vm.ts";
 import { startSoakBackend } from "./start_soak_backend.ts";
+import { withdrawalMilliseconds } from "./withdrawal_milliseconds.ts";
 
 const zones = ["sul-a", "sul-b", "sul-c"];
 const services = ["vitrine", "encomendas"];
@@ -59,6 +60,8 @@
       "bounds.retrySlack=60",
       "bounds.coldFactor=1.5",
       "bounds.coldSlack=5",
+      "bounds.strictRevoke=true",
+      `bounds.revoke=${withdrawalMilliseconds}ms`,
     ].join("\n"),
   );
   const node = createSoakNode({ program: options.program, settingsPath });
