--- a/stand_ins/soak/find_soak_violations_test.ts
+++ b/stand_ins/soak/find_soak_violations_test.ts
@@ -144,10 +144,10 @@
 });
 
 test("a key that is accepted after its withdrawal, passed on, or not the organisation's is reported", (t) => {
-  const keyed = { ...call, key: "bakery-key-1", sentAt: 6_000 };
+  const keyed = { ...call, key: "bakery-key-1", sentAt: 3_500 };
   const keyedRun = { ...run, organisation: "bakery" };
   t.deepEqual(findBrokenPromises([keyed], [keyedRun]), []);
-  t.deepEqual(findBrokenPromises([{ ...keyed, sentAt: 6_001 }], [keyedRun]), [
+  t.deepEqual(findBrokenPromises([{ ...keyed, sentAt: 3_501 }], [keyedRun]), [
     "No node accepts a withdrawn key",
   ]);
   t.deepEqual(findBrokenPromises([keyed], [{ ...keyedRun, hasKey: true }]), [
--- a/stand_ins/soak/withdrawal_milliseconds.ts
+++ b/stand_ins/soak/withdrawal_milliseconds.ts
@@ -1,2 +1,2 @@
-/** The operators' bound on how long a withdrawn key may be accepted, by any node. */
-export const withdrawalMilliseconds = 5_000;
+/** The operators' bound on how long a withdrawn key may be accepted, by any node; shorter than some faults. */
+export const withdrawalMilliseconds = 2_500;
