--- a/src/mesh/withdrawn_key_test.ts
+++ b/src/mesh/withdrawn_key_test.ts
@@ -1,24 +1,15 @@
 import test, { type ExecutionContext } from "ava";
-import { Result } from "true-myth";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { createRandomSource } from "../runtime/create_random_source.ts";
 import { FeedEndKind } from "../source/feed_end_kind.ts";
-import type { SourceClient } from "../source/source_client.ts";
-import type { SourceFailure } from "../source/source_failure.ts";
-import { SourceFailureKind } from "../source/source_failure_kind.ts";
-import type { SourceReading } from "../source/source_reading.ts";
-import { SourceValueKind } from "../source/source_value_kind.ts";
 import { createVirtualTime } from "../testing/create_virtual_time.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
-import { createSampleOrganisation } from "../testing/mesh/create_sample_organisation.ts";
-import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
-import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import { createSampleSettings } from "../testing/mesh/create_sample_settings.ts";
+import type { KeyStage } from "../testing/mesh/key_stage.ts";
+import { startKeyStage } from "../testing/mesh/start_key_stage.ts";
 import { testDialect } from "../testing/mesh/test_dialect.ts";
-import { authenticateCaller } from "./authenticate_caller.ts";
 import { confirmRulesByLine } from "./confirm_rules_by_line.ts";
 import { createMeshNode } from "./create_mesh_node.ts";
-import { followMeshSource } from "./follow_mesh_source.ts";
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getStatedRulesAge } from "./get_stated_rules_age.ts";
 import { holdRulesConfirmation } from "./hold_rules_confirmation.ts";
@@ -34,133 +25,14 @@
 };
 const slowAnswerMilliseconds = 250;
 const probeMilliseconds = 50;
-const key = "bakery-key";
-const route = createSampleRoute({ name: "cakes" });
-const publicRoute = createSampleRoute({ name: "menu", isPublic: true });
 
-interface Stage {
-  readonly node: ReturnType<typeof createMeshNode>;
-  readonly states: string[];
-  /** Lets time pass, with all timers. */
-  pass(milliseconds: number): Promise<void>;
-  /** Stops the process: time passes for both clocks, and no timer fires. */
-  pause(milliseconds: number): void;
-  /** Moves the time of day only, as a suspension of the VM or a set clock does. */
-  moveTimeOfDay(milliseconds: number): void;
-  /** Writes a version in which the key has been withdrawn. */
-  withdraw(): void;
-  setDown(down: boolean): void;
-  restoreCopy(): void;
-  /** Returns the organisation, or the reason of the refusal. */
-  identify(options?: { readonly isPublic: boolean }): string | undefined;
-  stop(): void;
-}
-
-/**
- * Starts a node that reads a slow source itself. The source answers each read
- * with what it had when the read began, as late as a watch may end.
- */
-async function startStage(): Promise<Stage> {
-  const time = createVirtualTime(startsAt);
-  let pausedMilliseconds = 0;
-  let timeOfDayOffset = 0;
-  let isDown = false;
-  let era = 0;
-  let version = 1;
-  const states: string[] = [];
-  const clock = { now: () => time.clock.now() + pausedMilliseconds };
-  const timers = {
-    at: (instant: number, callback: () => void) =>
-      time.timers.at(instant - pausedMilliseconds, callback),
-  };
-  const node = createMeshNode(createSampleSettings({ sourceBounds: bounds }), {
-    dialect: testDialect,
-    clock,
-    timeOfDay: { now: () => clock.now() + timeOfDayOffset },
-    timers,
-    random: createRandomSource(1),
-    report: {
-      call: () => undefined,
-      viewChange: () => undefined,
-      state: (subject, { state }) => void states.push(`${subject} ${state}`),
-    },
+async function withStage(
+  run: (stage: KeyStage) => Promise<void>,
+): Promise<void> {
+  const stage = await startKeyStage({
+    sourceBounds: bounds,
+    slowAnswerMilliseconds,
   });
-
-  function respond(
-    waitMilliseconds: number,
-  ): Promise<Result<SourceReading, SourceFailure>> {
-    const failure = { kind: SourceFailureKind.Unreachable, found: "cut off" };
-    const organisation = createSampleOrganisation("bakery", {
-      keys: version === 1 ? [key] : ["next-key"],
-    });
-    const reading: SourceReading = {
-      era,
-      revision: version,
-      items: [{
-        key: "rules",
-        revision: version,
-        fact: {
-          kind: SourceValueKind.Rules,
-          rules: createSampleRules({
-            version,
-            routes: [route, publicRoute],
-            organisations: new Map([["bakery", organisation]]),
-          }),
-        },
-      }],
-    };
-    const result = isDown
-      ? Result.err<SourceReading, SourceFailure>(failure)
-      : Result.ok<SourceReading, SourceFailure>(reading);
-    return new Promise((resolve) =>
-      time.timers.at(
-        time.clock.now() + waitMilliseconds + slowAnswerMilliseconds,
-        () => resolve(result),
-      )
-    );
-  }
-
-  const client: SourceClient = {
-    readAll: () => respond(0),
-    readChanges: (_, { waitMilliseconds }) => respond(waitMilliseconds),
-    close: () => undefined,
-  };
-  const follower = followMeshSource(node, { client, callers: undefined });
-  const stage: Stage = {
-    node,
-    states,
-    pass: (milliseconds) => time.advanceTo(time.clock.now() + milliseconds),
-    pause: (milliseconds) => {
-      pausedMilliseconds += milliseconds;
-    },
-    moveTimeOfDay: (milliseconds) => {
-      timeOfDayOffset += milliseconds;
-    },
-    withdraw: () => {
-      version += 1;
-    },
-    setDown: (down) => {
-      isDown = down;
-    },
-    restoreCopy: () => {
-      era += 1;
-    },
-    identify: ({ isPublic } = { isPublic: false }) =>
-      authenticateCaller(node, {
-        route: isPublic ? publicRoute : route,
-        key,
-      }).match({
-        Ok: (organisation) => organisation?.name,
-        Err: (reason) => reason,
-      }),
-    stop: () => follower.stop(),
-  };
-  await stage.pass(2 * slowAnswerMilliseconds);
-  return stage;
-}
-
-async function withStage(run: (stage: Stage) => Promise<void>): Promise<void> {
-  const stage = await startStage();
   try {
     await run(stage);
   } finally {
@@ -170,7 +42,7 @@
 
 /** Returns the different results of calls in a time, in the order of the first ones. */
 async function identifyFor(
-  stage: Stage,
+  stage: KeyStage,
   milliseconds: number,
 ): Promise<readonly (string | undefined)[]> {
   const results = new Set<string | undefined>();
@@ -236,11 +108,11 @@
 const interruptions = [
   {
     name: "a paused process",
-    interrupt: (stage: Stage) => stage.pause(20_000),
+    interrupt: (stage: KeyStage) => stage.pause(20_000),
   },
   {
     name: "a suspended VM, whose steady clock stands still",
-    interrupt: (stage: Stage) => stage.moveTimeOfDay(20_000),
+    interrupt: (stage: KeyStage) => stage.moveTimeOfDay(20_000),
   },
 ];
 
@@ -338,7 +210,7 @@
 /** Lets a cut-off node get lines of a neighbour's feed; returns why the feed ends. */
 function receiveLine(
   t: ExecutionContext,
-  stage: Stage,
+  stage: KeyStage,
   line: { readonly sentAt: number; readonly rulesAgeMilliseconds?: number },
   feed: {
     readonly requestedAt: ReturnType<typeof readClocks>;
