Let a bound on withdrawn keys change no watch without organisations, and no instant lie ahead

Cause: two faults found in review. 1. The bound shortened the watches of every deployment that sets it, also while its rules have no organisations, where no key can be withdrawn. 2. A suspension of the VM during a feed: the steady clock of the node stands still, that of the neighbour goes on. Later reads of the source counted as earlier and were ignored, so calls with keys were refused for as long as the suspension had lasted; and a time of day that was set back later let a cut-off node accept keys beyond the bound.

Ruled out: to leave the age out of the feed's lines too while there are no organisations. The line that carries the first ones would then not confirm them, and every follower would refuse calls until it has read the source.

--- a/src/mesh/confirm_rules_by_line.ts
+++ b/src/mesh/confirm_rules_by_line.ts
@@ -21,9 +21,9 @@
 ): FeedEndKind | undefined {
   const { withdrawalMilliseconds } = node.settings.sourceBounds;
   if (withdrawalMilliseconds === undefined) return undefined;
-  const confirmedAt = getLineConfirmation(line, feed);
-  if (confirmedAt !== undefined) confirmRules(node, confirmedAt);
   const now = readClocks(node);
+  const confirmedAt = getLineConfirmation(line, { ...feed, appliedAt: now });
+  if (confirmedAt !== undefined) confirmRules(node, confirmedAt);
   const isHeld = now.monotonic <
     Math.max(node.view.heldZonesUntil, node.rulesConfirmation.heldUntil);
   if (isHeld || !hasOrganisations(node)) return undefined;
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -7,6 +7,7 @@
 import { applySourceReading } from "./apply_source_reading.ts";
 import { confirmRulesByReading } from "./confirm_rules_by_reading.ts";
 import { createNeighbourFeeds } from "./create_neighbour_feeds.ts";
+import { getSourceBounds } from "./get_source_bounds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { publishReading } from "./publish_reading.ts";
 import { queryCrashEvidence } from "./query_crash_evidence.ts";
@@ -34,7 +35,7 @@
     client,
     neighbours: createNeighbourFeeds(node),
     random: node.random,
-    getBounds: () => node.settings.sourceBounds,
+    getBounds: () => getSourceBounds(node),
     wait: (milliseconds) =>
       new Promise((resolve) =>
         node.timers.at(node.clock.now() + milliseconds, resolve)
--- a/src/mesh/withdrawn_key_test.ts
+++ b/src/mesh/withdrawn_key_test.ts
@@ -2,6 +2,7 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { createRandomSource } from "../runtime/create_random_source.ts";
 import { FeedEndKind } from "../source/feed_end_kind.ts";
+import { getSourceReadTiming } from "../source/get_source_read_timing.ts";
 import { createVirtualTime } from "../testing/create_virtual_time.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { createSampleSettings } from "../testing/mesh/create_sample_settings.ts";
@@ -281,3 +282,45 @@
     const late = { sentAt: 600_000, rulesAgeMilliseconds: 100 };
     t.is(receiveLine(t, stage, late, feed), FeedEndKind.Renewed);
   }));
+
+test("a bound on withdrawn keys shortens no watch while the rules have no organisations", async (t) => {
+  const stage = await startKeyStage({
+    sourceBounds: bounds,
+    slowAnswerMilliseconds,
+    hasOrganisations: false,
+  });
+  await stage.pass(60_000);
+  stage.stop();
+  const { withdrawalMilliseconds: _, ...otherBounds } = bounds;
+  const { watchMilliseconds } = getSourceReadTiming(otherBounds);
+  t.true(stage.watches.length > 10);
+  t.deepEqual(new Set(stage.watches), new Set([watchMilliseconds]));
+});
+
+/** Lets a suspension of the VM pass while it follows a neighbour, and then a line arrive. */
+async function resumeFollowing(
+  t: ExecutionContext,
+  stage: KeyStage,
+): Promise<void> {
+  await stage.pass(3_000);
+  const feed = { requestedAt: readClocks(stage.node), firstSentAt: 0 };
+  stage.moveTimeOfDay(20_000);
+  const line = { sentAt: 20_000, rulesAgeMilliseconds: 100 };
+  t.is(receiveLine(t, stage, line, feed), undefined);
+  t.is(stage.identify(), "bakery");
+}
+
+test("after a suspension during a feed, reads of the source confirm the rules at once", (t) =>
+  withStage(async (stage) => {
+    await resumeFollowing(t, stage);
+    t.deepEqual(await identifyFor(stage, 20_000), ["bakery"]);
+  }));
+
+test("after a suspension during a feed, a time of day that is set back does not make the rules look younger", (t) =>
+  withStage(async (stage) => {
+    await resumeFollowing(t, stage);
+    stage.setDown(true);
+    stage.moveTimeOfDay(-20_000);
+    await stage.pass(withdrawalMilliseconds);
+    t.is(stage.identify(), RefusalReason.ApiKeysUnconfirmed);
+  }));
--- a/src/organisations/get_line_confirmation.ts
+++ b/src/organisations/get_line_confirmation.ts
@@ -8,6 +8,10 @@
  * The clocks of two VMs differ, so the instants of a feed are counted from the
  * request for it: its first line was written later. A line that was held up in
  * transit thus does not look younger than it is.
+ *
+ * The steady clock of this node does not count a suspension, but that of the
+ * neighbour goes on meanwhile. So the instant by each clock is at most the
+ * present one.
  */
 export function getLineConfirmation(
   line: Pick<FeedLine, "sentAt" | "rulesAgeMilliseconds">,
@@ -16,15 +20,23 @@
     readonly requestedAt: ClockReading;
     /** `sentAt` of the first line. */
     readonly firstSentAt: number;
+    /** When this node applied the line. */
+    readonly appliedAt: ClockReading;
   },
 ): ClockReading | undefined {
   const { rulesAgeMilliseconds } = line;
   if (rulesAgeMilliseconds === undefined) return undefined;
-  const { requestedAt, firstSentAt } = feed;
+  const { requestedAt, firstSentAt, appliedAt } = feed;
   const elapsedMilliseconds = line.sentAt - firstSentAt -
     Math.max(0, rulesAgeMilliseconds);
   return {
-    monotonic: requestedAt.monotonic + elapsedMilliseconds,
-    timeOfDay: requestedAt.timeOfDay + elapsedMilliseconds,
+    monotonic: Math.min(
+      requestedAt.monotonic + elapsedMilliseconds,
+      appliedAt.monotonic,
+    ),
+    timeOfDay: Math.min(
+      requestedAt.timeOfDay + elapsedMilliseconds,
+      appliedAt.timeOfDay,
+    ),
   };
 }
--- a/src/testing/mesh/key_stage.ts
+++ b/src/testing/mesh/key_stage.ts
@@ -4,6 +4,8 @@
 export interface KeyStage {
   readonly node: MeshNode;
   readonly states: string[];
+  /** How long each read of changes asked the source to wait, in milliseconds. */
+  readonly watches: readonly number[];
   /** Lets time pass, with all timers. */
   pass(milliseconds: number): Promise<void>;
   /** Stops the process: time passes for both clocks, and no timer fires. */
--- a/src/testing/mesh/start_key_stage.ts
+++ b/src/testing/mesh/start_key_stage.ts
@@ -30,9 +30,11 @@
   options: {
     readonly sourceBounds: SourceBounds;
     readonly slowAnswerMilliseconds: number;
+    /** Whether the rules contain an organisation; true if absent. */
+    readonly hasOrganisations?: boolean;
   },
 ): Promise<KeyStage> {
-  const { slowAnswerMilliseconds } = options;
+  const { slowAnswerMilliseconds, hasOrganisations = true } = options;
   const time = createVirtualTime(startsAt);
   let pausedMilliseconds = 0;
   let timeOfDayOffset = 0;
@@ -40,6 +42,7 @@
   let era = 0;
   let version = 1;
   const states: string[] = [];
+  const watches: number[] = [];
   const clock = { now: () => time.clock.now() + pausedMilliseconds };
   const timers = {
     at: (instant: number, callback: () => void) =>
@@ -79,7 +82,9 @@
           rules: createSampleRules({
             version,
             routes: [route, publicRoute],
-            organisations: new Map([["bakery", organisation]]),
+            organisations: new Map(
+              hasOrganisations ? [["bakery", organisation]] : [],
+            ),
           }),
         },
       }],
@@ -97,13 +102,17 @@
 
   const client: SourceClient = {
     readAll: () => respond(0),
-    readChanges: (_, { waitMilliseconds }) => respond(waitMilliseconds),
+    readChanges: (_, { waitMilliseconds }) => {
+      watches.push(waitMilliseconds);
+      return respond(waitMilliseconds);
+    },
     close: () => undefined,
   };
   const follower = followMeshSource(node, { client, callers: undefined });
   const stage: KeyStage = {
     node,
     states,
+    watches,
     pass: (milliseconds) => time.advanceTo(time.clock.now() + milliseconds),
     pause: (milliseconds) => {
       pausedMilliseconds += milliseconds;
