Count only neighbours of the same era when a node starts on an older copy

Cause: a node that starts after the source has come back from an older copy asks neighbours for how long the copy may lack a withdrawal. A neighbour that had not read the source since then replied with empty lists and no time, just as one does after that time is over. The node took its rules as current and could accept a key that had been withdrawn.

Ruled out: to refuse the reply in another era, which nodes of earlier versions would not do; to count no neighbour that has itself just started, which would make keys be refused for 5 s after each restart of a whole zone.

A reply of a node of an earlier version states none.

Measured: the new test with a neighbour in the earlier era failed before the change and passes after it; the tests of withdrawn keys, withdrawals and the source's eras pass.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -31,6 +31,7 @@
   "dist/src/mesh/offer_to_node_test.js",
   "dist/src/mesh/endless_*_test.js",
   "dist/src/mesh/api_keys_fleet_test.js",
+  "dist/src/mesh/query_withdrawals_test.js",
   "dist/src/mesh/crashing_request_test.js",
   "dist/src/mesh/create_neighbour_feeds_test.js",
   "dist/src/mesh/serve_offer_test.js",
--- a/src/mesh/list_withdrawals.ts
+++ b/src/mesh/list_withdrawals.ts
@@ -23,7 +23,12 @@
   const { view } = node;
   const now = node.clock.now();
   if (options.era !== view.sourceEra || now >= view.heldZonesUntil) {
-    return { items: [], removed: [], zonesHeldMilliseconds: 0 };
+    return {
+      era: view.sourceEra,
+      items: [],
+      removed: [],
+      zonesHeldMilliseconds: 0,
+    };
   }
   const createItem = (key: string, fact: SourceValue): FeedItem =>
     createFeedItem({ key, revision: noRevision, fact }, {
@@ -34,6 +39,7 @@
     createItem(key, { kind: SourceValueKind.BackendServer, entry });
   const records = Array.from(view.register.values());
   return {
+    era: view.sourceEra,
     items: [
       ...listNewerRules(node, options).map((fact) => createItem("", fact)),
       ...Array.from(view.heldZoneKeys).flatMap((key) => {
--- a/src/mesh/query_withdrawals.ts
+++ b/src/mesh/query_withdrawals.ts
@@ -47,11 +47,14 @@
   updateGate(node);
 }
 
-/** Returns whether the reply was valid. */
+/**
+ * Returns whether the reply shows for how long the source may lack withdrawals:
+ * a neighbour that has not read it in this era does not know.
+ */
 function applyReply(node: MeshNode, reply: string): boolean {
   const parsed = withdrawalsSchema.safeParse(tryParseJson(reply));
   if (!parsed.success) return false;
   applyWithdrawals(node.view, parsed.data, { now: node.clock.now() })
     .forEach(node.report.viewChange);
-  return true;
+  return parsed.data.era === node.view.sourceEra;
 }
--- a/src/source/withdrawals.ts
+++ b/src/source/withdrawals.ts
@@ -5,6 +5,11 @@
  * for a neighbour that has started since.
  */
 export interface Withdrawals {
+  /**
+   * Era that the sender has read the source in; absent if it has not read it,
+   * and from a node of an earlier version.
+   */
+  readonly era?: number | undefined;
   /** Later rules than the asking node has, zones taken out, draining backend servers. */
   readonly items: readonly FeedItem[];
   /** Entries whose removal counts, which the copy may list. */
--- a/src/source/withdrawals_schema.ts
+++ b/src/source/withdrawals_schema.ts
@@ -4,6 +4,7 @@
 
 /** Validates the reply of a neighbour with what it knows as withdrawn. */
 export const withdrawalsSchema = z.object({
+  era: z.number().optional(),
   items: z.array(feedItemSchema),
   removed: z.array(feedItemSchema),
   zonesHeldMilliseconds: z.number().min(0),
