--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -17,6 +17,7 @@
   "backend-server",
   "event-loop",
   "feed",
+  "keys",
 ];
 const alarms = readFileSync("docs/operations/alarms.md", "utf8");
 const operations = readFileSync("docs/OPERATIONS.md", "utf8");
@@ -26,6 +27,8 @@
     rulesVersion: 1,
     sourceEra: 1,
     sourceSoundMilliseconds: 1,
+    rulesAgeMilliseconds: 1,
+    organisations: 1,
     feedFollowers: 1,
     registeredServers: 1,
     zonesTakenOut: 1,
@@ -55,11 +58,12 @@
 
 /** Returns the reasons that occur in the modules of a node on the users' platform, which are not all. */
 function findWrittenReasons(): readonly RefusalReason[] {
-  const sources = ["src/mesh", "src/gate", "src/balancing"].flatMap((folder) =>
-    readdirSync(folder)
-      .filter((name) => !name.endsWith("_test.ts"))
-      .map((name) => readFileSync(join(folder, name), "utf8"))
-  ).join("\n");
+  const sources = ["src/mesh", "src/gate", "src/balancing", "src/organisations"]
+    .flatMap((folder) =>
+      readdirSync(folder)
+        .filter((name) => !name.endsWith("_test.ts"))
+        .map((name) => readFileSync(join(folder, name), "utf8"))
+    ).join("\n");
   return Object.entries(RefusalReason)
     .filter(([member]) => sources.includes(`RefusalReason.${member}`))
     .map(([, reason]) => reason);
