Decide on tokens of quotas in plain functions

An organisation's quota holds over all nodes. One owner each grants tokens that expire; a deputy grants at a reduced rate. Not yet connected to calls.

--- /dev/null
+++ b/src/quotas/get_quota_limits.ts
@@ -0,0 +1,51 @@
+import type { Organisation } from "../organisations/organisation.ts";
+import type { QuotaBounds } from "./quota_bounds.ts";
+import type { QuotaLimits } from "./quota_limits.ts";
+import { tokenLifetimeMilliseconds } from "./token_lifetime_milliseconds.ts";
+
+const millisecondsPerSecond = 1_000;
+/**
+ * Nodes that may grant in place of an established owner at the same time. Two
+ * views that differ by one host name two at most besides the owner.
+ */
+const reducedGranters = 2;
+/** Share of the excess that enlarges the burst; the reduced granters have the rest. */
+const burstShare = 0.25;
+/** Time in which an unused reduced bucket fills. */
+const reducedFillSeconds = 1;
+/** Without one whole token no call could ever run. */
+const capacityCallsMinimum = 1;
+
+/**
+ * Divides the calls that an organisation may run in a window. The established
+ * owner's bucket, tokens granted shortly before the window and the reduced
+ * granters together stay within the bound (docs/design/quotas.md).
+ */
+export function getQuotaLimits(
+  organisation: Organisation,
+  bounds: QuotaBounds,
+): QuotaLimits {
+  const { callsPerSecond, burstCalls } = organisation;
+  const windowSeconds = bounds.windowMilliseconds / millisecondsPerSecond;
+  const lifetimeSeconds = tokenLifetimeMilliseconds / millisecondsPerSecond;
+  const quotaCalls = callsPerSecond * windowSeconds + burstCalls;
+  const excessCalls = Math.max(
+    0,
+    quotaCalls * bounds.excessRatio + bounds.slackCalls -
+      callsPerSecond * lifetimeSeconds,
+  );
+  const reducedCalls = excessCalls * (1 - burstShare) / reducedGranters;
+  const reducedCallsPerSecond = Math.min(
+    callsPerSecond,
+    reducedCalls / (reducedFillSeconds + windowSeconds + lifetimeSeconds),
+  );
+  return {
+    callsPerSecond,
+    capacityCalls: Math.max(
+      capacityCallsMinimum,
+      burstCalls + excessCalls * burstShare,
+    ),
+    reducedCallsPerSecond,
+    reducedCapacityCalls: reducedCallsPerSecond * reducedFillSeconds,
+  };
+}
--- /dev/null
+++ b/src/quotas/quota_hosts.ts
@@ -0,0 +1,6 @@
+/** The hosts of the nodes that grant tokens of one organisation. */
+export interface QuotaHosts {
+  readonly owner: string | undefined;
+  /** Grants at a reduced rate to nodes that the owner does not reply to. */
+  readonly deputy: string | undefined;
+}
--- /dev/null
+++ b/src/quotas/set_quota_hosts.ts
@@ -0,0 +1,32 @@
+import { establishOwner } from "./establish_owner.ts";
+import type { GranterState } from "./granter_state.ts";
+import type { QuotaHosts } from "./quota_hosts.ts";
+
+/**
+ * Applies changed hosts of the granters. A node that becomes the owner is
+ * established after the handover, since others may not know of the change yet.
+ */
+export function setQuotaHosts(
+  state: GranterState,
+  options: {
+    readonly hosts: QuotaHosts;
+    /** Host of this node. */
+    readonly ownHost: string;
+    readonly handoverMilliseconds: number;
+    readonly now: number;
+  },
+): void {
+  const { hosts, ownHost, handoverMilliseconds, now } = options;
+  const wasOwner = state.hosts.owner === ownHost;
+  const isOwner = hosts.owner === ownHost;
+  const previousOwner = state.hosts.owner;
+  state.hosts = hosts;
+  if (isOwner === wasOwner) return;
+  if (isOwner) {
+    state.predecessor = previousOwner;
+    establishOwner(state, { establishedAt: now + handoverMilliseconds });
+    return;
+  }
+  state.wasEstablished = now >= state.establishedAt;
+  state.establishedAt = Number.POSITIVE_INFINITY;
+}
