--- /dev/null
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -0,0 +1,149 @@
+import { addHeldTokens } from "../../quotas/add_held_tokens.ts";
+import { chooseGranter } from "../../quotas/choose_granter.ts";
+import { countQuotaCall } from "../../quotas/count_quota_call.ts";
+import { getExpectedCalls } from "../../quotas/get_expected_calls.ts";
+import { getQuotaRole } from "../../quotas/get_quota_role.ts";
+import { grantTokens } from "../../quotas/grant_tokens.ts";
+import type { HandoverTimes } from "../../quotas/handover_times.ts";
+import type { QuotaBounds } from "../../quotas/quota_bounds.ts";
+import { QuotaRole } from "../../quotas/quota_role.ts";
+import { recordOwnerFailure } from "../../quotas/record_owner_failure.ts";
+import { recordTokenGrant } from "../../quotas/record_token_grant.ts";
+import { shouldRefreshTokens } from "../../quotas/should_refresh_tokens.ts";
+import type { TokenGrant } from "../../quotas/token_grant.ts";
+import { tryTakeToken } from "../../quotas/try_take_token.ts";
+import type { QuotaFleet, QuotaFleetNode } from "./quota_fleet.ts";
+import { updateQuotaFleetView } from "./update_quota_fleet_view.ts";
+
+interface Options {
+  readonly bounds: QuotaBounds;
+  readonly times: HandoverTimes;
+}
+
+const noGrant: TokenGrant = {
+  role: QuotaRole.None,
+  tokens: 0,
+  retryMilliseconds: 0,
+};
+
+/** Advances virtual time; `calls` has the new calls of each node. */
+export function stepQuotaFleet(
+  fleet: QuotaFleet,
+  options: Options & {
+    readonly elapsedMilliseconds: number;
+    readonly calls: readonly number[];
+  },
+): void {
+  const { elapsedMilliseconds, calls } = options;
+  fleet.now += elapsedMilliseconds;
+  fleet.nodes.forEach((node, index) => {
+    if (fleet.now < node.startsAt) return;
+    if (fleet.now < node.suspendedUntil) {
+      node.suspendedMilliseconds += elapsedMilliseconds;
+      return;
+    }
+    updateQuotaFleetView(fleet, node, {
+      ...options,
+      isReachable: (host) => findReachable(fleet, node, host),
+    });
+    receiveGrant(fleet, node);
+    Array.from({ length: calls[index] ?? 0 }, () => handleCall(fleet, node));
+    sendRequest(fleet, node, options);
+  });
+}
+
+function findReachable(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  host: string,
+): QuotaFleetNode | undefined {
+  return fleet.nodes.find((other) =>
+    other.host === host && other.side === node.side &&
+    fleet.now >= other.startsAt && fleet.now >= other.suspendedUntil
+  );
+}
+
+function run(fleet: QuotaFleet, node: QuotaFleetNode): boolean {
+  const token = tryTakeToken(node.holder, fleet.now);
+  if (token === undefined) return false;
+  const hasRun = fleet.random() >= fleet.notRunShare;
+  if (hasRun) fleet.runs.push(fleet.now);
+  else addHeldTokens(node.holder, token);
+  return true;
+}
+
+function handleCall(fleet: QuotaFleet, node: QuotaFleetNode): void {
+  countQuotaCall(node.holder, fleet.now);
+  if (run(fleet, node)) return;
+  if (fleet.now < node.holder.refusedUntil) {
+    fleet.refusals.push(fleet.now);
+    return;
+  }
+  node.waitingCalls += 1;
+}
+
+function receiveGrant(fleet: QuotaFleet, node: QuotaFleetNode): void {
+  const { pending } = node;
+  if (pending === undefined || pending.arrivesAt > fleet.now) return;
+  node.pending = undefined;
+  const { grant, sentAt, waitingCalls } = pending;
+  recordTokenGrant(node.holder, grant, { sentAt, now: fleet.now });
+  const granted = Math.min(waitingCalls, grant.tokens);
+  const refused = granted < waitingCalls ? node.waitingCalls - granted : 0;
+  Array.from({ length: granted }, () => run(fleet, node));
+  Array.from({ length: refused }, () => fleet.refusals.push(fleet.now));
+  node.waitingCalls -= granted + refused;
+}
+
+function sendRequest(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  options: Options,
+): void {
+  const { holder, granter, waitingCalls } = node;
+  if (node.pending !== undefined || granter === undefined) return;
+  if (waitingCalls === 0 && !shouldRefreshTokens(holder, fleet.now)) return;
+  const { hosts } = granter;
+  const host = chooseGranter(holder, { hosts, now: fleet.now });
+  const isOwner = host === hosts.owner;
+  const first = ask(fleet, node, { ...options, host });
+  const isFailed = first.role === QuotaRole.None;
+  if (isOwner && isFailed) recordOwnerFailure(holder, fleet.now);
+  if (isOwner && !isFailed) holder.ownerFailures = 0;
+  const grant = isOwner && isFailed
+    ? ask(fleet, node, { ...options, host: hosts.deputy })
+    : first;
+  node.pending = {
+    grant,
+    sentAt: fleet.now,
+    arrivesAt: host === node.host
+      ? fleet.now
+      : fleet.now + fleet.random() * fleet.replyMilliseconds,
+    waitingCalls,
+  };
+  if (host === node.host) receiveGrant(fleet, node);
+}
+
+function ask(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  options: Options & { readonly host: string | undefined },
+): TokenGrant {
+  const { host, times } = options;
+  const other = host === undefined
+    ? undefined
+    : findReachable(fleet, node, host);
+  const isOwn = other === node;
+  if (!isOwn) fleet.messages += 1;
+  if (other?.granter === undefined) return noGrant;
+  const now = fleet.now - other.suspendedMilliseconds;
+  const role = getQuotaRole(other.granter, {
+    ownHost: other.host,
+    isOutdated: fleet.now - other.confirmedAt > times.outdatedMilliseconds,
+    now,
+  });
+  return grantTokens(other.granter, {
+    waitingCalls: node.waitingCalls,
+    expectedCalls: isOwn ? 0 : getExpectedCalls(node.holder, fleet.now),
+  }, { role, host: node.host, now });
+}
--- /dev/null
+++ b/src/testing/quotas/update_quota_fleet_view.ts
@@ -0,0 +1,81 @@
+import { createGranterState } from "../../quotas/create_granter_state.ts";
+import { establishOwner } from "../../quotas/establish_owner.ts";
+import { getQuotaLimits } from "../../quotas/get_quota_limits.ts";
+import type { HandoverTimes } from "../../quotas/handover_times.ts";
+import type { QuotaBounds } from "../../quotas/quota_bounds.ts";
+import { rankQuotaHosts } from "../../quotas/rank_quota_hosts.ts";
+import { setQuotaHosts } from "../../quotas/set_quota_hosts.ts";
+import { setQuotaLimits } from "../../quotas/set_quota_limits.ts";
+import { tryReleaseOwnership } from "../../quotas/try_release_ownership.ts";
+import type { QuotaFleet, QuotaFleetNode } from "./quota_fleet.ts";
+
+interface Options {
+  readonly bounds: QuotaBounds;
+  readonly times: HandoverTimes;
+  readonly isReachable: (host: string) => QuotaFleetNode | undefined;
+}
+
+/** Applies what a node reads of the source, and takes the ownership over if it is due. */
+export function updateQuotaFleetView(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  options: Options,
+): void {
+  if (!node.isSourceReachable) return;
+  const readAt = fleet.now - node.lagMilliseconds;
+  const read = fleet.versions.findLast(({ since }) => since <= readAt);
+  node.confirmedAt = fleet.now;
+  if (read === undefined) return;
+  const isOlder = node.version !== undefined &&
+    read.since <= node.version.since;
+  if (!isOlder) applyVersion(fleet, node, { ...options, read });
+  tryTakeOwnership(fleet, node, options);
+}
+
+function applyVersion(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  options: Options & { readonly read: QuotaFleet["versions"][number] },
+): void {
+  const { bounds, times: { handoverMilliseconds }, read } = options;
+  const now = fleet.now - node.suspendedMilliseconds;
+  const ownHost = node.host;
+  const hosts = rankQuotaHosts(read.organisation.name, read.hosts);
+  const limits = getQuotaLimits(read.organisation, bounds);
+  node.version = read;
+  if (node.granter === undefined) {
+    const establishedAt = fleet.now < node.newUntil
+      ? now + handoverMilliseconds
+      : now;
+    node.granter = createGranterState({
+      hosts,
+      limits,
+      ownHost,
+      establishedAt,
+      now,
+    });
+    return;
+  }
+  setQuotaHosts(node.granter, { hosts, ownHost, handoverMilliseconds, now });
+  setQuotaLimits(node.granter, { limits, now });
+}
+
+function tryTakeOwnership(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  { times: { handoverMilliseconds }, isReachable }: Options,
+): void {
+  const { granter } = node;
+  const now = fleet.now - node.suspendedMilliseconds;
+  if (granter === undefined || granter.predecessor === undefined) return;
+  if (!Number.isFinite(granter.establishedAt)) return;
+  if (now >= granter.establishedAt) return;
+  const previous = isReachable(granter.predecessor);
+  if (previous === undefined || previous === node) return;
+  if (previous.granter === undefined) return;
+  const isReleased = tryReleaseOwnership(previous.granter, {
+    handoverMilliseconds,
+    now: fleet.now - previous.suspendedMilliseconds,
+  });
+  if (isReleased) establishOwner(granter, { establishedAt: now });
+}
