--- /dev/null
+++ b/src/quotas/handover_test.ts
@@ -0,0 +1,136 @@
+import test from "ava";
+import type { Organisation } from "../organisations/organisation.ts";
+import { createQuotaFleet } from "../testing/quotas/create_quota_fleet.ts";
+import { getWorstWindowExcess } from "../testing/quotas/get_worst_window_excess.ts";
+import type {
+  QuotaFleet,
+  QuotaFleetNode,
+} from "../testing/quotas/quota_fleet.ts";
+import { restartQuotaNode } from "../testing/quotas/restart_quota_node.ts";
+import { stepQuotaFleet } from "../testing/quotas/step_quota_fleet.ts";
+import { getHandoverTimes } from "./get_handover_times.ts";
+import { rankQuotaHosts } from "./rank_quota_hosts.ts";
+
+const bounds = { windowMilliseconds: 5_000, excessRatio: 0.25, slackCalls: 5 };
+const times = getHandoverTimes({
+  changeMilliseconds: 2_500,
+  contactMilliseconds: 3_000,
+});
+const organisation: Organisation = {
+  name: "org",
+  keyHashes: [],
+  priority: undefined,
+  callsPerSecond: 100,
+  burstCalls: 0,
+};
+const nodeCount = 6;
+const callsMaximum = 100 * 5 * 1.25 + 5;
+const tickMilliseconds = 25;
+/** Calls of each node in a tick: five times the quota in all. */
+const callsPerTick = 2;
+
+function createFixture() {
+  const fleet = createQuotaFleet(organisation, {
+    nodes: nodeCount,
+    hosts: nodeCount,
+    seed: 1,
+  });
+  const { hosts } = fleet.versions[0]!;
+  const { owner, deputy } = rankQuotaHosts(organisation.name, hosts);
+  return {
+    fleet,
+    hosts,
+    owner: fleet.nodes.find(({ host }) => host === owner)!,
+    deputy: fleet.nodes.find(({ host }) => host === deputy)!,
+  };
+}
+
+function advance(fleet: QuotaFleet, milliseconds: number): void {
+  const ticks = milliseconds / tickMilliseconds;
+  Array.from({ length: ticks }, () =>
+    stepQuotaFleet(fleet, {
+      bounds,
+      times,
+      elapsedMilliseconds: tickMilliseconds,
+      calls: fleet.nodes.map(() => callsPerTick),
+    }));
+}
+
+function removeHost(fleet: QuotaFleet, { host }: QuotaFleetNode): void {
+  const { hosts } = fleet.versions.at(-1)!;
+  fleet.versions.push({
+    ...fleet.versions.at(-1)!,
+    since: fleet.now,
+    hosts: hosts.filter((other) => other !== host),
+  });
+}
+
+function getExcess(fleet: QuotaFleet): number {
+  return getWorstWindowExcess(fleet.runs, {
+    windowMilliseconds: bounds.windowMilliseconds,
+    getCallsMaximum: () => callsMaximum,
+  });
+}
+
+/** Returns the calls a second that ran between two instants. */
+function getRate(fleet: QuotaFleet, from: number, to: number): number {
+  const runs = fleet.runs.filter((instant) => instant > from && instant <= to);
+  return runs.length * 1_000 / (to - from);
+}
+
+// Guards against two owners with the whole rate each, on the sides of a cut,
+// while the owner still counts as current for the nodes that it reaches.
+test("an owner that is cut off with half of the nodes and removed, and the new one, stay within the bound together", (t) => {
+  const { fleet, owner, deputy } = createFixture();
+  advance(fleet, 6_000);
+  const others = fleet.nodes.filter((node) =>
+    node !== owner && node !== deputy
+  );
+  [owner, ...others.slice(0, 2)].forEach((node) => {
+    node.side = 1;
+    node.isSourceReachable = false;
+  });
+  removeHost(fleet, owner);
+  advance(fleet, 12_000);
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+  // In the end the new owner grants the whole rate.
+  const rate = getRate(fleet, fleet.now - 3_000, fleet.now);
+  t.true(rate >= 90, `${rate} calls a second`);
+});
+
+// Guards against a time without an owner whenever a backend server is taken
+// away in the regular way.
+test("an owner that is removed while it can be reached hands the quota over at once", (t) => {
+  const { fleet, owner } = createFixture();
+  advance(fleet, 6_000);
+  removeHost(fleet, owner);
+  const removedAt = fleet.now;
+  advance(fleet, 2_000);
+  const rate = getRate(fleet, removedAt, fleet.now);
+  t.true(rate >= 90, `${rate} calls a second`);
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+});
+
+// Guards against a burst for each life of the owner's process.
+test("an owner that is killed again and again stays within the bound", (t) => {
+  const { fleet, owner } = createFixture();
+  advance(fleet, 6_000);
+  Array.from({ length: 8 }, () => {
+    restartQuotaNode(fleet, owner, { afterMilliseconds: 200 });
+    advance(fleet, 1_000);
+  });
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+});
+
+// Guards against a quota that counts as used up while its owner is dead.
+test("while the owner is dead its deputy grants at the reduced rate, and the owner the whole one at once when it is back", (t) => {
+  const { fleet, owner } = createFixture();
+  advance(fleet, 6_000);
+  restartQuotaNode(fleet, owner, { afterMilliseconds: 4_000 });
+  advance(fleet, 4_000);
+  const reducedRate = getRate(fleet, fleet.now - 2_000, fleet.now);
+  t.true(reducedRate > 0 && reducedRate < 25, `${reducedRate} calls a second`);
+  advance(fleet, 4_000);
+  const rate = getRate(fleet, fleet.now - 2_000, fleet.now);
+  t.true(rate >= 90, `${rate} calls a second`);
+});
