--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -35,6 +35,7 @@
   "dist/src/mesh/create_neighbour_feeds_test.js",
   "dist/src/mesh/serve_offer_test.js",
   "dist/src/mesh/source_era_start_test.js",
+  "dist/src/mesh/quota_fleet_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/src/mesh/stated_*_test.js",
   "dist/src/mesh/stop_mesh_node_test.js",
--- a/src/command_line/describe_call_cause.ts
+++ b/src/command_line/describe_call_cause.ts
@@ -80,9 +80,20 @@
     .otherwise(() => "outcome not logged");
   return [
     `refused${formatElapsed(line)}, ${result}: ${reasons.join("; then ")}`,
+    ...describeQuota(line),
   ];
 }
 
+/** Names the organisation whose quota a call was refused for. */
+function describeQuota({ details }: LogLine): readonly string[] {
+  const { reason, organisation } = details;
+  const isQuota = reason === RefusalReason.QuotaExceeded ||
+    reason === RefusalReason.QuotaUnconfirmed;
+  return isQuota && organisation !== undefined
+    ? [`the quota is that of "${organisation}"`]
+    : [];
+}
+
 function describeErrors(lines: readonly LogLine[]): readonly string[] {
   return selectKind(lines, CallEventKind.InternalError).map(({ vm, details }) =>
     `an unexpected error ended the call on ${vm}: ${details["reason"]}`
--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -181,6 +181,31 @@
     "an unexpected error ended the call on vm-1: x is undefined",
   ));
 
+[
+  {
+    reason: RefusalReason.QuotaExceeded,
+    text: "the organisation had used up its quota over all nodes",
+  },
+  {
+    reason: RefusalReason.QuotaUnconfirmed,
+    text:
+      "the owner of the organisation's quota could not be reached, and its deputy had no token left",
+  },
+].forEach(({ reason, text }) =>
+  test(`a refusal for a quota names the organisation: ${reason}`, (t) =>
+    t.is(
+      describeCallCause([
+        createLine("call-refused", {
+          reason,
+          organisation: "bakery",
+          outcome: "not-run",
+          elapsedMilliseconds: 3,
+        }),
+      ]),
+      `refused after 3 ms, not run: ${text} (${reason}); the quota is that of "bakery"`,
+    ))
+);
+
 [
   {
     reason: RefusalReason.ApiKeyMissing,
--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -49,10 +49,11 @@
       countOrganisationCall(organisationCounts, event);
       observeLatencies(event);
     },
-    render: async (gauges) => {
+    render: async (gauges, quotaCounts = []) => {
       const { renderMeshMetrics } = await import("./render_mesh_metrics.ts");
       return await renderMeshMetrics({
         counts: Array.from(counts.values()),
+        quotaCounts,
         organisationCounts: Array.from(organisationCounts.values()),
         histograms,
         gauges,
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -34,6 +34,8 @@
     leaving: false,
     open: false,
     callerCalls: 3,
+    quotasOwned: 1,
+    quotaOwnersUnreachable: 0,
     quarantinedRequests: 0,
     stopping: false,
   });
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -29,6 +29,10 @@
     open: gate.closedReason === undefined &&
       gate.condition !== ServerCondition.Down,
     callerCalls: node.callerCalls,
+    quotasOwned: Array.from(node.quotas.granters.values())
+      .filter(({ establishedAt }) => establishedAt <= node.clock.now()).length,
+    quotaOwnersUnreachable: Array.from(node.quotas.holders.values())
+      .filter(({ isOwnerUnreachable }) => isOwnerUnreachable).length,
     quarantinedRequests: Array.from(node.quarantine.suspects.values())
       .filter((suspect) => getQuarantineEnd(suspect) > node.clock.now()).length,
     stopping: node.stopping,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -36,6 +36,10 @@
   readonly open: boolean;
   /** Calls of callers that have no response yet. */
   readonly callerCalls: number;
+  /** Organisations whose quota this node grants as the established owner. */
+  readonly quotasOwned: number;
+  /** Organisations whose quota's owner did not reply to the last request. */
+  readonly quotaOwnersUnreachable: number;
   /** Requests that are refused because backend servers crashed under them. */
   readonly quarantinedRequests: number;
   readonly stopping: boolean;
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -1,10 +1,14 @@
 import type { CallEvent } from "./call_event.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
+import type { QuotaCount } from "./quota_count.ts";
 
 /** Counters and latency histograms of a node. */
 export interface MeshMetrics {
   /** Records an event of a call in the counters and histograms. */
   observe(event: CallEvent): void;
   /** Returns the metrics in the Prometheus text format. */
-  render(gauges: MeshGauges): Promise<string>;
+  render(
+    gauges: MeshGauges,
+    quotaCounts?: readonly QuotaCount[],
+  ): Promise<string>;
 }
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -4,6 +4,7 @@
 import type { CallEventCount } from "./call_event_count.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
 import type { OrganisationCount } from "./organisation_count.ts";
+import type { QuotaCount } from "./quota_count.ts";
 
 const microsecondsPerMillisecond = 1_000;
 
@@ -27,6 +28,9 @@
   leaving: "1 while it states that it is about to leave",
   open: "1 while it may get new work",
   callerCalls: "Calls of callers that have no answer yet",
+  quotasOwned: "Organisations whose quota this node grants",
+  quotaOwnersUnreachable:
+    "Organisations whose quota's owner did not answer this node",
   quarantinedRequests: "Requests refused for the crashes under them",
   stopping: "1 while the node stops",
 };
@@ -36,12 +40,14 @@
   options: {
     readonly counts: readonly CallEventCount[];
     readonly organisationCounts: readonly OrganisationCount[];
+    readonly quotaCounts: readonly QuotaCount[];
     /** Latencies in microseconds, by place. */
     readonly histograms: ReadonlyMap<string, Histogram>;
     readonly gauges: MeshGauges;
   },
 ): Promise<string> {
-  const { counts, organisationCounts, histograms, gauges } = options;
+  const { counts, organisationCounts, quotaCounts, histograms, gauges } =
+    options;
   const registry = new Registry();
   const registers = [registry];
   const events = new Counter({
@@ -60,6 +66,14 @@
   organisationCounts.forEach(({ labels, calls }) =>
     organisationCalls.inc(labels, calls)
   );
+  const quotaCalls = new Gauge({
+    name: "catkinquay_quota_calls",
+    help:
+      "Calls of an organisation's quota since the start: granted to other nodes and itself, refused; and tokens held",
+    labelNames: ["organisation", "kind"],
+    registers,
+  });
+  quotaCounts.forEach(({ labels, calls }) => quotaCalls.set(labels, calls));
   const latency = new Gauge({
     name: "catkinquay_latency_milliseconds",
     help: "Times since the start, by place and quantile",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -18,6 +18,7 @@
   "event-loop",
   "feed",
   "keys",
+  "quotas",
 ];
 const alarms = readFileSync("docs/operations/alarms.md", "utf8");
 const operations = readFileSync("docs/OPERATIONS.md", "utf8");
@@ -40,6 +41,8 @@
     leaving: false,
     open: true,
     callerCalls: 1,
+    quotasOwned: 1,
+    quotaOwnersUnreachable: 0,
     quarantinedRequests: 0,
     stopping: false,
   });
--- a/src/testing/mesh/create_sample_settings.ts
+++ b/src/testing/mesh/create_sample_settings.ts
@@ -21,6 +21,11 @@
     source: address,
     sourceBounds: { changeMilliseconds: 2_500, contactMilliseconds: 3_000 },
     retryAllowance: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
+    quotaBounds: {
+      windowMilliseconds: 5_000,
+      excessRatio: 0.25,
+      slackCalls: 20,
+    },
     coldAllowance: { factor: 1.5, slack: 5 },
     linkMegabitsPerSecond: 1_000,
     stopMilliseconds: 1_000,
