Lease the quota of an owner that the source turns away, and hand over at starts

A starting owner asks its deputy now, and an outdated one leases the quota to it. A reset connection is no reason to give an owner up.

--- a/src/mesh/create_quota_state.ts
+++ b/src/mesh/create_quota_state.ts
@@ -11,7 +11,6 @@
     holders: new Map(),
     grantedTokens: new Map(),
     hosts: [],
-    hostsSettledAt: Number.NEGATIVE_INFINITY,
     organisations: undefined,
     bounds: undefined,
     confirmedAt: Number.NEGATIVE_INFINITY,
--- a/src/mesh/grant_quota_tokens.ts
+++ b/src/mesh/grant_quota_tokens.ts
@@ -1,10 +1,11 @@
-import { getHandoverTimes } from "../quotas/get_handover_times.ts";
 import { getQuotaRole } from "../quotas/get_quota_role.ts";
 import { grantTokens } from "../quotas/grant_tokens.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
 import type { TokenGrant } from "../quotas/token_grant.ts";
 import type { TokenRequest } from "../quotas/token_request.ts";
+import { isQuotaViewOutdated } from "./is_quota_view_outdated.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { requestLease } from "./request_lease.ts";
 
 /** Grants tokens of an organisation to the node on `host`, which may be this one. */
 export function grantQuotaTokens(
@@ -19,13 +20,13 @@
     return { role: QuotaRole.None, tokens: 0, retryMilliseconds: 0 };
   }
   const now = node.clock.now();
-  const { outdatedMilliseconds } = getHandoverTimes(settings.sourceBounds);
   const role = getQuotaRole(granter, {
     ownHost: settings.backendServer.host,
-    isOutdated:
-      quotas.leaseClock.now() - quotas.confirmedAt > outdatedMilliseconds,
+    isOutdated: isQuotaViewOutdated(node),
+    leaseNow: quotas.leaseClock.now(),
     now,
   });
+  if (role !== QuotaRole.None) requestLease(node, granter, { organisation });
   const grant = grantTokens(granter, request, { role, host, now });
   const granted = quotas.grantedTokens.get(organisation) ?? 0;
   quotas.grantedTokens.set(organisation, granted + grant.tokens);
--- a/src/mesh/quota_state.ts
+++ b/src/mesh/quota_state.ts
@@ -16,8 +16,6 @@
   readonly grantedTokens: Map<string, number>;
   /** Hosts of the nodes that may grant, sorted; empty before the first reading. */
   hosts: readonly string[];
-  /** From when no other node can still grant by an earlier list of hosts. */
-  hostsSettledAt: number;
   /** The organisations and bounds that the granters' limits follow from. */
   organisations: ReadonlyMap<string, Organisation> | undefined;
   bounds: QuotaBounds | undefined;
--- a/src/mesh/request_ownership.ts
+++ b/src/mesh/request_ownership.ts
@@ -1,45 +1,68 @@
-import type { GranterState } from "../quotas/granter_state.ts";
 import { establishOwner } from "../quotas/establish_owner.ts";
+import type { GranterState } from "../quotas/granter_state.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
 import { releaseReplySchema } from "../quotas/release_reply_schema.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { sendQuotaMessage } from "./send_quota_message.ts";
 
-const attemptsMaximum = 4;
+const attemptsMaximum = 8;
 const attemptIntervalMilliseconds = 250;
 
 /**
- * Asks the owner before this node to give the quota up, so that this node need
- * not wait until the other one cannot grant any more. Does nothing if this node
- * is not the owner, or is established.
+ * Asks those that may be the owner in the view of other nodes to give the quota
+ * up, so that this node need not wait until they cannot grant any more. Does
+ * nothing if this node is not the owner, or is established.
  */
 export function requestOwnership(
   node: MeshNode,
   granter: GranterState,
-  options: { readonly organisation: string; readonly attempt?: number },
+  options: { readonly organisation: string; readonly attempts?: number },
 ): void {
-  const { organisation, attempt = 1 } = options;
-  const { predecessor, establishedAt } = granter;
-  const host = node.settings.backendServer.host;
+  const { organisation, attempts = attemptsMaximum } = options;
+  const { handover, establishedAt } = granter;
   const isWaiting = Number.isFinite(establishedAt) &&
     establishedAt > node.clock.now();
-  if (!isWaiting || predecessor === undefined || predecessor === host) return;
-  void sendQuotaMessage(node, {
-    kind: QuotaMessageKind.Release,
-    organisation,
-    host,
-  }, { host: predecessor }).then((reply) => {
+  if (!isWaiting || handover === undefined) return;
+  void Promise.all(
+    handover.hosts.map((host) => askForRelease(node, { organisation, host })),
+  ).then((replies) => {
+    // Another node has asked this one meanwhile, or the view has changed.
     if (granter.establishedAt !== establishedAt) return;
-    const parsed = releaseReplySchema.safeParse(reply);
-    if (parsed.success && parsed.data.released) {
+    const isReleased = replies.every((released) =>
+      handover.needsRelease ? released === true : released !== undefined
+    );
+    if (isReleased) {
       establishOwner(granter, { establishedAt: node.clock.now() });
       return;
     }
-    if (attempt >= attemptsMaximum) return;
+    if (attempts <= 1) return;
     node.timers.at(
       node.clock.now() + attemptIntervalMilliseconds,
       () =>
-        requestOwnership(node, granter, { organisation, attempt: attempt + 1 }),
+        requestOwnership(node, granter, {
+          organisation,
+          attempts: attempts - 1,
+        }),
     );
   });
 }
+
+/** Resolves with undefined without a reply, or if the deputy of that node may grant. */
+async function askForRelease(
+  node: MeshNode,
+  options: { readonly organisation: string; readonly host: string },
+): Promise<boolean | undefined> {
+  const { organisation, host } = options;
+  const ownHost = node.settings.backendServer.host;
+  // This node has not granted as owner since it waits.
+  if (host === ownHost) return undefined;
+  const reply = await sendQuotaMessage(node, {
+    kind: QuotaMessageKind.Release,
+    organisation,
+    host: ownHost,
+  }, { host });
+  const parsed = releaseReplySchema.safeParse(reply);
+  return parsed.success && parsed.data.leased !== true
+    ? parsed.data.released
+    : undefined;
+}
--- a/src/mesh/send_quota_message.ts
+++ b/src/mesh/send_quota_message.ts
@@ -16,13 +16,18 @@
   message: QuotaMessage,
   { host }: { readonly host: string },
 ): Promise<unknown> {
-  const reply = await requestNode(node, {
+  const request = {
     host,
     headers: {
       [OfferHeader.Quota]: encodeURIComponent(JSON.stringify(message)),
     },
     body: "",
     deadline: node.clock.now() + replyMilliseconds,
-  });
+  };
+  // A connection that was kept may have been reset; the message may be repeated.
+  const reply = await requestNode(node, request) ??
+    (node.clock.now() < request.deadline
+      ? await requestNode(node, request)
+      : undefined);
   return reply === undefined ? undefined : tryParseJson(reply);
 }
--- a/src/mesh/serve_quota_message.ts
+++ b/src/mesh/serve_quota_message.ts
@@ -5,8 +5,11 @@
 import type { QuotaMessage } from "../quotas/quota_message.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
 import { quotaMessageSchema } from "../quotas/quota_message_schema.ts";
+import { isQuotaLeased } from "../quotas/is_quota_leased.ts";
+import { tryLeaseQuota } from "../quotas/try_lease_quota.ts";
 import { tryReleaseOwnership } from "../quotas/try_release_ownership.ts";
 import { grantQuotaTokens } from "./grant_quota_tokens.ts";
+import { isQuotaViewOutdated } from "./is_quota_view_outdated.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { tryDecodeUriComponent } from "./try_decode_uri_component.ts";
 
@@ -34,22 +37,36 @@
   node: MeshNode,
   message: QuotaMessage,
 ) {
+  const { granters, leaseClock } = node.quotas;
+  const { handoverMilliseconds } = getHandoverTimes(node.settings.sourceBounds);
+  const now = node.clock.now();
   return match(message)
     .with(
       { kind: QuotaMessageKind.Tokens },
       ({ host, organisation, ...request }) =>
         grantQuotaTokens(node, request, { organisation, host }),
     )
+    .with({ kind: QuotaMessageKind.Lease }, ({ host, organisation }) => {
+      const granter = granters.get(organisation);
+      return {
+        released: granter !== undefined &&
+          tryLeaseQuota(granter, {
+            host,
+            isOutdated: isQuotaViewOutdated(node),
+            handoverMilliseconds,
+            now,
+          }),
+      };
+    })
     .with({ kind: QuotaMessageKind.Release }, ({ organisation }) => {
-      const granter = node.quotas.granters.get(organisation);
-      const { handoverMilliseconds } = getHandoverTimes(
-        node.settings.sourceBounds,
-      );
+      const granter = granters.get(organisation);
       return {
+        leased: granter !== undefined && isQuotaLeased(granter, now),
         released: granter !== undefined &&
           tryReleaseOwnership(granter, {
             handoverMilliseconds,
-            now: node.clock.now(),
+            leaseNow: leaseClock.now(),
+            now,
           }),
       };
     })
--- a/src/mesh/update_quotas.ts
+++ b/src/mesh/update_quotas.ts
@@ -6,7 +6,7 @@
 import { setQuotaHosts } from "../quotas/set_quota_hosts.ts";
 import { setQuotaLimits } from "../quotas/set_quota_limits.ts";
 import { hasQuota } from "./has_quota.ts";
-import { isNewHost } from "./is_new_host.ts";
+import { listNewHosts } from "./list_new_hosts.ts";
 import { listQuotaHosts } from "./list_quota_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { requestOwnership } from "./request_ownership.ts";
@@ -17,7 +17,6 @@
  */
 export function updateQuotas(node: MeshNode): void {
   const { quotas, settings, view } = node;
-  const isFirst = quotas.confirmedAt === Number.NEGATIVE_INFINITY;
   quotas.confirmedAt = quotas.leaseClock.now();
   const organisations = Array.from(view.rules?.organisations.values() ?? [])
     .filter(hasQuota);
@@ -26,8 +25,9 @@
     quotas.bounds === settings.quotaBounds;
   const hosts = listQuotaHosts(node);
   const hasSameHosts = hosts.join() === quotas.hosts.join();
+  takeLeasedQuotasBack(node);
   if (isSame && hasSameHosts) return;
-  if (!hasSameHosts) setHosts(node, { hosts, isFirst });
+  quotas.hosts = hosts;
   quotas.organisations = view.rules?.organisations;
   quotas.bounds = settings.quotaBounds;
   const names = new Set(organisations.map(({ name }) => name));
@@ -41,17 +41,12 @@
   reportOwnedQuotas(node);
 }
 
-function setHosts(
-  node: MeshNode,
-  options: { readonly hosts: readonly string[]; readonly isFirst: boolean },
-): void {
-  const { hosts, isFirst } = options;
-  const { quotas, settings } = node;
-  const now = node.clock.now();
-  const { handoverMilliseconds } = getHandoverTimes(settings.sourceBounds);
-  const isSettled = isFirst && !isNewHost(node, { handoverMilliseconds });
-  quotas.hosts = hosts;
-  quotas.hostsSettledAt = isSettled ? now : now + handoverMilliseconds;
+/** The view of this node is current again. */
+function takeLeasedQuotasBack(node: MeshNode): void {
+  node.quotas.granters.forEach((granter, organisation) => {
+    if (granter.lessee === undefined) return;
+    requestOwnership(node, granter, { organisation, attempts: 1 });
+  });
 }
 
 function updateGranter(node: MeshNode, organisation: Organisation): void {
@@ -68,7 +63,8 @@
       hosts,
       limits,
       ownHost,
-      establishedAt: Math.max(now, quotas.hostsSettledAt),
+      establishedAt: now + handoverMilliseconds,
+      newHosts: listNewHosts(node, { handoverMilliseconds }),
       now,
     });
     quotas.granters.set(name, created);
--- a/src/quotas/create_granter_state.ts
+++ b/src/quotas/create_granter_state.ts
@@ -1,5 +1,6 @@
 import type { TokenBucket } from "../gate/token_bucket.ts";
 import type { GranterState } from "./granter_state.ts";
+import { listHandoverHosts } from "./list_handover_hosts.ts";
 import type { QuotaHosts } from "./quota_hosts.ts";
 import type { QuotaLimits } from "./quota_limits.ts";
 
@@ -12,18 +13,25 @@
     readonly ownHost: string;
     /** From when this node is the established owner, if it is the owner. */
     readonly establishedAt: number;
+    /** Hosts that other nodes may not know of yet. */
+    readonly newHosts: ReadonlySet<string>;
     readonly now: number;
   },
 ): GranterState {
-  const { hosts, limits, ownHost, establishedAt, now } = options;
+  const { hosts, limits, ownHost, establishedAt, newHosts, now } = options;
   const isOwner = hosts.owner === ownHost;
   return {
     hosts,
     limits,
     establishedAt: isOwner ? establishedAt : Number.POSITIVE_INFINITY,
-    // The owner in the view of nodes that do not know of this host yet.
-    predecessor: hosts.deputy,
+    handover: {
+      hosts: listHandoverHosts(hosts.ranking, newHosts),
+      needsRelease: false,
+    },
     releasableUntil: Number.NEGATIVE_INFINITY,
+    lessee: undefined,
+    leaseUntil: Number.NEGATIVE_INFINITY,
+    leaseRequestedAt: Number.NEGATIVE_INFINITY,
     // This node may have granted a burst just before it was restarted.
     bucket: createEmptyBucket({
       tokensPerSecond: limits.callsPerSecond,
--- a/src/quotas/establish_owner.ts
+++ b/src/quotas/establish_owner.ts
@@ -9,6 +9,7 @@
   { establishedAt }: { readonly establishedAt: number },
 ): void {
   state.establishedAt = establishedAt;
+  state.lessee = undefined;
   state.bucket.tokens = 0;
   state.bucket.refilledAt = establishedAt;
 }
--- a/src/quotas/get_quota_role.ts
+++ b/src/quotas/get_quota_role.ts
@@ -3,18 +3,20 @@
 
 /** Returns what a node may grant of an organisation's tokens. */
 export function getQuotaRole(
-  { hosts, establishedAt }: GranterState,
+  { hosts, establishedAt, leaseUntil }: GranterState,
   options: {
     readonly ownHost: string;
     /** Whether the node's view of register and rules is outdated. */
     readonly isOutdated: boolean;
+    readonly leaseNow: number;
     readonly now: number;
   },
 ): QuotaRole {
-  const { ownHost, isOutdated, now } = options;
+  const { ownHost, isOutdated, leaseNow, now } = options;
   if (isOutdated) return QuotaRole.None;
-  if (hosts.owner === ownHost) {
-    return now >= establishedAt ? QuotaRole.Owner : QuotaRole.Reduced;
-  }
-  return hosts.deputy === ownHost ? QuotaRole.Reduced : QuotaRole.None;
+  const isOwner = hosts.owner === ownHost;
+  if (!isOwner && hosts.deputy !== ownHost) return QuotaRole.None;
+  return leaseNow < leaseUntil || (isOwner && now >= establishedAt)
+    ? QuotaRole.Owner
+    : QuotaRole.Reduced;
 }
--- a/src/quotas/granter_state.ts
+++ b/src/quotas/granter_state.ts
@@ -1,10 +1,12 @@
 import type { TokenBucket } from "../gate/token_bucket.ts";
+import type { Handover } from "./handover.ts";
 import type { QuotaHosts } from "./quota_hosts.ts";
+import type { QuotaLessee } from "./quota_lessee.ts";
 import type { QuotaLimits } from "./quota_limits.ts";
 
 /**
  * A node's part in granting the tokens of one organisation. Mutable; instants
- * are steady, in milliseconds.
+ * are steady, in milliseconds, unless stated otherwise.
  */
 export interface GranterState {
   hosts: QuotaHosts;
@@ -14,14 +16,20 @@
    * owner then. Infinity while it is not the owner.
    */
   establishedAt: number;
-  /** Host of the owner before this node; undefined if none is known. */
-  predecessor: string | undefined;
+  /** How it may be established earlier; undefined if no node can be asked. */
+  handover: Handover | undefined;
   /**
    * Until when this node may tell a new owner that no node grants as owner any
    * more, since it was itself the last one that did.
    */
   releasableUntil: number;
-  /** Used while this node is the established owner. */
+  /** Undefined unless this owner has leased the quota to its deputy. */
+  lessee: QuotaLessee | undefined;
+  /** Lease instant until which this deputy grants as owner. */
+  leaseUntil: number;
+  /** When this deputy last asked the owner for a lease. */
+  leaseRequestedAt: number;
+  /** Used while this node grants as owner. */
   readonly bucket: TokenBucket;
   readonly reducedBucket: TokenBucket;
   /** When each node was last refused tokens, by host. */
--- a/src/quotas/handover_test.ts
+++ b/src/quotas/handover_test.ts
@@ -134,3 +134,43 @@
   const rate = getRate(fleet, fleet.now - 2_000, fleet.now);
   t.true(rate >= 90, `${rate} calls a second`);
 });
+
+// Guards against a part of the quota only, while the source turns the owner's
+// node away, which callers and other nodes still reach.
+test("an owner whose view is outdated leases the quota to its deputy, and takes it back", (t) => {
+  const { fleet, owner } = createFixture();
+  advance(fleet, 6_000);
+  owner.isSourceReachable = false;
+  advance(fleet, 12_000);
+  const leasedRate = getRate(fleet, fleet.now - 4_000, fleet.now);
+  t.true(leasedRate >= 90, `${leasedRate} calls a second`);
+  owner.isSourceReachable = true;
+  advance(fleet, 2_000);
+  const rate = getRate(fleet, fleet.now - 1_000, fleet.now);
+  t.true(rate >= 90, `${rate} calls a second`);
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+});
+
+test("an owner that is cut off after it has leased the quota, and its deputy, stay within the bound together", (t) => {
+  const { fleet, owner } = createFixture();
+  advance(fleet, 6_000);
+  owner.isSourceReachable = false;
+  advance(fleet, 6_000);
+  owner.isSourceReachable = true;
+  owner.side = 1;
+  fleet.nodes.find((node) => node !== owner)!.side = 1;
+  advance(fleet, 15_000);
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+});
+
+// Guards against a small part of every quota for seconds after a power cut, when
+// all hosts are registered anew.
+test("owners are established at once if all hosts are new", (t) => {
+  const { fleet } = createFixture();
+  fleet.nodes.forEach((node) => {
+    node.newUntil = 60_000;
+  });
+  advance(fleet, 3_000);
+  const rate = getRate(fleet, 1_000, fleet.now);
+  t.true(rate >= 90, `${rate} calls a second`);
+});
--- a/src/quotas/quota_message_kind.ts
+++ b/src/quotas/quota_message_kind.ts
@@ -1,6 +1,8 @@
 /** What a node wants of another one concerning an organisation's quota. */
 export enum QuotaMessageKind {
   Tokens = "tokens",
+  /** That the receiver, if its view is outdated, lets the sender grant as owner. */
+  Lease = "lease",
   /** That the receiver gives the ownership up to the sender. */
   Release = "release",
 }
--- a/src/quotas/quota_message_schema.ts
+++ b/src/quotas/quota_message_schema.ts
@@ -22,5 +22,6 @@
     waitingCalls: calls,
     expectedCalls: calls,
   }),
+  z.object({ ...common, kind: z.literal(QuotaMessageKind.Lease) }),
   z.object({ ...common, kind: z.literal(QuotaMessageKind.Release) }),
 ]);
--- a/src/quotas/rank_quota_hosts_test.ts
+++ b/src/quotas/rank_quota_hosts_test.ts
@@ -30,6 +30,7 @@
   t.deepEqual(rankQuotaHosts("org", ["10.0.0.1"]), {
     owner: "10.0.0.1",
     deputy: undefined,
+    ranking: ["10.0.0.1"],
   });
   t.is(rankQuotaHosts("org", []).owner, undefined);
 });
--- a/src/quotas/record_owner_failure.ts
+++ b/src/quotas/record_owner_failure.ts
@@ -1,7 +1,7 @@
 import type { HolderState } from "./holder_state.ts";
 
 const retryMillisecondsFirst = 250;
-const retryMillisecondsMaximum = 2_000;
+const retryMillisecondsMaximum = 1_000;
 
 /** Records that the owner did not reply; the deputy is asked until the next attempt. */
 export function recordOwnerFailure(state: HolderState, now: number): void {
--- a/src/quotas/set_quota_hosts.ts
+++ b/src/quotas/set_quota_hosts.ts
@@ -26,10 +26,13 @@
   state.hosts = hosts;
   if (isOwner === wasOwner) return;
   if (isOwner) {
-    state.predecessor = previousOwner;
+    state.handover = previousOwner === undefined
+      ? undefined
+      : { hosts: [previousOwner], needsRelease: true };
     establishOwner(state, { establishedAt: now + handoverMilliseconds });
     return;
   }
+  state.lessee = undefined;
   if (now >= state.establishedAt) {
     state.releasableUntil = now + releasableMilliseconds;
   }
--- /dev/null
+++ b/src/quotas/try_lease_quota.ts
@@ -0,0 +1,30 @@
+import { establishOwner } from "./establish_owner.ts";
+import type { GranterState } from "./granter_state.ts";
+
+/**
+ * Leases the quota of an owner that may not grant, since its view is outdated,
+ * to its deputy. The owner is established again after the handover, or once
+ * the deputy has given the quota back. Returns whether the deputy may grant.
+ */
+export function tryLeaseQuota(
+  state: GranterState,
+  options: {
+    /** Host of the deputy. */
+    readonly host: string;
+    readonly isOutdated: boolean;
+    readonly handoverMilliseconds: number;
+    readonly now: number;
+  },
+): boolean {
+  const { host, isOutdated, handoverMilliseconds, now } = options;
+  const { lessee } = state;
+  const isOwner = lessee === undefined
+    ? now >= state.establishedAt
+    : lessee.host === host || now >= lessee.until;
+  if (!isOwner || !isOutdated) return false;
+  const until = now + handoverMilliseconds;
+  establishOwner(state, { establishedAt: until });
+  state.lessee = { host, until };
+  state.handover = { hosts: [host], needsRelease: true };
+  return true;
+}
--- a/src/testing/quotas/step_quota_fleet.ts
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -9,6 +9,9 @@
 import { QuotaRole } from "../../quotas/quota_role.ts";
 import { recordOwnerFailure } from "../../quotas/record_owner_failure.ts";
 import { recordTokenGrant } from "../../quotas/record_token_grant.ts";
+import { shouldRequestLease } from "../../quotas/should_request_lease.ts";
+import { startLease } from "../../quotas/start_lease.ts";
+import { tryLeaseQuota } from "../../quotas/try_lease_quota.ts";
 import { shouldRefreshTokens } from "../../quotas/should_refresh_tokens.ts";
 import type { TokenGrant } from "../../quotas/token_grant.ts";
 import { tryTakeToken } from "../../quotas/try_take_token.ts";
@@ -129,7 +132,7 @@
   node: QuotaFleetNode,
   options: Options & { readonly host: string | undefined },
 ): TokenGrant {
-  const { host, times } = options;
+  const { host } = options;
   const other = host === undefined
     ? undefined
     : findReachable(fleet, node, host);
@@ -139,11 +142,52 @@
   const now = fleet.now - other.suspendedMilliseconds;
   const role = getQuotaRole(other.granter, {
     ownHost: other.host,
-    isOutdated: fleet.now - other.confirmedAt > times.outdatedMilliseconds,
+    isOutdated: isOutdated(fleet, other, options),
+    leaseNow: fleet.now,
     now,
   });
+  if (role !== QuotaRole.None) requestLease(fleet, other, options);
   return grantTokens(other.granter, {
     waitingCalls: node.waitingCalls,
     expectedCalls: isOwn ? 0 : getExpectedCalls(node.holder, fleet.now),
   }, { role, host: node.host, now });
 }
+
+function isOutdated(
+  { now }: QuotaFleet,
+  { confirmedAt }: QuotaFleetNode,
+  { times }: Options,
+): boolean {
+  return now - confirmedAt > times.outdatedMilliseconds;
+}
+
+function requestLease(
+  fleet: QuotaFleet,
+  node: QuotaFleetNode,
+  options: Options,
+): void {
+  const { granter, host } = node;
+  const { handoverMilliseconds } = options.times;
+  const now = fleet.now - node.suspendedMilliseconds;
+  const leaseNow = fleet.now;
+  if (granter === undefined) return;
+  const owner = granter.hosts.owner === undefined
+    ? undefined
+    : findReachable(fleet, node, granter.hosts.owner);
+  if (!shouldRequestLease(granter, { ownHost: host, leaseNow, now })) return;
+  granter.leaseRequestedAt = now;
+  if (owner?.granter === undefined) return;
+  const isLeased = tryLeaseQuota(owner.granter, {
+    host,
+    isOutdated: isOutdated(fleet, owner, options),
+    handoverMilliseconds,
+    now: fleet.now - owner.suspendedMilliseconds,
+  });
+  if (!isLeased) return;
+  startLease(granter, {
+    requestedAt: leaseNow,
+    leaseNow,
+    handoverMilliseconds,
+    now,
+  });
+}
--- a/src/testing/quotas/update_quota_fleet_view.ts
+++ b/src/testing/quotas/update_quota_fleet_view.ts
@@ -2,6 +2,7 @@
 import { establishOwner } from "../../quotas/establish_owner.ts";
 import { getQuotaLimits } from "../../quotas/get_quota_limits.ts";
 import type { HandoverTimes } from "../../quotas/handover_times.ts";
+import { isQuotaLeased } from "../../quotas/is_quota_leased.ts";
 import type { QuotaBounds } from "../../quotas/quota_bounds.ts";
 import { rankQuotaHosts } from "../../quotas/rank_quota_hosts.ts";
 import { setQuotaHosts } from "../../quotas/set_quota_hosts.ts";
@@ -44,14 +45,16 @@
   const limits = getQuotaLimits(read.organisation, bounds);
   node.version = read;
   if (node.granter === undefined) {
-    const establishedAt = fleet.now < node.newUntil
-      ? now + handoverMilliseconds
-      : now;
+    const newHosts = new Set(
+      fleet.nodes.filter(({ newUntil }) => fleet.now < newUntil)
+        .map(({ host }) => host),
+    );
     node.granter = createGranterState({
       hosts,
       limits,
       ownHost,
-      establishedAt,
+      establishedAt: now + handoverMilliseconds,
+      newHosts,
       now,
     });
     return;
@@ -63,19 +66,36 @@
 function tryTakeOwnership(
   fleet: QuotaFleet,
   node: QuotaFleetNode,
-  { times: { handoverMilliseconds }, isReachable }: Options,
+  options: Options,
 ): void {
   const { granter } = node;
   const now = fleet.now - node.suspendedMilliseconds;
-  if (granter === undefined || granter.predecessor === undefined) return;
-  if (!Number.isFinite(granter.establishedAt)) return;
-  if (now >= granter.establishedAt) return;
-  const previous = isReachable(granter.predecessor);
-  if (previous === undefined || previous === node) return;
-  if (previous.granter === undefined) return;
-  const isReleased = tryReleaseOwnership(previous.granter, {
+  const handover = granter?.handover;
+  if (granter === undefined || handover === undefined) return;
+  const isWaiting = Number.isFinite(granter.establishedAt) &&
+    now < granter.establishedAt;
+  if (!isWaiting) return;
+  const isReleased = handover.hosts
+    .map((host) => askForRelease(fleet, { ...options, host }))
+    .every((released) =>
+      handover.needsRelease ? released === true : released !== undefined
+    );
+  if (isReleased) establishOwner(granter, { establishedAt: now });
+}
+
+function askForRelease(
+  fleet: QuotaFleet,
+  options: Options & { readonly host: string },
+): boolean | undefined {
+  const { host, isReachable, times: { handoverMilliseconds } } = options;
+  const other = isReachable(host);
+  if (other?.granter === undefined) return undefined;
+  const now = fleet.now - other.suspendedMilliseconds;
+  const isLeased = isQuotaLeased(other.granter, now);
+  const isReleased = tryReleaseOwnership(other.granter, {
     handoverMilliseconds,
-    now: fleet.now - previous.suspendedMilliseconds,
+    leaseNow: fleet.now,
+    now,
   });
-  if (isReleased) establishOwner(granter, { establishedAt: now });
+  return isLeased ? undefined : isReleased;
 }
