--- a/src/mesh/request_tokens.ts
+++ b/src/mesh/request_tokens.ts
@@ -1,3 +1,4 @@
+import { addHeldTokens } from "../quotas/add_held_tokens.ts";
 import { chooseGranter } from "../quotas/choose_granter.ts";
 import { getExpectedCalls } from "../quotas/get_expected_calls.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
@@ -7,6 +8,7 @@
 import type { TokenGrant } from "../quotas/token_grant.ts";
 import type { TokenRequest } from "../quotas/token_request.ts";
 import { tokenGrantSchema } from "../quotas/token_grant_schema.ts";
+import { tokenLifetimeMilliseconds } from "../quotas/token_lifetime_milliseconds.ts";
 import { tryTakeToken } from "../quotas/try_take_token.ts";
 import { grantQuotaTokens } from "./grant_quota_tokens.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -14,6 +16,8 @@
 import { reportInternalError } from "./report_internal_error.ts";
 import { sendQuotaMessage } from "./send_quota_message.ts";
 
+/** An owner that is slower than this may have failed, or its VM is busy. */
+const ownerReplyMilliseconds = 60;
 const noGrant: TokenGrant = {
   role: QuotaRole.None,
   tokens: 0,
@@ -73,24 +77,55 @@
   }
 }
 
+/**
+ * Asks the deputy as well if the owner does not reply soon, and then waits for
+ * the owner only if the deputy has too few tokens.
+ */
 async function askOwnerOrDeputy(
   node: MeshNode,
   holder: QuotaHolder,
   options: Options & { readonly request: TokenRequest },
 ): Promise<TokenGrant> {
-  const { state } = holder;
+  const { request } = options;
   const { granters, leaseClock } = node.quotas;
   const hosts = granters.get(options.organisation)?.hosts;
-  if (hosts === undefined) return noGrant;
-  const host = chooseGranter(state, { hosts, now: leaseClock.now() });
-  if (host === undefined) return noGrant;
-  const grant = await askHost(node, { ...options, host });
-  const isOwner = host === hosts.owner;
-  if (isOwner) setOwnerReachable(node, holder, { ...options, host, grant });
-  if (grant.role !== QuotaRole.None || !isOwner) return grant;
-  return hosts.deputy === undefined
-    ? grant
-    : await askHost(node, { ...options, host: hosts.deputy });
+  const sentAt = leaseClock.now();
+  const host = hosts === undefined
+    ? undefined
+    : chooseGranter(holder.state, { hosts, now: sentAt });
+  if (hosts === undefined || host === undefined) return noGrant;
+  const { owner, deputy } = hosts;
+  if (host !== owner) return await askHost(node, { ...options, host });
+  const replying = askHost(node, { ...options, host }).then((grant) => {
+    setOwnerReachable(node, holder, { ...options, host, grant });
+    return grant;
+  });
+  const isOwn = host === node.settings.backendServer.host;
+  const grant = isOwn || request.waitingCalls === 0
+    ? await replying
+    : await Promise.race([replying, delay(node, ownerReplyMilliseconds)]);
+  if (grant !== undefined && grant.role !== QuotaRole.None) return grant;
+  if (deputy === undefined) return await replying;
+  const inPlace = await askHost(node, { ...options, host: deputy });
+  if (inPlace.tokens >= request.waitingCalls) {
+    void replying.then(({ tokens }) =>
+      addHeldTokens(holder.state, {
+        tokens,
+        expiresAt: sentAt + tokenLifetimeMilliseconds,
+      })
+    );
+    return inPlace;
+  }
+  const late = await replying;
+  return late.role === QuotaRole.None
+    ? inPlace
+    : { ...late, tokens: late.tokens + inPlace.tokens };
+}
+
+function delay(node: MeshNode, milliseconds: number): Promise<undefined> {
+  return new Promise((resolve) =>
+    node.timers.at(node.clock.now() + milliseconds, () => resolve(undefined))
+  );
 }
 
 function setOwnerReachable(
--- a/src/mesh/send_quota_message.ts
+++ b/src/mesh/send_quota_message.ts
@@ -4,8 +4,8 @@
 import { OfferHeader } from "./offer_header.ts";
 import { requestNode } from "./request_node.ts";
 
-/** A slow granter is given up in time for the call to use its deputy. */
-const replyMilliseconds = 100;
+/** A call that waits for a slow granter can still be answered in time. */
+const replyMilliseconds = 300;
 
 /**
  * Sends a message about a quota to the node on `host`; resolves with its reply,
