--- a/src/mesh/send_quota_message.ts
+++ b/src/mesh/send_quota_message.ts
@@ -1,5 +1,6 @@
 import { tryParseJson } from "../daemon/try_parse_json.ts";
 import type { QuotaMessage } from "../quotas/quota_message.ts";
+import { encodeHeaderJson } from "./encode_header_json.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { requestNode } from "./request_node.ts";
@@ -19,7 +20,7 @@
   const request = {
     host,
     headers: {
-      [OfferHeader.Quota]: encodeURIComponent(JSON.stringify(message)),
+      [OfferHeader.Quota]: encodeHeaderJson(message),
     },
     body: "",
     deadline: node.clock.now() + replyMilliseconds,
--- a/src/mesh/serve_quota_message.ts
+++ b/src/mesh/serve_quota_message.ts
@@ -11,7 +11,6 @@
 import { grantQuotaTokens } from "./grant_quota_tokens.ts";
 import { isQuotaViewOutdated } from "./is_quota_view_outdated.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import { tryDecodeUriComponent } from "./try_decode_uri_component.ts";
 
 const okStatus = 200;
 const invalidStatus = 400;
@@ -23,14 +22,18 @@
 ): void {
   const { message, response } = options;
   const parsed = quotaMessageSchema.safeParse(
-    tryParseJson(tryDecodeUriComponent(message) ?? ""),
+    tryParseJson(message),
   );
   if (!parsed.success) {
     response.writeHead(invalidStatus).end();
     return;
   }
-  const reply = createReply(node, parsed.data);
-  response.writeHead(okStatus).end(JSON.stringify(reply));
+  const reply = JSON.stringify(createReply(node, parsed.data));
+  // Replies are as frequent as calls, and bytes between zones are paid for.
+  response.sendDate = false;
+  response.writeHead(okStatus, {
+    "content-length": String(Buffer.byteLength(reply)),
+  }).end(reply);
 }
 
 function createReply(
