--- /dev/null
+++ b/src/pipelines/leave_pipeline.ts
@@ -0,0 +1,15 @@
+import { joinPipeline } from "./join_pipeline.ts";
+import type { Pipeline } from "./pipeline.ts";
+import type { PipelinedRequest } from "./pipelined_request.ts";
+
+/** Removes a request that has its response, and begins the next one that waits. */
+export function leavePipeline(
+  pipeline: Pipeline,
+  request: PipelinedRequest,
+): void {
+  if (!pipeline.begun.delete(request)) return;
+  const [next, ...waiting] = pipeline.waiting;
+  if (next === undefined) return;
+  pipeline.waiting = waiting;
+  joinPipeline(pipeline, next);
+}
--- /dev/null
+++ b/src/pipelines/list_requests_behind.ts
@@ -0,0 +1,11 @@
+import type { Pipeline } from "./pipeline.ts";
+import type { PipelinedRequest } from "./pipelined_request.ts";
+
+/** Returns the requests in work that arrived after `request`, in their order. */
+export function listRequestsBehind(
+  pipeline: Pipeline,
+  request: PipelinedRequest,
+): readonly PipelinedRequest[] {
+  const begun = Array.from(pipeline.begun);
+  return begun.slice(begun.indexOf(request) + 1);
+}
--- /dev/null
+++ b/src/testing/mesh/connect_pipelined_caller.ts
@@ -0,0 +1,44 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import type { NetworkAddress } from "../../runtime/network_address.ts";
+import { MeshHeader } from "./mesh_header.ts";
+import type { PipelinedCaller } from "./pipelined_caller.ts";
+
+const remainingMilliseconds = 2_000;
+const identifierLine = new RegExp(`^${MeshHeader.Call}: (.*)$`, "gim");
+const statusLine = /^HTTP\/1\.1 (\d+)/gm;
+
+/** Connects a pipelined caller to a node's listener for callers. */
+export async function connectPipelinedCaller(
+  { host, port }: NetworkAddress,
+): Promise<PipelinedCaller> {
+  const socket = connect(port, host);
+  let received = "";
+  socket.on("data", (data) => {
+    received += data.toString();
+  });
+  socket.on("error", () => undefined);
+  await once(socket, "connect");
+  const list = (pattern: RegExp) =>
+    Array.from(received.matchAll(pattern), ([, value]) => (value ?? "").trim());
+  return {
+    send: (...identifiers) =>
+      void socket.write(identifiers.map(formatRequest).join("")),
+    sendText: (text) => void socket.write(text),
+    answered: () => list(identifierLine),
+    statuses: () => list(statusLine).map(Number),
+    isClosed: () => socket.closed,
+    reset: () => void socket.resetAndDestroy(),
+  };
+}
+
+function formatRequest(identifier: string): string {
+  return [
+    "GET /cakes/1 HTTP/1.1",
+    "host: shop.example",
+    `${MeshHeader.Call}: ${identifier}`,
+    `${MeshHeader.Remaining}: ${remainingMilliseconds}`,
+    "",
+    "",
+  ].join("\r\n");
+}
