Serve pipelined requests in turn, and cancel them with their connection

Cause: the runtime's server reports the end of a connection only to the response that is being sent. Calls behind it went on after their caller had left, and counted as running, so that a stopping node waited for them until it was killed; a stopping node closed the connection with the first response and cut the requests behind it that it had passed on; a malformed request was refused in the place of the first answer. Ruled out: requests one after the other, which adds up their times; closing the connection at once at a stop, since the requests behind have run. Change: each connection of a caller has a pipeline. The connection's end cancels all that were begun. A response that ends the connection closes the pipeline, and a stopping node closes it with the last response that was begun. A refusal of bytes that are no request waits for the responses before it.

--- a/src/daemon/connection_tracker.ts
+++ b/src/daemon/connection_tracker.ts
@@ -6,6 +6,14 @@
   /** Records the start of a request; returns false if the final response was already written to the connection. */
   tryBeginRequest(socket: Socket): boolean;
   endRequest(socket: Socket): void;
+  /**
+   * Runs `action` once at most `requests` requests of the connection are in
+   * progress; at once if that is so already or the connection has ended.
+   */
+  runAtRequestCount(
+    socket: Socket,
+    options: { readonly requests: number; readonly action: () => void },
+  ): void;
   /** Closes the connections on which no request began within `milliseconds` of the last one. */
   closeOverdue(milliseconds: number): void;
   /** Writes `finalResponse` to every idle connection, ends its writable side and lets the client close it. */
--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -4,6 +4,11 @@
 /** Timeout for the client to close a connection after its final response. */
 const closeTimeoutMilliseconds = 1_000;
 
+interface PendingAction {
+  readonly requests: number;
+  readonly action: () => void;
+}
+
 /**
  * Creates the connection tracker of one listener. A request may already be in
  * transit when an idle connection is closed. The final response written before
@@ -16,6 +21,8 @@
   /** When the last request of a connection without one ended; not on the time of day. */
   const idleSince = new Map<Socket, number>();
   const closing = new WeakSet<Socket>();
+  /** Actions that wait until fewer requests of their connection are in progress. */
+  const pendingActions = new Map<Socket, PendingAction>();
 
   function closeAfterResponse(socket: Socket, finalResponse: string): void {
     closing.add(socket);
@@ -33,6 +40,7 @@
       socket.once("close", () => {
         activeRequestCounts.delete(socket);
         idleSince.delete(socket);
+        pendingActions.delete(socket);
       });
     },
     tryBeginRequest: (socket) => {
@@ -51,6 +59,15 @@
       if (requestCount === undefined) return;
       activeRequestCounts.set(socket, requestCount - 1);
       if (requestCount === 1) idleSince.set(socket, performance.now());
+      const pending = pendingActions.get(socket);
+      if (pending === undefined || requestCount - 1 > pending.requests) return;
+      pendingActions.delete(socket);
+      pending.action();
+    },
+    runAtRequestCount: (socket, pending) => {
+      const requestCount = activeRequestCounts.get(socket) ?? 0;
+      if (requestCount <= pending.requests) pending.action();
+      else pendingActions.set(socket, pending);
     },
     closeOverdue: (milliseconds) => {
       const latest = performance.now() - milliseconds;
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -1,5 +1,9 @@
-import { createServer, type RequestListener } from "node:http";
-import { type AddressInfo, Server } from "node:net";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+} from "node:http";
+import { type AddressInfo, Server, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Result } from "true-myth";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
@@ -41,6 +45,7 @@
   options: ListenerOptions,
 ): Promise<Result<Listener, Diagnostic>> {
   const tracker = createConnectionTracker();
+  const newestRequests = new WeakMap<Duplex, IncomingMessage>();
   const server = createServer({
     maxHeaderSize: options.requestHeaderBytes,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
@@ -52,6 +57,7 @@
     if (!tracker.tryBeginRequest(socket)) {
       return;
     }
+    newestRequests.set(socket, request);
     response.once("close", () => tracker.endRequest(socket));
     response.once("finish", () => closeUnreadRequest(request));
     options.onRequest(request, response);
@@ -65,7 +71,15 @@
       defaultHeaderCheckIntervalMilliseconds,
   ).unref();
   server.once("close", () => clearInterval(overdueCheck));
-  server.on("clientError", options.onInvalidRequest);
+  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    // Requests before the invalid one get their responses first. A request
+    // whose body is invalid gets no other response.
+    const isBodyInvalid = newestRequests.get(socket)?.complete === false;
+    tracker.runAtRequestCount(socket, {
+      requests: isBodyInvalid ? 1 : 0,
+      action: () => options.onInvalidRequest(error, socket),
+    });
+  });
 
   function close(finalResponse: string): Promise<void> {
     return new Promise((resolve) => {
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -51,6 +51,7 @@
     view: createMeshView(),
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
     knownConnections: new WeakSet(),
+    callerPipelines: new WeakMap(),
     feed: createSourceFeed(),
     quarantine,
     gate: createGateState(clock.now(), quarantine.suspects),
--- /dev/null
+++ b/src/mesh/join_caller_pipeline.ts
@@ -0,0 +1,55 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { closePipeline } from "../pipelines/close_pipeline.ts";
+import { joinPipeline } from "../pipelines/join_pipeline.ts";
+import { leavePipeline } from "../pipelines/leave_pipeline.ts";
+import { listRequestsBehind } from "../pipelines/list_requests_behind.ts";
+import type { PipelinedRequest } from "../pipelines/pipelined_request.ts";
+import type { CallerTurn } from "./caller_turn.ts";
+import { getCallerPipeline } from "./get_caller_pipeline.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/**
+ * Calls `begin` when the caller's request may be begun: at once, or when few
+ * enough requests of its connection are in work. It is not called if the
+ * connection ends before that.
+ */
+export function joinCallerPipeline(
+  node: MeshNode,
+  options: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly begin: (turn: CallerTurn) => void;
+  },
+): void {
+  const { request, response, begin } = options;
+  const pipeline = getCallerPipeline(node, request.socket);
+  const cancellation = new AbortController();
+  const pipelined: PipelinedRequest = { begin: beginRequest, cancel };
+  joinPipeline(pipeline, pipelined);
+
+  function beginRequest(): void {
+    node.callerCalls += 1;
+    response.once("close", handleClose);
+    begin({
+      cancellation,
+      isUnanswerable: () =>
+        !pipeline.begun.has(pipelined) || response.destroyed,
+      hasRequestsBehind: () =>
+        listRequestsBehind(pipeline, pipelined).length > 0,
+      endConnection: () => closePipeline(pipeline, { behind: pipelined }),
+    });
+  }
+
+  function handleClose(): void {
+    if (!pipeline.begun.has(pipelined)) return;
+    if (!response.writableFinished) cancellation.abort();
+    node.callerCalls -= 1;
+    leavePipeline(pipeline, pipelined);
+  }
+
+  /** The response of a request behind others does not report the end of the connection. */
+  function cancel(): void {
+    node.callerCalls -= 1;
+    cancellation.abort();
+  }
+}
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -3,6 +3,7 @@
 import type { GateView } from "../balancing/gate_view.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { OfferRecords } from "../offers/offer_records.ts";
+import type { Pipeline } from "../pipelines/pipeline.ts";
 import type { QuarantineState } from "../quarantine/quarantine_state.ts";
 import type { Departures } from "../register/departures.ts";
 import type { RetryCounts } from "../retries/retry_counts.ts";
@@ -36,6 +37,8 @@
   readonly loopLag: LoopLag;
   /** Connections of callers and other nodes that have carried a request. */
   readonly knownConnections: WeakSet<Socket>;
+  /** The requests of each caller's connection. */
+  readonly callerPipelines: WeakMap<Socket, Pipeline>;
   /** The feed that neighbours may follow. */
   readonly feed: SourceFeed;
   readonly gate: GateState;
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -10,15 +10,16 @@
 import type { CallPlan } from "./call_plan.ts";
 import type { CallResult } from "./call_result.ts";
 import { CallResultKind } from "./call_result_kind.ts";
+import type { CallerTurn } from "./caller_turn.ts";
 import { canCallerRetry } from "./can_caller_retry.ts";
 import { createCallIdentifier } from "./create_call_identifier.ts";
-import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createEarlyRefusal } from "./create_early_refusal.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import { getBodyBytesMaximum } from "./get_body_bytes_maximum.ts";
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
 import { getSplitState } from "./get_split_state.ts";
+import { joinCallerPipeline } from "./join_caller_pipeline.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processCall } from "./process_call.ts";
 import { readRequestBody } from "./read_request_body.ts";
@@ -32,7 +33,8 @@
 
 /**
  * Serves a request that a caller or the backend server of this VM sends to the
- * mesh.
+ * mesh. A request that was sent behind others on its connection may have to
+ * wait for its turn.
  */
 export function serveCallerRequest(
   node: MeshNode,
@@ -40,13 +42,26 @@
   response: ServerResponse,
 ): void {
   const receivedAt = node.clock.now();
+  joinCallerPipeline(node, {
+    request,
+    response,
+    begin: (turn) => serveInTurn(node, { request, response, receivedAt, turn }),
+  });
+}
+
+function serveInTurn(
+  node: MeshNode,
+  options: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly receivedAt: number;
+    readonly turn: CallerTurn;
+  },
+): void {
+  const { request, response, receivedAt, turn } = options;
+  const { cancellation } = turn;
   const head = node.dialect.readCallerHead(request);
   const callIdentifier = head.callIdentifier ?? createCallIdentifier();
-  const cancellation = createDisconnectController(request, response);
-  node.callerCalls += 1;
-  response.once("close", () => {
-    node.callerCalls -= 1;
-  });
   const route = findCallRoute(node.view.routes, {
     host: request.headers.host ?? "",
     url: request.url ?? "/",
@@ -88,7 +103,7 @@
     const result = await processCall(node, plan);
     // An answer that is ready is sent even if the caller may have left.
     const isAnswered = result.kind === CallResultKind.Answered;
-    if (response.destroyed || (hasLeft() && !isAnswered)) {
+    if (turn.isUnanswerable() || (hasLeft() && !isAnswered)) {
       return reportAbandoned(chosen.name, plan.service);
     }
     respond(result, plan);
@@ -96,7 +111,7 @@
 
   /** The response is closed some turns after the end of the caller's input. */
   function hasLeft(): boolean {
-    return response.destroyed || request.socket.readableEnded;
+    return turn.isUnanswerable() || request.socket.readableEnded;
   }
 
   function reportAbandoned(routeName: string, service?: string): void {
@@ -157,7 +172,15 @@
 
   function respond(result: CallResult, plan: CallPlan | undefined): void {
     const now = node.clock.now();
-    writeCallResult(response, result, { closing: node.stopping, now });
+    // A stopping node answers what it has passed on before the connection ends.
+    const closing = node.stopping && !turn.hasRequestsBehind();
+    if (closing || isUnframed(result)) turn.endConnection();
+    writeCallResult(response, result, { closing, now });
     reportCallResult(node, result, { callIdentifier, receivedAt, plan });
   }
 }
+
+/** Whether the end of an answer is the end of its connection. */
+function isUnframed(result: CallResult): boolean {
+  return result.kind === CallResultKind.Answered && !result.body.framed;
+}
--- a/src/testing/mesh/connect_pipelined_caller.ts
+++ b/src/testing/mesh/connect_pipelined_caller.ts
@@ -6,7 +6,7 @@
 
 const remainingMilliseconds = 2_000;
 const identifierLine = new RegExp(`^${MeshHeader.Call}: (.*)$`, "gim");
-const statusLine = /^HTTP\/1\.1 (\d+)/gm;
+const statusLine = /HTTP\/1\.1 (\d+)/g;
 
 /** Connects a pipelined caller to a node's listener for callers. */
 export async function connectPipelinedCaller(
