Let no log limit and no choice of the own incarnation depend on the time of day

Cause: the time of day of a VM may step by seconds. The limiter of the log counted seconds of it, and of several register records at the own address the one with the latest stated start was taken, which after a backward step is the one that has ended. Ruled out: the order in which the register lists the records, since a complete reading sorts by key. Change: the limiter uses the steady clock; the incarnation that answers is the own one, and the stated start decides only without an answer. Deadlines, ages and backoffs were read again: all use the monotonic clock.

--- a/src/mesh/find_own_server_record.ts
+++ b/src/mesh/find_own_server_record.ts
@@ -5,9 +5,13 @@
 /**
  * Returns the register's record of this VM's backend server; a present record
  * takes precedence over a removed one.
+ *
+ * Of several present records, the one that the backend server named in its
+ * answers is returned. The start that a record states is of the time of day,
+ * which may have stepped back since an earlier incarnation started.
  */
 export function findOwnServerRecord(
-  node: MeshNode,
+  node: Pick<MeshNode, "view" | "settings" | "serverProbe">,
 ): RegisterRecord | undefined {
   const { backendServer, service } = node.settings;
   const records = getRecordsOfService(node.view, service)
@@ -16,6 +20,11 @@
       entry.address.port === backendServer.port
     );
   const present = records.filter(({ removedAt }) => removedAt === 0);
+  const { probedIdentifier } = node.serverProbe;
+  const probed = present.find(({ entry }) =>
+    entry.identifier === probedIdentifier
+  );
+  if (probed !== undefined) return probed;
   const [newest] = (present.length > 0 ? present : records)
     .sort((left, right) => right.entry.bornAt - left.entry.bornAt);
   return newest;
--- a/src/telemetry/create_bounded_log.ts
+++ b/src/telemetry/create_bounded_log.ts
@@ -17,5 +17,9 @@
   });
   const logger = pino(options, destination);
 
-  return { logger, tryAcquireLine: () => limiter.tryAcquire(Date.now()) };
+  // Not the time of day, which may step.
+  return {
+    logger,
+    tryAcquireLine: () => limiter.tryAcquire(performance.now()),
+  };
 }
--- a/src/telemetry/create_log_destination.ts
+++ b/src/telemetry/create_log_destination.ts
@@ -31,7 +31,7 @@
     readonly onDropped: (dropped: number) => void;
     /**
      * Called before each periodic flush and before the last one. `now` is in
-     * milliseconds since the Unix epoch; infinite for the last flush.
+     * milliseconds on the steady clock; infinite for the last flush.
      */
     readonly onFlush: (now: number) => void;
   },
@@ -105,7 +105,7 @@
   }
 
   setInterval(() => {
-    options.onFlush(Date.now());
+    options.onFlush(performance.now());
     reportDropped();
     flush();
   }, flushMilliseconds).unref();
--- a/src/telemetry/log_rate_limiter.ts
+++ b/src/telemetry/log_rate_limiter.ts
@@ -1,8 +1,8 @@
 /** Limits the number of log lines per second. */
 export interface LogRateLimiter {
   /**
-   * Returns whether a line may be written. `now` is in milliseconds since the
-   * Unix epoch.
+   * Returns whether a line may be written. `now` is in milliseconds on
+   * the steady clock.
    */
   tryAcquire(now: number): boolean;
   /** Reports the lines dropped in a second that is over at `now`. */
