Test backend servers that never respond when they are full

Cause: the backend servers of some services never respond to a request that they cannot queue, nor to any further request on that connection. Ruled out: a mend; a call's connection is closed at its deadline and its slot released then, and a probe that gets no answer is closed after 2 s. Change: two tests with real connections.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -34,6 +34,7 @@
   "dist/src/mesh/crashing_request_test.js",
   "dist/src/mesh/create_neighbour_feeds_test.js",
   "dist/src/mesh/serve_offer_test.js",
+  "dist/src/mesh/silent_backend_server_test.js",
   "dist/src/mesh/source_era_start_test.js",
   "dist/src/mesh/start_mesh_node_test.js",
   "dist/src/mesh/stated_*_test.js",
