Begin no request whose header was already refused as late

Cause: the refusal of a late header waits for the answers before it. A header that was completed meanwhile began its request, so it ran and had its answer, and a 408 that states "not run" followed, which the caller may take for that of its next request. Ruled out: dropping the refusal once the header is complete, since the connection has been reported as invalid only once and may be in the middle of a further request. Change: the connection begins no further request from the error on. The late request gets the 408. Measured: the new test fails on the code before (the late request ran); 15 tests of the listener, refusals and pipelined requests pass.

--- a/src/daemon/connection_tracker.ts
+++ b/src/daemon/connection_tracker.ts
@@ -7,10 +7,11 @@
   tryBeginRequest(socket: Socket): boolean;
   endRequest(socket: Socket): void;
   /**
-   * Runs `action` once at most `requests` requests of the connection are in
-   * progress; at once if that is so already or the connection has ended.
+   * Begins no further request of the connection, and runs `action` once at most
+   * `requests` requests are in progress; at once if that is so already or the
+   * connection has ended.
    */
-  runAtRequestCount(
+  closeAtRequestCount(
     socket: Socket,
     options: { readonly requests: number; readonly action: () => void },
   ): void;
--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -64,7 +64,9 @@
       pendingActions.delete(socket);
       pending.action();
     },
-    runAtRequestCount: (socket, pending) => {
+    closeAtRequestCount: (socket, pending) => {
+      // A request whose header is late may still arrive, and is refused as not run.
+      closing.add(socket);
       const requestCount = activeRequestCounts.get(socket) ?? 0;
       if (requestCount <= pending.requests) pending.action();
       else pendingActions.set(socket, pending);
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -75,7 +75,7 @@
     // Requests before the invalid one get their responses first. A request
     // whose body is invalid gets no other response.
     const isBodyInvalid = newestRequests.get(socket)?.complete === false;
-    tracker.runAtRequestCount(socket, {
+    tracker.closeAtRequestCount(socket, {
       requests: isBodyInvalid ? 1 : 0,
       action: () => options.onInvalidRequest(error, socket),
     });
--- a/src/daemon/open_listener_test.ts
+++ b/src/daemon/open_listener_test.ts
@@ -105,3 +105,36 @@
   t.true(performance.now() - startedAt >= 550);
   listener.destroy();
 });
+
+// Guards against a request that runs although its caller is told that it has not.
+test("a header that arrives late behind a running request is refused after its answer, and its request does not run", async (t) => {
+  const handled: string[] = [];
+  const opened = await openListener({
+    address: { host: "127.0.0.1", port: 0 },
+    requestHeaderBytes: 16_384,
+    headerCheckIntervalMilliseconds: 50,
+    onInvalidRequest: refuseInvalidRequest,
+    onRequest: (request, response) => {
+      handled.push(request.url ?? "");
+      setTimeout(() => response.end("ran"), 700);
+    },
+  });
+  if (opened.isErr) throw new DiagnosticError(opened.error);
+  const listener = opened.value;
+  listener.setLimits({ headerMilliseconds: 200, idleMilliseconds: 5_000 });
+  const socket = connect(listener.address.port, listener.address.host);
+  socket.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /late HTTP/1.1\r\n");
+  setTimeout(() => socket.write("Host: a\r\n\r\n"), 500);
+  const received: string[] = [];
+  socket.on("data", (data) => received.push(String(data)));
+  await once(socket, "close");
+  t.deepEqual(handled, ["/first"]);
+  t.deepEqual(
+    Array.from(
+      received.join("").matchAll(/HTTP\/1\.1 (\d+)/g),
+      ([, status]) => status,
+    ),
+    ["200", "408"],
+  );
+  await listener.close(finalResponse);
+});
