Bound the requests of one connection that wait

Cause: a request behind eight others waited in a list without a bound, each addition copied the list, and the runtime goes on reading because no response is buffered. A caller that sends without end behind one slow call could fill the memory of the node. Ruled out: pausing the connection, since its end is not read meanwhile, so work for a caller that has left would go on.

--- a/src/mesh/join_caller_pipeline.ts
+++ b/src/mesh/join_caller_pipeline.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { closePipeline } from "../pipelines/close_pipeline.ts";
-import { joinPipeline } from "../pipelines/join_pipeline.ts";
 import { leavePipeline } from "../pipelines/leave_pipeline.ts";
 import { listRequestsBehind } from "../pipelines/list_requests_behind.ts";
 import type { PipelinedRequest } from "../pipelines/pipelined_request.ts";
+import { tryJoinPipeline } from "../pipelines/try_join_pipeline.ts";
 import type { CallerTurn } from "./caller_turn.ts";
 import { getCallerPipeline } from "./get_caller_pipeline.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -11,7 +11,8 @@
 /**
  * Calls `begin` when the caller's request may be begun: at once, or when few
  * enough requests of its connection are in work. It is not called if the
- * connection ends before that.
+ * connection ends before that. Calls `refuse` instead if too many requests of the
+ * connection wait already.
  */
 export function joinCallerPipeline(
   node: MeshNode,
@@ -19,13 +20,14 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly begin: (turn: CallerTurn) => void;
+    readonly refuse: () => void;
   },
 ): void {
-  const { request, response, begin } = options;
+  const { request, response, begin, refuse } = options;
   const pipeline = getCallerPipeline(node, request.socket);
   const cancellation = new AbortController();
   const pipelined: PipelinedRequest = { begin: beginRequest, cancel };
-  joinPipeline(pipeline, pipelined);
+  if (!tryJoinPipeline(pipeline, pipelined)) refuse();
 
   function beginRequest(): void {
     node.callerCalls += 1;
--- a/src/mesh/pipelined_requests_test.ts
+++ b/src/mesh/pipelined_requests_test.ts
@@ -131,6 +131,29 @@
   },
 );
 
+// Guards against a caller that fills the memory with requests that wait.
+serialTest(
+  "of 400 requests that a caller sends at once, those beyond a bound are refused as not run, in their turn",
+  async (t) => {
+    await withMeshFleet({ vms: 1, slots: 50 }, async (fleet) => {
+      scriptAllBackends(fleet, answerAfter({ "call-0": 200 }));
+      const sent = Array.from({ length: 400 }, (_, index) => `call-${index}`);
+      const caller = await connectCaller(fleet);
+      caller.send(...sent);
+      await waitUntil(() => caller.statuses().length === sent.length);
+      const statuses = caller.statuses();
+      const refused = statuses.filter((status) => status === 503).length;
+      t.is(statuses.length, sent.length);
+      t.is(countRuns(fleet), sent.length - refused);
+      t.true(refused > 0);
+      t.deepEqual(
+        caller.answered(),
+        sent.filter((_, index) => statuses[index] === 200),
+      );
+    });
+  },
+);
+
 // Guards against work whose answer can never be sent.
 serialTest(
   "behind an answer that ends its connection no request is begun, and work on those behind is cancelled",
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -24,6 +24,7 @@
 import { processCall } from "./process_call.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { recordRemainingMilliseconds } from "./record_remaining_milliseconds.ts";
+import { refuseOutOfTurn } from "./refuse_out_of_turn.ts";
 import { reportCallResult } from "./report_call_result.ts";
 import { reportInternalError } from "./report_internal_error.ts";
 import { writeCallResult } from "./write_call_result.ts";
@@ -46,6 +47,7 @@
     request,
     response,
     begin: (turn) => serveInTurn(node, { request, response, receivedAt, turn }),
+    refuse: () => refuseOutOfTurn(node, { request, response, receivedAt }),
   });
 }
 
--- a/src/pipelines/leave_pipeline.ts
+++ b/src/pipelines/leave_pipeline.ts
@@ -1,6 +1,6 @@
-import { joinPipeline } from "./join_pipeline.ts";
 import type { Pipeline } from "./pipeline.ts";
 import type { PipelinedRequest } from "./pipelined_request.ts";
+import { tryJoinPipeline } from "./try_join_pipeline.ts";
 
 /** Removes a request that has its response, and begins the next one that waits. */
 export function leavePipeline(
@@ -11,5 +11,5 @@
   const [next, ...waiting] = pipeline.waiting;
   if (next === undefined) return;
   pipeline.waiting = waiting;
-  joinPipeline(pipeline, next);
+  tryJoinPipeline(pipeline, next);
 }
--- a/src/pipelines/pipeline_test.ts
+++ b/src/pipelines/pipeline_test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
 import { closePipeline } from "./close_pipeline.ts";
 import { createPipeline } from "./create_pipeline.ts";
-import { joinPipeline } from "./join_pipeline.ts";
 import { leavePipeline } from "./leave_pipeline.ts";
 import type { Pipeline } from "./pipeline.ts";
 import type { PipelinedRequest } from "./pipelined_request.ts";
+import { tryJoinPipeline } from "./try_join_pipeline.ts";
 
 /** The most requests of one connection that may be in work at once. */
 const begunMaximum = 8;
@@ -20,8 +20,10 @@
       cancel: () => void cancelled.push(index),
     }),
   );
-  requests.forEach((request) => joinPipeline(pipeline, request));
-  return { begun, cancelled, requests };
+  const joined = requests.filter((request) =>
+    tryJoinPipeline(pipeline, request)
+  );
+  return { begun, cancelled, requests, joined };
 }
 
 // One connection must not occupy the slots of all other callers.
@@ -57,3 +59,13 @@
   t.deepEqual(cancelled, [0, 1, 2, 3, 4, 5, 6, 7]);
   t.is(pipeline.begun.size, 0);
 });
+
+// A caller that sends without reading answers must not fill the memory.
+test("a caller that sends 10,000 requests at once has a bounded number waiting, and later ones join again", (t) => {
+  const pipeline = createPipeline();
+  const { joined } = joinRequests(pipeline, 10_000);
+  t.true(joined.length < 100);
+  t.is(pipeline.begun.size + pipeline.waiting.length, joined.length);
+  leavePipeline(pipeline, joined[0]!);
+  t.is(joinRequests(pipeline, 2).joined.length, 1);
+});
