Cancel the work behind an answer that breaks off before its turn

Cause: the connection of an answer that breaks off ends. If other answers are due before it, the runtime ends the connection only in its turn; meanwhile the requests behind it went on and further ones were begun, although their answers cannot be sent. Ruled out: ending the connection at once, since the answers before can still be sent.

--- a/src/mesh/pipelined_requests_test.ts
+++ b/src/mesh/pipelined_requests_test.ts
@@ -3,6 +3,7 @@
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { connectPipelinedCaller } from "../testing/mesh/connect_pipelined_caller.ts";
 import { countRuns } from "../testing/mesh/count_runs.ts";
+import { formatPipelinedRequest } from "../testing/mesh/format_pipelined_request.ts";
 import type { MeshBackendScript } from "../testing/mesh/mesh_backend_script.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
@@ -15,6 +16,9 @@
 // time.
 const serialTest = test.serial;
 
+/** More than a node holds before it forwards an answer as it arrives. */
+const largePartBytes = 4_194_304;
+
 const identifiers = ["first", "second", "third", "fourth"];
 
 function connectCaller(fleet: MeshFleet): Promise<PipelinedCaller> {
@@ -175,6 +179,42 @@
   },
 );
 
+serialTest(
+  "behind an answer that breaks off while it waits for its turn, work is cancelled and none is begun",
+  async (t) => {
+    await withMeshFleet({ vms: 1, slots: 50 }, async (fleet) => {
+      scriptAllBackends(fleet, (request, response) => {
+        if (request.headers[MeshHeader.Call] !== "call-1") return;
+        sendLargePart(request, response);
+      });
+      const sent = Array.from({ length: 20 }, (_, index) => `call-${index}`);
+      const caller = await connectCaller(fleet);
+      caller.send("call-0");
+      caller.sendText(
+        formatPipelinedRequest("call-1", { remainingMilliseconds: 400 }),
+      );
+      caller.send(...sent.slice(2));
+      // The answer that breaks off at its deadline is cancelled too.
+      t.true(await waitUntil(() => countCancelled(fleet) === 7));
+      t.is(countRuns(fleet), 8);
+      t.false(caller.isClosed());
+      t.deepEqual(caller.statuses(), []);
+    });
+  },
+);
+
+/** Sends the head and the first part of a large answer. */
+function sendLargePart(
+  ...[request, response]: Parameters<MeshBackendScript>
+): void {
+  response.writeHead(200, {
+    [MeshHeader.Call]: request.headers[MeshHeader.Call]?.toString() ?? "",
+    [MeshHeader.Signature]: "signed",
+    "content-length": String(8 * largePartBytes),
+  });
+  response.write(Buffer.alloc(largePartBytes));
+}
+
 function sendUnframedAnswer(
   ...[request, response]: Parameters<MeshBackendScript>
 ): void {
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -159,6 +159,7 @@
   function handleInternalError(error: unknown): void {
     reportInternalError(node, { callIdentifier, error });
     if (response.headersSent) {
+      turn.endConnection();
       breakOffResponse(response);
       return;
     }
@@ -177,6 +178,9 @@
     // A stopping node answers what it has passed on before the connection ends.
     const closing = node.stopping && !turn.hasRequestsBehind();
     if (closing || isUnframed(result)) turn.endConnection();
+    if (result.kind === CallResultKind.Answered) {
+      result.body.rest?.once("error", () => turn.endConnection());
+    }
     writeCallResult(response, result, { closing, now });
     reportCallResult(node, result, { callIdentifier, receivedAt, plan });
   }
--- a/src/pipelines/pipeline_test.ts
+++ b/src/pipelines/pipeline_test.ts
@@ -69,3 +69,13 @@
   leavePipeline(pipeline, joined[0]!);
   t.is(joinRequests(pipeline, 2).joined.length, 1);
 });
+
+// A cancelled answer breaks off, which must not cancel the requests before it.
+test("closing behind a request that was cancelled itself cancels no other", (t) => {
+  const pipeline = createPipeline();
+  const { cancelled, requests } = joinRequests(pipeline, 4);
+  closePipeline(pipeline, { behind: requests[1] });
+  closePipeline(pipeline, { behind: requests[2] });
+  t.deepEqual(cancelled, [2, 3]);
+  t.is(pipeline.begun.size, 2);
+});
--- a/src/testing/mesh/connect_pipelined_caller.ts
+++ b/src/testing/mesh/connect_pipelined_caller.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import type { NetworkAddress } from "../../runtime/network_address.ts";
+import { formatPipelinedRequest } from "./format_pipelined_request.ts";
 import { MeshHeader } from "./mesh_header.ts";
 import type { PipelinedCaller } from "./pipelined_caller.ts";
 
@@ -23,7 +24,11 @@
     Array.from(received.matchAll(pattern), ([, value]) => (value ?? "").trim());
   return {
     send: (...identifiers) =>
-      void socket.write(identifiers.map(formatRequest).join("")),
+      void socket.write(
+        identifiers.map((identifier) =>
+          formatPipelinedRequest(identifier, { remainingMilliseconds })
+        ).join(""),
+      ),
     sendText: (text) => void socket.write(text),
     answered: () => list(identifierLine),
     statuses: () => list(statusLine).map(Number),
@@ -31,14 +36,3 @@
     reset: () => void socket.resetAndDestroy(),
   };
 }
-
-function formatRequest(identifier: string): string {
-  return [
-    "GET /cakes/1 HTTP/1.1",
-    "host: shop.example",
-    `${MeshHeader.Call}: ${identifier}`,
-    `${MeshHeader.Remaining}: ${remainingMilliseconds}`,
-    "",
-    "",
-  ].join("\r\n");
-}
