--- a/src/daemon/connection_tracker.ts
+++ b/src/daemon/connection_tracker.ts
@@ -6,6 +6,15 @@
   /** Records the start of a request; returns false if the final response was already written to the connection. */
   tryBeginRequest(socket: Socket): boolean;
   endRequest(socket: Socket): void;
+  /**
+   * Begins no further request of the connection, and runs `action` once at most
+   * `requests` requests are in progress; at once if that is so already or the
+   * connection has ended.
+   */
+  closeAtRequestCount(
+    socket: Socket,
+    options: { readonly requests: number; readonly action: () => void },
+  ): void;
   /** Closes the connections on which no request began within `milliseconds` of the last one. */
   closeOverdue(milliseconds: number): void;
   /** Writes `finalResponse` to every idle connection, ends its writable side and lets the client close it. */
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -59,6 +59,7 @@
     },
     loopLag: { checkedAt: clock.now(), behindUntil: 0 },
     knownConnections: new WeakSet(),
+    callerPipelines: new WeakMap(),
     feed: createSourceFeed(),
     quarantine,
     gate: createGateState(clock.now(), quarantine.suspects),
