--- /dev/null
+++ b/src/rules_check/finding_severity.ts
@@ -0,0 +1,7 @@
+/** Whether rules with a finding may be published. */
+export enum FindingSeverity {
+  /** Calls fail, or nodes refuse the rules. */
+  Error = "error",
+  /** The rules can be published, but a part of them is without effect or contradicts another. */
+  Warning = "warning",
+}
