Tell which changes of organisations let calls need a key, and no moved key

Cause: the first organisation makes every call without a key end with status 401 and the last one to be removed ends that, but the comparison said only that its keys are accepted or refused. A key that moved to another organisation was counted as withdrawn although it is still accepted. Change: two kinds of differences of their own; withdrawn are the keys that no organisation lists any more.

--- a/src/rules_check/compare_rules.ts
+++ b/src/rules_check/compare_rules.ts
@@ -44,6 +44,7 @@
     new Map(routes.map((route) => [route.name, route]));
   const limitFields = listChangedFields(before.limits, after.limits);
   return [
+    ...listKeyRequirementChanges(before, after),
     ...compareTables(
       { before: nameRoutes(before), after: nameRoutes(after) },
       routeKinds,
@@ -101,13 +102,31 @@
   );
 }
 
+/** Calls need a key as soon as there is an organisation. */
+function listKeyRequirementChanges(
+  before: Rules,
+  after: Rules,
+): readonly RulesDifference[] {
+  const wereRequired = before.organisations.size > 0;
+  const areRequired = after.organisations.size > 0;
+  if (wereRequired === areRequired) return [];
+  const kind = areRequired
+    ? RulesDifferenceKind.KeysRequired
+    : RulesDifferenceKind.KeysNotRequired;
+  return [createDifference(kind, { path: "organisations", fields: [] })];
+}
+
 function listWithdrawnKeys(
   before: Rules,
   after: Rules,
 ): readonly RulesDifference[] {
+  const accepted = new Set(
+    Array.from(after.organisations.values())
+      .flatMap(({ keyHashes }) => keyHashes),
+  );
   return Array.from(after.organisations.values()).flatMap((organisation) => {
     const previous = before.organisations.get(organisation.name);
-    const count = countWithdrawnKeys(previous, organisation);
+    const count = countWithdrawnKeys(previous, accepted);
     return count === 0 ? [] : [createDifference(
       RulesDifferenceKind.KeysWithdrawn,
       { path: `organisations.${organisation.name}`, fields: [`${count} keys`] },
@@ -115,12 +134,12 @@
   });
 }
 
+/** A key that another organisation takes over is still accepted. */
 function countWithdrawnKeys(
   before: Organisation | undefined,
-  after: Organisation,
+  accepted: ReadonlySet<string>,
 ): number {
-  const kept = new Set(after.keyHashes);
-  return (before?.keyHashes ?? []).filter((hash) => !kept.has(hash)).length;
+  return (before?.keyHashes ?? []).filter((hash) => !accepted.has(hash)).length;
 }
 
 function createDifference(
--- a/src/rules_check/compare_rules_test.ts
+++ b/src/rules_check/compare_rules_test.ts
@@ -67,3 +67,24 @@
   );
   t.notRegex(JSON.stringify(differences), /hash-/);
 });
+
+test("a key that another organisation takes over is not withdrawn", (t) => {
+  const reduced = { ...bakery, keyHashes: ["hash-2"] };
+  const other = { ...bakery, name: "mill", keyHashes: ["hash-1"] };
+  const kinds = listDifferences(createRules({
+    organisations: new Map([["bakery", reduced], ["mill", other]]),
+  })).map(({ kind }) => kind);
+  t.deepEqual(kinds, [
+    RulesDifferenceKind.OrganisationChanged,
+    RulesDifferenceKind.OrganisationAdded,
+  ]);
+});
+
+// Without organisations, calls need no key.
+test("the first and the last organisation tell what calls without a key notice", (t) => {
+  const without = createRules({ organisations: new Map() });
+  const [first] = compareRules(without, createRules());
+  t.regex(first!.effect, /without a key get status 401/);
+  const [last] = compareRules(createRules(), without);
+  t.regex(last!.effect, /no call needs a key/);
+});
--- a/src/rules_check/difference_effects.ts
+++ b/src/rules_check/difference_effects.ts
@@ -16,9 +16,13 @@
       "Backend servers in cold start are admitted at another rate, or probed at another path",
     [RulesDifferenceKind.OrganisationAdded]: "Its keys are accepted",
     [RulesDifferenceKind.OrganisationRemoved]:
-      "Calls with its keys get status 401",
+      "Calls with its keys get status 401 if other organisations are left",
     [RulesDifferenceKind.OrganisationChanged]:
       "Its calls have another priority, or get status 429 at another rate",
+    [RulesDifferenceKind.KeysRequired]:
+      "Calls without a key get status 401, except on public routes",
+    [RulesDifferenceKind.KeysNotRequired]:
+      "There is no organisation, so no call needs a key",
     [RulesDifferenceKind.KeysWithdrawn]:
       "Calls with the withdrawn keys get status 401",
     [RulesDifferenceKind.LimitsChanged]:
--- a/src/rules_check/rules_difference_kind.ts
+++ b/src/rules_check/rules_difference_kind.ts
@@ -9,6 +9,10 @@
   OrganisationAdded = "organisation-added",
   OrganisationRemoved = "organisation-removed",
   OrganisationChanged = "organisation-changed",
+  /** The first organisation was added. */
+  KeysRequired = "keys-required",
+  /** The last organisation was removed. */
+  KeysNotRequired = "keys-not-required",
   KeysWithdrawn = "keys-withdrawn",
   LimitsChanged = "limits-changed",
 }
