Say what happens to a route whose targets have no weight

Cause: the check said that its calls have no service. Nodes send them to the first target. Ruled out: a refusal of such calls by nodes, which would change what rules in force do; a warning only, since nobody means that a weight of 0 gets all calls. Change: the finding stays an error, is named "route-without-weight" and names the service. Measured: the new test fails on the code before; 27 tests of the check pass.

--- a/src/rules_check/check_rules_test.ts
+++ b/src/rules_check/check_rules_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import type { CallRoute } from "../routing/call_route.ts";
+import { chooseTarget } from "../routing/choose_target.ts";
 import type { Rules } from "../routing/rules.ts";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
@@ -95,7 +96,7 @@
       pathPrefix: "/cakes/",
     }],
   }),
-  [RulesFindingKind.RouteWithoutTarget]: (rules) =>
+  [RulesFindingKind.RouteWithoutWeight]: (rules) =>
     changeRoute(rules, { targets: [{ service: "vitrine", weight: 0 }] }),
   [RulesFindingKind.TargetWithoutWeight]: (rules) =>
     changeRoute(rules, {
@@ -172,3 +173,19 @@
     }),
   );
 });
+
+// Nodes send the calls of such a route to its first target.
+test("targets without a weight are reported with the service that gets the calls", (t) => {
+  fc.assert(
+    fc.property(validRulesArbitrary, (rules) => {
+      const targets = [
+        { service: "encomendas", weight: 0 },
+        { service: "vitrine", weight: 0 },
+      ];
+      const [finding] = checkRules(changeRoute(rules, { targets }), { slots });
+      const state = new Map<string, number>();
+      const chosen = chooseTarget({ ...rules.routes[0]!, targets }, state);
+      t.true(finding!.detail.includes(`"${chosen}"`));
+    }),
+  );
+});
--- a/src/rules_check/find_route_findings.ts
+++ b/src/rules_check/find_route_findings.ts
@@ -4,7 +4,7 @@
 import type { RulesFinding } from "./rules_finding.ts";
 import { RulesFindingKind } from "./rules_finding_kind.ts";
 
-/** Finds routes that never match, have no service, or contradict themselves. */
+/** Finds routes that never match, have an unknown service, or contradict themselves. */
 export function findRouteFindings(rules: Rules): readonly RulesFinding[] {
   const table = createRouteTable(rules.routes);
   return rules.routes.flatMap((route) => {
@@ -37,8 +37,11 @@
       detail: `Service "${service}" is not defined`,
     }));
   if (targets.every(({ weight }) => weight === 0)) {
-    const kind = RulesFindingKind.RouteWithoutTarget;
-    return [...unknown, { kind, path, detail: "No target has a weight" }];
+    const kind = RulesFindingKind.RouteWithoutWeight;
+    const detail = `No target has a weight, so service "${
+      targets[0]?.service
+    }" gets all calls`;
+    return [...unknown, { kind, path, detail }];
   }
   const weightless = targets
     .filter(({ weight }) => weight === 0)
--- a/src/rules_check/finding_severities.ts
+++ b/src/rules_check/finding_severities.ts
@@ -10,7 +10,7 @@
   [RulesFindingKind.Undecodable]: Error,
   [RulesFindingKind.VersionNotHigher]: Error,
   [RulesFindingKind.RouteHidden]: Error,
-  [RulesFindingKind.RouteWithoutTarget]: Error,
+  [RulesFindingKind.RouteWithoutWeight]: Error,
   [RulesFindingKind.ServiceUnknown]: Error,
   [RulesFindingKind.TargetWithoutWeight]: Warning,
   [RulesFindingKind.ServiceUnused]: Warning,
--- a/src/rules_check/rules_finding_kind.ts
+++ b/src/rules_check/rules_finding_kind.ts
@@ -6,8 +6,8 @@
   VersionNotHigher = "version-not-higher",
   /** A later route has the same host and path prefix, so this one never matches. */
   RouteHidden = "route-hidden",
-  /** No target of the route has a weight, so its calls have no service. */
-  RouteWithoutTarget = "route-without-target",
+  /** No target of the route has a weight, so the first one gets all calls. */
+  RouteWithoutWeight = "route-without-weight",
   /** A target of weight 0 never gets a call. */
   TargetWithoutWeight = "target-without-weight",
   /** The rules do not define the service of a target. */
