Choose backend servers by a sample, the own one first

Cause: each offer estimated and sorted all backend servers of the service, and all nodes agreed on the cheapest, from reports up to 400 ms old. A call that the own backend server could run went through a second node in 17 of 18 cases.

Change: the own backend server first if its gate can start the call at once; else the best of four that are drawn by their rate; all are compared only if few are usable. Candidates are cached until more than heartbeats changes. A report counts less with its age, and replies carry the average time of a route at the backend server, from which one slowness a backend server is derived.

Ruled out by the model in virtual time: larger samples (nodes choose the same backend server), idle backend servers remembered from replies (no gain), a shorter half-life of reports.

Two tests were replaced by ones as strict: candidates in the ranking test state their slowness instead of times by route; the calls of the tests with a silent peer are sent in pairs, as one call alone stays at its own backend server.

--- /dev/null
+++ b/src/balancing/choice_place.ts
@@ -0,0 +1,6 @@
+/** Where a chosen backend server is. */
+export enum ChoicePlace {
+  OwnVm = "own-vm",
+  OwnZone = "own-zone",
+  OtherZone = "other-zone",
+}
--- a/src/balancing/estimate_candidate_cost.ts
+++ b/src/balancing/estimate_candidate_cost.ts
@@ -1,6 +1,7 @@
-import { estimateBusySlots } from "./estimate_busy_slots.ts";
+import { estimateWaitMilliseconds } from "./estimate_wait_milliseconds.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
 import { getObservationWeight } from "./get_observation_weight.ts";
+import { getSlowness } from "./get_slowness.ts";
 import type { RankingContext } from "./ranking_context.ts";
 
 /**
@@ -30,18 +31,17 @@
  */
 export function estimateCandidateCost(
   candidate: GateCandidate,
-  context: RankingContext & { readonly meanAnswerMilliseconds: number },
+  context: RankingContext,
 ): number {
   const { entry, view } = candidate;
   const { goalMilliseconds, now, meanAnswerMilliseconds } = context;
-  const observationWeight = getObservationWeight(view, now);
-  const observedMilliseconds = view.answerMilliseconds.get(context.route) ??
-    meanAnswerMilliseconds;
-  const answerMilliseconds = meanAnswerMilliseconds +
-    (observedMilliseconds - meanAnswerMilliseconds) * observationWeight;
+  const answerMilliseconds = meanAnswerMilliseconds * getSlowness(view, now);
   const slots = Math.max(1, view.load?.slots ?? entry.slots);
-  const excess = Math.max(0, estimateBusySlots(view, now) + 1 - slots);
-  const waitMilliseconds = excess * answerMilliseconds / slots;
+  const waitMilliseconds = estimateWaitMilliseconds(view, {
+    slots,
+    answerMilliseconds,
+    now,
+  });
   const relativeLatency = (answerMilliseconds + waitMilliseconds * waitWeight) /
     goalMilliseconds;
   const latencyCost = costAtGoal * relativeLatency * relativeLatency;
@@ -54,6 +54,6 @@
     : 0;
   const removalCost = candidate.isRemoved ? costOfRemoved : 0;
   return latencyCost + zoneCost + coldCost + removalCost +
-    view.failureRate * observationWeight +
+    view.failureRate * getObservationWeight(view, now) +
     context.random.next() * jitter;
 }
--- a/src/balancing/gate_load.ts
+++ b/src/balancing/gate_load.ts
@@ -14,6 +14,14 @@
    * states no limit, and missing if the node does not know.
    */
   readonly callsPerSecondLimit?: number | null;
+  /**
+   * Present on answers: for how long calls of their route have kept a slot of late,
+   * on average.
+   */
+  readonly routeService?: {
+    readonly route: string;
+    readonly milliseconds: number;
+  };
   /** Present if the backend server states that it is about to leave. */
   readonly departure?: ServerDeparture;
 }
--- a/src/balancing/gate_view.ts
+++ b/src/balancing/gate_view.ts
@@ -1,7 +1,10 @@
 import type { GateLoad } from "./gate_load.ts";
+import type { ServiceLoad } from "./service_load.ts";
 
 /** The mutable view that this node has of the gate of one backend server. */
 export interface GateView {
+  /** The load of its service, which the views of the service share. */
+  readonly serviceLoad: ServiceLoad;
   /** Number of calls that this node has sent there and that have not ended. */
   inFlight: number;
   /** The load that was reported last; undefined before the first report. */
@@ -22,6 +25,13 @@
   contactFailures: number;
   /** Moving average of the share of failed calls, 0 to 1, as of `lastOutcomeAt`. */
   failureRate: number;
+  /**
+   * Moving average of the time of a call as a multiple of the mean of its route
+   * over the service, as of `slownessAt`; 1 if nothing is known.
+   */
+  slowness: number;
+  /** When `slowness` was recorded, in milliseconds since the Unix epoch. */
+  slownessAt: number;
   /** When the outcome of a call was last recorded, in milliseconds since the Unix epoch. */
   lastOutcomeAt: number;
   /** Moving average of the time to an answer in milliseconds, by route name. */
--- a/src/balancing/rank_candidates_test.ts
+++ b/src/balancing/rank_candidates_test.ts
@@ -7,6 +7,7 @@
 import { rankCandidates } from "./rank_candidates.ts";
 
 const now = 1_000_000;
+const meanAnswerMilliseconds = 120;
 
 function createCandidate(
   identifier: string,
@@ -18,7 +19,12 @@
 ): GateCandidate {
   return {
     entry: createSampleEntry({ identifier, zone: options.zone ?? "sul-a" }),
-    view: { ...createGateView(), lastOutcomeAt: now, ...options.view },
+    view: {
+      ...createGateView(),
+      lastOutcomeAt: now,
+      slownessAt: options.view?.lastOutcomeAt ?? now,
+      ...options.view,
+    },
     isRemoved: options.isRemoved ?? false,
   };
 }
@@ -28,14 +34,16 @@
     now,
     random: createRandomSource(7),
     route: "catalogo",
+    meanAnswerMilliseconds,
     goalMilliseconds: 400,
     ownZone: "sul-a",
     answerBytes: 5_000,
   }).map(({ entry }) => entry.identifier);
 }
 
+/** The slowness of a backend server whose answers take `milliseconds`. */
 const answered = (milliseconds: number) =>
-  new Map([["catalogo", milliseconds]]);
+  milliseconds / meanAnswerMilliseconds;
 
 test("candidates of the own zone come first while they have free slots", (t) => {
   t.is(
@@ -51,14 +59,14 @@
   const full = {
     load: { running: 12, queued: 20, slots: 12, cold: false },
     loadReceivedAt: now,
-    answerMilliseconds: answered(120),
+    slowness: answered(120),
   };
   t.is(
     rank([
       createCandidate("near", { view: full }),
       createCandidate("far", {
         zone: "sul-b",
-        view: { answerMilliseconds: answered(120) },
+        view: { slowness: answered(120) },
       }),
     ])[0],
     "far",
@@ -68,10 +76,10 @@
 test("slow backend server among fast ones: a fast one in another zone comes first", (t) => {
   t.is(
     rank([
-      createCandidate("slow", { view: { answerMilliseconds: answered(600) } }),
+      createCandidate("slow", { view: { slowness: answered(600) } }),
       createCandidate("fast", {
         zone: "sul-b",
-        view: { answerMilliseconds: answered(120) },
+        view: { slowness: answered(120) },
       }),
     ])[0],
     "fast",
@@ -102,10 +110,10 @@
 test("bytes between zones: a faster backend server in another zone comes after one of the own zone that is fast enough", (t) => {
   t.is(
     rank([
-      createCandidate("near", { view: { answerMilliseconds: answered(170) } }),
+      createCandidate("near", { view: { slowness: answered(170) } }),
       createCandidate("faster", {
         zone: "sul-b",
-        view: { answerMilliseconds: answered(75) },
+        view: { slowness: answered(75) },
       }),
     ])[0],
     "near",
@@ -116,13 +124,13 @@
   const busy = {
     load: { running: 12, queued: 3, slots: 12, cold: false },
     loadReceivedAt: now,
-    answerMilliseconds: answered(120),
+    slowness: answered(120),
   };
   t.is(
     rank([
       createCandidate("busy", { view: busy }),
       createCandidate("free", {
-        view: { answerMilliseconds: answered(120) },
+        view: { slowness: answered(120) },
       }),
     ])[0],
     "free",
@@ -133,14 +141,14 @@
   const old = {
     lastOutcomeAt: now - 10_000,
     failureRate: 0.4,
-    answerMilliseconds: answered(700),
+    slowness: answered(700),
   };
   t.is(
     rank([
       createCandidate("near", { view: old }),
       createCandidate("far", {
         zone: "sul-b",
-        view: { answerMilliseconds: answered(120) },
+        view: { slowness: answered(120) },
       }),
     ])[0],
     "near",
--- a/src/balancing/ranking_context.ts
+++ b/src/balancing/ranking_context.ts
@@ -7,6 +7,8 @@
   readonly random: RandomSource;
   /** Name of the call's route. */
   readonly route: string;
+  /** Mean time to an answer of the route over the service. */
+  readonly meanAnswerMilliseconds: number;
   /** Latency goal of the call. */
   readonly goalMilliseconds: number;
   readonly ownZone: string;
--- a/src/balancing/record_answer.ts
+++ b/src/balancing/record_answer.ts
@@ -1,9 +1,7 @@
-import { updateAverage } from "../collections/update_average.ts";
 import type { GateView } from "./gate_view.ts";
 import { getObservationWeight } from "./get_observation_weight.ts";
+import { recordAnswerTime } from "./record_answer_time.ts";
 
-/** Weight of the newest answer in the average time to an answer. */
-const newestWeight = 0.1;
 /** Weight of the newest outcome in the failure rate. */
 const newestFailureWeight = 0.2;
 
@@ -24,9 +22,5 @@
   view.failureRate = previous +
     ((options.failed ? 1 : 0) - previous) * newestFailureWeight;
   view.lastOutcomeAt = options.now;
-  if (options.failed) return;
-  updateAverage(view.answerMilliseconds, options.route, {
-    newest: options.elapsedMilliseconds,
-    weight: newestWeight,
-  });
+  if (!options.failed) recordAnswerTime(view, options);
 }
--- a/src/mesh/apply_source_reading.ts
+++ b/src/mesh/apply_source_reading.ts
@@ -1,6 +1,7 @@
 import { deleteExpiredRecords } from "../register/delete_expired_records.ts";
 import type { SourceReading } from "../source/source_reading.ts";
 import { applySourceItem } from "./apply_source_item.ts";
+import { isHeartbeat } from "./is_heartbeat.ts";
 import { listReadingItems } from "./list_reading_items.ts";
 import type { MeshView } from "./mesh_view.ts";
 import { releaseHeldZones } from "./release_held_zones.ts";
@@ -24,7 +25,10 @@
   const eraChanges = tryStartSourceEra(view, reading, { now });
   const startsEra = eraChanges.length > 0;
   const heldChanges = releaseHeldZones(view, reading, { now });
-  const changes = listReadingItems(view, reading, options).flatMap((item) => {
+  const items = listReadingItems(view, reading, options);
+  const isChange = startsEra || heldChanges.length > 0 ||
+    items.some((item) => !isHeartbeat(view, item));
+  const changes = items.flatMap((item) => {
     if (item.revision < (view.revisions.get(item.key) ?? 0)) return [];
     view.revisions.set(item.key, item.revision);
     return applySourceItem(view, item, { now, startsEra }).map((change) => ({
@@ -34,5 +38,6 @@
   });
   deleteExpiredRecords(view.register, now);
   view.recordsByService.clear();
+  if (isChange) view.candidatesVersion += 1;
   return [...eraChanges, ...heldChanges, ...changes];
 }
--- a/src/mesh/apply_withdrawals.ts
+++ b/src/mesh/apply_withdrawals.ts
@@ -46,6 +46,7 @@
     now + withdrawals.zonesHeldMilliseconds,
   );
   view.recordsByService.clear();
+  view.candidatesVersion += 1;
   return changes.map((change) => ({ ...change, revision: noRevision }));
 }
 
--- /dev/null
+++ b/src/mesh/choose_candidate_test.ts
@@ -0,0 +1,176 @@
+import test from "ava";
+import { recordLoad } from "../balancing/record_load.ts";
+import { ServerCondition } from "../gate/server_condition.ts";
+import type { RegisterEntry } from "../register/register_entry.ts";
+import { SourceValueKind } from "../source/source_value_kind.ts";
+import { createOfflineNode } from "../testing/mesh/create_offline_node.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
+import { createVirtualTime } from "../testing/create_virtual_time.ts";
+import { applySourceReading } from "./apply_source_reading.ts";
+import type { CallPlan } from "./call_plan.ts";
+import { chooseCandidate } from "./choose_candidate.ts";
+import { createCallProgress } from "./create_call_progress.ts";
+import { getGateView } from "./get_gate_view.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+const now = 1_000_000;
+const zones = ["sul-a", "sul-b", "sul-c"];
+const slots = 12;
+
+/** The first one is beside the node if `subnet` is 0. */
+function createEntries(count: number, subnet = 0): readonly RegisterEntry[] {
+  return Array.from({ length: count }, (_, index) =>
+    createSampleEntry({
+      identifier: `i-${index + 1}`,
+      address: {
+        host: `10.${subnet}.${index >> 8}.${(index & 255) + 1}`,
+        port: 8301,
+      },
+      zone: zones[index % zones.length]!,
+      slots,
+    }));
+}
+
+function register(node: MeshNode, entries: readonly RegisterEntry[]): void {
+  applySourceReading(node.view, {
+    era: 0,
+    revision: 1,
+    items: entries.map((entry) => ({
+      key: entry.identifier,
+      revision: 1,
+      fact: { kind: SourceValueKind.BackendServer, entry },
+    })),
+  }, { complete: false, now });
+}
+
+function createNode(entries: readonly RegisterEntry[]): MeshNode {
+  const node = createOfflineNode(createVirtualTime(now));
+  register(node, entries);
+  node.gate.slots = slots;
+  node.gate.condition = ServerCondition.Up;
+  return node;
+}
+
+function createProgress(node: MeshNode) {
+  const route = createSampleRoute();
+  const plan: CallPlan = {
+    callIdentifier: "a",
+    request: { method: "GET", url: "/", headers: [], body: Buffer.alloc(0) },
+    route,
+    service: node.settings.service,
+    organisation: undefined,
+    priority: 1,
+    rulesVersion: 1,
+    receivedAt: now,
+    deadline: now + route.timeoutMilliseconds,
+    goalDeadline: now + route.goalMilliseconds,
+    mayComeBack: true,
+    signal: new AbortController().signal,
+  };
+  return createCallProgress(plan);
+}
+
+const choose = (node: MeshNode) =>
+  chooseCandidate(node, createProgress(node))?.entry.identifier;
+
+function occupyOwnSlots(node: MeshNode, count: number): void {
+  Array.from(
+    { length: count },
+    (_, index) =>
+      node.gate.running.set(String(index), {
+        route: "slots",
+        getFingerprint: () => "",
+        startedAt: now,
+      }),
+  );
+}
+
+/** Counts the reads of views and entries of backend servers in 200 choices. */
+function countReads(servers: number): number {
+  let reads = 0;
+  const countingOf = <Value extends object>(value: Value): Value =>
+    new Proxy(value, {
+      get: (target, key) => {
+        reads += 1;
+        return Reflect.get(target, key);
+      },
+    });
+  const entries = createEntries(servers, 1);
+  const node = createNode(entries.map(countingOf));
+  entries.forEach(({ identifier }) => {
+    const view = getGateView(node, identifier);
+    recordLoad(view, {
+      load: { running: 4, queued: 0, slots, cold: false },
+      now,
+    });
+    node.gateViews.set(identifier, countingOf(view));
+  });
+  choose(node);
+  reads = 0;
+  Array.from({ length: 200 }, () => choose(node));
+  return reads;
+}
+
+test("the cost of a choice does not depend on the number of backend servers: 12, 60 and 300", (t) => {
+  const [few, more, most] = [12, 60, 300].map(countReads) as [
+    number,
+    number,
+    number,
+  ];
+  t.log({ few, more, most });
+  t.true(few > 0);
+  t.is(more, few);
+  t.is(most, few);
+});
+
+test("a call that the own backend server can start goes there, not through a second node", (t) => {
+  const node = createNode(createEntries(18));
+  const chosen = Array.from({ length: 50 }, () => choose(node));
+  t.deepEqual([...new Set(chosen)], ["i-1"]);
+});
+
+test("the own backend server is full, closed, down or cold: the call goes elsewhere", (t) => {
+  const changes: readonly ((node: MeshNode) => void)[] = [
+    (node) => occupyOwnSlots(node, slots),
+    (node) => {
+      node.gate.condition = ServerCondition.Down;
+      getGateView(node, "i-1").avoidUntil = now + 300;
+    },
+    (node) => {
+      node.gate.coldUntil = now + 1_000;
+    },
+  ];
+  changes.forEach((change) => {
+    const node = createNode(createEntries(18));
+    change(node);
+    const chosen = Array.from({ length: 50 }, () => choose(node));
+    t.true(chosen.every((identifier) => identifier !== "i-1"));
+  });
+});
+
+test("all gates but one of a large service are known to be full: a complete pass finds it", (t) => {
+  const entries = createEntries(300);
+  const node = createNode(entries);
+  entries.forEach(({ identifier }) => {
+    const isFree = identifier === "i-250";
+    getGateView(node, identifier).fullUntil = isFree ? 0 : now + 50;
+  });
+  t.is(choose(node), "i-250");
+});
+
+test("with each gate of a zone full, calls spread over the other zones by their room", (t) => {
+  const entries = createEntries(60);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  entries.filter(({ zone }) => zone === "sul-a").forEach(({ identifier }) => {
+    getGateView(node, identifier).fullUntil = now + 50;
+  });
+  const chosen = Array.from({ length: 400 }, () => choose(node));
+  const inB =
+    chosen.filter((identifier) =>
+      node.view.register.get(identifier ?? "")?.entry.zone === "sul-b"
+    ).length;
+  t.true(inB > 150 && inB < 250, `${inB}`);
+  t.true(new Set(chosen).size > 30);
+});
--- /dev/null
+++ b/src/mesh/choose_waiting_candidate.ts
@@ -0,0 +1,67 @@
+import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { rankCandidates } from "../balancing/rank_candidates.ts";
+import type { RankingContext } from "../balancing/ranking_context.ts";
+import { sampleCandidates } from "../balancing/sample_candidates.ts";
+import type { ServiceCandidates } from "../balancing/service_candidates.ts";
+import type { CallProgress } from "./call_progress.ts";
+import { getWaitDeadline } from "./get_wait_deadline.ts";
+
+/** So few candidates are all compared. */
+const fewCandidatesMaximum = 12;
+const samples = 2;
+
+/**
+ * Returns the candidate with the shortest expected wait among those where a call
+ * may wait so long; undefined if there is none. Where candidates are many, only
+ * those that refused the call and a sample of the others are compared: the first
+ * round has shown that most are full.
+ */
+export function chooseWaitingCandidate(
+  progress: CallProgress,
+  options: {
+    readonly candidates: ServiceCandidates;
+    readonly context: RankingContext;
+    readonly isCandidate: (candidate: GateCandidate) => boolean;
+  },
+): GateCandidate | undefined {
+  const { candidates, context, isCandidate } = options;
+  const { now } = context;
+  const getExpectedWait = ({ entry, view }: GateCandidate) =>
+    progress.reportedWaits.get(entry.identifier) ??
+      (view.fullUntil > now ? view.waitMilliseconds : 0);
+  const isEligible = (candidate: GateCandidate) =>
+    isCandidate(candidate) &&
+    now + getExpectedWait(candidate) <=
+      getWaitDeadline(progress, { candidate, now });
+  const compared = listCompared(progress, { candidates, context });
+  const eligible = compared.filter(isEligible);
+  return rankCandidates(
+    eligible.length > 0 ? eligible : listRest().filter(isEligible),
+    context,
+  ).toSorted((left, right) => getExpectedWait(left) - getExpectedWait(right))
+    .at(0);
+
+  /** Without a refusal of a full gate, nothing is known of the others. */
+  function listRest(): readonly GateCandidate[] {
+    return progress.reportedWaits.size > 0 ? [] : candidates.all;
+  }
+}
+
+function listCompared(
+  progress: CallProgress,
+  options: {
+    readonly candidates: ServiceCandidates;
+    readonly context: RankingContext;
+  },
+): readonly GateCandidate[] {
+  const { candidates, context } = options;
+  if (candidates.all.length <= fewCandidatesMaximum) return candidates.all;
+  const refusing = Array.from(progress.reportedWaits.keys())
+    .map((identifier) => candidates.byIdentifier.get(identifier))
+    .filter((candidate) => candidate !== undefined);
+  const sampled = Array.from(
+    { length: samples },
+    () => sampleCandidates(candidates, context),
+  ).flat();
+  return [...new Set([...refusing, ...sampled])];
+}
--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -4,6 +4,7 @@
 import type { CallEvent } from "./call_event.ts";
 import type { CallEventCount } from "./call_event_count.ts";
 import { CallEventKind } from "./call_event_kind.ts";
+import type { ChoiceCount } from "./choice_count.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
 
 const microsecondsPerMillisecond = 1_000;
@@ -14,6 +15,7 @@
  */
 export function createMeshMetrics(): MeshMetrics {
   const counts = new Map<string, CallEventCount>();
+  const choices = new Map<string, ChoiceCount>();
   const histograms = new Map<string, Histogram>();
 
   function recordLatency(
@@ -45,10 +47,17 @@
       }).events += 1;
       observeLatencies(event);
     },
+    observeChoice: ({ way, place, reportAgeMilliseconds }) => {
+      getOrCreate(choices, `${way} ${place}`, {
+        create: () => ({ labels: { way, place }, choices: 0 }),
+      }).choices += 1;
+      recordLatency("load-report", reportAgeMilliseconds);
+    },
     render: async (gauges) => {
       const { renderMeshMetrics } = await import("./render_mesh_metrics.ts");
       return await renderMeshMetrics({
         counts: Array.from(counts.values()),
+        choices: Array.from(choices.values()),
         histograms,
         gauges,
       });
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { ChoicePlace } from "../balancing/choice_place.ts";
+import { ChoiceWay } from "../balancing/choice_way.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 
@@ -17,6 +19,11 @@
     waitedMilliseconds: 5,
     elapsedMilliseconds: 120,
   });
+  metrics.observeChoice({
+    way: ChoiceWay.Sample,
+    place: ChoicePlace.OwnZone,
+    reportAgeMilliseconds: 250,
+  });
   const text = await metrics.render({
     rulesVersion: 7,
     sourceEra: 3,
@@ -43,6 +50,14 @@
     text,
     /catkinquay_latency_milliseconds\{place="queue",quantile="0.5"\} 5/,
   );
+  t.regex(
+    text,
+    /catkinquay_choices_total\{way="sample",place="own-zone"\} 1/,
+  );
+  t.regex(
+    text,
+    /catkinquay_latency_milliseconds\{place="load-report",quantile="0.5"\} 250/,
+  );
   t.regex(text, /catkinquay_rules_version 7/);
   t.regex(text, /catkinquay_source_era 3/);
   t.regex(text, /catkinquay_source_sound_milliseconds -1/);
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -69,6 +69,8 @@
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     offers: createOfferRecords(),
     gateViews: new Map(),
+    serviceLoads: new Map(),
+    serviceCandidates: new Map(),
     departures: new Map(),
     splitStates: new Map(),
     retryCounts: new Map(),
--- a/src/mesh/create_mesh_view.ts
+++ b/src/mesh/create_mesh_view.ts
@@ -7,6 +7,7 @@
     routes: new Map(),
     register: new Map(),
     recordsByService: new Map(),
+    candidatesVersion: 0,
     zonesTakenOut: new Set(),
     sourceEra: undefined,
     heldZoneKeys: new Set(),
--- a/src/mesh/decode_reply.ts
+++ b/src/mesh/decode_reply.ts
@@ -29,11 +29,23 @@
   const load = input as Partial<Record<keyof GateLoad, unknown>>;
   return typeof load.cold === "boolean" &&
     (load.departure === undefined || isServerDeparture(load.departure)) &&
+    (load.routeService === undefined || isRouteService(load.routeService)) &&
     (load.callsPerSecondLimit === null ||
       isAmount(load.callsPerSecondLimit)) &&
     [load.running, load.queued, load.slots].every(Number.isFinite);
 }
 
+function isRouteService(
+  input: unknown,
+): input is NonNullable<GateLoad["routeService"]> {
+  if (typeof input !== "object" || input === null) return false;
+  const { route, milliseconds } = input as Partial<
+    Record<keyof NonNullable<GateLoad["routeService"]>, unknown>
+  >;
+  return typeof route === "string" && typeof milliseconds === "number" &&
+    isAmount(milliseconds);
+}
+
 function isServerDeparture(input: unknown): input is ServerDeparture {
   if (typeof input !== "object" || input === null) return false;
   const departure = input as Partial<Record<keyof ServerDeparture, unknown>>;
--- a/src/mesh/get_gate_view.ts
+++ b/src/mesh/get_gate_view.ts
@@ -1,6 +1,7 @@
 import { createGateView } from "../balancing/create_gate_view.ts";
 import type { GateView } from "../balancing/gate_view.ts";
 import { getOrCreate } from "../collections/get_or_create.ts";
+import { getServiceLoad } from "./get_service_load.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
@@ -8,5 +9,12 @@
  * use.
  */
 export function getGateView(node: MeshNode, identifier: string): GateView {
-  return getOrCreate(node.gateViews, identifier, { create: createGateView });
+  return getOrCreate(node.gateViews, identifier, {
+    create: () => {
+      const service = node.view.register.get(identifier)?.entry.service;
+      return service === undefined
+        ? createGateView()
+        : createGateView(getServiceLoad(node, service));
+    },
+  });
 }
--- a/src/mesh/list_candidates.ts
+++ b/src/mesh/list_candidates.ts
@@ -1,9 +1,6 @@
-import { hasDeparted } from "../register/has_departed.ts";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import { BackendServerAvailability } from "../register/backend_server_availability.ts";
-import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
-import { getGateView } from "./get_gate_view.ts";
-import { getRecordsOfService } from "./get_records_of_service.ts";
+import { hasDeparted } from "../register/has_departed.ts";
+import { getServiceCandidates } from "./get_service_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
@@ -15,18 +12,7 @@
   node: MeshNode,
   service: string,
 ): readonly GateCandidate[] {
-  const now = node.clock.now();
-  const { zonesTakenOut } = node.view;
-  return getRecordsOfService(node.view, service)
-    .filter((record) =>
-      record.entry.availability === BackendServerAvailability.Ready &&
-      !zonesTakenOut.has(record.entry.zone) &&
-      !hasDeparted(node.departures, record.entry) &&
-      !isRemovalConfirmed(record, now)
-    )
-    .map(({ entry, removedAt }) => ({
-      entry,
-      view: getGateView(node, entry.identifier),
-      isRemoved: removedAt > 0,
-    }));
+  const { all } = getServiceCandidates(node, service);
+  if (node.departures.size === 0) return all;
+  return all.filter(({ entry }) => !hasDeparted(node.departures, entry));
 }
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,6 +1,7 @@
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
+import type { ServiceLoad } from "../balancing/service_load.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { OfferRecords } from "../offers/offer_records.ts";
 import type { QuarantineState } from "../quarantine/quarantine_state.ts";
@@ -14,6 +15,7 @@
 import type { Timers } from "../runtime/timers.ts";
 import type { SourceFeed } from "../source/source_feed.ts";
 import type { CallDialect } from "./call_dialect.ts";
+import type { CandidatesCacheEntry } from "./candidates_cache_entry.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
@@ -64,6 +66,10 @@
   readonly offers: OfferRecords;
   /** By identifier of the backend server. */
   readonly gateViews: Map<string, GateView>;
+  /** By service. */
+  readonly serviceLoads: Map<string, ServiceLoad>;
+  /** By service. */
+  readonly serviceCandidates: Map<string, CandidatesCacheEntry>;
   readonly departures: Departures;
   /** By route. */
   readonly splitStates: Map<string, SplitState>;
--- a/src/mesh/mesh_view.ts
+++ b/src/mesh/mesh_view.ts
@@ -14,6 +14,8 @@
   readonly register: RegisterState;
   /** Records of the register by service, cached until the register changes. */
   readonly recordsByService: Map<string, readonly RegisterRecord[]>;
+  /** Changes with each reading that changes more than heartbeats. */
+  candidatesVersion: number;
   readonly zonesTakenOut: Set<string>;
   /** Era of the last applied reading; undefined before the first. */
   sourceEra: number | undefined;
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -111,10 +111,13 @@
 );
 
 const callsMaximum = 50;
+/** Two calls that are sent at once run at the same time. */
+const overlapMilliseconds = 20;
 
 /**
- * Sends calls one after another until the peer has the offer of one; resolves
- * with the response to that call, which is the last one.
+ * Sends two calls at a time until the peer has the offer of one: the own backend
+ * server, which comes first, has one slot. Resolves with the response to one of
+ * the last two calls, a failed one if there is any.
  */
 async function callUntilOffered(
   fleet: MeshFleet,
@@ -126,11 +129,12 @@
   let response: MeshResponse | undefined;
   for (let count = 0; count < callsMaximum; count += 1) {
     if (peer.offers.length > 0) break;
-    const call = fleet.call(0);
+    const calls = Promise.all([fleet.call(0), fleet.call(0)]);
     const offered = waitUntil(() => peer.offers.length > 0);
-    await Promise.race([call, offered]);
+    await Promise.race([calls, offered]);
     if (peer.offers.length > 0) onOffered();
-    response = await call;
+    const responses = await calls;
+    response = responses.find(({ status }) => status !== 200) ?? responses[0];
   }
   return response;
 }
@@ -144,8 +148,14 @@
 async function withSilentPeerBesideOwnServer(
   run: (fleet: MeshFleet, peer: SilentPeer) => Promise<void>,
 ): Promise<void> {
-  await withMeshFleet({ vms: 1 }, async (fleet) => {
+  await withMeshFleet({ vms: 1, slots: 1 }, async (fleet) => {
     const peer = await startSilentPeer(fleet);
+    scriptAllBackends(fleet, (request, response) => {
+      setTimeout(
+        () => sendCompleteAnswer(request, response),
+        overlapMilliseconds,
+      );
+    });
     try {
       await delay(500);
       await run(fleet, peer);
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Registry } from "prom-client";
 import { latencyQuantiles } from "../telemetry/latency_quantiles.ts";
 import type { CallEventCount } from "./call_event_count.ts";
+import type { ChoiceCount } from "./choice_count.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
 
 const microsecondsPerMillisecond = 1_000;
@@ -31,12 +32,13 @@
 export function renderMeshMetrics(
   options: {
     readonly counts: readonly CallEventCount[];
+    readonly choices: readonly ChoiceCount[];
     /** Latencies in microseconds, by place. */
     readonly histograms: ReadonlyMap<string, Histogram>;
     readonly gauges: MeshGauges;
   },
 ): Promise<string> {
-  const { counts, histograms, gauges } = options;
+  const { counts, choices, histograms, gauges } = options;
   const registry = new Registry();
   const registers = [registry];
   const events = new Counter({
@@ -46,6 +48,13 @@
     registers,
   });
   counts.forEach(({ labels, events: count }) => events.inc(labels, count));
+  const chosen = new Counter({
+    name: "catkinquay_choices_total",
+    help: "Backend servers chosen for offers, by way and place",
+    labelNames: ["way", "place"],
+    registers,
+  });
+  choices.forEach(({ labels, choices: count }) => chosen.inc(labels, count));
   const latency = new Gauge({
     name: "catkinquay_latency_milliseconds",
     help: "Times since the start, by place and quantile",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -74,7 +74,7 @@
     ...Object.values(Outcome),
     ...Object.values(BackendExchangeKind),
   ];
-  const places = ["caller", "queue", "backend-server"];
+  const places = ["caller", "queue", "backend-server", "load-report"];
   [
     { label: "kind", known: kinds },
     { label: "reason", known: reasons },
--- a/src/mesh/report_offer.ts
+++ b/src/mesh/report_offer.ts
@@ -23,6 +23,7 @@
   },
 ): void {
   const { entry, view } = options.candidate;
+  const { routeService: _, ...load } = view.load ?? {};
   node.report.call({
     kind: options.kind,
     call: progress.plan.callIdentifier,
@@ -33,6 +34,6 @@
     ...(options.cause === undefined ? {} : { cause: options.cause }),
     elapsedMilliseconds: Math.round(node.clock.now() - options.offeredAt),
     attempts: progress.attempts,
-    ...view.load,
+    ...load,
   });
 }
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -11,6 +11,7 @@
 import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
+import { getGateLoadOfAnswer } from "./get_gate_load_of_answer.ts";
 import { getOwnServerIdentifier } from "./get_own_server_identifier.ts";
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import { isFramedAnswer } from "./is_framed_answer.ts";
@@ -88,7 +89,7 @@
     headers: selectForwardedHeaders(answer.rawHeaders),
     framed: isFramedAnswer(answer),
     body: answer,
-    load: getGateLoad(node),
+    load: getGateLoadOfAnswer(node, offer.route),
   };
 }
 
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -2,6 +2,7 @@
 import { createOfferIdentifier } from "../offers/create_offer_identifier.ts";
 import { CallKind } from "../routing/call_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
+import { isOwnAddress } from "./is_own_address.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { offerToNode } from "./offer_to_node.ts";
@@ -38,10 +39,8 @@
     callsPerSecondLimit: view.callsPerSecondLimit,
   };
   const { signal, request } = plan;
-  const { backendServer, listeners } = node.settings;
-  const isOwn = entry.address.host === backendServer.host &&
-    entry.address.port === backendServer.port;
-  return isOwn
+  const { listeners } = node.settings;
+  return isOwnAddress(node.settings, entry.address)
     ? offerToOwnServer(node, request, { offer, signal })
     : offerToNode(node, request, {
       offer,
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -155,7 +155,11 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
-        ...createReplyHeadersOfNode(node, { kind, framed, load }),
+        ...createReplyHeadersOfNode(node, {
+          kind,
+          framed,
+          load: answered.load ?? load,
+        }),
       ]);
       // A broken answer must not look complete to the other node.
       body.once("error", () => response.destroy());
