Split the model of choices, test waits, losses and the own backend server

Change: one export a file; tests for the waiting round, unreachable backend servers, bytes between zones and the own backend server first.

--- a/src/mesh/choose_candidate_test.ts
+++ b/src/mesh/choose_candidate_test.ts
@@ -174,3 +174,56 @@
   t.true(inB > 150 && inB < 250, `${inB}`);
   t.true(new Set(chosen).size > 30);
 });
+
+test("half of the backend servers cannot be reached: none of them is chosen while others can be", (t) => {
+  const entries = createEntries(60);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  const unreachable = new Set(
+    entries.filter((_, index) => index % 2 === 1).map(({ identifier }) =>
+      identifier
+    ),
+  );
+  unreachable.forEach((identifier) => {
+    getGateView(node, identifier).avoidUntil = now + 500;
+  });
+  const chosen = Array.from({ length: 200 }, () => choose(node));
+  t.true(chosen.every((identifier) => !unreachable.has(identifier ?? "")));
+});
+
+test("all gates are full: the call waits where the wait is shortest among those that refused it and a few others", (t) => {
+  const entries = createEntries(300);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  entries.forEach(({ identifier }) => {
+    const view = getGateView(node, identifier);
+    view.fullUntil = now + 50;
+    view.waitMilliseconds = 40;
+  });
+  const progress = createProgress(node);
+  progress.isWaitingRound = true;
+  [30, 10, 20].forEach((wait, index) =>
+    progress.reportedWaits.set(`i-${index + 100}`, wait)
+  );
+  t.is(chooseCandidate(node, progress)?.entry.identifier, "i-101");
+  progress.excluded.add("i-101");
+  t.is(chooseCandidate(node, progress)?.entry.identifier, "i-102");
+});
+
+test("an idle, equally fast backend server of the own zone comes before one of another zone, so that few bytes cross zones", (t) => {
+  const entries = createEntries(60);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  entries.forEach(({ identifier }) =>
+    recordLoad(getGateView(node, identifier), {
+      load: { running: 6, queued: 0, slots, cold: false },
+      now,
+    })
+  );
+  const chosen = Array.from({ length: 200 }, () => choose(node));
+  const crossing =
+    chosen.filter((identifier) =>
+      node.view.register.get(identifier ?? "")?.entry.zone !== "sul-a"
+    ).length;
+  t.is(crossing, 0);
+});
--- /dev/null
+++ b/src/testing/balancing/choice_model_settings.ts
@@ -0,0 +1,24 @@
+/** The model of choices among backend servers. Times are in milliseconds. */
+export const choiceModelSettings = {
+  servers: 60,
+  slots: 8,
+  speedMinimum: 0.5,
+  speedMaximum: 1.7,
+  /** Mean time of a call at a backend server of speed 1. */
+  usualMilliseconds: 40,
+  /** Share of all capacity that calls use, spells of slowness aside. */
+  loadShare: 0.65,
+  goalMilliseconds: 150,
+  durationMilliseconds: 6_000,
+  /** Calls before do not count. */
+  warmUpMilliseconds: 1_500,
+  /** Reports reach a node so old, and the next one comes after `reportGroups` times that. */
+  reportAgeMilliseconds: 50,
+  reportGroups: 7,
+  /** A gate refuses a call that would wait for longer. */
+  waitMillisecondsMaximum: 18,
+  /** Time until the offer that follows a refusal. */
+  offerMilliseconds: 1,
+  refusalsMaximum: 6,
+  route: "catalogo",
+} as const;
