--- a/src/balancing/choose_from_sample.ts
+++ b/src/balancing/choose_from_sample.ts
@@ -1,11 +1,12 @@
 import { estimateCandidateCost } from "./estimate_candidate_cost.ts";
 import { estimateUseCost } from "./estimate_use_cost.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
+import { isSound } from "./is_sound.ts";
 import type { RankingContext } from "./ranking_context.ts";
 import { sampleCandidates } from "./sample_candidates.ts";
 import type { ServiceCandidates } from "./service_candidates.ts";
 
-/** Without a usable candidate in so many samples, few are left and all are compared. */
+/** Without a sound and usable candidate in so many samples, few are left and all are compared. */
 const samplesMaximum = 3;
 
 interface EstimatedCandidate {
@@ -15,7 +16,7 @@
 }
 
 /**
- * Returns the best usable candidate of a small random sample; undefined if
+ * Returns the best sound and usable candidate of a small random sample; undefined if
  * several samples had none. Within a zone the load is kept even; calls leave the
  * own zone only if another serves them better.
  */
@@ -31,7 +32,7 @@
     if (samplesLeft === 0) return undefined;
     const usable = sampleCandidates(candidates, context)
       .filter((candidate) =>
-        candidate.view.avoidUntil <= context.now && context.isUsable(candidate)
+        isSound(candidate, context.now) && context.isUsable(candidate)
       )
       .map(estimate);
     const isNearby = ({ candidate }: EstimatedCandidate) =>
--- a/src/balancing/is_own_server_first.ts
+++ b/src/balancing/is_own_server_first.ts
@@ -2,8 +2,8 @@
 import type { GateState } from "../gate/gate_state.ts";
 import { canStartAtOnce } from "./can_start_at_once.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
-import { getObservationWeight } from "./get_observation_weight.ts";
 import { getSlowness } from "./get_slowness.ts";
+import { isSound } from "./is_sound.ts";
 
 /** Up to this share of its slots, calls of this VM leave enough room for those of others. */
 const roomyShare = 0.5;
@@ -15,8 +15,6 @@
 const safeGoalShare = 0.5;
 /** Others are much faster than a backend server that is slower than this. */
 const slownessMaximum = 1.5;
-/** Above this share of failures, others serve the call better. */
-const failureRateMaximum = 0.1;
 
 /**
  * Whether a call should go to the backend server of this VM without a look at
@@ -34,16 +32,14 @@
   },
 ): boolean {
   const { gate, now, meanAnswerMilliseconds, goalMilliseconds } = options;
-  const { view, isRemoved } = candidate;
-  if (isRemoved || view.avoidUntil > now || isCold(gate, now)) return false;
+  const { view } = candidate;
+  if (!isSound(candidate, now) || isCold(gate, now)) return false;
   const share = Math.min(
     shareMaximum,
     Math.max(roomyShare, view.serviceLoad.busyShare + excessShare),
   );
   const runningMaximum = Math.max(1, gate.slots * share);
   if (gate.running.size >= runningMaximum) return false;
-  const failureRate = view.failureRate * getObservationWeight(view, now);
-  if (failureRate > failureRateMaximum) return false;
   const slowness = getSlowness(view, now);
   const isAtRisk = slowness > slownessMaximum &&
     slowness * meanAnswerMilliseconds > goalMilliseconds * safeGoalShare;
--- a/src/mesh/choose_candidate_test.ts
+++ b/src/mesh/choose_candidate_test.ts
@@ -227,3 +227,19 @@
     ).length;
   t.is(crossing, 0);
 });
+
+test("a power cut took most of a service: a call goes to one of the few that were reached, not to another that was lost", (t) => {
+  const entries = createEntries(60);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  const reached = new Set(["i-2", "i-31", "i-60"]);
+  entries.filter(({ identifier }) => !reached.has(identifier))
+    .forEach(({ identifier }) => {
+      const view = getGateView(node, identifier);
+      view.contactFailures = 1;
+      view.failureRate = 0.2;
+      view.lastOutcomeAt = now - 600;
+    });
+  const chosen = Array.from({ length: 100 }, () => choose(node));
+  t.true(chosen.every((identifier) => reached.has(identifier ?? "")));
+});
