--- a/src/balancing/is_own_server_first.ts
+++ b/src/balancing/is_own_server_first.ts
@@ -2,6 +2,7 @@
 import type { GateState } from "../gate/gate_state.ts";
 import { canStartAtOnce } from "./can_start_at_once.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
+import { getObservationWeight } from "./get_observation_weight.ts";
 import { getSlowness } from "./get_slowness.ts";
 import { isSound } from "./is_sound.ts";
 
@@ -13,6 +14,8 @@
 const shareMaximum = 0.9;
 /** An answer that is expected within this share of the goal arrives in time although times vary. */
 const safeGoalShare = 0.5;
+/** A single failed call does not exceed it, two in a row do. */
+const failureRateMaximum = 0.3;
 /** Others are much faster than a backend server that is slower than this. */
 const slownessMaximum = 1.5;
 
@@ -34,6 +37,8 @@
   const { gate, now, meanAnswerMilliseconds, goalMilliseconds } = options;
   const { view } = candidate;
   if (!isSound(candidate, now) || isCold(gate, now)) return false;
+  const failureRate = view.failureRate * getObservationWeight(view, now);
+  if (failureRate > failureRateMaximum) return false;
   const share = Math.min(
     shareMaximum,
     Math.max(roomyShare, view.serviceLoad.busyShare + excessShare),
