--- a/src/mesh/create_mesh_metrics.ts
+++ b/src/mesh/create_mesh_metrics.ts
@@ -5,6 +5,7 @@
 import { countOrganisationCall } from "./count_organisation_call.ts";
 import type { CallEventCount } from "./call_event_count.ts";
 import { CallEventKind } from "./call_event_kind.ts";
+import type { ChoiceCount } from "./choice_count.ts";
 import type { MeshMetrics } from "./mesh_metrics.ts";
 import type { OrganisationCount } from "./organisation_count.ts";
 
@@ -17,6 +18,7 @@
 export function createMeshMetrics(): MeshMetrics {
   const counts = new Map<string, CallEventCount>();
   const organisationCounts = new Map<string, OrganisationCount>();
+  const choices = new Map<string, ChoiceCount>();
   const histograms = new Map<string, Histogram>();
 
   function recordLatency(
@@ -49,10 +51,17 @@
       countOrganisationCall(organisationCounts, event);
       observeLatencies(event);
     },
+    observeChoice: ({ way, place, reportAgeMilliseconds }) => {
+      getOrCreate(choices, `${way} ${place}`, {
+        create: () => ({ labels: { way, place }, choices: 0 }),
+      }).choices += 1;
+      recordLatency("load-report", reportAgeMilliseconds);
+    },
     render: async (gauges, quotaCounts = []) => {
       const { renderMeshMetrics } = await import("./render_mesh_metrics.ts");
       return await renderMeshMetrics({
         counts: Array.from(counts.values()),
+        choices: Array.from(choices.values()),
         quotaCounts,
         organisationCounts: Array.from(organisationCounts.values()),
         histograms,
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -79,6 +79,8 @@
     offers: createOfferRecords(),
     gateViews: new Map(),
     quotas: createQuotaState(clock),
+    serviceLoads: new Map(),
+    serviceCandidates: new Map(),
     departures: new Map(),
     splitStates: new Map(),
     retryCounts: new Map(),
--- a/src/mesh/create_mesh_view.ts
+++ b/src/mesh/create_mesh_view.ts
@@ -8,6 +8,7 @@
     organisationsByKeyHash: new Map(),
     register: new Map(),
     recordsByService: new Map(),
+    candidatesVersion: 0,
     zonesTakenOut: new Set(),
     sourceEra: undefined,
     heldZoneKeys: new Set(),
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Registry } from "prom-client";
 import { latencyQuantiles } from "../telemetry/latency_quantiles.ts";
 import type { CallEventCount } from "./call_event_count.ts";
+import type { ChoiceCount } from "./choice_count.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
 import type { OrganisationCount } from "./organisation_count.ts";
 import type { QuotaCount } from "./quota_count.ts";
@@ -41,13 +42,20 @@
     readonly counts: readonly CallEventCount[];
     readonly organisationCounts: readonly OrganisationCount[];
     readonly quotaCounts: readonly QuotaCount[];
+    readonly choices: readonly ChoiceCount[];
     /** Latencies in microseconds, by place. */
     readonly histograms: ReadonlyMap<string, Histogram>;
     readonly gauges: MeshGauges;
   },
 ): Promise<string> {
-  const { counts, organisationCounts, quotaCounts, histograms, gauges } =
-    options;
+  const {
+    counts,
+    organisationCounts,
+    quotaCounts,
+    choices,
+    histograms,
+    gauges,
+  } = options;
   const registry = new Registry();
   const registers = [registry];
   const events = new Counter({
@@ -74,6 +82,13 @@
     registers,
   });
   quotaCounts.forEach(({ labels, calls }) => quotaCalls.set(labels, calls));
+  const chosen = new Counter({
+    name: "catkinquay_choices_total",
+    help: "Backend servers chosen for offers, by way and place",
+    labelNames: ["way", "place"],
+    registers,
+  });
+  choices.forEach(({ labels, choices: count }) => chosen.inc(labels, count));
   const latency = new Gauge({
     name: "catkinquay_latency_milliseconds",
     help: "Times since the start, by place and quantile",
