Refuse calls at once while a service is known to be full

Cause: each call walked up to nine full or cold gates by itself, and a gate queued the newest call first, so that older ones were refused only after they had been overtaken.

Change: the calls of a node share what they learn of the room at a service. Two or three refusals settle that it is full; calls are then refused without an offer, with retry delays that follow each other at the rate that the service admits. A gate queues a call only if it is expected to start within a third of the time that it may wait, serves the queue in order of arrival plus three service times, and puts nested calls first. Calls from outside leave a slot for nested calls where services may call each other in a cycle.

--- /dev/null
+++ b/src/capacity/get_capacity_outlook_test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { createServiceCapacity } from "./create_service_capacity.ts";
+import { getCapacityOutlook } from "./get_capacity_outlook.ts";
+import type { OpenGate } from "./open_gate.ts";
+import { recordFullGate } from "./record_full_gate.ts";
+import { recordGateRoom } from "./record_gate_room.ts";
+
+const now = 1_000_000;
+
+function createGates(
+  count: number,
+  { coldUntil }: { readonly coldUntil: number },
+): readonly OpenGate[] {
+  return Array.from({ length: count }, (_, index) => ({
+    identifier: `server-${index}`,
+    slots: 8,
+    coldUntil,
+    answerMilliseconds: 100,
+  }));
+}
+
+function createFullCapacity(full: number, waitMilliseconds = 200) {
+  const capacity = createServiceCapacity();
+  Array.from({ length: full }, (_, index) =>
+    recordFullGate(capacity, {
+      identifier: `server-${index}`,
+      waitMilliseconds: waitMilliseconds + index,
+      now,
+    }));
+  return capacity;
+}
+
+test("all backend servers cold after a restart of all nodes: two refusals settle it for every call", (t) => {
+  const gates = createGates(24, { coldUntil: now + 3_000 });
+  const capacity = createFullCapacity(1);
+  t.false(getCapacityOutlook(capacity, { gates, now }).isFull);
+  const settled = createFullCapacity(2);
+  t.deepEqual(getCapacityOutlook(settled, { gates, now: now + 50 }), {
+    isFull: true,
+    waitMilliseconds: 150,
+  });
+});
+
+test("warm backend servers: one of many with room keeps calls coming, and few are full only together", (t) => {
+  const many = createGates(24, { coldUntil: 0 });
+  t.false(
+    getCapacityOutlook(createFullCapacity(2), { gates: many, now }).isFull,
+  );
+  const capacity = createFullCapacity(3);
+  t.true(getCapacityOutlook(capacity, { gates: many, now }).isFull);
+  recordGateRoom(capacity, { identifier: "server-1" });
+  t.false(getCapacityOutlook(capacity, { gates: many, now }).isFull);
+  const two = createGates(2, { coldUntil: 0 });
+  t.true(getCapacityOutlook(createFullCapacity(2), { gates: two, now }).isFull);
+});
+
+test("knowledge expires within some hundred milliseconds and stays bounded", (t) => {
+  const gates = createGates(24, { coldUntil: 0 });
+  const capacity = createFullCapacity(24);
+  t.false(getCapacityOutlook(capacity, { gates, now: now + 300 }).isFull);
+  recordFullGate(capacity, {
+    identifier: "server-0",
+    waitMilliseconds: 1,
+    now: now + 400,
+  });
+  t.is(capacity.fullGates.size, 1);
+});
--- a/src/gate/compare_queued_requests.ts
+++ b/src/gate/compare_queued_requests.ts
@@ -4,21 +4,33 @@
 import type { SlotRequest } from "./slot_request.ts";
 
 /**
- * Compares two queued calls; a negative result puts `left` first. The order is
- * by priority, then calls that can still be answered within their goal before
- * late ones, then calls whose caller cannot retry, since refusing them wastes
- * the work behind them, then the newest first. Under overload the newest call
- * is the likeliest to be answered in time; serving the oldest first would make
- * every call late.
+ * Multiple of its service time by which a call may be later than a call that
+ * needs no time. Goals of short calls are nearer than those of long ones.
+ */
+const serviceTimeWeight = 3;
+
+/**
+ * Compares two queued calls; a negative result puts `left` first. Nested calls
+ * come first whatever their priority, since refusing them wastes the calls that
+ * wait for them. The order of the others is by priority, then calls that can
+ * still be answered within their goal before late ones, then calls whose caller
+ * cannot retry. Of the rest, a short call comes before a long one that arrived
+ * at the same time, and a long one before calls that arrive much later.
  */
 export function compareQueuedRequests(
   left: QueuedSlotRequest,
   right: QueuedSlotRequest,
   options: { readonly state: GateState; readonly now: number },
 ): number {
+  const { state, now } = options;
   const isLate = ({ goalDeadline, route }: SlotRequest) =>
-    goalDeadline <
-      options.now + getRouteServiceMilliseconds(options.state, route);
+    goalDeadline < now + getRouteServiceMilliseconds(state, route);
+  const getTurn = ({ request, queuedAt }: QueuedSlotRequest) =>
+    queuedAt +
+    getRouteServiceMilliseconds(state, request.route) * serviceTimeWeight;
+  const nestedOrder = Number(right.request.isNested) -
+    Number(left.request.isNested);
+  if (nestedOrder !== 0) return nestedOrder;
   const priorityOrder = left.request.priority - right.request.priority;
   if (priorityOrder !== 0) return priorityOrder;
   const latenessOrder = Number(isLate(left.request)) -
@@ -26,5 +38,5 @@
   if (latenessOrder !== 0) return latenessOrder;
   const retryOrder = Number(left.request.mayComeBack) -
     Number(right.request.mayComeBack);
-  return retryOrder !== 0 ? retryOrder : right.queuedAt - left.queuedAt;
+  return retryOrder !== 0 ? retryOrder : getTurn(left) - getTurn(right);
 }
--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -27,6 +27,8 @@
     bornAt: 0,
     running: new Map(),
     queue: [],
+    nestedRequestAt: 0,
+    nestedCallAt: 0,
     serviceMilliseconds: initialServiceMilliseconds,
     serviceMillisecondsByRoute: new Map(),
   };
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -29,6 +29,10 @@
   readonly running: Map<string, RunningCall>;
   /** Calls that wait for a slot, sorted when the queue is processed; new calls are appended. */
   queue: QueuedSlotRequest[];
+  /** When a nested call requested a slot last, in milliseconds since the Unix epoch; 0 for never. */
+  nestedRequestAt: number;
+  /** When the backend server made a nested call last, in milliseconds since the Unix epoch; 0 for never. */
+  nestedCallAt: number;
   /** Moving average of the time for which a call occupies its slot, over all routes. */
   serviceMilliseconds: number;
   /** The same average by route name. */
--- a/src/gate/occupy_slot.ts
+++ b/src/gate/occupy_slot.ts
@@ -7,10 +7,11 @@
   state: GateState,
   options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  const { callIdentifier, route, getFingerprint } = options.request;
+  const { callIdentifier, route, getFingerprint, isNested } = options.request;
   state.running.set(callIdentifier, {
     route,
     getFingerprint,
+    isNested,
     startedAt: options.now,
   });
   listActiveBuckets(state, options.now).forEach((bucket) => {
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -4,8 +4,9 @@
 import type { GateState } from "./gate_state.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { getFullReason } from "./get_full_reason.ts";
-import { getLatestStart } from "./get_latest_start.ts";
+import { getLatestExpectedStart } from "./get_latest_expected_start.ts";
 import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
+import { isKeptForNestedCalls } from "./is_kept_for_nested_calls.ts";
 import { occupySlot } from "./occupy_slot.ts";
 import { ServerCondition } from "./server_condition.ts";
 import type { SlotDecision } from "./slot_decision.ts";
@@ -25,6 +26,7 @@
   request: SlotRequest,
   { now }: { readonly now: number },
 ): SlotDecision {
+  if (request.isNested) state.nestedRequestAt = now;
   if (state.closedReason !== undefined) {
     return refuse(state.closedReason, closedRetryMilliseconds);
   }
@@ -38,10 +40,10 @@
   const ahead = countQueuedAhead(state, request, { now });
   const wait = Math.max(
     getExpectedWaitMilliseconds(state, { ahead, now }),
-    isHeldAsSuspect(state, request) ? state.serviceMilliseconds : 0,
+    isHeldBack(state, request, now) ? state.serviceMilliseconds : 0,
   );
-  // A call that would end after its deadline is refused at once, not after a useless wait.
-  if (now + wait > getLatestStart(state, request)) {
+  // Refused at once, not after a useless wait.
+  if (now + wait > getLatestExpectedStart(state, request, { now })) {
     return refuse(
       getFullReason(state, now),
       Math.max(wait, state.serviceMilliseconds / 2),
@@ -51,6 +53,16 @@
   return { kind: SlotDecisionKind.Queued };
 }
 
+/** Whether the call waits although a slot is free. */
+function isHeldBack(
+  state: GateState,
+  request: SlotRequest,
+  now: number,
+): boolean {
+  return isHeldAsSuspect(state, request) ||
+    (!request.isNested && isKeptForNestedCalls(state, { now }));
+}
+
 /** Counts the queued calls that get a slot before a new call; the others do not delay it. */
 function countQueuedAhead(
   state: GateState,
--- a/src/gate/running_call.ts
+++ b/src/gate/running_call.ts
@@ -4,6 +4,7 @@
   readonly route: string;
   /** Returns what identifies the request when it comes again; computed at the first use. */
   readonly getFingerprint: () => string;
+  readonly isNested: boolean;
   /** When the call got its slot, in milliseconds since the Unix epoch. */
   readonly startedAt: number;
 }
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -15,4 +15,6 @@
   readonly waitDeadline: number;
   /** Whether the caller can retry after a refusal. */
   readonly mayComeBack: boolean;
+  /** Whether a backend server makes the call for a call that it runs. */
+  readonly isNested: boolean;
 }
--- a/src/mesh/call_event.ts
+++ b/src/mesh/call_event.ts
@@ -21,7 +21,11 @@
   readonly elapsedMilliseconds?: number;
   /** Time that the call waited for a slot. */
   readonly waitedMilliseconds?: number;
+  /** The shortest known wait for a slot. */
+  readonly waitMilliseconds?: number;
   readonly retryMilliseconds?: number;
+  /** Whether a backend server made the call for a call that it ran. */
+  readonly nested?: boolean;
   /** Version of the rules in force when the decision was made. */
   readonly rulesVersion?: number;
   /**
--- a/src/mesh/call_event_kind.ts
+++ b/src/mesh/call_event_kind.ts
@@ -4,6 +4,8 @@
   Answered = "call-answered",
   /** The caller received a refusal of this node. */
   Refused = "call-refused",
+  /** The service is known to be full, so the call is refused without an offer. */
+  RefusedWithoutOffer = "refused-without-offer",
   /** The caller disconnected before its answer. */
   Abandoned = "call-abandoned",
   /**
--- a/src/mesh/call_plan.ts
+++ b/src/mesh/call_plan.ts
@@ -24,6 +24,8 @@
   readonly goalDeadline: number;
   /** Whether the caller can retry after a refusal. */
   readonly mayComeBack: boolean;
+  /** Whether the backend server of this VM makes the call for a call that it runs. */
+  readonly isNested: boolean;
   /** Aborted when the caller disconnects or the deadline has passed. */
   readonly signal: AbortSignal;
 }
--- a/src/mesh/create_call_refusal.ts
+++ b/src/mesh/create_call_refusal.ts
@@ -7,6 +7,7 @@
 import { CallResultKind } from "./call_result_kind.ts";
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { promiseRetryInstant } from "./promise_retry_instant.ts";
 
 const retryMillisecondsMinimum = 50;
 /**
@@ -22,25 +23,39 @@
 export function createCallRefusal(
   node: MeshNode,
   progress: CallProgress,
+  options: {
+    /** The shortest wait for a slot that other calls found; undefined if none is known. */
+    readonly waitMilliseconds?: number;
+  } = {},
 ): CallResult {
   const now = node.clock.now();
   const waits = listCandidates(node, progress.plan.service)
     .filter(({ view }) => view.fullUntil > now)
     .map(({ view }) => view.waitMilliseconds)
-    .concat(...progress.reportedWaits.values());
+    .concat(...progress.reportedWaits.values())
+    .concat(options.waitMilliseconds ?? []);
   const reason = now >= progress.plan.deadline
     ? RefusalReason.DeadlinePassed
     : getReason(progress, { isFull: waits.length > 0 });
-  const wait = waits.length > 0
-    ? Math.min(...waits)
-    : refusalTable[reason].retryMilliseconds / 2;
-  const spread = 1 + node.random.next() * spreadShare;
   return {
     kind: CallResultKind.Refused,
     reason,
     outcome: progress.mayHaveRun ? Outcome.Unknown : Outcome.NotRun,
-    retryMilliseconds: Math.max(retryMillisecondsMinimum, wait) * spread,
+    retryMilliseconds: getRetryMilliseconds(),
   };
+
+  function getRetryMilliseconds(): number {
+    if (waits.length > 0 && isFullReason(reason)) {
+      const earliest = now + Math.min(...waits);
+      const retryAt = promiseRetryInstant(node, progress.plan, { earliest });
+      return Math.max(retryMillisecondsMinimum, retryAt - now);
+    }
+    const wait = waits.length > 0
+      ? Math.min(...waits)
+      : refusalTable[reason].retryMilliseconds / 2;
+    const spread = 1 + node.random.next() * spreadShare;
+    return Math.max(retryMillisecondsMinimum, wait) * spread;
+  }
 }
 
 /**
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -70,6 +70,7 @@
     offers: createOfferRecords(),
     gateViews: new Map(),
     departures: new Map(),
+    capacities: new Map(),
     splitStates: new Map(),
     retryCounts: new Map(),
     answerBytes: new Map(),
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -27,6 +27,7 @@
     goalDeadline: now + message.goalMilliseconds,
     waitDeadline: now + message.waitMilliseconds,
     mayComeBack: message.mayComeBack,
+    isNested: message.nested ?? false,
     callsPerSecondLimit: message.callsPerSecondLimit,
   };
 }
@@ -47,7 +48,11 @@
     message.goalMilliseconds,
     message.waitMilliseconds,
   ];
-  const flags = [message.idempotent, message.mayComeBack];
+  const flags = [
+    message.idempotent,
+    message.mayComeBack,
+    message.nested ?? false,
+  ];
   const limit = message.callsPerSecondLimit;
   const isLimitValid = limit === undefined ||
     (typeof limit === "number" && Number.isFinite(limit) && limit >= 0);
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -19,6 +19,7 @@
     goalMilliseconds: Math.round(offer.goalDeadline - now),
     waitMilliseconds: Math.round(offer.waitDeadline - now),
     mayComeBack: offer.mayComeBack,
+    ...(offer.isNested ? { nested: true } : {}),
     ...(offer.callsPerSecondLimit === undefined
       ? {}
       : { callsPerSecondLimit: offer.callsPerSecondLimit }),
--- a/src/mesh/get_wait_deadline_test.ts
+++ b/src/mesh/get_wait_deadline_test.ts
@@ -32,6 +32,7 @@
   deadline: now + 344,
   goalDeadline: now + 64,
   mayComeBack: true,
+  isNested: false,
   signal: new AbortController().signal,
 };
 
--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -3,12 +3,14 @@
 import { recordAnswer } from "../balancing/record_answer.ts";
 import { recordContactFailure } from "../balancing/record_contact_failure.ts";
 import { recordGateRefusal } from "../balancing/record_gate_refusal.ts";
+import { recordFullGate } from "../capacity/record_full_gate.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
 import { createQuarantineRefusal } from "./create_quarantine_refusal.ts";
+import { getServiceCapacity } from "./get_service_capacity.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import type { OfferOutcomeKind } from "./offer_outcome_kind.ts";
@@ -49,6 +51,13 @@
     progress.fullRefusals += 1;
     progress.reportedWaits.set(entry.identifier, retryMilliseconds);
     if (!progress.isWaitingRound) progress.excluded.delete(entry.identifier);
+    if (!refused.reachedBackendServer) {
+      recordFullGate(getServiceCapacity(node, entry.service), {
+        identifier: entry.identifier,
+        waitMilliseconds: retryMilliseconds,
+        now,
+      });
+    }
   }
   if (!refused.reachedBackendServer) return undefined;
   progress.attempts += 1;
--- /dev/null
+++ b/src/mesh/list_open_gates.ts
@@ -0,0 +1,25 @@
+import type { OpenGate } from "../capacity/open_gate.ts";
+import type { CallPlan } from "./call_plan.ts";
+import { listCandidates } from "./list_candidates.ts";
+import type { MeshNode } from "./mesh_node.ts";
+
+/** Share of the goal that an answer is assumed to take if none was observed. */
+const defaultAnswerShare = 0.3;
+
+/** Returns the gates that a call may be offered to and that are not avoided. */
+export function listOpenGates(
+  node: MeshNode,
+  plan: CallPlan,
+): readonly OpenGate[] {
+  const now = node.clock.now();
+  const { name, goalMilliseconds } = plan.route;
+  return listCandidates(node, plan.service)
+    .filter(({ view }) => view.avoidUntil <= now)
+    .map(({ entry, view }) => ({
+      identifier: entry.identifier,
+      slots: entry.slots,
+      coldUntil: entry.coldUntil,
+      answerMilliseconds: view.answerMilliseconds.get(name) ??
+        goalMilliseconds * defaultAnswerShare,
+    }));
+}
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,6 +1,7 @@
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
+import type { ServiceCapacity } from "../capacity/service_capacity.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { OfferRecords } from "../offers/offer_records.ts";
 import type { QuarantineState } from "../quarantine/quarantine_state.ts";
@@ -65,6 +66,8 @@
   /** By identifier of the backend server. */
   readonly gateViews: Map<string, GateView>;
   readonly departures: Departures;
+  /** What is known of the room at services, by service. */
+  readonly capacities: Map<string, ServiceCapacity>;
   /** By route. */
   readonly splitStates: Map<string, SplitState>;
   /** By service. */
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -25,6 +25,11 @@
   readonly waitMilliseconds: number;
   /** Whether the caller can retry after a refusal. */
   readonly mayComeBack: boolean;
+  /**
+   * Whether a backend server makes the call for a call that it runs. Nodes of
+   * earlier versions do not send it.
+   */
+  readonly nested?: boolean;
   /**
    * The most calls a second that the backend server stated to take, as far as
    * the sending node knows.
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -1,6 +1,8 @@
 import { match } from "ts-pattern";
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
 import { recordLoad } from "../balancing/record_load.ts";
+import { hasRoom } from "../capacity/has_room.ts";
+import { recordGateRoom } from "../capacity/record_gate_room.ts";
 import { recordDeparture } from "../register/record_departure.ts";
 import { countCallForRetries } from "../retries/count_call_for_retries.ts";
 import type { CallPlan } from "./call_plan.ts";
@@ -11,6 +13,7 @@
 import { createCallProgress } from "./create_call_progress.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
 import { getRetryCounts } from "./get_retry_counts.ts";
+import { getServiceCapacity } from "./get_service_capacity.ts";
 import { getWaitDeadline } from "./get_wait_deadline.ts";
 import { handleOfferAnswer } from "./handle_offer_answer.ts";
 import { handleOfferLoss } from "./handle_offer_loss.ts";
@@ -20,6 +23,7 @@
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendOffer } from "./send_offer.ts";
 import { tryRefuseQuarantinedCall } from "./try_refuse_quarantined_call.ts";
+import { tryRefuseWithoutRoom } from "./try_refuse_without_room.ts";
 
 /**
  * Processes a call until it has a result. The first round searches for a
@@ -39,6 +43,8 @@
   while (!plan.signal.aborted) {
     const quarantined = tryRefuseQuarantinedCall(node, progress);
     if (quarantined !== undefined) return quarantined;
+    const refused = tryRefuseWithoutRoom(node, progress);
+    if (refused !== undefined) return refused;
     const candidate = chooseCandidate(node, progress);
     if (candidate === undefined) {
       if (progress.isWaitingRound) break;
@@ -73,6 +79,10 @@
     });
     if (outcome.load !== undefined) {
       recordLoad(view, { load: outcome.load, now: node.clock.now() });
+      if (hasRoom(outcome.load)) {
+        const { identifier } = entry;
+        recordGateRoom(getServiceCapacity(node, entry.service), { identifier });
+      }
       const { departure } = outcome.load;
       if (departure !== undefined) {
         recordDeparture(node.departures, { entry, departure });
--- a/src/mesh/report_call_result.ts
+++ b/src/mesh/report_call_result.ts
@@ -23,9 +23,11 @@
   const { plan } = options;
   const common = {
     call: options.callIdentifier,
-    ...(plan === undefined
-      ? {}
-      : { route: plan.route.name, service: plan.service }),
+    ...(plan === undefined ? {} : {
+      route: plan.route.name,
+      service: plan.service,
+      ...(plan.isNested ? { nested: true } : {}),
+    }),
     elapsedMilliseconds: Math.round(node.clock.now() - options.receivedAt),
     rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -35,6 +35,7 @@
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
     mayComeBack: plan.mayComeBack,
+    isNested: plan.isNested,
     callsPerSecondLimit: view.callsPerSecondLimit,
   };
   const { signal, request } = plan;
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -127,6 +127,7 @@
         now + lateCallWaitMilliseconds,
       ),
       mayComeBack: true,
+      isNested: false,
     }, { now });
     if (decision.kind === SlotDecisionKind.Granted) startCall(caller, now);
     if (decision.kind === SlotDecisionKind.Refused) {
--- a/src/testing/mesh/create_sample_offer.ts
+++ b/src/testing/mesh/create_sample_offer.ts
@@ -21,6 +21,7 @@
     goalDeadline: deadline,
     waitDeadline: deadline,
     mayComeBack: true,
+    isNested: false,
     callsPerSecondLimit: undefined,
   };
 }
