Take a call for nested only on a route without time for retries

Cause: on some deployments callers have the address of the VM that they call, so that every call counted as one of the backend server, and none was refused early.

Ruled out: the address alone (above); the deadline of a running call alone, which matches that of other callers by chance.

A rate limit's wait is exact, so that a call may wait for it as long as it may wait at all; the third holds for the wait for a slot.

--- a/src/command_line/describe_call_cause.ts
+++ b/src/command_line/describe_call_cause.ts
@@ -52,6 +52,7 @@
     ])
     .with({ kind: CallEventKind.Refused }, (line) => [
       ...describeRefusal(line, lines),
+      ...describeKnownFull(lines),
       ...describeRefusedOffers(lines),
     ])
     .with({ kind: CallEventKind.Abandoned }, (line) => [
@@ -93,6 +94,14 @@
   return selectKind(lines, CallEventKind.OfferLost).map(describeOfferLoss);
 }
 
+function describeKnownFull(lines: readonly LogLine[]): readonly string[] {
+  return selectKind(lines, CallEventKind.RefusedWithoutOffer)
+    .map(({ details }) =>
+      `not offered, ${details["service"]} was known to be full ` +
+      `(${details["reason"]}, shortest wait ${details["waitMilliseconds"]} ms)`
+    );
+}
+
 function describeRefusedOffers(lines: readonly LogLine[]): readonly string[] {
   const refused = selectKind(lines, CallEventKind.OfferRefused);
   if (refused.length === 0) return [];
--- a/src/gate/get_expected_wait_milliseconds.ts
+++ b/src/gate/get_expected_wait_milliseconds.ts
@@ -1,4 +1,5 @@
 import type { GateState } from "./gate_state.ts";
+import { getExpectedSlotWaitMilliseconds } from "./get_expected_slot_wait_milliseconds.ts";
 import { getTokenWaitMilliseconds } from "./get_token_wait_milliseconds.ts";
 import { listActiveBuckets } from "./list_active_buckets.ts";
 
@@ -11,9 +12,7 @@
   options: { readonly ahead: number; readonly now: number },
 ): number {
   const { ahead, now } = options;
-  const excess = state.running.size + ahead + 1 - state.slots;
-  const slotWait = Math.max(0, excess) * state.serviceMilliseconds /
-    Math.max(1, state.slots);
+  const slotWait = getExpectedSlotWaitMilliseconds(state, { ahead });
   const tokenWaits = listActiveBuckets(state, now).map((bucket) =>
     getTokenWaitMilliseconds(bucket, { tokens: ahead + 1 })
   );
--- a/src/gate/get_latest_expected_start.ts
+++ b/src/gate/get_latest_expected_slot_start.ts
@@ -12,11 +12,11 @@
 const expectedWaitShareMaximum = 1 / 3;
 
 /**
- * Returns the instant by which a call must be expected to get a slot to be
- * queued. A call whose refusal wastes other work may be expected to wait as long
+ * Returns the instant by which a slot must be expected to be free for a call
+ * to be queued. A call whose refusal wastes other work may be expected to wait as long
  * as it may wait at all.
  */
-export function getLatestExpectedStart(
+export function getLatestExpectedSlotStart(
   state: GateState,
   request: SlotRequest,
   { now }: { readonly now: number },
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -2,9 +2,11 @@
 import { canStart } from "./can_start.ts";
 import { compareQueuedRequests } from "./compare_queued_requests.ts";
 import type { GateState } from "./gate_state.ts";
+import { getExpectedSlotWaitMilliseconds } from "./get_expected_slot_wait_milliseconds.ts";
 import { getExpectedWaitMilliseconds } from "./get_expected_wait_milliseconds.ts";
 import { getFullReason } from "./get_full_reason.ts";
-import { getLatestExpectedStart } from "./get_latest_expected_start.ts";
+import { getLatestExpectedSlotStart } from "./get_latest_expected_slot_start.ts";
+import { getLatestStart } from "./get_latest_start.ts";
 import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
 import { isKeptForNestedCalls } from "./is_kept_for_nested_calls.ts";
 import { occupySlot } from "./occupy_slot.ts";
@@ -43,7 +45,11 @@
     isHeldBack(state, request, now) ? state.serviceMilliseconds : 0,
   );
   // Refused at once, not after a useless wait.
-  if (now + wait > getLatestExpectedStart(state, request, { now })) {
+  const slotWait = getExpectedSlotWaitMilliseconds(state, { ahead });
+  if (
+    now + wait > getLatestStart(state, request) ||
+    now + slotWait > getLatestExpectedSlotStart(state, request, { now })
+  ) {
     return refuse(
       getFullReason(state, now),
       Math.max(wait, state.serviceMilliseconds / 2),
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -19,7 +19,7 @@
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
 import { getGoalDeadline } from "./get_goal_deadline.ts";
 import { getSplitState } from "./get_split_state.ts";
-import { isOwnVmConnection } from "./is_own_vm_connection.ts";
+import { isNestedCall } from "./is_nested_call.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processCall } from "./process_call.ts";
 import { readRequestBody } from "./read_request_body.ts";
@@ -62,10 +62,6 @@
     if (reason !== undefined) refuse(reason);
     return;
   }
-  const isNested = isOwnVmConnection(request.socket.remoteAddress, {
-    host: node.settings.backendServer.host,
-  });
-  if (isNested) node.gate.nestedCallAt = receivedAt;
   const { remainingMilliseconds = Number.POSITIVE_INFINITY } = head;
   const deadline = receivedAt +
     Math.min(route.timeoutMilliseconds, remainingMilliseconds);
@@ -119,6 +115,9 @@
       route: chosen.name,
       remainingMilliseconds,
     });
+    const mayComeBack = canCallerRetry(chosen, { longestMilliseconds });
+    const isNested = isNestedCall(node, { request, mayComeBack });
+    if (isNested) node.gate.nestedCallAt = receivedAt;
     return {
       callIdentifier,
       request: {
@@ -139,7 +138,7 @@
         longestMilliseconds,
         now: receivedAt,
       }),
-      mayComeBack: canCallerRetry(chosen, { longestMilliseconds }),
+      mayComeBack,
       isNested,
       signal: cancellation.signal,
     };
