Share the slots of a gate among callers while they compete

Cause: within a priority, a caller that repeats at once and often got slots by the number of its calls.

Change: an offer names the caller whose share it uses, an organisation or the calling service. Within a priority and its calls in time, those of callers with more running calls than an equal part of the slots come last. No state is kept: running and queued calls tell who competes.

--- a/src/gate/compare_queued_requests.ts
+++ b/src/gate/compare_queued_requests.ts
@@ -1,3 +1,4 @@
+import { exceedsShare } from "./exceeds_share.ts";
 import type { GateState } from "./gate_state.ts";
 import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
@@ -13,8 +14,8 @@
  * Compares two queued calls; a negative result puts `left` first. Nested calls
  * come first whatever their priority, since refusing them wastes the calls that
  * wait for them. The order of the others is by priority, then calls that can
- * still be answered within their goal before late ones, then calls whose caller
- * cannot retry. Of the rest, a short call comes before a long one that arrived
+ * still be answered within their goal before late ones, then callers that have at
+ * most their share of the slots, then calls whose caller cannot retry. Of the rest, a short call comes before a long one that arrived
  * at the same time, and a long one before calls that arrive much later.
  */
 export function compareQueuedRequests(
@@ -36,6 +37,9 @@
   const latenessOrder = Number(isLate(left.request)) -
     Number(isLate(right.request));
   if (latenessOrder !== 0) return latenessOrder;
+  const shareOrder = Number(exceedsShare(state, left.request.shareKey)) -
+    Number(exceedsShare(state, right.request.shareKey));
+  if (shareOrder !== 0) return shareOrder;
   const retryOrder = Number(left.request.mayComeBack) -
     Number(right.request.mayComeBack);
   return retryOrder !== 0 ? retryOrder : getTurn(left) - getTurn(right);
--- a/src/gate/is_kept_for_nested_calls_test.ts
+++ b/src/gate/is_kept_for_nested_calls_test.ts
@@ -27,6 +27,7 @@
     deadline: start + 1_200,
     waitDeadline: start,
     mayComeBack: !options.isNested,
+    shareKey: "vitrine",
     isNested: options.isNested,
   }, { now: start });
   return decision.kind === SlotDecisionKind.Granted;
--- a/src/gate/occupy_slot.ts
+++ b/src/gate/occupy_slot.ts
@@ -7,11 +7,13 @@
   state: GateState,
   options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  const { callIdentifier, route, getFingerprint, isNested } = options.request;
+  const { callIdentifier, route, getFingerprint, isNested, shareKey } =
+    options.request;
   state.running.set(callIdentifier, {
     route,
     getFingerprint,
     isNested,
+    shareKey,
     startedAt: options.now,
   });
   listActiveBuckets(state, options.now).forEach((bucket) => {
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -40,6 +40,7 @@
     deadline: start + 1_200,
     waitDeadline: start + 1_200,
     mayComeBack: true,
+    shareKey: "vitrine",
     isNested: false,
     ...change,
   };
@@ -368,3 +369,25 @@
   );
   t.deepEqual(kinds, [SlotDecisionKind.Refused, SlotDecisionKind.Queued]);
 });
+
+test("one caller that repeats at once and often: it gets its share of the slots while others want theirs, and all of them otherwise", (t) => {
+  const gate = createGate(4);
+  const createShare = (name: string, shareKey: string) =>
+    createRequest(name, { shareKey });
+  const decisions = ["a1", "a2", "a3", "a4", "a5", "a6"].map((name) =>
+    requestSlot(gate, createShare(name, "greedy"), { now: start }).kind
+  );
+  t.is(
+    decisions.filter((kind) => kind === SlotDecisionKind.Granted).length,
+    4,
+  );
+  requestSlot(gate, createShare("b1", "modest"), { now: start + 5 });
+  requestSlot(gate, createShare("b2", "modest"), { now: start + 5 });
+  const order = ["a1", "a2", "a3"].flatMap((callIdentifier) => {
+    const now = start + 10;
+    releaseSlot(gate, { callIdentifier, answered: true, now });
+    return processGateQueue(gate, now).granted
+      .map(({ request }) => request.callIdentifier);
+  });
+  t.deepEqual(order.slice(0, 2), ["b1", "a5"]);
+});
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -15,6 +15,8 @@
   readonly waitDeadline: number;
   /** Whether the caller can retry after a refusal. */
   readonly mayComeBack: boolean;
+  /** The caller for which room is shared out: an organisation, or a service that calls. */
+  readonly shareKey: string;
   /** Whether a backend server makes the call for a call that it runs. */
   readonly isNested: boolean;
 }
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -27,6 +27,7 @@
     goalDeadline: now + message.goalMilliseconds,
     waitDeadline: now + message.waitMilliseconds,
     mayComeBack: message.mayComeBack,
+    shareKey: message.share ?? message.callerService,
     isNested: message.nested ?? false,
     callsPerSecondLimit: message.callsPerSecondLimit,
   };
@@ -41,6 +42,7 @@
     message.identifier,
     message.callerService,
     message.route,
+    message.share ?? "",
   ];
   const numbers = [
     message.priority,
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -19,6 +19,9 @@
     goalMilliseconds: Math.round(offer.goalDeadline - now),
     waitMilliseconds: Math.round(offer.waitDeadline - now),
     mayComeBack: offer.mayComeBack,
+    ...(offer.shareKey === offer.callerService
+      ? {}
+      : { share: offer.shareKey }),
     ...(offer.isNested ? { nested: true } : {}),
     ...(offer.callsPerSecondLimit === undefined
       ? {}
--- a/src/mesh/list_open_gates.ts
+++ b/src/mesh/list_open_gates.ts
@@ -1,4 +1,6 @@
 import type { OpenGate } from "../capacity/open_gate.ts";
+import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { reportMilliseconds } from "../capacity/report_milliseconds.ts";
 import type { CallPlan } from "./call_plan.ts";
 import { listCandidates } from "./list_candidates.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -15,11 +17,18 @@
   const { name, goalMilliseconds } = plan.route;
   return listCandidates(node, plan.service)
     .filter(({ view }) => view.avoidUntil <= now)
-    .map(({ entry, view }) => ({
-      identifier: entry.identifier,
-      slots: entry.slots,
-      coldUntil: entry.coldUntil,
-      answerMilliseconds: view.answerMilliseconds.get(name) ??
+    .map((candidate) => ({
+      identifier: candidate.entry.identifier,
+      slots: candidate.entry.slots,
+      coldUntil: getColdUntil(candidate),
+      answerMilliseconds: candidate.view.answerMilliseconds.get(name) ??
         goalMilliseconds * defaultAnswerShare,
     }));
 }
+
+/** A gate that just reported a cold start counts as cold before the register does. */
+function getColdUntil({ entry, view }: GateCandidate): number {
+  return view.load?.cold === true
+    ? Math.max(entry.coldUntil, view.loadReceivedAt + reportMilliseconds)
+    : entry.coldUntil;
+}
--- a/src/mesh/offer_message.ts
+++ b/src/mesh/offer_message.ts
@@ -25,6 +25,11 @@
   readonly waitMilliseconds: number;
   /** Whether the caller can retry after a refusal. */
   readonly mayComeBack: boolean;
+  /**
+   * The caller for which room is shared out, by default `callerService`. Nodes of
+   * earlier versions do not send it.
+   */
+  readonly share?: string;
   /**
    * Whether a backend server makes the call for a call that it runs. Nodes of
    * earlier versions do not send it.
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -35,6 +35,7 @@
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
     mayComeBack: plan.mayComeBack,
+    shareKey: plan.organisation?.name ?? node.settings.service,
     isNested: plan.isNested,
     callsPerSecondLimit: view.callsPerSecondLimit,
   };
--- /dev/null
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import { recordFullGate } from "../capacity/record_full_gate.ts";
+import { Outcome } from "../calls/outcome.ts";
+import { RefusalReason } from "../calls/refusal_reason.ts";
+import { putEntry } from "../register/put_entry.ts";
+import { createRandomSource } from "../runtime/create_random_source.ts";
+import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
+import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
+import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
+import type { CallPlan } from "./call_plan.ts";
+import { CallResultKind } from "./call_result_kind.ts";
+import { createCallProgress } from "./create_call_progress.ts";
+import { createMeshView } from "./create_mesh_view.ts";
+import { getServiceCapacity } from "./get_service_capacity.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { tryRefuseWithoutRoom } from "./try_refuse_without_room.ts";
+
+const now = 1_000_000;
+const service = "tracker";
+const servers = 24;
+const coldCallsPerSecond = 14;
+
+/** The parts of a node that the decision reads, after all nodes restarted. */
+function createColdNode(): MeshNode {
+  const view = createMeshView();
+  Array.from({ length: servers }, (_, index) =>
+    putEntry(
+      view.register,
+      createSampleEntry({
+        identifier: `server-${index}`,
+        service,
+        address: { host: `10.0.0.${index}`, port: 8301 },
+        coldUntil: now + 3_000,
+      }),
+    ));
+  view.rules = createSampleRules({
+    services: new Map([[service, {
+      name: service,
+      healthPath: "/",
+      connectionsMaximum: 100,
+      coldMilliseconds: 3_000,
+      coldCallsPerSecond,
+    }]]),
+  });
+  return {
+    clock: { now: () => now },
+    random: createRandomSource(1),
+    report: { call: () => undefined },
+    view,
+    capacities: new Map(),
+    departures: new Map(),
+    gateViews: new Map(),
+  } as unknown as MeshNode;
+}
+
+function createPlan(change: Partial<CallPlan> = {}): CallPlan {
+  return {
+    callIdentifier: "a",
+    request: { method: "GET", url: "/", headers: [], body: Buffer.alloc(0) },
+    route: createSampleRoute({ goalMilliseconds: 400 }),
+    service,
+    organisation: undefined,
+    priority: 0,
+    rulesVersion: 1,
+    receivedAt: now,
+    deadline: now + 1_500,
+    goalDeadline: now + 400,
+    mayComeBack: true,
+    isNested: false,
+    signal: new AbortController().signal,
+    ...change,
+  };
+}
+
+function tryRefuse(node: MeshNode, change: Partial<CallPlan> = {}) {
+  return tryRefuseWithoutRoom(node, createCallProgress(createPlan(change)));
+}
+
+function recordRefusals(node: MeshNode, waitMilliseconds: number): void {
+  ["server-3", "server-7"].forEach((identifier) =>
+    recordFullGate(getServiceCapacity(node, service), {
+      identifier,
+      waitMilliseconds,
+      now,
+    })
+  );
+}
+
+test("all backend servers cold after a restart of all nodes: one call's refusals end the search of the others", (t) => {
+  const node = createColdNode();
+  t.is(tryRefuse(node), undefined);
+  recordRefusals(node, 300);
+  // The first one takes the room that a node may expect, and renews what is known.
+  t.is(tryRefuse(node), undefined);
+  const results = Array.from({ length: 5 }, () => tryRefuse(node));
+  results.forEach((result) =>
+    t.like(result, {
+      kind: CallResultKind.Refused,
+      reason: RefusalReason.ColdStart,
+      outcome: Outcome.NotRun,
+    })
+  );
+});
+
+test("a crowd that is refused together is not told to return together, nor before a gate expects room", (t) => {
+  const node = createColdNode();
+  recordRefusals(node, 300);
+  tryRefuse(node);
+  const delays = Array.from({ length: 3 }, () => tryRefuse(node))
+    .map((result) =>
+      result?.kind === CallResultKind.Refused ? result.retryMilliseconds : 0
+    );
+  const interval = 1_000 / coldCallsPerSecond;
+  t.true(delays.every((delay) => delay >= 300));
+  t.true(delays[1]! - delays[0]! >= interval * 0.99);
+  t.true(delays[2]! - delays[1]! >= interval * 0.99);
+});
+
+test("calls whose refusal wastes other work, and those that return as told, are still offered", (t) => {
+  const node = createColdNode();
+  recordRefusals(node, 300);
+  tryRefuse(node);
+  t.is(tryRefuse(node, { isNested: true }), undefined);
+  t.is(tryRefuse(node, { mayComeBack: false }), undefined);
+  t.is(tryRefuse(node, { goalDeadline: now + 100 }), undefined);
+});
+
+test("a call that met full gates for a share of its goal is refused, also if others may have room", (t) => {
+  const node = createColdNode();
+  recordFullGate(getServiceCapacity(node, service), {
+    identifier: "server-3",
+    waitMilliseconds: 300,
+    now,
+  });
+  const progress = createCallProgress(createPlan({ receivedAt: now - 60 }));
+  t.is(tryRefuseWithoutRoom(node, progress), undefined);
+  progress.fullRefusals = 2;
+  progress.lastReason = RefusalReason.ColdStart;
+  progress.reportedWaits.set("server-3", 300);
+  t.like(tryRefuseWithoutRoom(node, progress), {
+    kind: CallResultKind.Refused,
+    outcome: Outcome.NotRun,
+  });
+});
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -127,6 +127,7 @@
         now + lateCallWaitMilliseconds,
       ),
       mayComeBack: true,
+      shareKey: "vitrine",
       isNested: false,
     }, { now });
     if (decision.kind === SlotDecisionKind.Granted) startCall(caller, now);
--- a/src/testing/mesh/create_sample_offer.ts
+++ b/src/testing/mesh/create_sample_offer.ts
@@ -21,6 +21,7 @@
     goalDeadline: deadline,
     waitDeadline: deadline,
     mayComeBack: true,
+    shareKey: "vitrine",
     isNested: false,
     callsPerSecondLimit: undefined,
   };
