--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -1,4 +1,5 @@
 import { getCapacityOutlook } from "../capacity/get_capacity_outlook.ts";
+import { expectedWaitShareMaximum } from "../gate/expected_wait_share_maximum.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallProgress } from "./call_progress.ts";
@@ -60,8 +61,13 @@
 
   function isAdmissible(): boolean {
     const waitMilliseconds = outlook.isFull ? outlook.waitMilliseconds : 0;
-    // The time in which a call is refused must not exceed that of a walk.
-    const isRoomNear = now + waitMilliseconds <= walkUntil;
+    const latestGoalStart = plan.goalDeadline -
+      Math.min(...gates.map((gate) => gate.answerMilliseconds));
+    // Gates queue a call that is expected to start by then.
+    const latestExpectedStart = now +
+      (latestGoalStart - now) * expectedWaitShareMaximum;
+    const isRoomNear = now + waitMilliseconds <=
+      Math.max(walkUntil, latestExpectedStart);
     const isReturning = plan.goalDeadline <
       plan.receivedAt + plan.route.goalMilliseconds;
     if (isRoomNear || isReturning) return true;
