--- a/src/command_line/describe_call_cause_test.ts
+++ b/src/command_line/describe_call_cause_test.ts
@@ -180,3 +180,20 @@
     ]),
     "an unexpected error ended the call on vm-1: x is undefined",
   ));
+
+test("a call refused without an offer is explained by what was known of its service", (t) =>
+  t.is(
+    describeCallCause([
+      createLine("refused-without-offer", {
+        service: "tracker",
+        reason: "cold-start",
+        waitMilliseconds: 180,
+      }),
+      createLine("call-refused", {
+        reason: "cold-start",
+        outcome: "not-run",
+        elapsedMilliseconds: 1,
+      }),
+    ]).split("; ").at(-1),
+    "not offered, tracker was known to be full (cold-start, shortest wait 180 ms)",
+  ));
--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -10,6 +10,11 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { promiseRetryInstant } from "./promise_retry_instant.ts";
 
+/**
+ * Gates that a call asks all by itself. The search among so few is short, and
+ * each has a large part of the room that becomes free meanwhile.
+ */
+const fewGates = 4;
 /** Refusals after which a call is no longer offered to a service known to be full. */
 const refusalsMaximum = 2;
 /** Share of the goal after which a call that only met full gates is refused. */
@@ -33,6 +38,7 @@
   if (isExempt || capacity.fullGates.size === 0) return undefined;
   const now = node.clock.now();
   const gates = listOpenGates(node, plan);
+  if (gates.length <= fewGates) return undefined;
   const outlook = getCapacityOutlook(capacity, { gates, now });
   const walkUntil = plan.receivedAt +
     plan.route.goalMilliseconds * walkShareMaximum;
--- a/src/mesh/try_refuse_without_room_test.ts
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -17,11 +17,10 @@
 
 const now = 1_000_000;
 const service = "tracker";
-const servers = 24;
 const coldCallsPerSecond = 14;
 
 /** The parts of a node that the decision reads, after all nodes restarted. */
-function createColdNode(): MeshNode {
+function createColdNode(servers = 24): MeshNode {
   const view = createMeshView();
   Array.from({ length: servers }, (_, index) =>
     putEntry(
@@ -142,3 +141,15 @@
     outcome: Outcome.NotRun,
   });
 });
+
+test("a service with few backend servers is asked in full", (t) => {
+  const node = createColdNode(4);
+  ["server-0", "server-1", "server-2", "server-3"].forEach((identifier) =>
+    recordFullGate(getServiceCapacity(node, service), {
+      identifier,
+      waitMilliseconds: 300,
+      now,
+    })
+  );
+  Array.from({ length: 5 }, () => t.is(tryRefuse(node), undefined));
+});
