--- a/src/gate/create_gate_state.ts
+++ b/src/gate/create_gate_state.ts
@@ -27,6 +27,7 @@
     bornAt: 0,
     running: new Map(),
     queue: [],
+    queuedSince: Number.POSITIVE_INFINITY,
     nestedRequestAt: 0,
     nestedCallAt: 0,
     serviceMilliseconds: initialServiceMilliseconds,
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -29,6 +29,8 @@
   readonly running: Map<string, RunningCall>;
   /** Calls that wait for a slot, sorted when the queue is processed; new calls are appended. */
   queue: QueuedSlotRequest[];
+  /** Since when calls have been queued without a break, in milliseconds since the Unix epoch; infinity while none is. */
+  queuedSince: number;
   /** When a nested call requested a slot last, in milliseconds since the Unix epoch; 0 for never. */
   nestedRequestAt: number;
   /** When the backend server made a nested call last, in milliseconds since the Unix epoch; 0 for never. */
--- a/src/gate/process_gate_queue.ts
+++ b/src/gate/process_gate_queue.ts
@@ -34,6 +34,7 @@
       now + getExpectedWaitMilliseconds(state, { ahead: index, now }) >
         getLatestStart(state, request),
   );
+  if (state.queue.length === 0) state.queuedSince = Number.POSITIVE_INFINITY;
   return {
     granted,
     refused: [...unservable, ...overtaken],
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -55,6 +55,7 @@
       Math.max(wait, state.serviceMilliseconds / 2),
     );
   }
+  state.queuedSince = Math.min(state.queuedSince, now);
   state.queue.push({ request, queuedAt: now });
   return { kind: SlotDecisionKind.Queued };
 }
