--- a/src/balancing/is_own_server_first_test.ts
+++ b/src/balancing/is_own_server_first_test.ts
@@ -30,6 +30,8 @@
       state.running.set(String(index), {
         route: "catalogo",
         getFingerprint: () => "",
+        isNested: false,
+        shareKey: "vitrine",
         startedAt: now,
       }),
   );
--- a/src/mesh/choose_candidate_test.ts
+++ b/src/mesh/choose_candidate_test.ts
@@ -66,6 +66,7 @@
     deadline: now + route.timeoutMilliseconds,
     goalDeadline: now + route.goalMilliseconds,
     mayComeBack: true,
+    isNested: false,
     signal: new AbortController().signal,
   };
   return createCallProgress(plan);
@@ -81,6 +82,8 @@
       node.gate.running.set(String(index), {
         route: "slots",
         getFingerprint: () => "",
+        isNested: false,
+        shareKey: "vitrine",
         startedAt: now,
       }),
   );
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -82,6 +82,7 @@
     serviceLoads: new Map(),
     serviceCandidates: new Map(),
     departures: new Map(),
+    capacities: new Map(),
     splitStates: new Map(),
     retryCounts: new Map(),
     answerBytes: new Map(),
--- a/src/mesh/decode_offer.ts
+++ b/src/mesh/decode_offer.ts
@@ -29,6 +29,8 @@
     goalDeadline: now + message.goalMilliseconds,
     waitDeadline: now + message.waitMilliseconds,
     mayComeBack: message.mayComeBack,
+    shareKey: message.share ?? message.callerService,
+    isNested: message.nested ?? false,
     callsPerSecondLimit: message.callsPerSecondLimit,
   };
 }
@@ -42,6 +44,7 @@
     message.identifier,
     message.callerService,
     message.route,
+    message.share ?? "",
   ];
   const numbers = [
     message.priority,
@@ -49,7 +52,11 @@
     message.goalMilliseconds,
     message.waitMilliseconds,
   ];
-  const flags = [message.idempotent, message.mayComeBack];
+  const flags = [
+    message.idempotent,
+    message.mayComeBack,
+    message.nested ?? false,
+  ];
   const limit = message.callsPerSecondLimit;
   const isLimitValid = limit === undefined ||
     (typeof limit === "number" && Number.isFinite(limit) && limit >= 0);
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -24,6 +24,10 @@
     ...(offer.organisation === undefined
       ? {}
       : { organisation: offer.organisation }),
+    ...(offer.shareKey === offer.callerService
+      ? {}
+      : { share: offer.shareKey }),
+    ...(offer.isNested ? { nested: true } : {}),
     ...(offer.callsPerSecondLimit === undefined
       ? {}
       : { callsPerSecondLimit: offer.callsPerSecondLimit }),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { ServiceLoad } from "../balancing/service_load.ts";
+import type { ServiceCapacity } from "../capacity/service_capacity.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { RulesConfirmation } from "../organisations/rules_confirmation.ts";
 import type { OfferRecords } from "../offers/offer_records.ts";
@@ -81,6 +82,8 @@
   /** By service. */
   readonly serviceCandidates: Map<string, CandidatesCacheEntry>;
   readonly departures: Departures;
+  /** What is known of the room at services, by service. */
+  readonly capacities: Map<string, ServiceCapacity>;
   /** By route. */
   readonly splitStates: Map<string, SplitState>;
   /** By service. */
--- a/src/mesh/report_call_result.ts
+++ b/src/mesh/report_call_result.ts
@@ -23,9 +23,11 @@
   const { plan } = options;
   const common = {
     call: options.callIdentifier,
-    ...(plan === undefined
-      ? {}
-      : { route: plan.route.name, service: plan.service }),
+    ...(plan === undefined ? {} : {
+      route: plan.route.name,
+      service: plan.service,
+      ...(plan.isNested ? { nested: true } : {}),
+    }),
     ...(plan?.organisation === undefined
       ? {}
       : { organisation: plan.organisation.name }),
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -37,6 +37,8 @@
     goalDeadline: plan.goalDeadline,
     waitDeadline: options.waitDeadline,
     mayComeBack: plan.mayComeBack,
+    shareKey: plan.organisation?.name ?? node.settings.service,
+    isNested: plan.isNested,
     callsPerSecondLimit: view.callsPerSecondLimit,
   };
   const { signal, request } = plan;
--- a/src/mesh/serve_caller_request.ts
+++ b/src/mesh/serve_caller_request.ts
@@ -22,6 +22,7 @@
 import { getSplitState } from "./get_split_state.ts";
 import { hasOrganisations } from "./has_organisations.ts";
 import { joinCallerPipeline } from "./join_caller_pipeline.ts";
+import { isNestedCall } from "./is_nested_call.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processWithinQuota } from "./process_within_quota.ts";
 import { readRequestBody } from "./read_request_body.ts";
@@ -145,6 +146,9 @@
       route: chosen.name,
       remainingMilliseconds,
     });
+    const mayComeBack = canCallerRetry(chosen, { longestMilliseconds });
+    const isNested = isNestedCall(node, { request, mayComeBack });
+    if (isNested) node.gate.nestedCallAt = receivedAt;
     return {
       callIdentifier,
       request: {
@@ -168,7 +172,8 @@
         longestMilliseconds,
         now: receivedAt,
       }),
-      mayComeBack: canCallerRetry(chosen, { longestMilliseconds }),
+      mayComeBack,
+      isNested,
       signal: cancellation.signal,
     };
   }
--- a/src/testing/balancing/run_modelled_call.ts
+++ b/src/testing/balancing/run_modelled_call.ts
@@ -33,6 +33,8 @@
   gate.running.set(callIdentifier, {
     route,
     getFingerprint: () => callIdentifier,
+    isNested: false,
+    shareKey: "vitrine",
     startedAt: startsAt,
   });
   schedule(endsAt, () => {
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -127,6 +127,8 @@
         now + lateCallWaitMilliseconds,
       ),
       mayComeBack: true,
+      shareKey: "vitrine",
+      isNested: false,
     }, { now });
     if (decision.kind === SlotDecisionKind.Granted) startCall(caller, now);
     if (decision.kind === SlotDecisionKind.Refused) {
--- a/src/testing/mesh/create_sample_offer.ts
+++ b/src/testing/mesh/create_sample_offer.ts
@@ -22,6 +22,8 @@
     goalDeadline: deadline,
     waitDeadline: deadline,
     mayComeBack: true,
+    shareKey: "vitrine",
+    isNested: false,
     callsPerSecondLimit: undefined,
   };
 }
