--- a/src/mesh/withdrawn_key_test.ts
+++ b/src/mesh/withdrawn_key_test.ts
@@ -66,6 +66,7 @@
     await stage.pass(4_321);
     stage.withdraw();
     await stage.pass(withdrawalMilliseconds);
+    t.is(stage.identify(), RefusalReason.ApiKeyUnknown);
     t.deepEqual(await identifyFor(stage, 10_000), [
       RefusalReason.ApiKeyUnknown,
     ]);
@@ -77,6 +78,7 @@
     stage.setDown(true);
     stage.withdraw();
     await stage.pass(withdrawalMilliseconds);
+    t.is(stage.identify(), RefusalReason.ApiKeysUnconfirmed);
     t.deepEqual(await identifyFor(stage, 20_000), [
       RefusalReason.ApiKeysUnconfirmed,
     ]);
