--- /dev/null
+++ b/measurements/stages/call_stage.ts
@@ -0,0 +1,21 @@
+/** A part of a node's work, in the order of the table. The values are its rows. */
+export enum CallStage {
+  Http = "HTTP messages of the runtime",
+  Streams = "streams and sockets of the runtime",
+  Timers = "timers and turns of the event loop",
+  Signals = "abort signals and event targets",
+  Events = "event emitters",
+  Serving = "accepting requests and writing answers",
+  Choice = "choice of the backend server",
+  Offer = "offers between nodes",
+  Gate = "gate and quarantine",
+  Exchange = "exchange with the backend server",
+  Headers = "selection of headers",
+  Observers = "log and metrics",
+  Source = "source, feeds and maintenance",
+  Libraries = "other libraries",
+  OtherProduct = "other code of the node",
+  OtherRuntime = "other code of the runtime",
+  Native = "system calls and native code",
+  GarbageCollection = "garbage collection",
+}
