--- a/src/routing/create_rules_change.ts
+++ b/src/routing/create_rules_change.ts
@@ -36,9 +36,11 @@
   const previous = new Map(before.map((element) => [element.name, element]));
   const currentNames = new Set(after.map(({ name }) => name));
   return {
-    changed: after.filter((element) =>
-      !isDeepStrictEqual(element, previous.get(element.name))
-    ),
+    changed: after.filter((element) => {
+      const known = previous.get(element.name);
+      // An unchanged element is the same object in most cases.
+      return element !== known && !isDeepStrictEqual(element, known);
+    }),
     removed: Array.from(previous.keys()).filter((name) =>
       !currentNames.has(name)
     ),
