Carry the offers between two nodes on one connection

Half of the HTTP work of a call is the message between its two nodes. A node announces in its replies that it accepts offer connections; the other opens one by an HTTP upgrade, and sends frames on it from then on: those of one turn together, cancellations before bodies. Offers go as HTTP messages until it is open, while nothing arrives on it for longer than a node takes to confirm an offer, beyond 512 offers at a time, for longer request bodies, and to nodes of earlier versions. Answers are bounded by a window each.

Ruled out: HTTP/2 of the runtime, not measured, since its streams are those of the runtime's HTTP messages; frames for all message kinds, since feeds and queries are rare.

--- a/src/daemon/connection_tracker.ts
+++ b/src/daemon/connection_tracker.ts
@@ -3,6 +3,8 @@
 /** Tracks which connections of a listener have a request in progress. */
 export interface ConnectionTracker {
   add(socket: Socket): void;
+  /** Ends the tracking of a connection that carries no more requests. */
+  remove(socket: Socket): void;
   /** Records the start of a request; returns false if the final response was already written to the connection. */
   tryBeginRequest(socket: Socket): boolean;
   endRequest(socket: Socket): void;
--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -27,14 +27,17 @@
     socket.once("close", () => clearTimeout(timeout));
   }
 
+  function remove(socket: Socket): void {
+    activeRequestCounts.delete(socket);
+    idleSince.delete(socket);
+  }
+
   return {
     add: (socket) => {
       activeRequestCounts.set(socket, 0);
-      socket.once("close", () => {
-        activeRequestCounts.delete(socket);
-        idleSince.delete(socket);
-      });
+      socket.once("close", () => remove(socket));
     },
+    remove,
     tryBeginRequest: (socket) => {
       if (closing.has(socket)) {
         return false;
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -1,5 +1,9 @@
-import { createServer, type RequestListener } from "node:http";
-import { type AddressInfo, Server } from "node:net";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+} from "node:http";
+import { type AddressInfo, Server, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Result } from "true-myth";
 import { createDiagnostic } from "../diagnostics/create_diagnostic.ts";
@@ -29,6 +33,14 @@
   /** Interval of the check for request headers that did not arrive in time. */
   readonly headerCheckIntervalMilliseconds?: number;
   readonly onRequest: RequestListener;
+  /**
+   * Takes over a connection whose client asks for another protocol; by default
+   * such a request is handled like any other.
+   */
+  readonly onUpgrade?: (
+    request: IncomingMessage,
+    options: { readonly socket: Socket; readonly head: Buffer },
+  ) => void;
   /** Responds to a request that is not HTTP, or whose header is too large or did not arrive in time. */
   readonly onInvalidRequest: (
     error: NodeJS.ErrnoException,
@@ -65,6 +77,13 @@
       defaultHeaderCheckIntervalMilliseconds,
   ).unref();
   server.once("close", () => clearInterval(overdueCheck));
+  const { onUpgrade } = options;
+  if (onUpgrade !== undefined) {
+    server.on("upgrade", (request, socket: Socket, head) => {
+      tracker.remove(socket);
+      onUpgrade(request, { socket, head });
+    });
+  }
   server.on("clientError", options.onInvalidRequest);
 
   function close(finalResponse: string): Promise<void> {
--- /dev/null
+++ b/src/frames/encode_headed_payload.ts
@@ -0,0 +1,12 @@
+const lengthBytes = 4;
+
+/** Encodes a payload that consists of a head, as JSON, and a body. */
+export function encodeHeadedPayload(
+  head: unknown,
+  body: Buffer,
+): readonly Buffer[] {
+  const text = Buffer.from(JSON.stringify(head));
+  const length = Buffer.allocUnsafe(lengthBytes);
+  length.writeUInt32BE(text.byteLength);
+  return body.byteLength > 0 ? [length, text, body] : [length, text];
+}
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -22,6 +22,8 @@
     sourceEra: 3,
     sourceSoundMilliseconds: -1,
     feedFollowers: 2,
+    offerConnections: 0,
+    servedOfferConnections: 0,
     registeredServers: 12,
     zonesTakenOut: 0,
     running: 1,
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -67,6 +67,8 @@
     probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
+    offerConnections: { open: new Map(), nextAttemptAt: new Map() },
+    servedConnections: new Set(),
     offers: createOfferRecords(),
     gateViews: new Map(),
     departures: new Map(),
--- a/src/mesh/decode_reply.ts
+++ b/src/mesh/decode_reply.ts
@@ -1,13 +1,7 @@
-import type { ServerDeparture } from "../register/server_departure.ts";
-import type { GateLoad } from "../balancing/gate_load.ts";
-import { RefusalReason } from "../calls/refusal_reason.ts";
 import { tryParseJson } from "../daemon/try_parse_json.ts";
-import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import { isReplyMessage } from "./is_reply_message.ts";
 import type { ReplyMessage } from "./reply_message.ts";
 
-const kinds: readonly unknown[] = Object.values(OfferOutcomeKind);
-const reasons: readonly unknown[] = Object.values(RefusalReason);
-
 /**
  * Decodes the reply in a header; returns undefined if the text is not a valid
  * reply.
@@ -17,35 +11,3 @@
   const message = tryParseJson(text);
   return isReplyMessage(message) ? message : undefined;
 }
-
-/** Whether an amount is absent or a finite number that is not negative. */
-function isAmount(input: unknown): boolean {
-  return input === undefined ||
-    (typeof input === "number" && Number.isFinite(input) && input >= 0);
-}
-
-function isGateLoad(input: unknown): input is GateLoad {
-  if (typeof input !== "object" || input === null) return false;
-  const load = input as Partial<Record<keyof GateLoad, unknown>>;
-  return typeof load.cold === "boolean" &&
-    (load.departure === undefined || isServerDeparture(load.departure)) &&
-    (load.callsPerSecondLimit === null ||
-      isAmount(load.callsPerSecondLimit)) &&
-    [load.running, load.queued, load.slots].every(Number.isFinite);
-}
-
-function isServerDeparture(input: unknown): input is ServerDeparture {
-  if (typeof input !== "object" || input === null) return false;
-  const departure = input as Partial<Record<keyof ServerDeparture, unknown>>;
-  return typeof departure.identifier === "string" && isAmount(departure.bornAt);
-}
-
-function isReplyMessage(input: unknown): input is ReplyMessage {
-  if (typeof input !== "object" || input === null) return false;
-  const message = input as Partial<Record<keyof ReplyMessage, unknown>>;
-  return kinds.includes(message.kind) &&
-    isGateLoad(message.load) &&
-    isAmount(message.retryMilliseconds) &&
-    (message.kind === OfferOutcomeKind.Answered ||
-      reasons.includes(message.reason));
-}
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -1,27 +1,10 @@
+import { createOfferMessage } from "./create_offer_message.ts";
 import type { GateOffer } from "./gate_offer.ts";
-import type { OfferMessage } from "./offer_message.ts";
 
 /**
  * Encodes an offer as the value of its header. `now` is in milliseconds since
  * the Unix epoch.
  */
 export function encodeOffer(offer: GateOffer, now: number): string {
-  const message: OfferMessage = {
-    call: offer.callIdentifier,
-    offer: offer.offerIdentifier,
-    service: offer.service,
-    identifier: offer.identifier,
-    callerService: offer.callerService,
-    route: offer.route,
-    idempotent: offer.idempotent,
-    priority: offer.priority,
-    remainingMilliseconds: Math.round(offer.deadline - now),
-    goalMilliseconds: Math.round(offer.goalDeadline - now),
-    waitMilliseconds: Math.round(offer.waitDeadline - now),
-    mayComeBack: offer.mayComeBack,
-    ...(offer.callsPerSecondLimit === undefined
-      ? {}
-      : { callsPerSecondLimit: offer.callsPerSecondLimit }),
-  };
-  return JSON.stringify(message);
+  return JSON.stringify(createOfferMessage(offer, now));
 }
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -15,6 +15,8 @@
     sourceEra: view.sourceEra ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
     feedFollowers: node.feed.subscribers.size,
+    offerConnections: node.offerConnections.open.size,
+    servedOfferConnections: node.servedConnections.size,
     registeredServers: view.register.size,
     zonesTakenOut: view.zonesTakenOut.size,
     running,
--- a/src/mesh/mesh_gauges.ts
+++ b/src/mesh/mesh_gauges.ts
@@ -11,6 +11,10 @@
   readonly sourceSoundMilliseconds: number;
   /** Number of neighbours that follow the feed of this node. */
   readonly feedFollowers: number;
+  /** Nodes to which offers are sent on an offer connection. */
+  readonly offerConnections: number;
+  /** Nodes that send offers to this one on an offer connection. */
+  readonly servedOfferConnections: number;
   readonly registeredServers: number;
   readonly zonesTakenOut: number;
   /** Calls at the backend server of this VM. */
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -18,6 +18,8 @@
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
 import type { MeshView } from "./mesh_view.ts";
+import type { OfferConnections } from "./offer_connections.ts";
+import type { ServedConnection } from "./served_connection.ts";
 import type { ServerCrashState } from "./server_crash_state.ts";
 import type { ServerProbeState } from "./server_probe_state.ts";
 import type { SlotWaiter } from "./slot_waiter.ts";
@@ -59,6 +61,10 @@
   readonly probeAgent: Agent;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
+  /** Connections to other nodes that carry many offers at a time. */
+  readonly offerConnections: OfferConnections;
+  /** Such connections of other nodes to this one. */
+  readonly servedConnections: Set<ServedConnection>;
   readonly quarantine: QuarantineState;
   /** Calls that other nodes offered to this one. */
   readonly offers: OfferRecords;
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -7,6 +7,8 @@
   Offer = "catkinquay-offer",
   /** On a reply: the outcome of the offer, as JSON. */
   Reply = "catkinquay-reply",
+  /** On a reply: the protocol of offer connections that the node accepts. */
+  Protocol = "catkinquay-protocol",
   /**
    * On a request: the identifier of an offer, to query its status. On the reply:
    * that status.
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -1,25 +1,28 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import { match } from "ts-pattern";
-import { RefusalReason } from "../calls/refusal_reason.ts";
+import { frameBytes } from "../frames/frame_bytes.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { CallRequest } from "./call_request.ts";
 import { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import type { CallSignal } from "./call_signal.ts";
+import { createContactLoss } from "./create_contact_loss.ts";
+import { createReplyOutcome } from "./create_reply_outcome.ts";
+import { createUnreachableRefusal } from "./create_unreachable_refusal.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { discardBody } from "./discard_body.ts";
 import { encodeOffer } from "./encode_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { offerOnConnection } from "./offer_on_connection.ts";
+import { openOfferConnection } from "./open_offer_connection.ts";
+import { offerProtocol } from "./offer_protocol.ts";
 import { OfferHeader } from "./offer_header.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
 import { superviseOffer } from "./supervise_offer.ts";
 
-const unreachableRetryMilliseconds = 300;
-
 /**
  * Offers a call to the node beside a backend server on another VM.
  *
@@ -27,6 +30,10 @@
  * without a reply after that, the call may have run. The offer of an idempotent
  * call is given up early if the node has sent neither an interim response nor a
  * reply, and queries show that no reply can be expected.
+ *
+ * The offer is sent on the offer connection to that node if there is one, and
+ * otherwise as an HTTP message. A node that accepts offer connections announces
+ * it in its replies; nodes of earlier versions do not.
  */
 export function offerToNode(
   node: MeshNode,
@@ -40,6 +47,13 @@
   },
 ): Promise<OfferOutcome> {
   const { offer, address, signal, canRetry } = options;
+  const connection = node.offerConnections.open.get(address.host);
+  if (
+    connection?.canSend(node.clock.now()) === true &&
+    request.body.byteLength <= frameBytes.requestBodyMaximum
+  ) {
+    return offerOnConnection(node, request, { ...options, connection });
+  }
   return new Promise((resolve) => {
     let cause = ContactLossCause.ConnectionEnded;
     const outgoing = sendRequest({
@@ -58,13 +72,16 @@
       ] as unknown as string[],
     });
     destroyOnAbort(outgoing, signal);
-    const connection = sendWhenConnected(node, outgoing, request);
+    const sending = sendWhenConnected(node, outgoing, request);
     const supervision = offer.idempotent
       ? superviseOffer(node, { offer, address, canRetry, onLost: giveUp })
       : undefined;
     outgoing.once("information", () => supervision?.stop());
     outgoing.once("response", (response) => {
       supervision?.stop();
+      if (response.headers[OfferHeader.Protocol] === offerProtocol) {
+        openOfferConnection(node, address);
+      }
       resolve(createOutcome(node, response));
     });
     outgoing.on("error", handleEnd);
@@ -80,31 +97,14 @@
     function handleEnd(): void {
       supervision?.stop();
       resolve(
-        connection.isSent() ? createLoss(cause) : createUnreachableRefusal(),
+        sending.isSent()
+          ? createContactLoss(cause)
+          : createUnreachableRefusal(),
       );
     }
   });
 }
 
-function createLoss(cause: ContactLossCause): OfferOutcome {
-  return {
-    kind: OfferOutcomeKind.Lost,
-    reason: RefusalReason.ContactLost,
-    cause,
-    load: undefined,
-  };
-}
-
-function createUnreachableRefusal(): OfferOutcome {
-  return {
-    kind: OfferOutcomeKind.Refused,
-    reason: RefusalReason.ContactLost,
-    retryMilliseconds: unreachableRetryMilliseconds,
-    reachedBackendServer: false,
-    load: undefined,
-  };
-}
-
 function createOutcome(
   node: MeshNode,
   response: IncomingMessage,
@@ -112,32 +112,12 @@
   const reply = decodeReply(response.headers[OfferHeader.Reply]);
   if (reply === undefined) {
     response.destroy();
-    return createLoss(ContactLossCause.ConnectionEnded);
+    return createContactLoss(ContactLossCause.ConnectionEnded);
   }
-  const { load } = reply;
   if (reply.kind !== OfferOutcomeKind.Answered) discardBody(node, response);
-  return match(reply.kind)
-    .returnType<OfferOutcome>()
-    .with(OfferOutcomeKind.Answered, (kind) => ({
-      kind,
-      status: response.statusCode ?? 0,
-      headers: selectForwardedHeaders(response.rawHeaders),
-      framed: reply.framed ?? true,
-      body: response,
-      load,
-    }))
-    .with(OfferOutcomeKind.Refused, (kind) => ({
-      kind,
-      reason: reply.reason ?? RefusalReason.Full,
-      retryMilliseconds: reply.retryMilliseconds ?? 0,
-      reachedBackendServer: reply.reachedBackendServer ?? false,
-      load,
-    }))
-    .with(OfferOutcomeKind.Lost, (kind) => ({
-      kind,
-      reason: reply.reason ?? RefusalReason.ContactLost,
-      cause: undefined,
-      load,
-    }))
-    .exhaustive();
+  return createReplyOutcome(reply, () => ({
+    status: response.statusCode ?? 0,
+    headers: selectForwardedHeaders(response.rawHeaders),
+    body: response,
+  }));
 }
--- a/src/mesh/open_mesh_listeners.ts
+++ b/src/mesh/open_mesh_listeners.ts
@@ -7,6 +7,7 @@
 import { serveCallerRequest } from "./serve_caller_request.ts";
 import { serveMetrics } from "./serve_metrics.ts";
 import { servePeer } from "./serve_peer.ts";
+import { serveUpgrade } from "./serve_upgrade.ts";
 import { serveReadiness } from "./serve_readiness.ts";
 
 const headerBytesMaximum = 65_536;
@@ -40,6 +41,7 @@
       ...common,
       address: nodes,
       onRequest: (request, response) => servePeer(node, request, response),
+      onUpgrade: (request, upgraded) => serveUpgrade(node, request, upgraded),
     }),
     openListener({
       ...common,
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -12,6 +12,8 @@
   sourceSoundMilliseconds:
     "Since when the source has answered without a failure; -1 while it does not",
   feedFollowers: "Neighbours that learn of the source from this node",
+  offerConnections: "Nodes to which offers are sent on an offer connection",
+  servedOfferConnections: "Nodes that send offers on an offer connection",
   registeredServers: "Backend servers in the register",
   zonesTakenOut: "Availability zones that get no new work",
   running: "Calls at the backend server of this VM",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -27,6 +27,8 @@
     sourceEra: 1,
     sourceSoundMilliseconds: 1,
     feedFollowers: 1,
+    offerConnections: 0,
+    servedOfferConnections: 0,
     registeredServers: 1,
     zonesTakenOut: 1,
     running: 1,
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -14,6 +14,9 @@
 import { getGateLoad } from "./get_gate_load.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
+import { offerDelays } from "./offer_delays.ts";
+import { offerProtocol } from "./offer_protocol.ts";
+import { offerStatuses } from "./offer_statuses.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
@@ -23,18 +26,6 @@
 import { reportInternalError } from "./report_internal_error.ts";
 import { tryHoldOffer } from "../offers/try_hold_offer.ts";
 
-const refusedStatus = 503;
-const lostStatus = 502;
-const invalidStatus = 400;
-/**
- * Delay of the interim response that confirms to the other node that this one
- * received the offer. Most answers arrive sooner; the delay is well below the
- * time after which the other node queries for the offer.
- */
-const interimResponseDelayMilliseconds = 200;
-/** The other node, which ends the call at its deadline, goes first. */
-const deadlineGraceMilliseconds = 250;
-
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
   node: MeshNode,
@@ -48,7 +39,7 @@
   );
   if (offer === undefined) {
     request.resume();
-    response.writeHead(invalidStatus).end();
+    response.writeHead(offerStatuses.invalid).end();
     return;
   }
   const { callIdentifier, offerIdentifier } = offer;
@@ -63,7 +54,7 @@
   const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = startInterimResponseTimer(node, response);
   const deadlineTimer = node.timers.at(
-    offer.deadline + deadlineGraceMilliseconds,
+    offer.deadline + offerDelays.deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
   response.once("close", () => deadlineTimer.cancel());
@@ -91,7 +82,7 @@
   response: ServerResponse,
 ): TimerHandle {
   return node.timers.at(
-    node.clock.now() + interimResponseDelayMilliseconds,
+    node.clock.now() + offerDelays.confirmationMilliseconds,
     () => {
       if (!response.destroyed) response.writeProcessing();
     },
@@ -168,7 +159,7 @@
     .with({ kind: OfferOutcomeKind.Refused }, (refused) => {
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
-        refusedStatus,
+        offerStatuses.refused,
         createReplyHeadersOfNode(node, {
           kind,
           reason,
@@ -180,7 +171,7 @@
     })
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
-        lostStatus,
+        offerStatuses.lost,
         createReplyHeadersOfNode(node, { kind, reason, load }),
       ).end();
     })
@@ -201,6 +192,8 @@
   return [
     ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
-    ...(node.stopping ? ["connection", "close"] : []),
+    ...(node.stopping
+      ? ["connection", "close"]
+      : [OfferHeader.Protocol, offerProtocol]),
   ];
 }
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -59,11 +59,14 @@
   let stopping: Promise<number> | undefined;
 
   async function stop(): Promise<number> {
+    node.servedConnections.forEach((connection) => connection.announceStop());
     const cutCalls = await stopMeshNode(node);
     clearInterval(maintenance);
     follower.stop();
     if (nodes !== undefined) await closeNodesListener(node, nodes);
     listeners.forEach((listener) => listener.destroy());
+    node.servedConnections.forEach((connection) => connection.destroy());
+    node.offerConnections.open.forEach((connection) => connection.close());
     node.backendAgent.destroy();
     node.probeAgent.destroy();
     node.recentBackendAgent.destroy();
