--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -28,6 +28,7 @@
 const realTimeTests = [
   "dist/scenarios/processes_test.js",
   "dist/src/daemon/**/*_test.js",
+  "dist/src/mesh/create_offer_connection_test.js",
   "dist/src/mesh/offer_connection_test.js",
   "dist/src/mesh/offer_to_node_test.js",
   "dist/src/mesh/endless_*_test.js",
