--- a/src/quarantine/crash_evidence_schema.ts
+++ b/src/quarantine/crash_evidence_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const fingerprintLengthMaximum = 64;
 const crashIdentifierLengthMaximum = 200;
--- a/src/source/withdrawals_schema.ts
+++ b/src/source/withdrawals_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { feedItemSchema } from "./feed_item_schema.ts";
 import type { Withdrawals } from "./withdrawals.ts";
 
