--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -29,7 +29,7 @@
   "dist/scenarios/processes_test.js",
   "dist/src/daemon/**/*_test.js",
   "dist/src/mesh/create_offer_connection_test.js",
-  "dist/src/mesh/offer_connection_test.js",
+  "dist/src/mesh/offer_connection*_test.js",
   "dist/src/mesh/offer_to_node_test.js",
   "dist/src/mesh/endless_*_test.js",
   "dist/src/mesh/crashing_request_test.js",
