Handle the frequent outcome of a call before matching the rest

On code that runs a few times a second the matching of patterns is interpreted and costs more than the work itself.

--- a/src/mesh/create_reply_outcome.ts
+++ b/src/mesh/create_reply_outcome.ts
@@ -1,5 +1,4 @@
 import type { Readable } from "node:stream";
-import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
@@ -15,27 +14,22 @@
     readonly body: Readable;
   },
 ): OfferOutcome {
-  const { load } = reply;
-  return match(reply.kind)
-    .returnType<OfferOutcome>()
-    .with(OfferOutcomeKind.Answered, (kind) => ({
-      kind,
-      ...getAnswer(),
-      framed: reply.framed ?? true,
-      load,
-    }))
-    .with(OfferOutcomeKind.Refused, (kind) => ({
+  const { kind, load } = reply;
+  if (kind === OfferOutcomeKind.Answered) {
+    return { kind, ...getAnswer(), framed: reply.framed ?? true, load };
+  }
+  return kind === OfferOutcomeKind.Refused
+    ? {
       kind,
       reason: reply.reason ?? RefusalReason.Full,
       retryMilliseconds: reply.retryMilliseconds ?? 0,
       reachedBackendServer: reply.reachedBackendServer ?? false,
       load,
-    }))
-    .with(OfferOutcomeKind.Lost, (kind) => ({
+    }
+    : {
       kind,
       reason: reply.reason ?? RefusalReason.ContactLost,
       cause: undefined,
       load,
-    }))
-    .exhaustive();
+    };
 }
--- a/src/mesh/read_offer.ts
+++ b/src/mesh/read_offer.ts
@@ -31,27 +31,21 @@
 function isOfferMessage(input: unknown): input is OfferMessage {
   if (typeof input !== "object" || input === null) return false;
   const message = input as Partial<Record<keyof OfferMessage, unknown>>;
-  const texts = [
-    message.call,
-    message.service,
-    message.identifier,
-    message.callerService,
-    message.route,
-  ];
-  const numbers = [
-    message.priority,
-    message.remainingMilliseconds,
-    message.goalMilliseconds,
-    message.waitMilliseconds,
-  ];
-  const flags = [message.idempotent, message.mayComeBack];
   const limit = message.callsPerSecondLimit;
   const isLimitValid = limit === undefined ||
     (typeof limit === "number" && Number.isFinite(limit) && limit >= 0);
   const isOfferValid = message.offer === undefined ||
     typeof message.offer === "string";
   return isOfferValid && isLimitValid &&
-    flags.every((flag) => typeof flag === "boolean") &&
-    texts.every((text) => typeof text === "string") &&
-    numbers.every((number) => Number.isFinite(number));
+    typeof message.idempotent === "boolean" &&
+    typeof message.mayComeBack === "boolean" &&
+    typeof message.call === "string" &&
+    typeof message.service === "string" &&
+    typeof message.identifier === "string" &&
+    typeof message.callerService === "string" &&
+    typeof message.route === "string" &&
+    Number.isFinite(message.priority) &&
+    Number.isFinite(message.remainingMilliseconds) &&
+    Number.isFinite(message.goalMilliseconds) &&
+    Number.isFinite(message.waitMilliseconds);
 }
--- a/src/mesh/record_backend_exchange.ts
+++ b/src/mesh/record_backend_exchange.ts
@@ -17,17 +17,17 @@
     readonly sentAt: number;
   },
 ): void {
+  // Most exchanges end with an answer.
+  if (exchange.kind === BackendExchangeKind.Answered) {
+    setServerCondition(node, ServerCondition.Up);
+    recordServerStatement(node, exchange.head, { ranSince: options.sentAt });
+    return;
+  }
   match(exchange)
-    .with(
-      { kind: BackendExchangeKind.Answered },
-      { kind: BackendExchangeKind.NotRun },
-      ({ kind, head }) => {
-        const hasRun = kind === BackendExchangeKind.Answered;
-        const ranSince = hasRun ? options.sentAt : undefined;
-        setServerCondition(node, ServerCondition.Up);
-        recordServerStatement(node, head, { ranSince });
-      },
-    )
+    .with({ kind: BackendExchangeKind.NotRun }, ({ head }) => {
+      setServerCondition(node, ServerCondition.Up);
+      recordServerStatement(node, head, { ranSince: undefined });
+    })
     .with(
       { kind: BackendExchangeKind.ConnectionRejected },
       () => setServerCondition(node, ServerCondition.Up),
--- a/src/mesh/report_call_result.ts
+++ b/src/mesh/report_call_result.ts
@@ -1,4 +1,3 @@
-import { match } from "ts-pattern";
 import { CallEventKind } from "./call_event_kind.ts";
 import type { CallPlan } from "./call_plan.ts";
 import type { CallResult } from "./call_result.ts";
@@ -30,24 +29,17 @@
     rulesVersion: plan?.rulesVersion ?? node.view.rules?.version ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
   };
-  match(result)
-    .with(
-      { kind: CallResultKind.Answered },
-      ({ status, backendServer }) =>
-        node.report.call({
-          kind: CallEventKind.Answered,
-          ...common,
-          status,
-          backendServer,
-        }),
-    )
-    .with({ kind: CallResultKind.Refused }, (refused) =>
-      node.report.call({
-        kind: CallEventKind.Refused,
-        ...common,
-        reason: refused.reason,
-        outcome: refused.outcome,
-        retryMilliseconds: Math.round(refused.retryMilliseconds),
-      }))
-    .exhaustive();
+  if (result.kind === CallResultKind.Answered) {
+    const { status, backendServer } = result;
+    const kind = CallEventKind.Answered;
+    node.report.call({ kind, ...common, status, backendServer });
+    return;
+  }
+  node.report.call({
+    kind: CallEventKind.Refused,
+    ...common,
+    reason: result.reason,
+    outcome: result.outcome,
+    retryMilliseconds: Math.round(result.retryMilliseconds),
+  });
 }
--- a/src/mesh/write_call_result.ts
+++ b/src/mesh/write_call_result.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from "node:http";
-import { match } from "ts-pattern";
 import { createProblemDocument } from "../calls/create_problem_document.ts";
 import { refusalTable } from "../calls/refusal_table.ts";
 import type { AnswerBody } from "./answer_body.ts";
@@ -20,35 +19,27 @@
   options: { readonly closing: boolean; readonly now: number },
 ): void {
   const closeHeaders = options.closing ? ["connection", "close"] : [];
-  match(result)
-    .with(
-      { kind: CallResultKind.Answered },
-      ({ status, headers, body }) =>
-        writeBody(response, body, {
-          status,
-          headers: [...headers, ...closeHeaders],
-        }),
-    )
-    .with({ kind: CallResultKind.Refused }, (refused) => {
-      const status = getRefusalStatus(refused.reason, refused.outcome);
-      const seconds = refused.retryMilliseconds / millisecondsPerSecond;
-      const document = createProblemDocument({
-        reason: refused.reason,
-        outcome: refused.outcome,
-        retryAt: Math.round(options.now + refused.retryMilliseconds),
-        detail: refusalTable[refused.reason].detail,
-      });
-      response.writeHead(status, [
-        "content-type",
-        "application/problem+json",
-        "content-length",
-        String(Buffer.byteLength(document)),
-        "retry-after",
-        seconds.toFixed(3),
-        ...closeHeaders,
-      ]).end(document);
-    })
-    .exhaustive();
+  if (result.kind === CallResultKind.Answered) {
+    const headers = [...result.headers, ...closeHeaders];
+    writeBody(response, result.body, { status: result.status, headers });
+    return;
+  }
+  const seconds = result.retryMilliseconds / millisecondsPerSecond;
+  const document = createProblemDocument({
+    reason: result.reason,
+    outcome: result.outcome,
+    retryAt: Math.round(options.now + result.retryMilliseconds),
+    detail: refusalTable[result.reason].detail,
+  });
+  response.writeHead(getRefusalStatus(result.reason, result.outcome), [
+    "content-type",
+    "application/problem+json",
+    "content-length",
+    String(Buffer.byteLength(document)),
+    "retry-after",
+    seconds.toFixed(3),
+    ...closeHeaders,
+  ]).end(document);
 }
 
 function writeBody(
