--- a/measurements/stages/get_call_stage.ts
+++ b/measurements/stages/get_call_stage.ts
@@ -32,7 +32,7 @@
     CallStage.Gate,
   ],
   [
-    /^src\/offers\/|^src\/mesh\/(offer_|send_offer|encode_|decode_|serve_offer|supervise_|create_reply|handle_offer)/,
+    /^src\/(offers|frames)\/|^src\/mesh\/(offer_|send_offer|encode_|decode_|read_offer|serve_offer|write_reply|create_(offer_connection|answer_stream)|supervise_|create_reply|handle_offer)/,
     CallStage.Offer,
   ],
   [
--- a/measurements/stages/main.ts
+++ b/measurements/stages/main.ts
@@ -25,6 +25,8 @@
     // Parameters of the runtime, separated by spaces; several are compared.
     runtime: { type: "string", multiple: true, default: [""] },
     repeats: { type: "string", default: "2" },
+    // A bundle whose stages are printed in place of this folder's.
+    profile: { type: "string" },
     "build-only": { type: "string" },
   },
   allowPositionals: true,
@@ -41,8 +43,8 @@
 
 async function printStages(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), "catkinquay-bundle-"));
-  const bundlePath = join(folder, "node.cjs");
-  buildNodeBundle(bundlePath);
+  const bundlePath = values.profile ?? join(folder, "node.cjs");
+  if (values.profile === undefined) buildNodeBundle(bundlePath);
   const results = await runSequentially(
     sizes,
     (servers) =>
