--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -34,15 +34,18 @@
     socket.once("close", () => clearTimeout(timeout));
   }
 
+  function remove(socket: Socket): void {
+    activeRequestCounts.delete(socket);
+    idleSince.delete(socket);
+    pendingActions.delete(socket);
+  }
+
   return {
     add: (socket) => {
       activeRequestCounts.set(socket, 0);
-      socket.once("close", () => {
-        activeRequestCounts.delete(socket);
-        idleSince.delete(socket);
-        pendingActions.delete(socket);
-      });
+      socket.once("close", () => remove(socket));
     },
+    remove,
     tryBeginRequest: (socket) => {
       if (closing.has(socket)) {
         return false;
--- a/src/mesh/call_plan.ts
+++ b/src/mesh/call_plan.ts
@@ -1,6 +1,7 @@
 import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "../routing/call_route.ts";
 import type { CallRequest } from "./call_request.ts";
+import type { CallSignal } from "./call_signal.ts";
 
 /**
  * A caller's call with its route and target service. Instants are in
@@ -27,5 +28,5 @@
   /** Whether the backend server of this VM makes the call for a call that it runs. */
   readonly isNested: boolean;
   /** Aborted when the caller disconnects or the deadline has passed. */
-  readonly signal: AbortSignal;
+  readonly signal: CallSignal;
 }
--- a/src/mesh/create_mesh_metrics_test.ts
+++ b/src/mesh/create_mesh_metrics_test.ts
@@ -31,6 +31,8 @@
     rulesAgeMilliseconds: 40,
     organisations: 2,
     feedFollowers: 2,
+    offerConnections: 0,
+    servedOfferConnections: 0,
     registeredServers: 12,
     zonesTakenOut: 0,
     running: 1,
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -76,6 +76,8 @@
     probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
+    offerConnections: { open: new Map(), nextAttemptAt: new Map() },
+    servedConnections: new Set(),
     offers: createOfferRecords(),
     gateViews: new Map(),
     quotas: createQuotaState(clock),
--- a/src/mesh/encode_offer.ts
+++ b/src/mesh/encode_offer.ts
@@ -1,5 +1,5 @@
+import { createOfferMessage } from "./create_offer_message.ts";
 import type { GateOffer } from "./gate_offer.ts";
-import type { OfferMessage } from "./offer_message.ts";
 
 const nonAsciiPattern = /[^ -~]/g;
 
@@ -8,31 +8,7 @@
  * the Unix epoch.
  */
 export function encodeOffer(offer: GateOffer, now: number): string {
-  const message: OfferMessage = {
-    call: offer.callIdentifier,
-    offer: offer.offerIdentifier,
-    service: offer.service,
-    identifier: offer.identifier,
-    callerService: offer.callerService,
-    route: offer.route,
-    idempotent: offer.idempotent,
-    priority: offer.priority,
-    remainingMilliseconds: Math.round(offer.deadline - now),
-    goalMilliseconds: Math.round(offer.goalDeadline - now),
-    waitMilliseconds: Math.round(offer.waitDeadline - now),
-    mayComeBack: offer.mayComeBack,
-    ...(offer.organisation === undefined
-      ? {}
-      : { organisation: offer.organisation }),
-    ...(offer.shareKey === offer.callerService
-      ? {}
-      : { share: offer.shareKey }),
-    ...(offer.isNested ? { nested: true } : {}),
-    ...(offer.callsPerSecondLimit === undefined
-      ? {}
-      : { callsPerSecondLimit: offer.callsPerSecondLimit }),
-  };
-  return escapeNonAscii(JSON.stringify(message));
+  return escapeNonAscii(JSON.stringify(createOfferMessage(offer, now)));
 }
 
 /** Names may contain characters that a header cannot. */
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -18,6 +18,8 @@
     rulesAgeMilliseconds: Math.round(getStatedRulesAge(node) ?? -1),
     organisations: view.rules?.organisations.size ?? 0,
     feedFollowers: node.feed.subscribers.size,
+    offerConnections: node.offerConnections.open.size,
+    servedOfferConnections: node.servedConnections.size,
     registeredServers: view.register.size,
     zonesTakenOut: view.zonesTakenOut.size,
     running,
--- a/src/mesh/render_mesh_metrics.ts
+++ b/src/mesh/render_mesh_metrics.ts
@@ -18,6 +18,8 @@
     "Since when the rules may lack a withdrawal of keys; -1 if no bound is set",
   organisations: "Organisations of the rules in force",
   feedFollowers: "Neighbours that learn of the source from this node",
+  offerConnections: "Nodes to which offers are sent on an offer connection",
+  servedOfferConnections: "Nodes that send offers on an offer connection",
   registeredServers: "Backend servers in the register",
   zonesTakenOut: "Availability zones that get no new work",
   running: "Calls at the backend server of this VM",
--- a/src/mesh/render_mesh_metrics_test.ts
+++ b/src/mesh/render_mesh_metrics_test.ts
@@ -31,6 +31,8 @@
     rulesAgeMilliseconds: 1,
     organisations: 1,
     feedFollowers: 1,
+    offerConnections: 0,
+    servedOfferConnections: 0,
     registeredServers: 1,
     zonesTakenOut: 1,
     running: 1,
--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -3,6 +3,7 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
+import type { CallSignal } from "./call_signal.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
 import { createReplyHeaders } from "./create_reply_headers.ts";
@@ -13,6 +14,9 @@
 import { getGateLoad } from "./get_gate_load.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
+import { offerDelays } from "./offer_delays.ts";
+import { offerProtocol } from "./offer_protocol.ts";
+import { offerStatuses } from "./offer_statuses.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
@@ -22,18 +26,6 @@
 import { reportInternalError } from "./report_internal_error.ts";
 import { tryHoldOffer } from "../offers/try_hold_offer.ts";
 
-const refusedStatus = 503;
-const lostStatus = 502;
-const invalidStatus = 400;
-/**
- * Delay of the interim response that confirms to the other node that this one
- * received the offer. Most answers arrive sooner; the delay is well below the
- * time after which the other node queries for the offer.
- */
-const interimResponseDelayMilliseconds = 200;
-/** The other node, which ends the call at its deadline, goes first. */
-const deadlineGraceMilliseconds = 250;
-
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
   node: MeshNode,
@@ -47,7 +39,7 @@
   );
   if (offer === undefined) {
     request.resume();
-    response.writeHead(invalidStatus).end();
+    response.writeHead(offerStatuses.invalid).end();
     return;
   }
   const { callIdentifier, offerIdentifier } = offer;
@@ -62,7 +54,7 @@
   const cancellation = createDisconnectController(request, response);
   const interimResponseTimer = startInterimResponseTimer(node, response);
   const deadlineTimer = node.timers.at(
-    offer.deadline + deadlineGraceMilliseconds,
+    offer.deadline + offerDelays.deadlineGraceMilliseconds,
     () => cancellation.abort(),
   );
   response.once("close", () => deadlineTimer.cancel());
@@ -90,7 +82,7 @@
   response: ServerResponse,
 ): TimerHandle {
   return node.timers.at(
-    node.clock.now() + interimResponseDelayMilliseconds,
+    node.clock.now() + offerDelays.confirmationMilliseconds,
     () => {
       if (!response.destroyed) response.writeProcessing();
     },
@@ -122,7 +114,7 @@
 async function processOffer(
   node: MeshNode,
   request: IncomingMessage,
-  options: { readonly offer: GateOffer; readonly signal: AbortSignal },
+  options: { readonly offer: GateOffer; readonly signal: CallSignal },
 ): Promise<OfferOutcome> {
   const body = await readRequestBody(request, {
     bytesMaximum: getBodyBytesMaximum(node),
@@ -155,6 +147,7 @@
       const { kind, status, headers, framed, body } = answered;
       response.writeHead(status, [
         ...headers,
+        ...getLengthHeaders(answered),
         ...createReplyHeadersOfNode(node, {
           kind,
           framed,
@@ -170,7 +163,7 @@
     .with({ kind: OfferOutcomeKind.Refused }, (refused) => {
       const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
       response.writeHead(
-        refusedStatus,
+        offerStatuses.refused,
         createReplyHeadersOfNode(node, {
           kind,
           reason,
@@ -182,13 +175,20 @@
     })
     .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
       response.writeHead(
-        lostStatus,
+        offerStatuses.lost,
         createReplyHeadersOfNode(node, { kind, reason, load }),
       ).end();
     })
     .exhaustive();
 }
 
+/** A body without a stated length is sent in chunks, which costs a further message. */
+function getLengthHeaders(
+  { bodyBytes }: { readonly bodyBytes?: number | undefined },
+): readonly string[] {
+  return bodyBytes === undefined ? [] : ["content-length", String(bodyBytes)];
+}
+
 function createReplyHeadersOfNode(
   node: MeshNode,
   message: ReplyMessage,
@@ -196,6 +196,8 @@
   return [
     ...createReplyHeaders(message),
     // A connection that is about to end must not carry another request.
-    ...(node.stopping ? ["connection", "close"] : []),
+    ...(node.stopping
+      ? ["connection", "close"]
+      : [OfferHeader.Protocol, offerProtocol]),
   ];
 }
