Leave the lease of a quota with the deputy of a stopping owner

Cause: a stopping node goes on reading the source, and each reading took its leased quotas back with release. Its deputy lost the lease and began again with an empty bucket, while the stopping node grants nothing.

Ruled out: the test of restarts did not show it, since the source sends no change during the stop.

Change: a node that would not grant does not ask for the ownership.

--- a/src/mesh/quota_fleet_test.ts
+++ b/src/mesh/quota_fleet_test.ts
@@ -45,19 +45,21 @@
   return fleet.call(vm, { headers: { [MeshHeader.Key]: `key-${name}` } });
 }
 
+function putRules({ source }: MeshFleet, version: number): void {
+  source.put("rules", {
+    kind: SourceValueKind.Rules,
+    rules: {
+      ...createFleetRules("vitrine", {}),
+      version,
+      organisations: new Map([hot, ...small].map((each) => [each.name, each])),
+    },
+  });
+}
+
 /** Starts nodes that know the organisations from the first reading on. */
 function withQuotas(run: (fleet: MeshFleet) => Promise<void>): Promise<void> {
   return withMeshFleet({ vms, slots }, async (fleet) => {
-    fleet.source.put("rules", {
-      kind: SourceValueKind.Rules,
-      rules: {
-        ...createFleetRules("vitrine", {}),
-        version: 2,
-        organisations: new Map(
-          [hot, ...small].map((each) => [each.name, each]),
-        ),
-      },
-    });
+    putRules(fleet, 2);
     await waitUntil(() =>
       fleet.reports.filter((line) => line.includes('"granters-changed"'))
         .length >= vms
@@ -179,6 +181,31 @@
     }),
 );
 
+// Guards against a lease that the stopping owner takes back with each reading.
+serialTest(
+  "a stopping owner leaves the lease with its deputy while it reads the source",
+  (t) =>
+    withQuotas(async (fleet) => {
+      const index = findOwner(fleet);
+      const others = [0, 1, 2].filter((vm) => vm !== index);
+      const stopped = fleet.daemons[index]!.stop();
+      let version = 3;
+      const readings = setInterval(() => {
+        putRules(fleet, version);
+        version += 1;
+      }, 100);
+      const responses = await sendCalls(fleet, hot, {
+        callsPerSecond: 18,
+        milliseconds: 2_500,
+        vms: others,
+      }).finally(() => clearInterval(readings));
+      const served = countStatus(responses, 200);
+      t.true(served >= 0.9 * responses.length, `${served} served`);
+      await stopped;
+      await fleet.restart(index);
+    }),
+);
+
 serialTest(
   "while the owner is gone its deputy grants a part, within the bound",
   (t) =>
--- a/src/mesh/request_ownership.ts
+++ b/src/mesh/request_ownership.ts
@@ -2,6 +2,7 @@
 import type { GranterState } from "../quotas/granter_state.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
 import { releaseReplySchema } from "../quotas/release_reply_schema.ts";
+import { isGrantingPaused } from "./is_granting_paused.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { sendQuotaMessage } from "./send_quota_message.ts";
 
@@ -11,7 +12,8 @@
 /**
  * Asks those that may be the owner in the view of other nodes to give the quota
  * up, so that this node need not wait until they cannot grant any more. Does
- * nothing if this node is not the owner, or is established.
+ * nothing if this node is not the owner, is established, or would not grant: a
+ * node that stops leaves the lease with its deputy.
  */
 export function requestOwnership(
   node: MeshNode,
@@ -22,7 +24,7 @@
   const { handover, establishedAt } = granter;
   const isWaiting = Number.isFinite(establishedAt) &&
     establishedAt > node.clock.now();
-  if (!isWaiting || handover === undefined) return;
+  if (!isWaiting || handover === undefined || isGrantingPaused(node)) return;
   void Promise.all(
     handover.hosts.map((host) => askForRelease(node, { organisation, host })),
   ).then((replies) => {
