Remember the lease of a quota until it has ended, and end grants by the lease clock

Causes: - An owner that had leased its quota forgot the lease when it was asked to release it, or when its hosts changed. A repeated question got the reply that nothing was leased, on which a new owner that starts could be established beside the lessee. - The deputy that becomes the owner after its lessor was removed got no release either: its lease ends at 0.8 of the handover, so it granted at the reduced rate for the rest. - A former owner grants on for 1 s of the steady clock, which may stand still while the VM is suspended: it could grant beside the new owner on resuming.

Ruled out: trusting the lessee's own claim. It may have released the lease to a third node meanwhile, so it accepts the release only while its lease is in force.

Change: the lease is kept until its end, released to its lessee only, not renewed by a former owner; the former owner's second counts by the lease clock.

--- a/src/mesh/request_ownership.ts
+++ b/src/mesh/request_ownership.ts
@@ -26,7 +26,9 @@
     establishedAt > node.clock.now();
   if (!isWaiting || handover === undefined || isGrantingPaused(node)) return;
   void Promise.all(
-    handover.hosts.map((host) => askForRelease(node, { organisation, host })),
+    handover.hosts.map((host) =>
+      askForRelease(node, granter, { organisation, host })
+    ),
   ).then((replies) => {
     // Another node has asked this one meanwhile, or the view has changed.
     if (granter.establishedAt !== establishedAt) return;
@@ -49,9 +51,13 @@
   });
 }
 
-/** Resolves with undefined without a reply, or if the deputy of that node may grant. */
+/**
+ * Resolves with undefined without a reply, or if the deputy of that node may
+ * grant, unless this node is that deputy and has not given the lease up.
+ */
 async function askForRelease(
   node: MeshNode,
+  granter: GranterState,
   options: { readonly organisation: string; readonly host: string },
 ): Promise<boolean | undefined> {
   const { organisation, host } = options;
@@ -64,7 +70,9 @@
     host: ownHost,
   }, { host });
   const parsed = releaseReplySchema.safeParse(reply);
-  return parsed.success && parsed.data.leased !== true
-    ? parsed.data.released
-    : undefined;
+  if (!parsed.success) return undefined;
+  const { leased, released } = parsed.data;
+  if (leased !== true) return released;
+  const hasLease = node.quotas.leaseClock.now() < granter.leaseUntil;
+  return released && hasLease ? true : undefined;
 }
--- a/src/mesh/serve_quota_message.ts
+++ b/src/mesh/serve_quota_message.ts
@@ -61,12 +61,13 @@
           }),
       };
     })
-    .with({ kind: QuotaMessageKind.Release }, ({ organisation }) => {
+    .with({ kind: QuotaMessageKind.Release }, ({ host, organisation }) => {
       const granter = granters.get(organisation);
       return {
         leased: granter !== undefined && isQuotaLeased(granter, now),
         released: granter !== undefined &&
           tryReleaseOwnership(granter, {
+            host,
             handoverMilliseconds,
             leaseNow: leaseClock.now(),
             now,
--- a/src/mesh/update_quotas.ts
+++ b/src/mesh/update_quotas.ts
@@ -72,7 +72,13 @@
     return;
   }
   const previous = granter.hosts;
-  setQuotaHosts(granter, { hosts, ownHost, handoverMilliseconds, now });
+  setQuotaHosts(granter, {
+    hosts,
+    ownHost,
+    handoverMilliseconds,
+    leaseNow: quotas.leaseClock.now(),
+    now,
+  });
   setQuotaLimits(granter, { limits, now });
   if (hosts.owner === previous.owner) return;
   // The reasons for which calls were refused may have ended.
--- a/src/quotas/get_quota_role.ts
+++ b/src/quotas/get_quota_role.ts
@@ -14,7 +14,7 @@
 ): QuotaRole {
   const { ownHost, isPaused, leaseNow, now } = options;
   if (isPaused) return QuotaRole.None;
-  if (now < releasableUntil) return QuotaRole.Owner;
+  if (leaseNow < releasableUntil) return QuotaRole.Owner;
   const isOwner = hosts.owner === ownHost;
   if (!isOwner && hosts.deputy !== ownHost) return QuotaRole.None;
   return leaseNow < leaseUntil || (isOwner && now >= establishedAt)
--- a/src/quotas/granter_state.ts
+++ b/src/quotas/granter_state.ts
@@ -22,11 +22,11 @@
   /** Undefined if the owner has not changed. */
   formerOwner: FormerOwner | undefined;
   /**
-   * Until when this node, which was the established owner, grants on unless the
+   * Lease instant until which this node, which was the established owner, grants on unless the
    * new owner asks it to stop.
    */
   releasableUntil: number;
-  /** Undefined unless this owner has leased the quota to its deputy. */
+  /** Undefined unless this node, as the owner, has leased the quota to its deputy. */
   lessee: QuotaLessee | undefined;
   /** Lease instant until which this deputy grants as owner. */
   leaseUntil: number;
--- a/src/quotas/set_quota_hosts.ts
+++ b/src/quotas/set_quota_hosts.ts
@@ -14,10 +14,11 @@
     /** Host of this node. */
     readonly ownHost: string;
     readonly handoverMilliseconds: number;
+    readonly leaseNow: number;
     readonly now: number;
   },
 ): void {
-  const { hosts, ownHost, handoverMilliseconds, now } = options;
+  const { hosts, ownHost, handoverMilliseconds, leaseNow, now } = options;
   const wasOwner = state.hosts.owner === ownHost;
   const isOwner = hosts.owner === ownHost;
   const previousOwner = state.hosts.owner;
@@ -34,9 +35,8 @@
     establishOwner(state, { establishedAt: now + handoverMilliseconds });
     return;
   }
-  state.lessee = undefined;
   if (now >= state.establishedAt) {
-    state.releasableUntil = now + formerOwnerMilliseconds;
+    state.releasableUntil = leaseNow + formerOwnerMilliseconds;
   }
   state.establishedAt = Number.POSITIVE_INFINITY;
 }
--- a/src/quotas/try_lease_quota.ts
+++ b/src/quotas/try_lease_quota.ts
@@ -1,5 +1,6 @@
 import { establishOwner } from "./establish_owner.ts";
 import type { GranterState } from "./granter_state.ts";
+import { isQuotaLeased } from "./is_quota_leased.ts";
 
 /**
  * Leases the quota of an owner that may not grant, since its view is outdated or
@@ -17,10 +18,10 @@
   },
 ): boolean {
   const { host, isPaused, handoverMilliseconds, now } = options;
-  const { lessee } = state;
-  const isOwner = lessee === undefined
-    ? now >= state.establishedAt
-    : lessee.host === host || now >= lessee.until;
+  const { establishedAt, lessee } = state;
+  const isRenewal = Number.isFinite(establishedAt) &&
+    isQuotaLeased(state, now) && lessee?.host === host;
+  const isOwner = now >= establishedAt || isRenewal;
   if (!isOwner || !isPaused) return false;
   const until = now + handoverMilliseconds;
   establishOwner(state, { establishedAt: until });
--- a/src/testing/quotas/update_quota_fleet_view.ts
+++ b/src/testing/quotas/update_quota_fleet_view.ts
@@ -59,7 +59,13 @@
     });
     return;
   }
-  setQuotaHosts(node.granter, { hosts, ownHost, handoverMilliseconds, now });
+  setQuotaHosts(node.granter, {
+    hosts,
+    ownHost,
+    handoverMilliseconds,
+    leaseNow: fleet.now,
+    now,
+  });
   setQuotaLimits(node.granter, { limits, now });
 }
 
@@ -76,7 +82,7 @@
     now < granter.establishedAt;
   if (!isWaiting) return;
   const isReleased = handover.hosts
-    .map((host) => askForRelease(fleet, { ...options, host }))
+    .map((host) => askForRelease(fleet, node, { ...options, host }))
     .every((released) =>
       handover.needsRelease ? released === true : released !== undefined
     );
@@ -85,6 +91,7 @@
 
 function askForRelease(
   fleet: QuotaFleet,
+  node: QuotaFleetNode,
   options: Options & { readonly host: string },
 ): boolean | undefined {
   const { host, isReachable, times: { handoverMilliseconds } } = options;
@@ -93,9 +100,13 @@
   const now = fleet.now - other.suspendedMilliseconds;
   const isLeased = isQuotaLeased(other.granter, now);
   const isReleased = tryReleaseOwnership(other.granter, {
+    host: node.host,
     handoverMilliseconds,
     leaseNow: fleet.now,
     now,
   });
-  return isLeased ? undefined : isReleased;
+  if (!isLeased) return isReleased;
+  const hasLease = node.granter !== undefined &&
+    fleet.now < node.granter.leaseUntil;
+  return isReleased && hasLease ? true : undefined;
 }
