Stop nodes as planned in the random histories of quotas

Cause: the fake fleet knew kills only, so no test in virtual time covered the lease of an owner that stops.

Change: nodes of the fake fleet stop, lease and start again; the random histories do so too. A test holds that a stopping owner that is removed hands the quota over to its lessee without a time at the reduced rate.

--- a/src/quotas/handover_test.ts
+++ b/src/quotas/handover_test.ts
@@ -188,3 +188,22 @@
   t.true(rate >= 90, `${rate} calls a second`);
   t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
 });
+
+// Guards against a time at the reduced rate while VMs are replaced in turn: the
+// new owner has leased the quota, and the lease ends before the handover.
+test("an owner that stops and is removed hands the quota over to its lessee", (t) => {
+  const { fleet, owner, deputy } = createFixture();
+  advance(fleet, 6_000);
+  owner.stopsAt = fleet.now + 3_000;
+  advance(fleet, 1_000);
+  const stoppedAt = fleet.now;
+  t.true(deputy.granter!.leaseUntil > fleet.now);
+  removeHost(fleet, owner);
+  Array.from({ length: 8 }, () => {
+    const from = fleet.now;
+    advance(fleet, 1_000);
+    const rate = getRate(fleet, from, fleet.now);
+    t.true(rate >= 90, `${rate} calls a second from ${from - stoppedAt} ms on`);
+  });
+  t.true(getExcess(fleet) <= 0, `excess ${getExcess(fleet)}`);
+});
--- a/src/quotas/quota_property_test.ts
+++ b/src/quotas/quota_property_test.ts
@@ -31,6 +31,8 @@
   /** The first owner is killed, or another node. */
   Kill = "kill",
   KillAll = "kill-all",
+  /** The process of a node stops as planned, and the next one starts. */
+  Stop = "stop",
   Suspend = "suspend",
   /** A node changes to the other side of a cut. */
   Cut = "cut",
@@ -160,6 +162,11 @@
         restartQuotaNode(fleet, other, { afterMilliseconds: milliseconds })
       );
   }
+  const isRunning = fleet.now >= node.startsAt &&
+    !Number.isFinite(node.stopsAt);
+  if (kind === StepKind.Stop && isRunning && mayRestart(fleet)) {
+    node.stopsAt = fleet.now + milliseconds;
+  }
   if (kind === StepKind.Suspend) node.suspendedUntil = fleet.now + milliseconds;
   if (kind === StepKind.Cut) node.side = 1 - node.side;
   if (kind === StepKind.CutFromSource) node.isSourceReachable = false;
@@ -232,7 +239,7 @@
   return isSettled(fleet);
 }
 
-test("the calls of an organisation stay within the bound in every window, with kills, cuts, suspensions, late views, changed hosts and limits", (t) => {
+test("the calls of an organisation stay within the bound in every window, with kills, stops, cuts, suspensions, late views, changed hosts and limits", (t) => {
   fc.assert(
     fc.property(histories, (history) => playHistory(history) <= 0),
     { numRuns: 2_000, seed: 1 },
--- a/src/testing/quotas/create_quota_fleet.ts
+++ b/src/testing/quotas/create_quota_fleet.ts
@@ -39,6 +39,7 @@
   return {
     host,
     startsAt: isListed ? 0 : Number.POSITIVE_INFINITY,
+    stopsAt: Number.POSITIVE_INFINITY,
     newUntil: Number.NEGATIVE_INFINITY,
     suspendedUntil: 0,
     suspendedMilliseconds: 0,
--- a/src/testing/quotas/quota_fleet.ts
+++ b/src/testing/quotas/quota_fleet.ts
@@ -23,6 +23,8 @@
   readonly host: string;
   /** From when its process runs; undefined if none runs. */
   startsAt: number;
+  /** When its process, which stops, ends; infinity if it does not stop. */
+  stopsAt: number;
   /** Until when other nodes may not know its host. */
   newUntil: number;
   /** Until when the VM is suspended. Its steady clock stands still meanwhile. */
--- a/src/testing/quotas/restart_quota_node.ts
+++ b/src/testing/quotas/restart_quota_node.ts
@@ -8,6 +8,7 @@
   { afterMilliseconds }: { readonly afterMilliseconds: number },
 ): void {
   node.startsAt = fleet.now + afterMilliseconds;
+  node.stopsAt = Number.POSITIVE_INFINITY;
   node.version = undefined;
   node.confirmedAt = Number.NEGATIVE_INFINITY;
   node.granter = undefined;
--- a/src/testing/quotas/step_quota_fleet.ts
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -16,7 +16,9 @@
 import { shouldRefreshTokens } from "../../quotas/should_refresh_tokens.ts";
 import type { TokenGrant } from "../../quotas/token_grant.ts";
 import { tryTakeToken } from "../../quotas/try_take_token.ts";
+import { isQuotaNodePaused } from "./is_quota_node_paused.ts";
 import type { QuotaFleet, QuotaFleetNode } from "./quota_fleet.ts";
+import { restartQuotaNode } from "./restart_quota_node.ts";
 import { updateQuotaFleetView } from "./update_quota_fleet_view.ts";
 
 interface Options {
@@ -24,6 +26,8 @@
   readonly times: HandoverTimes;
 }
 
+/** Time between the end of a process that stops and the next one. */
+const startMilliseconds = 500;
 const noGrant: TokenGrant = {
   role: QuotaRole.None,
   tokens: 0,
@@ -41,6 +45,9 @@
   const { elapsedMilliseconds, calls } = options;
   fleet.now += elapsedMilliseconds;
   fleet.nodes.forEach((node, index) => {
+    if (fleet.now >= node.stopsAt) {
+      restartQuotaNode(fleet, node, { afterMilliseconds: startMilliseconds });
+    }
     if (fleet.now < node.startsAt) return;
     if (fleet.now < node.suspendedUntil) {
       node.suspendedMilliseconds += elapsedMilliseconds;
@@ -152,7 +159,7 @@
   const now = fleet.now - other.suspendedMilliseconds;
   const role = getQuotaRole(other.granter, {
     ownHost: other.host,
-    isPaused: isPaused(fleet, other, options),
+    isPaused: isQuotaNodePaused(fleet, other, options),
     leaseNow: fleet.now,
     now,
   });
@@ -163,14 +170,6 @@
   }, { role, host: node.host, now });
 }
 
-function isPaused(
-  { now }: QuotaFleet,
-  { confirmedAt }: QuotaFleetNode,
-  { times }: Options,
-): boolean {
-  return now - confirmedAt > times.outdatedMilliseconds;
-}
-
 function requestLease(
   fleet: QuotaFleet,
   node: QuotaFleetNode,
@@ -189,7 +188,7 @@
   if (owner?.granter === undefined) return;
   const isLeased = tryLeaseQuota(owner.granter, {
     host,
-    isPaused: isPaused(fleet, owner, options),
+    isPaused: isQuotaNodePaused(fleet, owner, options),
     handoverMilliseconds,
     now: fleet.now - owner.suspendedMilliseconds,
   });
--- a/src/testing/quotas/update_quota_fleet_view.ts
+++ b/src/testing/quotas/update_quota_fleet_view.ts
@@ -8,6 +8,7 @@
 import { setQuotaHosts } from "../../quotas/set_quota_hosts.ts";
 import { setQuotaLimits } from "../../quotas/set_quota_limits.ts";
 import { tryReleaseOwnership } from "../../quotas/try_release_ownership.ts";
+import { isQuotaNodePaused } from "./is_quota_node_paused.ts";
 import type { QuotaFleet, QuotaFleetNode } from "./quota_fleet.ts";
 
 interface Options {
@@ -80,7 +81,7 @@
   if (granter === undefined || handover === undefined) return;
   const isWaiting = Number.isFinite(granter.establishedAt) &&
     now < granter.establishedAt;
-  if (!isWaiting) return;
+  if (!isWaiting || isQuotaNodePaused(fleet, node, options)) return;
   const isReleased = handover.hosts
     .map((host) => askForRelease(fleet, node, { ...options, host }))
     .every((released) =>
