Keep quotas within the bound where the excess is small

Cause: the tokens of a lifetime that are granted before a window were taken from the excess, and where it is smaller, nothing was subtracted: with no excess and no slack an owner granted the calls of half a second beyond the bound.

Ruled out: a shorter lifetime of tokens for such settings, which costs messages.

Change: the owner's rate is lowered by what the excess does not cover; other settings keep the whole rate.

--- a/src/quotas/get_quota_limits.ts
+++ b/src/quotas/get_quota_limits.ts
@@ -11,6 +11,7 @@
 const reducedGranters = 3;
 /** Share of the excess that enlarges the burst; the reduced granters have the rest. */
 const burstShare = 0.25;
+const reducedShare = 1 - burstShare;
 /** Time in which an unused reduced bucket fills. */
 const reducedFillSeconds = 1;
 /** Without one whole token no call could ever run. */
@@ -29,22 +30,29 @@
   const windowSeconds = bounds.windowMilliseconds / millisecondsPerSecond;
   const lifetimeSeconds = tokenLifetimeMilliseconds / millisecondsPerSecond;
   const quotaCalls = callsPerSecond * windowSeconds + burstCalls;
+  const callsMaximum = quotaCalls * (1 + bounds.excessRatio) +
+    bounds.slackCalls;
   const excessCalls = Math.max(
     0,
-    quotaCalls * bounds.excessRatio + bounds.slackCalls -
-      callsPerSecond * lifetimeSeconds,
+    callsMaximum - quotaCalls - callsPerSecond * lifetimeSeconds,
   );
-  const reducedCalls = excessCalls * (1 - burstShare) / reducedGranters;
+  const capacityCalls = Math.max(
+    capacityCallsMinimum,
+    burstCalls + excessCalls * burstShare,
+  );
+  const reducedCalls = excessCalls * reducedShare / reducedGranters;
   const reducedCallsPerSecond = Math.min(
     callsPerSecond,
     reducedCalls / (reducedFillSeconds + windowSeconds + lifetimeSeconds),
   );
   return {
-    callsPerSecond,
-    capacityCalls: Math.max(
-      capacityCallsMinimum,
-      burstCalls + excessCalls * burstShare,
+    // Less than the rate if the excess does not cover the lifetime of tokens.
+    callsPerSecond: Math.min(
+      callsPerSecond,
+      Math.max(0, callsMaximum - capacityCalls - excessCalls * reducedShare) /
+        (windowSeconds + lifetimeSeconds),
     ),
+    capacityCalls,
     reducedCallsPerSecond,
     reducedCapacityCalls: reducedCallsPerSecond * reducedFillSeconds,
   };
