Hold a deputy without its owner to the reduced rate on real nodes

Cause: the test compared 80 calls with the bound of the whole quota, 170, which they could not exceed.

Change: the bound is a reduced granter's share of the excess, 10 calls.

--- a/src/mesh/quota_fleet_test.ts
+++ b/src/mesh/quota_fleet_test.ts
@@ -27,6 +27,9 @@
 );
 /** The most calls of `hot` in a window of 5 s: rate, burst, a quarter more, and the slack. */
 const hotCallsMaximum = (20 * 5 + 20) * 1.25 + 20;
+/** A reduced granter's share of the excess beyond the tokens of a lifetime of 0.5 s. */
+const reducedCallsMaximum = (hotCallsMaximum - 20 * 5 - 20 - 20 * 0.5) *
+  0.75 / 3;
 /** Time in which the owners' buckets have filled after the rules are in force. */
 const fillMilliseconds = 1_500;
 
@@ -221,7 +224,7 @@
         vms: others,
       });
       const served = countStatus(without, 200);
-      t.true(served > 0 && served <= hotCallsMaximum, `${served} served`);
+      t.true(served > 0 && served <= reducedCallsMaximum, `${served} served`);
       // The owner knows that the quota is used up, the deputy does not.
       t.is(countStatus(without, 429), 0);
       t.is(served + countStatus(without, 503), without.length);
