--- a/src/testing/quotas/update_quota_fleet_view.ts
+++ b/src/testing/quotas/update_quota_fleet_view.ts
@@ -8,6 +8,7 @@
 import { setQuotaHosts } from "../../quotas/set_quota_hosts.ts";
 import { setQuotaLimits } from "../../quotas/set_quota_limits.ts";
 import { tryReleaseOwnership } from "../../quotas/try_release_ownership.ts";
+import { isQuotaNodePaused } from "./is_quota_node_paused.ts";
 import type { QuotaFleet, QuotaFleetNode } from "./quota_fleet.ts";
 
 interface Options {
@@ -59,7 +60,13 @@
     });
     return;
   }
-  setQuotaHosts(node.granter, { hosts, ownHost, handoverMilliseconds, now });
+  setQuotaHosts(node.granter, {
+    hosts,
+    ownHost,
+    handoverMilliseconds,
+    leaseNow: fleet.now,
+    now,
+  });
   setQuotaLimits(node.granter, { limits, now });
 }
 
@@ -74,9 +81,9 @@
   if (granter === undefined || handover === undefined) return;
   const isWaiting = Number.isFinite(granter.establishedAt) &&
     now < granter.establishedAt;
-  if (!isWaiting) return;
+  if (!isWaiting || isQuotaNodePaused(fleet, node, options)) return;
   const isReleased = handover.hosts
-    .map((host) => askForRelease(fleet, { ...options, host }))
+    .map((host) => askForRelease(fleet, node, { ...options, host }))
     .every((released) =>
       handover.needsRelease ? released === true : released !== undefined
     );
@@ -85,6 +92,7 @@
 
 function askForRelease(
   fleet: QuotaFleet,
+  node: QuotaFleetNode,
   options: Options & { readonly host: string },
 ): boolean | undefined {
   const { host, isReachable, times: { handoverMilliseconds } } = options;
@@ -93,9 +101,13 @@
   const now = fleet.now - other.suspendedMilliseconds;
   const isLeased = isQuotaLeased(other.granter, now);
   const isReleased = tryReleaseOwnership(other.granter, {
+    host: node.host,
     handoverMilliseconds,
     leaseNow: fleet.now,
     now,
   });
-  return isLeased ? undefined : isReleased;
+  if (!isLeased) return isReleased;
+  const hasLease = node.granter !== undefined &&
+    fleet.now < node.granter.leaseUntil;
+  return isReleased && hasLease ? true : undefined;
 }
