Don't hold waits of low priority against calls of higher priority

Cause: a node kept the wait that a full gate reported without the priority of the call that met it. A call of higher priority goes before queued ones of lower priority, so it would have been queued at the gate, but was refused early by the wait of the others: a low priority went before a higher one.

Ruled out: the order of the queue and the check at the gate; both count only calls that go before the new one.

Change: a report holds the priority. For a call of higher priority the gate is full, but its wait is not known, so the call is offered.

--- a/src/capacity/gate_report.ts
+++ b/src/capacity/gate_report.ts
@@ -7,4 +7,6 @@
    * Unix epoch.
    */
   readonly freeAt: number;
+  /** Priority of the call that the gate refused; 0 is the highest. */
+  readonly priority: number;
 }
--- a/src/capacity/get_capacity_outlook.ts
+++ b/src/capacity/get_capacity_outlook.ts
@@ -17,9 +17,14 @@
  */
 export function getCapacityOutlook(
   capacity: ServiceCapacity,
-  options: { readonly gates: readonly OpenGate[]; readonly now: number },
+  options: {
+    readonly gates: readonly OpenGate[];
+    /** Priority of the call that needs a slot; 0 is the highest. */
+    readonly priority: number;
+    readonly now: number;
+  },
 ): CapacityOutlook {
-  const { gates, now } = options;
+  const { gates, priority, now } = options;
   const reports = gates.flatMap(({ identifier }) => {
     const report = capacity.fullGates.get(identifier);
     return report !== undefined && report.reportedAt + reportMilliseconds > now
@@ -31,6 +36,12 @@
   if (reports.length === 0 || reports.length < Math.min(needed, gates.length)) {
     return { isFull: false };
   }
-  const freeAt = Math.min(...reports.map((report) => report.freeAt));
+  // A call goes before queued ones of lower priority, so the wait of these says
+  // nothing about its own.
+  const freeAt = Math.min(
+    ...reports.map((report) =>
+      report.priority > priority ? now : report.freeAt
+    ),
+  );
   return { isFull: true, waitMilliseconds: Math.max(0, freeAt - now) };
 }
--- a/src/capacity/record_full_gate.ts
+++ b/src/capacity/record_full_gate.ts
@@ -9,10 +9,12 @@
     readonly identifier: string;
     /** The wait for a slot that the gate reported. */
     readonly waitMilliseconds: number;
+    /** Priority of the call that was refused; 0 is the highest. */
+    readonly priority: number;
     readonly now: number;
   },
 ): void {
-  const { identifier, waitMilliseconds, now } = options;
+  const { identifier, waitMilliseconds, priority, now } = options;
   // Bounds the reports to the gates that were full lately.
   Array.from(capacity.fullGates)
     .filter(([, { reportedAt }]) => reportedAt + reportMilliseconds < now)
@@ -20,5 +22,6 @@
   capacity.fullGates.set(identifier, {
     reportedAt: now,
     freeAt: now + waitMilliseconds,
+    priority,
   });
 }
--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -55,6 +55,7 @@
       recordFullGate(getServiceCapacity(node, entry.service), {
         identifier: entry.identifier,
         waitMilliseconds: retryMilliseconds,
+        priority: progress.plan.priority,
         now,
       });
     }
--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -39,7 +39,11 @@
   const now = node.clock.now();
   const gates = listOpenGates(node, plan);
   if (gates.length <= fewGates) return undefined;
-  const outlook = getCapacityOutlook(capacity, { gates, now });
+  const outlook = getCapacityOutlook(capacity, {
+    gates,
+    priority: plan.priority,
+    now,
+  });
   const walkUntil = plan.receivedAt +
     plan.route.goalMilliseconds * walkShareMaximum;
   if (!outlook.isFull) {
--- a/src/mesh/try_refuse_without_room_test.ts
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -80,6 +80,7 @@
     recordFullGate(getServiceCapacity(node, service), {
       identifier,
       waitMilliseconds,
+      priority: 0,
       now,
     })
   );
@@ -129,6 +130,7 @@
   recordFullGate(getServiceCapacity(node, service), {
     identifier: "server-3",
     waitMilliseconds: 300,
+    priority: 0,
     now,
   });
   const progress = createCallProgress(createPlan({ receivedAt: now - 60 }));
@@ -148,8 +150,26 @@
     recordFullGate(getServiceCapacity(node, service), {
       identifier,
       waitMilliseconds: 300,
+      priority: 0,
       now,
     })
   );
   Array.from({ length: 5 }, () => t.is(tryRefuse(node), undefined));
 });
+
+test("a burst of calls of low priority that met full gates: a call of higher priority is offered", (t) => {
+  const node = createColdNode();
+  ["server-3", "server-7"].forEach((identifier) =>
+    recordFullGate(getServiceCapacity(node, service), {
+      identifier,
+      waitMilliseconds: 300,
+      priority: 3,
+      now,
+    })
+  );
+  const results = Array.from(
+    { length: 5 },
+    () => tryRefuse(node, { priority: 1 }),
+  );
+  t.deepEqual(results, Array(5).fill(undefined));
+});
