Conclude from full gates only within their zones

Cause: three full gates settled that a whole service is full. A node prefers the gates of its own zone, so a burst in one zone fills these first, and calls were refused early, or after two gates and an eighth of the goal, while gates of other zones had free slots.

Ruled out: the ranking, which offers to other zones once the load of the own one is known; the refusals came before it was asked.

Change: a service is full only if a full gate was found in each zone that has open gates; until then the limit of the walk does not apply either. With one zone nothing changes.

--- a/src/capacity/get_capacity_outlook.ts
+++ b/src/capacity/get_capacity_outlook.ts
@@ -4,8 +4,10 @@
 import type { ServiceCapacity } from "./service_capacity.ts";
 
 /**
- * Full gates from which the others are concluded to be full. Calls are offered
- * to the least loaded gate first, so the others rarely have more room.
+ * Full gates from which the others of the same availability zones are concluded
+ * to be full. Calls are offered to the least loaded gate of a zone first, so the
+ * others rarely have more room. Zones are not loaded alike, and each node prefers
+ * its own.
  */
 const fullGatesNeeded = 3;
 /** In cold start all gates admit calls at the same rate. */
@@ -25,23 +27,25 @@
   },
 ): CapacityOutlook {
   const { gates, priority, now } = options;
-  const reports = gates.flatMap(({ identifier }) => {
+  const found = gates.flatMap(({ identifier, zone }) => {
     const report = capacity.fullGates.get(identifier);
     return report !== undefined && report.reportedAt + reportMilliseconds > now
-      ? [report]
+      ? [{ report, zone }]
       : [];
   });
+  const fullZones = new Set(found.map(({ zone }) => zone));
+  const hasOpenZone = gates.some(({ zone }) => !fullZones.has(zone));
   const areAllCold = gates.every(({ coldUntil }) => coldUntil > now);
   const needed = areAllCold ? coldGatesNeeded : fullGatesNeeded;
-  if (reports.length === 0 || reports.length < Math.min(needed, gates.length)) {
-    return { isFull: false };
-  }
+  const isFull = found.length > 0 && !hasOpenZone &&
+    found.length >= Math.min(needed, gates.length);
+  if (!isFull) return { isFull, hasOpenZone };
   // A call goes before queued ones of lower priority, so the wait of these says
   // nothing about its own.
   const freeAt = Math.min(
-    ...reports.map((report) =>
+    ...found.map(({ report }) =>
       report.priority > priority ? now : report.freeAt
     ),
   );
-  return { isFull: true, waitMilliseconds: Math.max(0, freeAt - now) };
+  return { isFull, waitMilliseconds: Math.max(0, freeAt - now) };
 }
--- a/src/capacity/get_capacity_outlook_test.ts
+++ b/src/capacity/get_capacity_outlook_test.ts
@@ -14,6 +14,7 @@
 ): readonly OpenGate[] {
   return Array.from({ length: count }, (_, index) => ({
     identifier: `server-${index}`,
+    zone: "sul-a",
     slots: 8,
     coldUntil,
     answerMilliseconds: 100,
@@ -85,3 +86,17 @@
   };
   t.deepEqual([1, 2, 3].map(getWait), [0, 200, 200]);
 });
+
+test("a burst in one zone: full gates there say nothing about those of other zones", (t) => {
+  const gates = createGates(24, { coldUntil: 0 }).map((gate, index) => ({
+    ...gate,
+    zone: index < 8 ? "sul-a" : "sul-b",
+  }));
+  const own = createFullCapacity(8);
+  t.deepEqual(getCapacityOutlook(own, { gates, priority, now }), {
+    isFull: false,
+    hasOpenZone: true,
+  });
+  const both = createFullCapacity(9);
+  t.true(getCapacityOutlook(both, { gates, priority, now }).isFull);
+});
--- a/src/capacity/open_gate.ts
+++ b/src/capacity/open_gate.ts
@@ -2,6 +2,7 @@
 export interface OpenGate {
   /** Identifier of the backend server. */
   readonly identifier: string;
+  readonly zone: string;
   readonly slots: number;
   /**
    * End of the cold start, in milliseconds since the Unix epoch; 0 for none.
--- a/src/capacity/promise_room_test.ts
+++ b/src/capacity/promise_room_test.ts
@@ -33,6 +33,7 @@
 test("the rate of a service is known from the first call: cold gates count with their rate in cold start", (t) => {
   const gate = {
     identifier: "server-0",
+    zone: "sul-a",
     slots: 8,
     coldUntil: 0,
     answerMilliseconds: 100,
--- a/src/mesh/list_open_gates.ts
+++ b/src/mesh/list_open_gates.ts
@@ -19,6 +19,7 @@
     .filter(({ view }) => view.avoidUntil <= now)
     .map((candidate) => ({
       identifier: candidate.entry.identifier,
+      zone: candidate.entry.zone,
       slots: candidate.entry.slots,
       coldUntil: getColdUntil(candidate),
       answerMilliseconds: candidate.view.answerMilliseconds.get(name) ??
--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -47,9 +47,9 @@
   const walkUntil = plan.receivedAt +
     plan.route.goalMilliseconds * walkShareMaximum;
   if (!outlook.isFull) {
-    return fullRefusals >= refusalsMaximum && now > walkUntil
-      ? createCallRefusal(node, progress)
-      : undefined;
+    const isWalkOver = fullRefusals >= refusalsMaximum && now > walkUntil &&
+      !outlook.hasOpenZone;
+    return isWalkOver ? createCallRefusal(node, progress) : undefined;
   }
   // The search for a free slot would fail; the call may wait for one.
   progress.isWaitingRound = true;
--- a/src/mesh/try_refuse_without_room_test.ts
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -20,7 +20,10 @@
 const coldCallsPerSecond = 14;
 
 /** The parts of a node that the decision reads, after all nodes restarted. */
-function createColdNode(servers = 24): MeshNode {
+function createColdNode(
+  servers = 24,
+  getZone: (index: number) => string = () => "sul-a",
+): MeshNode {
   const view = createMeshView();
   Array.from({ length: servers }, (_, index) =>
     putEntry(
@@ -28,6 +31,7 @@
       createSampleEntry({
         identifier: `server-${index}`,
         service,
+        zone: getZone(index),
         address: { host: `10.0.0.${index}`, port: 8301 },
         coldUntil: now + 3_000,
       }),
@@ -173,3 +177,15 @@
   );
   t.deepEqual(results, Array(5).fill(undefined));
 });
+
+test("a burst in one zone: a call that met its full gates for a share of the goal is offered to other zones", (t) => {
+  const node = createColdNode(
+    24,
+    (index) => index < 8 ? "sul-a" : "sul-b",
+  );
+  recordRefusals(node, 300);
+  const progress = createCallProgress(createPlan({ receivedAt: now - 60 }));
+  t.is(tryRefuseWithoutRoom(node, progress), undefined);
+  progress.fullRefusals = 2;
+  t.is(tryRefuseWithoutRoom(node, progress), undefined);
+});
