Don't take a held call for a full gate

Cause: a call that a gate holds back as suspect, or for the last slot kept for nested calls, is refused as "full" while slots are free. The node of the caller recorded the gate as full for all its calls.

Ruled out: another reason in the refusal; earlier versions don't know it.

Change: a refusal as "full" counts only if the reported load has no room.

Measured: the new test failed with the check taken out and passes with it.

--- a/src/mesh/handle_offer_refusal.ts
+++ b/src/mesh/handle_offer_refusal.ts
@@ -3,6 +3,7 @@
 import { recordAnswer } from "../balancing/record_answer.ts";
 import { recordContactFailure } from "../balancing/record_contact_failure.ts";
 import { recordGateRefusal } from "../balancing/record_gate_refusal.ts";
+import { isGateFull } from "../capacity/is_gate_full.ts";
 import { recordFullGate } from "../capacity/record_full_gate.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "./call_event_kind.ts";
@@ -51,7 +52,7 @@
     progress.fullRefusals += 1;
     progress.reportedWaits.set(entry.identifier, retryMilliseconds);
     if (!progress.isWaitingRound) progress.excluded.delete(entry.identifier);
-    if (!refused.reachedBackendServer) {
+    if (!refused.reachedBackendServer && isGateFull(refused)) {
       recordFullGate(getServiceCapacity(node, entry.service), {
         identifier: entry.identifier,
         waitMilliseconds: retryMilliseconds,
