Bound the time that one promise takes

Cause: promises follow each other at the node's part of the rate of the service, for which all nodes are assumed to offer calls. For few backend servers in a large mesh one promise could take the room for minutes (100 s at 0.01 calls a second), and all other refused callers were told to return after that, far beyond their deadline.

Ruled out: a cap of the delay at the deadline; it would have all callers return together at their end.

Change: a promise takes at most one second.

Measured: the new test failed with the bound taken out and passes with it.

--- a/src/capacity/promise_room.ts
+++ b/src/capacity/promise_room.ts
@@ -1,6 +1,11 @@
 import type { ServiceCapacity } from "./service_capacity.ts";
 
 const millisecondsPerSecond = 1_000;
+/**
+ * The longest time for which one promise takes the room of a node. The rate
+ * assumes that all nodes offer as many calls; most of a large mesh may offer none.
+ */
+const intervalMillisecondsMaximum = 1_000;
 
 /**
  * Promises the next room of a service to a call, and returns when that is, in
@@ -23,8 +28,10 @@
   const { admittedCallsPerSecond, earliest, latest } = options;
   const instant = Math.max(earliest, capacity.promisedUntil);
   if (instant <= latest && admittedCallsPerSecond > 0) {
-    capacity.promisedUntil = instant +
-      millisecondsPerSecond / admittedCallsPerSecond;
+    capacity.promisedUntil = instant + Math.min(
+      intervalMillisecondsMaximum,
+      millisecondsPerSecond / admittedCallsPerSecond,
+    );
   }
   return instant;
 }
--- a/src/capacity/promise_room_test.ts
+++ b/src/capacity/promise_room_test.ts
@@ -42,3 +42,14 @@
   const options = { coldCallsPerSecond: 14, nodes: 2, now };
   t.is(getAdmittedCallsPerSecond([gate, cold], options), (80 + 14) / 2);
 });
+
+test("a service with few backend servers in a large mesh: one promise does not send further callers away for minutes", (t) => {
+  const capacity = createServiceCapacity();
+  const promise = () =>
+    promiseRoom(capacity, {
+      admittedCallsPerSecond: 0.01,
+      earliest: now + 50,
+      latest: now + 300,
+    }) - now;
+  t.deepEqual([promise(), promise(), promise()], [50, 1_050, 1_050]);
+});
