End a queue also if its last caller leaves

Cause: since when calls have been queued was reset only when the queue was processed. After the last queued caller had left, a later burst counted as overload, and calls that could have been answered in time were refused.

Change: the cancellation of the last queued call resets it.

Measured: the new test failed without the change and passes with it.

--- a/src/gate/cancel_slot_request.ts
+++ b/src/gate/cancel_slot_request.ts
@@ -8,4 +8,5 @@
   state.queue = state.queue.filter(({ request }) =>
     request.callIdentifier !== callIdentifier
   );
+  if (state.queue.length === 0) state.queuedSince = Number.POSITIVE_INFINITY;
 }
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { RefusalReason } from "../calls/refusal_reason.ts";
+import { cancelSlotRequest } from "./cancel_slot_request.ts";
 import { createGateState } from "./create_gate_state.ts";
 import type { GateState } from "./gate_state.ts";
 import { getNextQueueInstant } from "./get_next_queue_instant.ts";
@@ -403,3 +404,19 @@
     ).kind);
   t.false(kinds.includes(SlotDecisionKind.Refused));
 });
+
+test("a burst after a queue that its callers left: it is queued in full like any other", (t) => {
+  const gate = createGate(2);
+  ["a", "b", "left"].forEach((name) =>
+    requestSlot(gate, createRequest(name), { now: start })
+  );
+  cancelSlotRequest(gate, "left");
+  const now = start + 200;
+  const kinds = Array.from({ length: 6 }, (_, index) =>
+    requestSlot(
+      gate,
+      createRequest(`${index}`, { waitDeadline: now + 300 }),
+      { now },
+    ).kind);
+  t.false(kinds.includes(SlotDecisionKind.Refused));
+});
