Count the shares of callers once for a queue

Cause: the comparison of two queued calls counted all running and queued calls for the share of each, so a sort cost n log n times the whole gate, at each end of a call, when the VM has least processor time.

Ruled out: counts held in the state; each path that adds or removes a call would have to keep them right.

Change: the callers beyond their share are listed once for each sort and each new call that meets a queue. Nothing is listed without a queue.

--- a/src/gate/compare_queued_requests.ts
+++ b/src/gate/compare_queued_requests.ts
@@ -1,4 +1,3 @@
-import { exceedsShare } from "./exceeds_share.ts";
 import type { GateState } from "./gate_state.ts";
 import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
@@ -15,15 +14,21 @@
  * come first whatever their priority, since refusing them wastes the calls that
  * wait for them. The order of the others is by priority, then calls that can
  * still be answered within their goal before late ones, then callers that have at
- * most their share of the slots, then calls whose caller cannot retry. Of the rest, a short call comes before a long one that arrived
- * at the same time, and a long one before calls that arrive much later.
+ * most their share of the slots, then calls whose caller cannot retry. Of the
+ * rest, a short call comes before a long one that arrived at the same time, and a
+ * long one before calls that arrive much later.
  */
 export function compareQueuedRequests(
   left: QueuedSlotRequest,
   right: QueuedSlotRequest,
-  options: { readonly state: GateState; readonly now: number },
+  options: {
+    readonly state: GateState;
+    /** The callers that have more than their share of the slots. */
+    readonly keysBeyondShare: ReadonlySet<string>;
+    readonly now: number;
+  },
 ): number {
-  const { state, now } = options;
+  const { state, keysBeyondShare, now } = options;
   const isLate = ({ goalDeadline, route }: SlotRequest) =>
     goalDeadline < now + getRouteServiceMilliseconds(state, route);
   const getTurn = ({ request, queuedAt }: QueuedSlotRequest) =>
@@ -37,8 +42,8 @@
   const latenessOrder = Number(isLate(left.request)) -
     Number(isLate(right.request));
   if (latenessOrder !== 0) return latenessOrder;
-  const shareOrder = Number(exceedsShare(state, left.request.shareKey)) -
-    Number(exceedsShare(state, right.request.shareKey));
+  const shareOrder = Number(keysBeyondShare.has(left.request.shareKey)) -
+    Number(keysBeyondShare.has(right.request.shareKey));
   if (shareOrder !== 0) return shareOrder;
   const retryOrder = Number(left.request.mayComeBack) -
     Number(right.request.mayComeBack);
--- a/src/gate/process_gate_queue.ts
+++ b/src/gate/process_gate_queue.ts
@@ -6,6 +6,7 @@
 import { getFullReason } from "./get_full_reason.ts";
 import { getLatestStart } from "./get_latest_start.ts";
 import { getRouteServiceMilliseconds } from "./get_route_service_milliseconds.ts";
+import { listKeysBeyondShare } from "./list_keys_beyond_share.ts";
 import { occupySlot } from "./occupy_slot.ts";
 import type { QueueResult } from "./queue_result.ts";
 import type { QueuedSlotRequest } from "./queued_slot_request.ts";
@@ -72,8 +73,10 @@
 }
 
 function sortQueue(state: GateState, now: number): void {
+  if (state.queue.length < 2) return;
+  const keysBeyondShare = listKeysBeyondShare(state);
   state.queue.sort((left, right) =>
-    compareQueuedRequests(left, right, { state, now })
+    compareQueuedRequests(left, right, { state, keysBeyondShare, now })
   );
 }
 
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -9,6 +9,7 @@
 import { getLatestStart } from "./get_latest_start.ts";
 import { isHeldAsSuspect } from "./is_held_as_suspect.ts";
 import { isKeptForNestedCalls } from "./is_kept_for_nested_calls.ts";
+import { listKeysBeyondShare } from "./list_keys_beyond_share.ts";
 import { occupySlot } from "./occupy_slot.ts";
 import { ServerCondition } from "./server_condition.ts";
 import type { SlotDecision } from "./slot_decision.ts";
@@ -76,9 +77,15 @@
   request: SlotRequest,
   { now }: { readonly now: number },
 ): number {
+  if (state.queue.length === 0) return 0;
   const newRequest = { request, queuedAt: now };
+  const keysBeyondShare = listKeysBeyondShare(state);
   return state.queue.filter((queued) =>
-    compareQueuedRequests(queued, newRequest, { state, now }) <= 0
+    compareQueuedRequests(queued, newRequest, {
+      state,
+      keysBeyondShare,
+      now,
+    }) <= 0
   ).length;
 }
 
