Refuse a call as not run if its offer certainly did not arrive

Cause: an offer that was not confirmed counted as "may have run" also if the other node stated that it had not arrived and fenced it, since a process that restarted after it ran the call states the same. The caller got 502 or 504 for a call that had reached no backend server.

Ruled out: trusting the statement alone. A process that started since the offer, one that forgot an offer that ended, and one of an earlier version cannot know.

Change: the reply to an offer check states how long the process has recorded offers. If that is longer than the offer is old, by 100 ms at least, and the offer was made less than 5 s before, the outcome is a refusal as not run, which costs no attempt, as for an offer that could not be sent. Only offers of idempotent calls are checked, as before.

--- a/src/mesh/check_offer.ts
+++ b/src/mesh/check_offer.ts
@@ -10,6 +10,7 @@
 const replyTimeoutMilliseconds = 500;
 const rejectedCode = "ECONNREFUSED";
 
+const wholeNumber = /^\d{1,15}$/;
 const statuses: readonly unknown[] = Object.values(OfferStatus);
 
 /**
@@ -56,9 +57,15 @@
 
 function readCheck(response: IncomingMessage): OfferCheck {
   const status = response.headers[OfferHeader.Status];
-  return isOfferStatus(status)
-    ? { kind: OfferCheckKind.Status, status }
-    : { kind: OfferCheckKind.NotSupported };
+  if (!isOfferStatus(status)) return { kind: OfferCheckKind.NotSupported };
+  const recorded = response.headers[OfferHeader.Recorded];
+  return {
+    kind: OfferCheckKind.Status,
+    status,
+    ...(typeof recorded === "string" && wholeNumber.test(recorded)
+      ? { recordedMilliseconds: Number(recorded) }
+      : {}),
+  };
 }
 
 function isOfferStatus(input: unknown): input is OfferStatus {
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -67,6 +67,7 @@
     probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
+    startedAt: clock.now(),
     offers: createOfferRecords(),
     gateViews: new Map(),
     departures: new Map(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -61,6 +61,8 @@
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
   readonly quarantine: QuarantineState;
+  /** Since when this process records offers, in milliseconds since the Unix epoch. */
+  readonly startedAt: number;
   /** Calls that other nodes offered to this one. */
   readonly offers: OfferRecords;
   /** By identifier of the backend server. */
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -12,6 +12,11 @@
    * that status.
    */
   Status = "catkinquay-offer-status",
+  /**
+   * On such a reply: how long the process has recorded offers, in whole
+   * milliseconds.
+   */
+  Recorded = "catkinquay-offers-recorded",
   /**
    * On a request: the position, as `ERA.REVISION`, after which the sender
    * follows the changes of the source.
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -22,8 +22,9 @@
 /**
  * Offers a call to the node beside a backend server on another VM.
  *
- * If contact ends before the offer was sent, the call has not run. If it ends
- * without a reply after that, the call may have run. The offer of an idempotent
+ * If contact ends before the offer was sent, or the node states for certain that
+ * it did not arrive, the call has not run. If contact ends otherwise without a
+ * reply, the call may have run. The offer of an idempotent
  * call is given up early if the node has sent neither an interim response nor a
  * reply, and queries show that no reply can be expected.
  */
@@ -41,6 +42,7 @@
   const { offer, address, signal, canRetry } = options;
   return new Promise((resolve) => {
     let cause = ContactLossCause.ConnectionEnded;
+    let isNotRun = false;
     const outgoing = sendRequest({
       agent: node.nodesAgent,
       host: address.host,
@@ -70,8 +72,12 @@
     // A switch of protocols ends the connection without an error.
     outgoing.once("close", handleEnd);
 
-    function giveUp(found: ContactLossCause): void {
+    function giveUp(
+      found: ContactLossCause,
+      statement: { readonly isNotRun: boolean },
+    ): void {
       cause = found;
+      isNotRun = statement.isNotRun;
       outgoing.destroy();
     }
 
@@ -79,7 +85,9 @@
     function handleEnd(): void {
       supervision?.stop();
       resolve(
-        connection.isSent() ? createLoss(cause) : createUnreachableRefusal(),
+        connection.isSent() && !isNotRun
+          ? createLoss(cause)
+          : createUnreachableRefusal(),
       );
     }
   });
--- a/src/mesh/offer_to_node_test.ts
+++ b/src/mesh/offer_to_node_test.ts
@@ -256,3 +256,24 @@
     });
   },
 );
+
+// Guards against a refusal as "may have run" of calls that reached no backend
+// server, and against one as "not run" by a process that cannot know.
+serialTest(
+  "a call that certainly did not arrive at the only other node is refused as not run, one that it cannot know of is not",
+  async (t) => {
+    const statuses = [60_000, 100].map((recordedMilliseconds) => async () => {
+      let status = 0;
+      await withSilentPeer({}, async (fleet, peer) => {
+        peer.status = OfferStatus.NotReceived;
+        peer.recordedMilliseconds = recordedMilliseconds;
+        ({ status } = await fleet.call(0));
+        t.is(peer.offers.length, 1);
+      });
+      return status;
+    });
+    t.is(await statuses[0]!(), 503);
+    const unknown = await statuses[1]!();
+    t.true(unknown === 502 || unknown === 504);
+  },
+);
--- a/src/mesh/serve_offer_status.ts
+++ b/src/mesh/serve_offer_status.ts
@@ -20,6 +20,7 @@
   const status = replyToOfferQuery(node.offers, { offerIdentifier, now });
   response.writeHead(okStatus, {
     [OfferHeader.Status]: status,
+    [OfferHeader.Recorded]: String(Math.floor(now - node.startedAt)),
     "connection": "close",
   }).end();
 }
--- a/src/mesh/supervise_offer.ts
+++ b/src/mesh/supervise_offer.ts
@@ -9,6 +9,7 @@
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateView } from "./get_gate_view.ts";
 import type { MeshNode } from "./mesh_node.ts";
+import { isNotReceivedForCertain } from "../offers/is_not_received_for_certain.ts";
 import type { OfferCheck } from "../offers/offer_check.ts";
 import { OfferCheckKind } from "../offers/offer_check_kind.ts";
 import { OfferDecisionKind } from "../offers/offer_decision_kind.ts";
@@ -34,7 +35,11 @@
     readonly address: NetworkAddress;
     /** Whether another attempt may follow if this offer is given up. */
     readonly canRetry: boolean;
-    readonly onLost: (cause: ContactLossCause) => void;
+    readonly onLost: (
+      cause: ContactLossCause,
+      /** Whether the call has certainly not run and will not. */
+      options: { readonly isNotRun: boolean },
+    ) => void;
   },
 ): { readonly stop: () => void } {
   const { offer, address, canRetry, onLost } = options;
@@ -66,7 +71,13 @@
       .with({ kind: OfferDecisionKind.CheckAgain }, () => {
         timer = schedule(getNextCheckInstant(found, node.clock.now()));
       })
-      .with({ kind: OfferDecisionKind.GiveUp }, ({ cause }) => onLost(cause))
+      .with({ kind: OfferDecisionKind.GiveUp }, ({ cause }) =>
+        onLost(cause, {
+          isNotRun: isNotReceivedForCertain(found, {
+            offeredAt,
+            now: node.clock.now(),
+          }),
+        }))
       .exhaustive();
   }
 
--- a/src/offers/offer_check.ts
+++ b/src/offers/offer_check.ts
@@ -6,6 +6,11 @@
   | {
     readonly kind: OfferCheckKind.Status;
     readonly status: OfferStatus;
+    /**
+     * How long the process of the other node has recorded offers, in
+     * milliseconds; missing if it did not state it.
+     */
+    readonly recordedMilliseconds?: number;
   }
   | { readonly kind: OfferCheckKind.NotSupported }
   | { readonly kind: OfferCheckKind.NoReply }
--- a/src/testing/mesh/silent_peer.ts
+++ b/src/testing/mesh/silent_peer.ts
@@ -12,6 +12,11 @@
    * sends nothing.
    */
   status: OfferStatus | undefined;
+  /**
+   * How long it states to have recorded offers, in milliseconds; undefined means
+   * that it does not state it, as a node of an earlier version.
+   */
+  recordedMilliseconds: number | undefined;
   /** Answers the first offer as the node beside a backend server would. */
   answerFirstOffer(body: string): void;
   /** Closes the listener; open connections stay open. */
--- a/src/testing/mesh/start_silent_peer.ts
+++ b/src/testing/mesh/start_silent_peer.ts
@@ -29,7 +29,7 @@
       if (data.includes(`${OfferHeader.Offer}:`)) offers.push(socket);
       const isQuery = data.includes(`${OfferHeader.Status}:`);
       if (isQuery && peer.status !== undefined) {
-        socket.write(createStatusReply(peer.status));
+        socket.write(createStatusReply(peer.status, peer));
       }
     });
   });
@@ -37,6 +37,7 @@
     identifier,
     offers,
     status: undefined,
+    recordedMilliseconds: undefined,
     answerFirstOffer: (body) => void offers[0]?.write(createPeerAnswer(body)),
     stopListening: () => void server.close(),
     close: () => {
@@ -49,10 +50,17 @@
   publishPeer(fleet, { identifier, host });
   return peer;
 }
-function createStatusReply(status: OfferStatus): string {
+
+function createStatusReply(
+  status: OfferStatus,
+  { recordedMilliseconds }: SilentPeer,
+): string {
   const lines = [
     "HTTP/1.1 200 OK",
     `${OfferHeader.Status}: ${status}`,
+    ...(recordedMilliseconds === undefined
+      ? []
+      : [`${OfferHeader.Recorded}: ${recordedMilliseconds}`]),
     "content-length: 0",
     "",
     "",
