--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -78,6 +78,7 @@
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     offerConnections: { open: new Map(), nextAttemptAt: new Map() },
     servedConnections: new Set(),
+    startedAt: clock.now(),
     offers: createOfferRecords(),
     gateViews: new Map(),
     quotas: createQuotaState(clock),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -78,6 +78,8 @@
   /** Such connections of other nodes to this one. */
   readonly servedConnections: Set<ServedConnection>;
   readonly quarantine: QuarantineState;
+  /** Since when this process records offers, in milliseconds since the Unix epoch. */
+  readonly startedAt: number;
   /** Calls that other nodes offered to this one. */
   readonly offers: OfferRecords;
   /** By identifier of the backend server. */
--- a/src/mesh/offer_on_connection.ts
+++ b/src/mesh/offer_on_connection.ts
@@ -92,10 +92,13 @@
       );
     }
 
-    function giveUp(cause: ContactLossCause): void {
+    function giveUp(
+      cause: ContactLossCause,
+      { isNotRun }: { readonly isNotRun: boolean },
+    ): void {
       finish();
       connection.cancel(number);
-      resolve(createContactLoss(cause));
+      resolve(isNotRun ? createUnreachableRefusal() : createContactLoss(cause));
     }
 
     function handleReply(payload: Buffer): void {
--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -39,13 +39,17 @@
   const now = node.clock.now();
   const gates = listOpenGates(node, plan);
   if (gates.length <= fewGates) return undefined;
-  const outlook = getCapacityOutlook(capacity, { gates, now });
+  const outlook = getCapacityOutlook(capacity, {
+    gates,
+    priority: plan.priority,
+    now,
+  });
   const walkUntil = plan.receivedAt +
     plan.route.goalMilliseconds * walkShareMaximum;
   if (!outlook.isFull) {
-    return fullRefusals >= refusalsMaximum && now > walkUntil
-      ? createCallRefusal(node, progress)
-      : undefined;
+    const isWalkOver = fullRefusals >= refusalsMaximum && now > walkUntil &&
+      !outlook.hasOpenZone;
+    return isWalkOver ? createCallRefusal(node, progress) : undefined;
   }
   // The search for a free slot would fail; the call may wait for one.
   progress.isWaitingRound = true;
--- a/src/mesh/try_refuse_without_room_test.ts
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -20,7 +20,10 @@
 const coldCallsPerSecond = 14;
 
 /** The parts of a node that the decision reads, after all nodes restarted. */
-function createColdNode(servers = 24): MeshNode {
+function createColdNode(
+  servers = 24,
+  getZone: (index: number) => string = () => "sul-a",
+): MeshNode {
   const view = createMeshView();
   Array.from({ length: servers }, (_, index) =>
     putEntry(
@@ -28,6 +31,7 @@
       createSampleEntry({
         identifier: `server-${index}`,
         service,
+        zone: getZone(index),
         address: { host: `10.0.0.${index}`, port: 8301 },
         coldUntil: now + 3_000,
       }),
@@ -80,6 +84,7 @@
     recordFullGate(getServiceCapacity(node, service), {
       identifier,
       waitMilliseconds,
+      priority: 0,
       now,
     })
   );
@@ -129,6 +134,7 @@
   recordFullGate(getServiceCapacity(node, service), {
     identifier: "server-3",
     waitMilliseconds: 300,
+    priority: 0,
     now,
   });
   const progress = createCallProgress(createPlan({ receivedAt: now - 60 }));
@@ -148,8 +154,38 @@
     recordFullGate(getServiceCapacity(node, service), {
       identifier,
       waitMilliseconds: 300,
+      priority: 0,
       now,
     })
   );
   Array.from({ length: 5 }, () => t.is(tryRefuse(node), undefined));
 });
+
+test("a burst of calls of low priority that met full gates: a call of higher priority is offered", (t) => {
+  const node = createColdNode();
+  ["server-3", "server-7"].forEach((identifier) =>
+    recordFullGate(getServiceCapacity(node, service), {
+      identifier,
+      waitMilliseconds: 300,
+      priority: 3,
+      now,
+    })
+  );
+  const results = Array.from(
+    { length: 5 },
+    () => tryRefuse(node, { priority: 1 }),
+  );
+  t.deepEqual(results, Array(5).fill(undefined));
+});
+
+test("a burst in one zone: a call that met its full gates for a share of the goal is offered to other zones", (t) => {
+  const node = createColdNode(
+    24,
+    (index) => index < 8 ? "sul-a" : "sul-b",
+  );
+  recordRefusals(node, 300);
+  const progress = createCallProgress(createPlan({ receivedAt: now - 60 }));
+  t.is(tryRefuseWithoutRoom(node, progress), undefined);
+  progress.fullRefusals = 2;
+  t.is(tryRefuseWithoutRoom(node, progress), undefined);
+});
