End the preference against a backend server that could not be reached

Cause: one lost contact left a backend server out of all samples until it replied again, and nothing was sent to it that it could reply to, as long as others were sound. In a waiting round a lost one, which reports no wait, came before those that reported one. Ruled out: the end of the time of avoidance alone (500 ms at first), as then most samples after a power cut consist of lost backend servers. Change: a lost contact counts for 4 s, the longest time of avoidance; in a waiting round those that may be lost come last. The test of the power cut records the loss as the node does, in place of a state without a time that does not occur. Measured: the two new tests failed before (0 of 400 choices; the lost one chosen) and pass now.

--- a/src/balancing/create_gate_view.ts
+++ b/src/balancing/create_gate_view.ts
@@ -20,6 +20,7 @@
     fullUntil: 0,
     waitMilliseconds: 0,
     contactFailures: 0,
+    unreachedUntil: 0,
     failureRate: 0,
     slowness: 1,
     slownessAt: 0,
--- a/src/balancing/gate_view.ts
+++ b/src/balancing/gate_view.ts
@@ -23,6 +23,8 @@
   waitMilliseconds: number;
   /** Number of consecutive attempts on which contact failed. */
   contactFailures: number;
+  /** Instant until which a failed attempt at contact counts against it, in milliseconds since the Unix epoch. */
+  unreachedUntil: number;
   /** Moving average of the share of failed calls, 0 to 1, as of `lastOutcomeAt`. */
   failureRate: number;
   /**
--- a/src/balancing/is_sound.ts
+++ b/src/balancing/is_sound.ts
@@ -1,7 +1,7 @@
 import type { GateCandidate } from "./gate_candidate.ts";
 
 /**
- * Whether a backend server is listed, and was reached when it was last tried.
+ * Whether a backend server is listed, and was not found unreachable of late.
  * After a power cut most of a small sample may be lost, while a few others are
  * known to be reached.
  */
@@ -9,5 +9,7 @@
   { view, isRemoved }: GateCandidate,
   now: number,
 ): boolean {
-  return !isRemoved && view.avoidUntil <= now && view.contactFailures === 0;
+  const { avoidUntil, contactFailures, unreachedUntil } = view;
+  const isReached = contactFailures === 0 || unreachedUntil <= now;
+  return !isRemoved && avoidUntil <= now && isReached;
 }
--- a/src/mesh/choose_candidate_test.ts
+++ b/src/mesh/choose_candidate_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { recordContactFailure } from "../balancing/record_contact_failure.ts";
 import { recordLoad } from "../balancing/record_load.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
@@ -236,10 +237,31 @@
   entries.filter(({ identifier }) => !reached.has(identifier))
     .forEach(({ identifier }) => {
       const view = getGateView(node, identifier);
-      view.contactFailures = 1;
+      recordContactFailure(view, now - 600);
       view.failureRate = 0.2;
       view.lastOutcomeAt = now - 600;
     });
   const chosen = Array.from({ length: 100 }, () => choose(node));
   t.true(chosen.every((identifier) => reached.has(identifier ?? "")));
 });
+
+test("a backend server that could not be reached once gets calls again within 4 seconds, also while many others can be reached", (t) => {
+  const entries = createEntries(60);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  recordContactFailure(getGateView(node, "i-4"), now - 4_000);
+  const chosen = Array.from({ length: 400 }, () => choose(node));
+  t.true(chosen.includes("i-4"));
+});
+
+test("all gates are full: a call does not wait for a backend server that could not be reached", (t) => {
+  const entries = createEntries(12);
+  const node = createNode(entries);
+  occupyOwnSlots(node, slots);
+  recordContactFailure(getGateView(node, "i-2"), now);
+  const progress = createProgress(node);
+  progress.isWaitingRound = true;
+  entries.filter(({ identifier }) => identifier !== "i-2")
+    .forEach(({ identifier }) => progress.reportedWaits.set(identifier, 10));
+  t.not(chooseCandidate(node, progress)?.entry.identifier, "i-2");
+});
--- a/src/mesh/choose_waiting_candidate.ts
+++ b/src/mesh/choose_waiting_candidate.ts
@@ -1,4 +1,5 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
+import { isSound } from "../balancing/is_sound.ts";
 import { rankCandidates } from "../balancing/rank_candidates.ts";
 import type { RankingContext } from "../balancing/ranking_context.ts";
 import { sampleCandidates } from "../balancing/sample_candidates.ts";
@@ -38,8 +39,15 @@
   return rankCandidates(
     eligible.length > 0 ? eligible : listRest().filter(isEligible),
     context,
-  ).toSorted((left, right) => getExpectedWait(left) - getExpectedWait(right))
-    .at(0);
+  ).toSorted((left, right) =>
+    getLossOrder(left) - getLossOrder(right) ||
+    getExpectedWait(left) - getExpectedWait(right)
+  ).at(0);
+
+  /** One that may be lost reported no wait, which does not make it free. */
+  function getLossOrder(candidate: GateCandidate): number {
+    return isSound(candidate, now) ? 0 : 1;
+  }
 
   /** Without a refusal of a full gate, nothing is known of the others. */
   function listRest(): readonly GateCandidate[] {
