Send fewer calls to a backend server that fails a part of them

Cause: the own backend server stayed first up to a failure rate of 0.3, which one that fails a third of its calls seldom exceeds for long. In samples, one that fails calls quickly looks idle, and the cost of use of the others outweighs its failures.

--- /dev/null
+++ b/src/balancing/is_failing.ts
@@ -0,0 +1,11 @@
+import type { GateView } from "./gate_view.ts";
+import { getObservationWeight } from "./get_observation_weight.ts";
+
+/** A failed call exceeds it until 2 s have passed or four calls have succeeded. */
+const failureRateMaximum = 0.1;
+
+/** Whether the backend server has failed calls of this node of late. */
+export function isFailing(view: GateView, now: number): boolean {
+  return view.failureRate * getObservationWeight(view, now) >
+    failureRateMaximum;
+}
--- a/src/balancing/is_own_server_first.ts
+++ b/src/balancing/is_own_server_first.ts
@@ -2,8 +2,8 @@
 import type { GateState } from "../gate/gate_state.ts";
 import { canStartAtOnce } from "./can_start_at_once.ts";
 import type { GateCandidate } from "./gate_candidate.ts";
-import { getObservationWeight } from "./get_observation_weight.ts";
 import { getSlowness } from "./get_slowness.ts";
+import { isFailing } from "./is_failing.ts";
 import { isSound } from "./is_sound.ts";
 
 /** Up to this share of its slots, calls of this VM leave enough room for those of others. */
@@ -14,8 +14,6 @@
 const shareMaximum = 0.9;
 /** An answer that is expected within this share of the goal arrives in time although times vary. */
 const safeGoalShare = 0.5;
-/** A single failed call does not exceed it, two in a row do. */
-const failureRateMaximum = 0.3;
 /** Others are much faster than a backend server that is slower than this. */
 const slownessMaximum = 1.5;
 
@@ -37,8 +35,8 @@
   const { gate, now, meanAnswerMilliseconds, goalMilliseconds } = options;
   const { view } = candidate;
   if (!isSound(candidate, now) || isCold(gate, now)) return false;
-  const failureRate = view.failureRate * getObservationWeight(view, now);
-  if (failureRate > failureRateMaximum) return false;
+  // Its slots are often free just because it fails calls.
+  if (isFailing(view, now)) return false;
   const share = Math.min(
     shareMaximum,
     Math.max(roomyShare, view.serviceLoad.busyShare + excessShare),
--- a/src/balancing/is_own_server_first_test.ts
+++ b/src/balancing/is_own_server_first_test.ts
@@ -50,7 +50,7 @@
   t.false(isFirst({ gate: { condition: ServerCondition.Down } }));
   t.false(isFirst({ gate: { coldUntil: now + 1_000 } }));
   t.false(isFirst({ view: { avoidUntil: now + 300 } }));
-  t.false(isFirst({ view: { failureRate: 0.36, lastOutcomeAt: now } }));
+  t.false(isFirst({ view: { failureRate: 0.2, lastOutcomeAt: now } }));
 });
 
 test("calls of its VM leave room for those of others, more of it while the service has room", (t) => {
--- a/src/mesh/choose_candidate_test.ts
+++ b/src/mesh/choose_candidate_test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
+import { recordAnswer } from "../balancing/record_answer.ts";
 import { recordContactFailure } from "../balancing/record_contact_failure.ts";
 import { recordLoad } from "../balancing/record_load.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
+import { createRandomSource } from "../runtime/create_random_source.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { createOfflineNode } from "../testing/mesh/create_offline_node.ts";
@@ -45,8 +47,11 @@
   }, { complete: false, now });
 }
 
-function createNode(entries: readonly RegisterEntry[]): MeshNode {
-  const node = createOfflineNode(createVirtualTime(now));
+function createNode(
+  entries: readonly RegisterEntry[],
+  time = createVirtualTime(now),
+): MeshNode {
+  const node = createOfflineNode(time);
   register(node, entries);
   node.gate.slots = slots;
   node.gate.condition = ServerCondition.Up;
@@ -254,6 +259,87 @@
   t.true(chosen.includes("i-4"));
 });
 
+/** Sends 800 calls one after another; returns the share that `failing` gets. */
+async function getShareOfFailing(
+  failing: string,
+  options: {
+    readonly failureShare: number;
+    readonly ownIsFull: boolean;
+    readonly callsPerSecond: number;
+    readonly servers: number;
+  },
+): Promise<number> {
+  const { failureShare, ownIsFull, callsPerSecond, servers } = options;
+  const intervalMilliseconds = 1_000 / callsPerSecond;
+  const time = createVirtualTime(now);
+  const node = createNode(createEntries(servers), time);
+  if (ownIsFull) occupyOwnSlots(node, slots);
+  const random = createRandomSource(5);
+  const instants = Array.from(
+    { length: 800 },
+    (_, index) => now + index * intervalMilliseconds,
+  );
+  let calls = 0;
+  // One call after another, as each choice depends on the outcome of those before.
+  for (const instant of instants) {
+    await time.advanceTo(instant);
+    const identifier = choose(node)!;
+    const isFailing = identifier === failing;
+    if (isFailing) calls += 1;
+    const view = getGateView(node, identifier);
+    // A backend server that fails calls quickly looks idle.
+    const running = isFailing ? 0 : 9;
+    recordLoad(view, {
+      load: { running, queued: 0, slots, cold: false },
+      now: instant,
+    });
+    recordAnswer(view, {
+      route: "slots",
+      elapsedMilliseconds: 40,
+      failed: isFailing && random.next() < failureShare,
+      now: instant,
+    });
+  }
+  return calls / instants.length;
+}
+
+const failureShare = 1 / 3;
+const failingCases = [
+  { servers: 18, callsPerSecond: 20 },
+  { servers: 18, callsPerSecond: 200 },
+  { servers: 60, callsPerSecond: 1_000 },
+];
+
+test("a backend server that quickly fails a third of its calls looks idle, but gets at most half as many as the mean", async (t) => {
+  const shares = await Promise.all(
+    failingCases.map((failingCase) =>
+      getShareOfFailing("i-4", {
+        ...failingCase,
+        failureShare,
+        ownIsFull: true,
+      })
+    ),
+  );
+  t.log({ shares });
+  shares.forEach((share, index) =>
+    t.true(share <= 0.5 / failingCases[index]!.servers)
+  );
+});
+
+test("the own backend server fails a third of its calls: it gets at most a tenth of them", async (t) => {
+  const shares = await Promise.all(
+    failingCases.map((failingCase) =>
+      getShareOfFailing("i-1", {
+        ...failingCase,
+        failureShare,
+        ownIsFull: false,
+      })
+    ),
+  );
+  t.log({ shares });
+  shares.forEach((share) => t.true(share <= 0.1));
+});
+
 test("all gates are full: a call does not wait for a backend server that could not be reached", (t) => {
   const entries = createEntries(12);
   const node = createNode(entries);
