Take the newest incarnation at the own address as the own backend server

Cause: while the register still lists an earlier incarnation with another identifier, the first of both was taken as the own one: calls were counted for it, and its departure ended the preference for the new one. Change: the record that the node takes for its backend server elsewhere (findOwnServerRecord) decides; it also leaves out an entry of another service. Measured: the new test failed before ("i-1" in place of "i-3") and passes now.

--- a/src/mesh/get_service_candidates.ts
+++ b/src/mesh/get_service_candidates.ts
@@ -3,10 +3,10 @@
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import { isRemovalConfirmed } from "../register/is_removal_confirmed.ts";
 import type { CandidatesCacheEntry } from "./candidates_cache_entry.ts";
+import { findOwnServerRecord } from "./find_own_server_record.ts";
 import { getGateView } from "./get_gate_view.ts";
 import { getRecordsOfService } from "./get_records_of_service.ts";
 import { getServiceLoad } from "./get_service_load.ts";
-import { isOwnAddress } from "./is_own_address.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
@@ -51,6 +51,8 @@
     !zonesTakenOut.has(record.entry.zone) &&
     !isRemovalConfirmed(record, now)
   );
+  // The register may still list an earlier incarnation at the same address.
+  const ownIdentifier = findOwnServerRecord(node)?.entry.identifier;
   const candidates = createServiceCandidates(
     listed.map(({ entry, removedAt }) => ({
       entry,
@@ -60,7 +62,7 @@
     {
       ownZone: node.settings.zone,
       isOwn: ({ entry, isRemoved }) =>
-        !isRemoved && isOwnAddress(node.settings, entry.address),
+        !isRemoved && entry.identifier === ownIdentifier,
       serviceLoad: getServiceLoad(node, service),
     },
   );
--- a/src/mesh/get_service_candidates_test.ts
+++ b/src/mesh/get_service_candidates_test.ts
@@ -88,3 +88,9 @@
   node.departures.set("i-2", 5);
   t.deepEqual(list(), ["i-1"]);
 });
+
+test("a backend server that started again under another identifier: the newest one at the address is the own one", (t) => {
+  const { put, get } = createCase();
+  put({ identifier: "i-3", bornAt: createSampleEntry({}).bornAt + 1_000 });
+  t.is(get().own?.entry.identifier, "i-3");
+});
