Build the node of the early refusal's test as other tests do

Cause: the test built only the parts of a node that the decision read before; the joined code reads the cache of candidates too, so it threw. Ruled out: adding the missing parts to the cast, which would break again with the next one. Change: the test uses the node that listens nowhere; its checks are the same.

--- a/src/mesh/try_refuse_without_room_test.ts
+++ b/src/mesh/try_refuse_without_room_test.ts
@@ -3,14 +3,13 @@
 import { Outcome } from "../calls/outcome.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { putEntry } from "../register/put_entry.ts";
-import { createRandomSource } from "../runtime/create_random_source.ts";
+import { createOfflineNode } from "../testing/mesh/create_offline_node.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { createSampleRoute } from "../testing/mesh/create_sample_route.ts";
 import { createSampleRules } from "../testing/mesh/create_sample_rules.ts";
 import type { CallPlan } from "./call_plan.ts";
 import { CallResultKind } from "./call_result_kind.ts";
 import { createCallProgress } from "./create_call_progress.ts";
-import { createMeshView } from "./create_mesh_view.ts";
 import { getServiceCapacity } from "./get_service_capacity.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { tryRefuseWithoutRoom } from "./try_refuse_without_room.ts";
@@ -19,12 +18,16 @@
 const service = "tracker";
 const coldCallsPerSecond = 14;
 
-/** The parts of a node that the decision reads, after all nodes restarted. */
+/** Creates a node after all nodes restarted. */
 function createColdNode(
   servers = 24,
   getZone: (index: number) => string = () => "sul-a",
 ): MeshNode {
-  const view = createMeshView();
+  const node = createOfflineNode({
+    clock: { now: () => now },
+    timers: { at: () => ({ cancel: () => undefined }) },
+  });
+  const { view } = node;
   Array.from({ length: servers }, (_, index) =>
     putEntry(
       view.register,
@@ -45,15 +48,7 @@
       coldCallsPerSecond,
     }]]),
   });
-  return {
-    clock: { now: () => now },
-    random: createRandomSource(1),
-    report: { call: () => undefined },
-    view,
-    capacities: new Map(),
-    departures: new Map(),
-    gateViews: new Map(),
-  } as unknown as MeshNode;
+  return node;
 }
 
 function createPlan(change: Partial<CallPlan> = {}): CallPlan {
