End an offer that the other node ends without a reply

Cause: an end frame before a reply removed the offer from its connection and its listener from the signal of the call, but gave it no outcome, so the call waited for ever. No node sends this; one with a fault might. Ruled out: closing the connection, since the other offers are sound. Change: the outcome is lost contact. Measured: the new test had no outcome before and passes now.

--- a/src/mesh/offer_on_connection.ts
+++ b/src/mesh/offer_on_connection.ts
@@ -56,6 +56,8 @@
         onEnd: () => {
           finish();
           stream?.push(null);
+          // Has no effect after a reply.
+          resolve(createContactLoss(ContactLossCause.ConnectionEnded));
         },
         onBreak: () => {
           finish();
