--- a/src/mesh/serve_offer_frame.ts
+++ b/src/mesh/serve_offer_frame.ts
@@ -49,18 +49,24 @@
     return undefined;
   }
   const { callIdentifier, offerIdentifier } = offer;
+  const cancellation = createCallController();
+  const { signal } = cancellation;
   const write = (outcome: OfferOutcome) =>
-    writeReplyFrames(node, outcome, { writer, offer: number, onEnded: end });
+    writeReplyFrames(node, outcome, {
+      writer,
+      offer: number,
+      onEnded: end,
+      signal,
+    });
   if (!tryHoldOffer(node.offers, { offerIdentifier, now })) {
     const reason = RefusalReason.Fenced;
     writeReplyFrames(
       node,
       createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
-      { writer, offer: number, onEnded: () => undefined },
+      { writer, offer: number, onEnded: () => undefined, signal },
     );
     return undefined;
   }
-  const cancellation = createCallController();
   const confirmation = node.timers.at(
     now + offerDelays.confirmationMilliseconds,
     () => writer.write({ kind: FrameKind.Confirmation, offer: number }),
@@ -87,7 +93,7 @@
   const headers = selectForwardedHeaders(head.headers);
   processOffer(node, { method, url, headers, body }, {
     offer,
-    signal: cancellation.signal,
+    signal,
     socket,
   }).then((outcome) => {
     confirmation.cancel();
