Hold an offer until its reply has been passed to the system

Cause: an offer on an offer connection was released when its last frame was queued. A node that stopped then ended after 300 ms more and discarded what the socket had not sent yet, so calls that were run got no answer. An HTTP offer is released when its response is closed, which follows the write. Ruled out: waiting for the sockets at the end of the stop, which would report the calls as complete before. Change: the writer reports when the frames of a turn have been written; the end of a reply releases its offer then. Measured: with 300 unread answers of 60,000 bytes the peer lacked ends of answers before (also with the callback called at once), and has all now.

--- a/src/frames/create_frame_writer.ts
+++ b/src/frames/create_frame_writer.ts
@@ -7,6 +7,7 @@
   readonly kind: FrameKind;
   readonly offer: number;
   readonly payload: readonly Buffer[];
+  readonly onWritten: (() => void) | undefined;
 }
 
 /** Kinds that do not wait for the bodies of other offers in the same turn. */
@@ -19,10 +20,11 @@
 
 /**
  * Creates a writer. `writeBytes` gets the frames of a turn as one buffer; it is
- * called when the events of the turn have been handled.
+ * called when the events of the turn have been handled, and calls `onWritten`
+ * when the bytes have been passed to the system, or never will be.
  */
 export function createFrameWriter(
-  writeBytes: (bytes: Buffer) => void,
+  writeBytes: (bytes: Buffer, onWritten: () => void) => void,
 ): FrameWriter {
   let waiting: WaitingFrame[] = [];
 
@@ -30,14 +32,18 @@
     const urgent = waiting.filter(({ kind }) => urgentKinds.has(kind));
     const others = waiting.filter(({ kind }) => !urgentKinds.has(kind));
     waiting = [];
-    const parts = [...urgent, ...others].flatMap(encode);
-    if (parts.length > 0) writeBytes(Buffer.concat(parts));
+    const frames = [...urgent, ...others];
+    if (frames.length === 0) return;
+    writeBytes(
+      Buffer.concat(frames.flatMap(encode)),
+      () => frames.forEach(({ onWritten }) => onWritten?.()),
+    );
   }
 
   return {
-    write: ({ kind, offer }, payload = []) => {
+    write: ({ kind, offer, onWritten }, payload = []) => {
       if (waiting.length === 0) process.nextTick(flush);
-      waiting.push({ kind, offer, payload });
+      waiting.push({ kind, offer, payload, onWritten });
     },
     tryWithdraw: (offer) => {
       const kept = waiting.filter((frame) =>
--- a/src/mesh/offer_connection_test.ts
+++ b/src/mesh/offer_connection_test.ts
@@ -25,6 +25,9 @@
 const hostileRuns = 150;
 const settleMilliseconds = 150;
 const longBytes = 3_000_000;
+/** Offers whose answers are together longer than what the system buffers. */
+const unreadOffers = 300;
+const unreadBytes = 60_000;
 
 /** Two VMs; the backend server of the first one is gone, so its calls are offered to the other. */
 async function withConnectedNodes(
@@ -217,6 +220,43 @@
   },
 );
 
+serialTest(
+  "a narrow link: a node that stops waits until its replies have been sent",
+  async (t) => {
+    await withMeshFleet(
+      { vms: 1, slots: unreadOffers, stopMilliseconds: 8_000 },
+      async (fleet) => {
+        const [backend] = fleet.backends;
+        backend!.script = (request, response) => {
+          response.writeHead(200, {
+            [MeshHeader.Call]: String(request.headers[MeshHeader.Call]),
+            [MeshHeader.Signature]: "signed",
+          });
+          response.end(Buffer.alloc(unreadBytes));
+        };
+        const peer = await connectOfferPeer(fleet.settings[0]!.listeners.nodes);
+        peer.socket.pause();
+        const offers = Array.from(
+          { length: unreadOffers },
+          (_, index) => index,
+        );
+        offers.forEach((offer) => peer.offerCall(offer, `c-${offer}`));
+        t.true(await waitUntil(() => backend!.runs.length === unreadOffers));
+        const stopped = fleet.daemons[0]!.stop();
+        // Longer than a stop takes at least, with the time in which it closes.
+        await delay(3_500);
+        peer.socket.resume();
+        t.true(
+          await waitUntil(() =>
+            offers.every((offer) => peer.hasFrame(FrameKind.End, offer))
+          ),
+        );
+        t.is(await stopped, 0);
+      },
+    );
+  },
+);
+
 const hostileFrames = fc.array(
   fc.record({
     kind: fc.integer({ min: 0, max: 12 }),
--- a/src/mesh/serve_offer_connection.ts
+++ b/src/mesh/serve_offer_connection.ts
@@ -32,8 +32,9 @@
   head: Buffer,
 ): void {
   const split = createFrameSplitter();
-  const writer = createFrameWriter((bytes) => {
-    if (socket.writable) socket.write(bytes);
+  const writer = createFrameWriter((bytes, onWritten) => {
+    if (socket.writable) socket.write(bytes, onWritten);
+    else onWritten();
   });
   const offers = new Map<number, ServedOffer>();
   const connection: ServedConnection = {
--- a/src/mesh/write_body_frames.ts
+++ b/src/mesh/write_body_frames.ts
@@ -17,7 +17,7 @@
     readonly writer: FrameWriter;
     /** Number of the offer on its connection. */
     readonly offer: number;
-    /** Called when the end of the answer, or its break, has been written. */
+    /** Called when the end of the answer, or its break, has been passed to the system. */
     readonly onEnded: () => void;
     /** Ends the offer; the other node may never use what waits. */
     readonly signal: CallSignal;
@@ -35,8 +35,7 @@
     hasEnded = true;
     waiting = noBytes;
     signal.removeEventListener("abort", giveUp);
-    writer.write({ kind, offer });
-    onEnded();
+    writer.write({ kind, offer, onWritten: onEnded });
   }
 
   function breakOff(): void {
--- a/src/mesh/write_body_frames_test.ts
+++ b/src/mesh/write_body_frames_test.ts
@@ -24,8 +24,9 @@
   const received: Buffer[] = [];
   let isEnded = false;
   const writer: FrameWriter = {
-    write: ({ kind }, payload = []) => {
+    write: ({ kind, onWritten }, payload = []) => {
       kinds.push(kind);
+      onWritten?.();
       received.push(...payload);
     },
     tryWithdraw: () => false,
--- a/src/mesh/write_reply_frames.ts
+++ b/src/mesh/write_reply_frames.ts
@@ -18,7 +18,7 @@
   readonly writer: FrameWriter;
   /** Number of the offer on its connection. */
   readonly offer: number;
-  /** Called when the reply has been written. */
+  /** Called when the reply has been passed to the system. */
   readonly onEnded: () => void;
   readonly signal: CallSignal;
 }
@@ -56,8 +56,11 @@
     }))
     .exhaustive();
   writeHead({ reply, status, headers: [] }, options);
-  options.writer.write({ kind: FrameKind.End, offer: options.offer });
-  options.onEnded();
+  options.writer.write({
+    kind: FrameKind.End,
+    offer: options.offer,
+    onWritten: options.onEnded,
+  });
   return () => undefined;
 }
 
