Keep an offer connection after a caller has left

Ruled out: forgetting the silence when the last offer is cancelled, since after a power cut offers end by cancellation too. Change: a break frame follows a cancellation, and a withdrawn offer does not begin a silence.

--- a/src/frames/frame_kind.ts
+++ b/src/frames/frame_kind.ts
@@ -14,7 +14,7 @@
   Data = 6,
   /** The answer is complete. */
   End = 7,
-  /** The answer broke off, or the offer was not valid. */
+  /** The answer broke off, the offer was not valid, or it was given up. */
   Break = 8,
   /** The node is stopping: no further offers are to be sent on this connection. */
   Stop = 9,
--- a/src/mesh/create_offer_connection.ts
+++ b/src/mesh/create_offer_connection.ts
@@ -32,6 +32,7 @@
   let stopping = false;
   /** When the first offer was sent after which nothing has arrived. */
   let silentSince: number | undefined;
+  let firstSilentOffer = 0;
 
   /** The other side may be gone, so its end of the connection is not awaited. */
   function closeIfUnused(): void {
@@ -91,6 +92,7 @@
       (silentSince === undefined || now - silentSince < silenceMilliseconds),
     send: (payload, { receiver, now }) => {
       lastOffer += 1;
+      if (silentSince === undefined) firstSilentOffer = lastOffer;
       silentSince ??= now;
       receivers.set(lastOffer, receiver);
       writer.write({ kind: FrameKind.Offer, offer: lastOffer }, payload);
@@ -98,7 +100,11 @@
     },
     cancel: (offer) => {
       if (remove(offer) === undefined) return true;
-      if (writer.tryWithdraw(offer)) return false;
+      if (writer.tryWithdraw(offer)) {
+        // Nothing arrives for an offer that was not written.
+        if (offer === firstSilentOffer) silentSince = undefined;
+        return false;
+      }
       writer.write({ kind: FrameKind.Cancel, offer });
       return true;
     },
--- a/src/mesh/create_offer_connection_test.ts
+++ b/src/mesh/create_offer_connection_test.ts
@@ -66,6 +66,14 @@
   socket.destroy();
 });
 
+test("an offer that was never written is not awaited", async (t) => {
+  const { connection, socket } = await connectEnds();
+  const { receiver } = createReceiver();
+  t.false(connection.cancel(connection.send(payload, { receiver, now: 0 })));
+  t.true(connection.canSend(500));
+  socket.destroy();
+});
+
 test("a stopping node: offers in progress end, then the connection closes", async (t) => {
   const { connection, isClosed, respond } = await connectEnds();
   const { receiver, events } = createReceiver();
--- a/src/mesh/offer_connection_test.ts
+++ b/src/mesh/offer_connection_test.ts
@@ -171,6 +171,10 @@
       t.true(await waitUntil(() => peer.hasFrame(FrameKind.Confirmation, 2)));
       peer.send(FrameKind.Cancel, 2);
       t.true(await waitUntil(() => backend!.cancelled === 1));
+      t.true(
+        await waitUntil(() => peer.hasFrame(FrameKind.Break, 2)),
+        "a sign of life",
+      );
       peer.offerCall(3, "c-3");
       await waitUntil(() => backend!.runs.includes("c-3"));
       peer.socket.destroy();
--- a/src/mesh/serve_offer_connection.ts
+++ b/src/mesh/serve_offer_connection.ts
@@ -59,7 +59,10 @@
     if (frame.kind === FrameKind.Offer) return handleOffer(frame);
     // The offer may have ended while the frame was in transit.
     if (frame.kind === FrameKind.Cancel) {
-      return offers.get(frame.offer)?.cancel();
+      offers.get(frame.offer)?.cancel();
+      // The other node takes a connection on which nothing arrives for silent.
+      writer.write({ kind: FrameKind.Break, offer: frame.offer });
+      return;
     }
     const isCredit = frame.kind === FrameKind.Credit &&
       frame.payload.byteLength === creditBytes;
