Send no offer whose number does not fit into a frame

Cause: after 4,294,967,295 offers on one connection the next number could not be written, which ended the process. Ruled out: starting again at 1, since an offer with that number may be in progress. Change: such a connection takes no further offers; the next reply to an HTTP offer replaces it.

--- a/src/mesh/create_offer_connection.ts
+++ b/src/mesh/create_offer_connection.ts
@@ -10,6 +10,8 @@
 const idleMilliseconds = 20_000;
 /** Further offers are sent as HTTP messages. */
 const offersMaximum = 512;
+/** The largest number in a frame; none is used twice on a connection. */
+const numberMaximum = 0xffff_ffff;
 /** Bytes that wait until the other node reads. */
 const unsentBytesMaximum = 1_048_576;
 /** A node that is not slow confirms an offer sooner. */
@@ -23,12 +25,16 @@
  */
 export function createOfferConnection(
   socket: Socket,
-  options: { readonly onClosed: () => void },
+  options: {
+    readonly onClosed: () => void;
+    /** Number of the first offer; 1 if omitted. */
+    readonly firstOffer?: number;
+  },
 ): OfferConnection {
   const split = createFrameSplitter();
   const writer = createFrameWriter((bytes) => void socket.write(bytes));
   const receivers = new Map<number, OfferReceiver>();
-  let lastOffer = 0;
+  let lastOffer = (options.firstOffer ?? 1) - 1;
   let stopping = false;
   /** When the first offer was sent after which nothing has arrived. */
   let silentSince: number | undefined;
@@ -87,7 +93,7 @@
   return {
     canSend: (now) =>
       !stopping && !socket.destroyed && socket.writable &&
-      receivers.size < offersMaximum &&
+      receivers.size < offersMaximum && lastOffer < numberMaximum &&
       socket.writableLength < unsentBytesMaximum &&
       (silentSince === undefined || now - silentSince < silenceMilliseconds),
     send: (payload, { receiver, now }) => {
--- a/src/mesh/create_offer_connection_test.ts
+++ b/src/mesh/create_offer_connection_test.ts
@@ -9,6 +9,7 @@
 
 const payload = [Buffer.from("offer")];
 const offersMaximum = 512;
+const numberMaximum = 4_294_967_295;
 
 function createReceiver(): { receiver: OfferReceiver; events: string[] } {
   const events: string[] = [];
@@ -25,7 +26,7 @@
 }
 
 /** Both ends of a connection; the other end sends nothing on its own. */
-async function connectEnds() {
+async function connectEnds(firstOffer = 1) {
   const server = createServer();
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -38,6 +39,7 @@
   other.on("error", () => undefined).resume();
   let closed = false;
   const connection = createOfferConnection(socket, {
+    firstOffer,
     onClosed: () => {
       closed = true;
     },
@@ -74,6 +76,16 @@
   socket.destroy();
 });
 
+test("a connection whose numbers are used up takes no further offers", async (t) => {
+  const { connection, other } = await connectEnds(numberMaximum);
+  const { receiver } = createReceiver();
+  const received = once(other, "data");
+  t.is(connection.send(payload, { receiver, now: 0 }), numberMaximum);
+  await received;
+  t.false(connection.canSend(0));
+  connection.close();
+});
+
 test("a stopping node: offers in progress end, then the connection closes", async (t) => {
   const { connection, isClosed, respond } = await connectEnds();
   const { receiver, events } = createReceiver();
