--- a/src/mesh/create_offer_connection.ts
+++ b/src/mesh/create_offer_connection.ts
@@ -10,6 +10,8 @@
 const idleMilliseconds = 20_000;
 /** Further offers are sent as HTTP messages. */
 const offersMaximum = 512;
+/** The largest number in a frame; none is used twice on a connection. */
+const numberMaximum = 0xffff_ffff;
 /** Bytes that wait until the other node reads. */
 const unsentBytesMaximum = 1_048_576;
 /** A node that is not slow confirms an offer sooner. */
@@ -23,15 +25,20 @@
  */
 export function createOfferConnection(
   socket: Socket,
-  options: { readonly onClosed: () => void },
+  options: {
+    readonly onClosed: () => void;
+    /** Number of the first offer; 1 if omitted. */
+    readonly firstOffer?: number;
+  },
 ): OfferConnection {
   const split = createFrameSplitter();
   const writer = createFrameWriter((bytes) => void socket.write(bytes));
   const receivers = new Map<number, OfferReceiver>();
-  let lastOffer = 0;
+  let lastOffer = (options.firstOffer ?? 1) - 1;
   let stopping = false;
   /** When the first offer was sent after which nothing has arrived. */
   let silentSince: number | undefined;
+  let firstSilentOffer = 0;
 
   /** The other side may be gone, so its end of the connection is not awaited. */
   function closeIfUnused(): void {
@@ -86,11 +93,12 @@
   return {
     canSend: (now) =>
       !stopping && !socket.destroyed && socket.writable &&
-      receivers.size < offersMaximum &&
+      receivers.size < offersMaximum && lastOffer < numberMaximum &&
       socket.writableLength < unsentBytesMaximum &&
       (silentSince === undefined || now - silentSince < silenceMilliseconds),
     send: (payload, { receiver, now }) => {
       lastOffer += 1;
+      if (silentSince === undefined) firstSilentOffer = lastOffer;
       silentSince ??= now;
       receivers.set(lastOffer, receiver);
       writer.write({ kind: FrameKind.Offer, offer: lastOffer }, payload);
@@ -98,7 +106,11 @@
     },
     cancel: (offer) => {
       if (remove(offer) === undefined) return true;
-      if (writer.tryWithdraw(offer)) return false;
+      if (writer.tryWithdraw(offer)) {
+        // Nothing arrives for an offer that was not written.
+        if (offer === firstSilentOffer) silentSince = undefined;
+        return false;
+      }
       writer.write({ kind: FrameKind.Cancel, offer });
       return true;
     },
--- a/src/mesh/serve_offer_connection.ts
+++ b/src/mesh/serve_offer_connection.ts
@@ -32,8 +32,9 @@
   head: Buffer,
 ): void {
   const split = createFrameSplitter();
-  const writer = createFrameWriter((bytes) => {
-    if (socket.writable) socket.write(bytes);
+  const writer = createFrameWriter((bytes, onWritten) => {
+    if (socket.writable) socket.write(bytes, onWritten);
+    else onWritten();
   });
   const offers = new Map<number, ServedOffer>();
   const connection: ServedConnection = {
@@ -58,7 +59,10 @@
     if (frame.kind === FrameKind.Offer) return handleOffer(frame);
     // The offer may have ended while the frame was in transit.
     if (frame.kind === FrameKind.Cancel) {
-      return offers.get(frame.offer)?.cancel();
+      offers.get(frame.offer)?.cancel();
+      // The other node takes a connection on which nothing arrives for silent.
+      writer.write({ kind: FrameKind.Break, offer: frame.offer });
+      return;
     }
     const isCredit = frame.kind === FrameKind.Credit &&
       frame.payload.byteLength === creditBytes;
