--- a/src/rules_check/find_organisation_findings.ts
+++ b/src/rules_check/find_organisation_findings.ts
@@ -4,8 +4,8 @@
 import { RulesFindingKind } from "./rules_finding_kind.ts";
 
 const millisecondsPerSecond = 1_000;
-/** Share of its goal that a call certainly takes; a quota above this capacity cannot be used. */
-const serviceShareMinimum = 0.1;
+/** Share of the goal of its route that each call is assumed to take at least. */
+const goalShareMinimum = 0.1;
 
 /** Finds quotas that admit nothing at once or, with a register, that no capacity can meet. */
 export function findOrganisationFindings(
@@ -22,7 +22,7 @@
       detail: `A burst of ${burstCalls} admits no call at once`,
     }));
   if (slots === undefined) return withoutBurst;
-  const capacity = Math.floor(getCallsPerSecond(rules, slots));
+  const capacity = Math.floor(getCapacityCallsPerSecond(rules, slots));
   const aboveCapacity = limited
     .filter(({ callsPerSecond }) => callsPerSecond > capacity)
     .map(({ name, callsPerSecond }) => ({
@@ -35,7 +35,10 @@
 }
 
 /** Returns an upper bound of the calls a second that all services can run. */
-function getCallsPerSecond(rules: Rules, slots: RegisteredSlots): number {
+function getCapacityCallsPerSecond(
+  rules: Rules,
+  slots: RegisteredSlots,
+): number {
   return Array.from(slots).reduce((sum, [service, count]) => {
     const goals = rules.routes
       .filter(({ targets }) =>
@@ -43,7 +46,7 @@
       )
       .map(({ goalMilliseconds }) => goalMilliseconds);
     if (goals.length === 0) return sum;
-    const fastest = Math.max(1, Math.min(...goals) * serviceShareMinimum);
+    const fastest = Math.max(1, Math.min(...goals) * goalShareMinimum);
     return sum + count * millisecondsPerSecond / fastest;
   }, 0);
 }
