Say what closes a pipeline and what the shares of a bound are for

Cause: the comments of closePipeline and of the usable share needed a second reading; describeKnownFull did not name the event that it describes. Change: comments, and describeRefusedWithoutOffer. No behaviour changes. Measured: lint, the build, pipeline_test, describe_call_cause_test and the tests of src/organisations pass.

--- a/src/command_line/describe_call_cause.ts
+++ b/src/command_line/describe_call_cause.ts
@@ -52,7 +52,7 @@
     ])
     .with({ kind: CallEventKind.Refused }, (line) => [
       ...describeRefusal(line, lines),
-      ...describeKnownFull(lines),
+      ...describeRefusedWithoutOffer(lines),
       ...describeRefusedOffers(lines),
     ])
     .with({ kind: CallEventKind.Abandoned }, (line) => [
@@ -105,7 +105,9 @@
   return selectKind(lines, CallEventKind.OfferLost).map(describeOfferLoss);
 }
 
-function describeKnownFull(lines: readonly LogLine[]): readonly string[] {
+function describeRefusedWithoutOffer(
+  lines: readonly LogLine[],
+): readonly string[] {
   return selectKind(lines, CallEventKind.RefusedWithoutOffer)
     .map(({ details }) =>
       `not offered, ${details["service"]} was known to be full ` +
--- a/src/organisations/is_confirmation_stale.ts
+++ b/src/organisations/is_confirmation_stale.ts
@@ -1,4 +1,4 @@
-/** The rest covers clocks of different speed. */
+/** Share of the bound for which rules are used; the rest allows for clocks of different speed. */
 const usableShare = 0.9;
 
 /**
--- a/src/organisations/is_feed_renewal_due.ts
+++ b/src/organisations/is_feed_renewal_due.ts
@@ -1,5 +1,6 @@
 /** Two clocks drift apart by at most 0.3 s in this time. */
 const feedMillisecondsMaximum = 600_000;
+/** Share of the withdrawal bound that the age may reach. */
 const ageShareMaximum = 0.5;
 
 /**
--- a/src/pipelines/close_pipeline.ts
+++ b/src/pipelines/close_pipeline.ts
@@ -3,10 +3,10 @@
 import type { PipelinedRequest } from "./pipelined_request.ts";
 
 /**
- * Closes the pipeline behind a request whose response ends the connection;
- * without `behind`, behind none, since the connection is gone. Requests that
- * wait are never begun, and the work on those behind is cancelled, since no
- * response can reach their sender.
+ * Closes the pipeline. Requests that wait are never begun, and the work on those
+ * whose responses can no longer be sent is cancelled: on those after `behind`,
+ * the request whose response ends the connection, or on all if `behind` is
+ * undefined, since the connection has ended.
  */
 export function closePipeline(
   pipeline: Pipeline,
