Name what quota functions return, and split the grant of tokens

Cause: getExpectedCalls returned the tokens to request, getRefusalMilliseconds also counted the call, one constant had the name of another state's field, and grantTokens took tokens and computed the wait at once. Change: getTokensToRequest, recordRefusedCall, refusedHostMilliseconds; takeTokens and getRetryMilliseconds are functions of their own; comments on releases, leases, pauses and refreshes say their condition. The field expectedCalls of the message stays. No behaviour changes.

--- a/src/mesh/create_quota_refusal.ts
+++ b/src/mesh/create_quota_refusal.ts
@@ -1,6 +1,6 @@
 import { Outcome } from "../calls/outcome.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
-import { getRefusalMilliseconds } from "../quotas/get_refusal_milliseconds.ts";
+import { recordRefusedCall } from "../quotas/record_refused_call.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
 import type { CallResult } from "./call_result.ts";
 import { CallResultKind } from "./call_result_kind.ts";
@@ -23,7 +23,7 @@
       ? RefusalReason.QuotaExceeded
       : RefusalReason.QuotaUnconfirmed,
     outcome: Outcome.NotRun,
-    retryMilliseconds: getRefusalMilliseconds(state, {
+    retryMilliseconds: recordRefusedCall(state, {
       now: node.quotas.leaseClock.now(),
       random: node.random.next(),
     }),
--- a/src/mesh/request_tokens.ts
+++ b/src/mesh/request_tokens.ts
@@ -1,6 +1,6 @@
 import { addHeldTokens } from "../quotas/add_held_tokens.ts";
 import { chooseGranter } from "../quotas/choose_granter.ts";
-import { getExpectedCalls } from "../quotas/get_expected_calls.ts";
+import { getTokensToRequest } from "../quotas/get_tokens_to_request.ts";
 import { getSubstituteHost } from "../quotas/get_substitute_host.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
@@ -64,7 +64,7 @@
   const waitingCalls = waiters.length;
   const request: TokenRequest = {
     waitingCalls,
-    expectedCalls: getExpectedCalls(state, sentAt),
+    expectedCalls: getTokensToRequest(state, sentAt),
   };
   const grant = await askOwnerOrDeputy(node, holder, { ...options, request });
   const now = leaseClock.now();
--- a/src/quotas/grant_tokens.ts
+++ b/src/quotas/grant_tokens.ts
@@ -1,5 +1,6 @@
 import { getTokenWaitMilliseconds } from "../gate/get_token_wait_milliseconds.ts";
 import { refillTokenBucket } from "../gate/refill_token_bucket.ts";
+import type { TokenBucket } from "../gate/token_bucket.ts";
 import type { GranterState } from "./granter_state.ts";
 import { QuotaRole } from "./quota_role.ts";
 import type { TokenGrant } from "./token_grant.ts";
@@ -7,8 +8,8 @@
 
 /** Tokens are granted ahead of calls only from the part of the bucket above this share. */
 const reservedShare = 0.5;
-/** Time after which a refused node is no longer counted among those that wait. */
-const refusedMilliseconds = 1_000;
+/** Time for which a refused node counts among those that wait. */
+const refusedHostMilliseconds = 1_000;
 /** The longest time for which a node refuses calls without another request. */
 const retryMillisecondsMaximum = 1_000;
 const millisecondsPerSecond = 1_000;
@@ -31,14 +32,7 @@
   if (role === QuotaRole.None) return { role, tokens: 0, retryMilliseconds: 0 };
   const bucket = role === QuotaRole.Owner ? state.bucket : state.reducedBucket;
   refillTokenBucket(bucket, now);
-  const forWaiting = Math.min(request.waitingCalls, Math.floor(bucket.tokens));
-  bucket.tokens -= forWaiting;
-  const reserved = bucket.burstTokens * reservedShare;
-  const ahead = Math.min(
-    request.expectedCalls,
-    Math.floor(Math.max(0, bucket.tokens - reserved)),
-  );
-  bucket.tokens -= ahead;
+  const { forWaiting, ahead } = takeTokens(bucket, request);
   const tokens = forWaiting + ahead;
   if (forWaiting === request.waitingCalls) {
     state.refusedHosts.delete(host);
@@ -46,19 +40,40 @@
   }
   deleteFormerlyRefused(state, now);
   state.refusedHosts.set(host, now);
-  // Each of the nodes that wait gets a token in turn.
-  const turns = state.refusedHosts.size - 1;
+  const retryMilliseconds = getRetryMilliseconds(bucket, {
+    refusedCount: state.refusedHosts.size,
+  });
+  return { role, tokens, retryMilliseconds };
+}
+
+function takeTokens(
+  bucket: TokenBucket,
+  { waitingCalls, expectedCalls }: TokenRequest,
+): { readonly forWaiting: number; readonly ahead: number } {
+  const forWaiting = Math.min(waitingCalls, Math.floor(bucket.tokens));
+  bucket.tokens -= forWaiting;
+  const reserved = bucket.burstTokens * reservedShare;
+  const ahead = Math.min(
+    expectedCalls,
+    Math.floor(Math.max(0, bucket.tokens - reserved)),
+  );
+  bucket.tokens -= ahead;
+  return { forWaiting, ahead };
+}
+
+/** Returns the wait of the last of the refused nodes, which get a token each in turn. */
+function getRetryMilliseconds(
+  bucket: TokenBucket,
+  { refusedCount }: { readonly refusedCount: number },
+): number {
   const wait = getTokenWaitMilliseconds(bucket, { tokens: 1 }) +
-    turns * millisecondsPerSecond / Math.max(1, bucket.tokensPerSecond);
-  return {
-    role,
-    tokens,
-    retryMilliseconds: Math.min(retryMillisecondsMaximum, wait),
-  };
+    (refusedCount - 1) * millisecondsPerSecond /
+      Math.max(1, bucket.tokensPerSecond);
+  return Math.min(retryMillisecondsMaximum, wait);
 }
 
 function deleteFormerlyRefused({ refusedHosts }: GranterState, now: number) {
   Array.from(refusedHosts)
-    .filter(([, refusedAt]) => refusedAt + refusedMilliseconds < now)
+    .filter(([, refusedAt]) => refusedAt + refusedHostMilliseconds < now)
     .forEach(([host]) => refusedHosts.delete(host));
 }
--- a/src/quotas/granter_state.ts
+++ b/src/quotas/granter_state.ts
@@ -22,8 +22,8 @@
   /** Undefined if the owner has not changed. */
   formerOwner: FormerOwner | undefined;
   /**
-   * Lease instant until which this node, which was the established owner, grants on unless the
-   * new owner asks it to stop.
+   * Lease instant until which this node, formerly the established owner, still
+   * grants as owner unless the new owner asks it to stop.
    */
   releasableUntil: number;
   /** Undefined unless this node, as the owner, has leased the quota to its deputy. */
--- a/src/quotas/holder_state.ts
+++ b/src/quotas/holder_state.ts
@@ -19,9 +19,9 @@
   refreshAt: number;
   /** The role of the node that had no token, `None` if no node granted any. */
   refusedBy: QuotaRole;
-  /** How long the last refusal was, in milliseconds. */
+  /** Time from the last refusing reply to `refusedUntil`, in milliseconds. */
   refusedMilliseconds: number;
-  /** Calls refused since then. */
+  /** Calls refused since that reply. */
   refusedCalls: number;
   /** From when the owner is asked again after it did not reply. */
   ownerRetryAt: number;
--- a/src/quotas/get_refusal_milliseconds.ts
+++ b/src/quotas/record_refused_call.ts
@@ -1,15 +1,15 @@
 import type { HolderState } from "./holder_state.ts";
 
-/** Callers that would have to wait longer are as well off with another try. */
+/** A longer wait is stated as this one; the call may then be refused again. */
 const refusalMillisecondsMaximum = 2_000;
 const refusalMillisecondsMinimum = 50;
 
 /**
- * Returns after how many milliseconds the caller of a refused call may expect a
- * token, and counts the call: the refused callers return one after the other, in
- * the order of their refusals.
+ * Records a refused call. Returns the milliseconds after which its caller may
+ * expect a token: the callers of refused calls get theirs one after the other,
+ * in the order of the refusals.
  */
-export function getRefusalMilliseconds(
+export function recordRefusedCall(
   state: HolderState,
   options: {
     readonly now: number;
--- a/src/quotas/record_token_grant.ts
+++ b/src/quotas/record_token_grant.ts
@@ -4,9 +4,9 @@
 import type { TokenGrant } from "./token_grant.ts";
 import { tokenLifetimeMilliseconds } from "./token_lifetime_milliseconds.ts";
 
-/** Until a node that could reach no granter asks again. */
+/** The longest pause before a node that did not reach the owner asks again. */
 const unreachableMilliseconds = 250;
-/** Until tokens are requested ahead again after the bucket had none to spare. */
+/** Pause before tokens are requested ahead again after a reply without any. */
 const refreshPauseMilliseconds = tokenLifetimeMilliseconds / 2;
 
 /**
--- a/src/quotas/try_lease_quota.ts
+++ b/src/quotas/try_lease_quota.ts
@@ -3,9 +3,10 @@
 import { isQuotaLeased } from "./is_quota_leased.ts";
 
 /**
- * Leases the quota of an owner that may not grant, since its view is outdated or
- * it stops, to its deputy. The owner is established again after the handover, or once
- * the deputy has given the quota back. Returns whether the deputy may grant.
+ * Lets the deputy grant in place of this owner, which may not grant since its
+ * view is outdated or it stops. The owner is established again after the
+ * handover, or once the deputy has given the quota back. Returns whether the
+ * deputy may grant.
  */
 export function tryLeaseQuota(
   state: GranterState,
--- a/src/quotas/try_release_ownership.ts
+++ b/src/quotas/try_release_ownership.ts
@@ -3,10 +3,11 @@
 import { isQuotaLeased } from "./is_quota_leased.ts";
 
 /**
- * Gives the quota up to a node whose view names it as the owner. Returns
- * whether this node granted as owner until now, or was the last that did, or has
- * leased the quota to that node: if not, a third one may still grant. If the view of this node still names
- * itself, it is established again after the handover.
+ * Gives the quota up to a node whose view names it as the owner. If the view of
+ * this node still names itself, it is established again after the handover.
+ *
+ * Returns true if no third node can still grant as owner: this node was the last
+ * that did, or has leased the quota to the node that asks.
  */
 export function tryReleaseOwnership(
   state: GranterState,
--- a/src/testing/quotas/step_quota_fleet.ts
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -1,7 +1,7 @@
 import { addHeldTokens } from "../../quotas/add_held_tokens.ts";
 import { chooseGranter } from "../../quotas/choose_granter.ts";
 import { countQuotaCall } from "../../quotas/count_quota_call.ts";
-import { getExpectedCalls } from "../../quotas/get_expected_calls.ts";
+import { getTokensToRequest } from "../../quotas/get_tokens_to_request.ts";
 import { getSubstituteHost } from "../../quotas/get_substitute_host.ts";
 import { getQuotaRole } from "../../quotas/get_quota_role.ts";
 import { grantTokens } from "../../quotas/grant_tokens.ts";
@@ -166,7 +166,7 @@
   if (role !== QuotaRole.None) requestLease(fleet, other, options);
   return grantTokens(other.granter, {
     waitingCalls: node.waitingCalls,
-    expectedCalls: isOwn ? 0 : getExpectedCalls(node.holder, fleet.now),
+    expectedCalls: isOwn ? 0 : getTokensToRequest(node.holder, fleet.now),
   }, { role, host: node.host, now });
 }
 
