State the unit and clock of the connection tracker's fields

Cause: closeAtRequestCount took requests, which is the most that may be in progress, and a comment said which clock an instant is not on. Change: requestsMaximum; the comment names the steady clock. No behaviour changes. Measured: lint, the build and open_listener_test pass.

--- a/src/daemon/connection_tracker.ts
+++ b/src/daemon/connection_tracker.ts
@@ -9,13 +9,13 @@
   tryBeginRequest(socket: Socket): boolean;
   endRequest(socket: Socket): void;
   /**
-   * Begins no further request of the connection, and runs `action` once at most
-   * `requests` requests are in progress; at once if that is so already or the
-   * connection has ended.
+   * Begins no further request of the connection, and runs `action` as soon as at
+   * most `requestsMaximum` requests are in progress; immediately if that is so
+   * already or the connection has ended.
    */
   closeAtRequestCount(
     socket: Socket,
-    options: { readonly requests: number; readonly action: () => void },
+    options: { readonly requestsMaximum: number; readonly action: () => void },
   ): void;
   /** Closes the connections on which no request began within `milliseconds` of the last one. */
   closeOverdue(milliseconds: number): void;
--- a/src/daemon/create_connection_tracker.ts
+++ b/src/daemon/create_connection_tracker.ts
@@ -5,7 +5,7 @@
 const closeTimeoutMilliseconds = 1_000;
 
 interface PendingAction {
-  readonly requests: number;
+  readonly requestsMaximum: number;
   readonly action: () => void;
 }
 
@@ -18,7 +18,7 @@
  */
 export function createConnectionTracker(): ConnectionTracker {
   const activeRequestCounts = new Map<Socket, number>();
-  /** When the last request of a connection without one ended; not on the time of day. */
+  /** When the last request of a connection without one ended, in milliseconds on the steady clock. */
   const idleSince = new Map<Socket, number>();
   const closing = new WeakSet<Socket>();
   /** Actions that wait until fewer requests of their connection are in progress. */
@@ -63,7 +63,9 @@
       activeRequestCounts.set(socket, requestCount - 1);
       if (requestCount === 1) idleSince.set(socket, performance.now());
       const pending = pendingActions.get(socket);
-      if (pending === undefined || requestCount - 1 > pending.requests) return;
+      if (pending === undefined || requestCount - 1 > pending.requestsMaximum) {
+        return;
+      }
       pendingActions.delete(socket);
       pending.action();
     },
@@ -71,7 +73,7 @@
       // A request whose header is late may still arrive, and is refused as not run.
       closing.add(socket);
       const requestCount = activeRequestCounts.get(socket) ?? 0;
-      if (requestCount <= pending.requests) pending.action();
+      if (requestCount <= pending.requestsMaximum) pending.action();
       else pendingActions.set(socket, pending);
     },
     closeOverdue: (milliseconds) => {
--- a/src/daemon/open_listener.ts
+++ b/src/daemon/open_listener.ts
@@ -88,10 +88,10 @@
   }
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
     // Requests before the invalid one get their responses first. A request
-    // whose body is invalid gets no other response.
+    // whose body is invalid is in progress itself, and gets no other response.
     const isBodyInvalid = newestRequests.get(socket)?.complete === false;
     tracker.closeAtRequestCount(socket, {
-      requests: isBodyInvalid ? 1 : 0,
+      requestsMaximum: isBodyInvalid ? 1 : 0,
       action: () => options.onInvalidRequest(error, socket),
     });
   });
