--- a/src/source/get_source_read_timing.ts
+++ b/src/source/get_source_read_timing.ts
@@ -11,8 +11,8 @@
 const followedIntervalFraction = 0.38;
 const followedWatchFraction = 0.22;
 
-/** Share of the withdrawal bound that the age of the rules may reach between two reads. */
-const confirmedFraction = 0.6;
+/** Fraction of the withdrawal bound that the age of the rules may reach between two reads. */
+const rulesAgeFraction = 0.6;
 
 /**
  * Returns the longest interval and watch, and so the fewest reads, that keep the
@@ -38,7 +38,7 @@
       watchMillisecondsMinimum,
       Math.min(
         bounds.contactMilliseconds - reconnectMilliseconds,
-        getWatchMaximum(bounds, { intervalMilliseconds }),
+        getWatchMillisecondsMaximum(bounds, { intervalMilliseconds }),
       ),
     ),
   };
@@ -49,13 +49,13 @@
  * Only the start of a watch confirms the rules, so their age reaches two watches
  * and the interval between them.
  */
-function getWatchMaximum(
+function getWatchMillisecondsMaximum(
   { withdrawalMilliseconds }: SourceBounds,
   { intervalMilliseconds }: { readonly intervalMilliseconds: number },
 ): number {
   return withdrawalMilliseconds === undefined
     ? Number.POSITIVE_INFINITY
     : Math.round(
-      (withdrawalMilliseconds * confirmedFraction - intervalMilliseconds) / 2,
+      (withdrawalMilliseconds * rulesAgeFraction - intervalMilliseconds) / 2,
     );
 }
--- a/stand_ins/soak/create_soak_rules.ts
+++ b/stand_ins/soak/create_soak_rules.ts
@@ -3,8 +3,9 @@
 const routeDurations = { timeout: "1000ms", goal: "300ms" };
 
 /**
- * Returns the operators' rules of a version: three routes that every version has, and one added route for each
- * version up to this one. Calls to one route need a key; a version adds a key and withdraws another one.
+ * Returns the operators' rules of a version: three routes that every version
+ * has, and one added route for each version up to this one. Calls to one route
+ * need a key; each version adds a key and withdraws another one.
  */
 export function createSoakRules(version: number): unknown {
   const commonRouteFields = {
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -33,9 +33,9 @@
 /** Share of the calls that send a request which crashes backend servers, while there is one. */
 const crashingShare = 0.05;
 const callersPerVm = 3;
-const callsPerKey = 4;
-/** The lasting key, and those of the last versions. */
-const keyAges = 6;
+const callsPerKeyedCall = 4;
+/** Keys that take turns: the lasting one, and those of the last versions. */
+const keyCount = 6;
 
 /** Runs one soak with real node processes and faults from outside, and checks the promises against everything observed. */
 export async function runSoak(
@@ -198,8 +198,8 @@
   count: number,
   { version }: { readonly version: number },
 ): string | undefined {
-  if (count % callsPerKey !== 0) return undefined;
-  const turn = count / callsPerKey % keyAges;
+  if (count % callsPerKeyedCall !== 0) return undefined;
+  const turn = count / callsPerKeyedCall % keyCount;
   return turn === 0 ? soakKeys.lasting : soakKeys.ofVersion(version - turn + 1);
 }
 
