Sort the imports of renamed quota functions

Cause: the renames left some imports out of their alphabetical order. Change: the order of imports in three files.

--- a/src/mesh/create_quota_refusal.ts
+++ b/src/mesh/create_quota_refusal.ts
@@ -1,7 +1,7 @@
 import { Outcome } from "../calls/outcome.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
-import { recordRefusedCall } from "../quotas/record_refused_call.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
+import { recordRefusedCall } from "../quotas/record_refused_call.ts";
 import type { CallResult } from "./call_result.ts";
 import { CallResultKind } from "./call_result_kind.ts";
 import type { MeshNode } from "./mesh_node.ts";
--- a/src/mesh/request_tokens.ts
+++ b/src/mesh/request_tokens.ts
@@ -1,7 +1,7 @@
 import { addHeldTokens } from "../quotas/add_held_tokens.ts";
 import { chooseGranter } from "../quotas/choose_granter.ts";
-import { getTokensToRequest } from "../quotas/get_tokens_to_request.ts";
 import { getSubstituteHost } from "../quotas/get_substitute_host.ts";
+import { getTokensToRequest } from "../quotas/get_tokens_to_request.ts";
 import { QuotaMessageKind } from "../quotas/quota_message_kind.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
 import { recordOwnerFailure } from "../quotas/record_owner_failure.ts";
--- a/src/testing/quotas/step_quota_fleet.ts
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -1,9 +1,9 @@
 import { addHeldTokens } from "../../quotas/add_held_tokens.ts";
 import { chooseGranter } from "../../quotas/choose_granter.ts";
 import { countQuotaCall } from "../../quotas/count_quota_call.ts";
-import { getTokensToRequest } from "../../quotas/get_tokens_to_request.ts";
-import { getSubstituteHost } from "../../quotas/get_substitute_host.ts";
 import { getQuotaRole } from "../../quotas/get_quota_role.ts";
+import { getSubstituteHost } from "../../quotas/get_substitute_host.ts";
+import { getTokensToRequest } from "../../quotas/get_tokens_to_request.ts";
 import { grantTokens } from "../../quotas/grant_tokens.ts";
 import type { HandoverTimes } from "../../quotas/handover_times.ts";
 import type { QuotaBounds } from "../../quotas/quota_bounds.ts";
