--- a/src/rules_check/compare_rules.ts
+++ b/src/rules_check/compare_rules.ts
@@ -1,7 +1,8 @@
 import { isDeepStrictEqual } from "node:util";
-import type { Organisation } from "../organisations/organisation.ts";
 import type { Rules } from "../routing/rules.ts";
-import { differenceEffects } from "./difference_effects.ts";
+import { createRulesDifference } from "./create_rules_difference.ts";
+import { listKeyRequirementChanges } from "./list_key_requirement_changes.ts";
+import { listWithdrawnKeys } from "./list_withdrawn_keys.ts";
 import type { RulesDifference } from "./rules_difference.ts";
 import { RulesDifferenceKind } from "./rules_difference_kind.ts";
 
@@ -59,7 +60,7 @@
     ),
     ...listWithdrawnKeys(before, after),
     ...(limitFields.length === 0 ? [] : [
-      createDifference(RulesDifferenceKind.LimitsChanged, {
+      createRulesDifference(RulesDifferenceKind.LimitsChanged, {
         path: "limits",
         fields: limitFields,
       }),
@@ -81,15 +82,15 @@
     const previous = before.get(name);
     const next = after.get(name);
     if (previous === undefined) {
-      return [createDifference(kinds.added, { path, fields: [] })];
+      return [createRulesDifference(kinds.added, { path, fields: [] })];
     }
     if (next === undefined) {
-      return [createDifference(kinds.removed, { path, fields: [] })];
+      return [createRulesDifference(kinds.removed, { path, fields: [] })];
     }
     const fields = listChangedFields(previous, next);
     return fields.length === 0
       ? []
-      : [createDifference(kinds.changed, { path, fields })];
+      : [createRulesDifference(kinds.changed, { path, fields })];
   });
 }
 
@@ -101,50 +102,3 @@
     !isDeepStrictEqual(before[name as keyof T], after[name as keyof T])
   );
 }
-
-/** Calls need a key as soon as there is an organisation. */
-function listKeyRequirementChanges(
-  before: Rules,
-  after: Rules,
-): readonly RulesDifference[] {
-  const wereRequired = before.organisations.size > 0;
-  const areRequired = after.organisations.size > 0;
-  if (wereRequired === areRequired) return [];
-  const kind = areRequired
-    ? RulesDifferenceKind.KeysRequired
-    : RulesDifferenceKind.KeysNotRequired;
-  return [createDifference(kind, { path: "organisations", fields: [] })];
-}
-
-function listWithdrawnKeys(
-  before: Rules,
-  after: Rules,
-): readonly RulesDifference[] {
-  const accepted = new Set(
-    Array.from(after.organisations.values())
-      .flatMap(({ keyHashes }) => keyHashes),
-  );
-  return Array.from(after.organisations.values()).flatMap((organisation) => {
-    const previous = before.organisations.get(organisation.name);
-    const count = countWithdrawnKeys(previous, accepted);
-    return count === 0 ? [] : [createDifference(
-      RulesDifferenceKind.KeysWithdrawn,
-      { path: `organisations.${organisation.name}`, fields: [`${count} keys`] },
-    )];
-  });
-}
-
-/** A key that another organisation takes over is still accepted. */
-function countWithdrawnKeys(
-  before: Organisation | undefined,
-  accepted: ReadonlySet<string>,
-): number {
-  return (before?.keyHashes ?? []).filter((hash) => !accepted.has(hash)).length;
-}
-
-function createDifference(
-  kind: RulesDifferenceKind,
-  details: Pick<RulesDifference, "path" | "fields">,
-): RulesDifference {
-  return { kind, ...details, effect: differenceEffects[kind] };
-}
