Split the early refusal of calls without room into guard clauses

tryRefuseWithoutRoom decided on exemption, judged the service, estimated the wait and promised room in one function; its predicate isAdmissible promised room as a side effect. The steps are now small functions, the promise is named tryPromiseRoom, and the constants say what they bound. No check or bound changed; the 7 tests of try_refuse_without_room_test pass.

--- a/src/mesh/try_refuse_without_room.ts
+++ b/src/mesh/try_refuse_without_room.ts
@@ -1,7 +1,9 @@
 import { getCapacityOutlook } from "../capacity/get_capacity_outlook.ts";
+import type { OpenGate } from "../capacity/open_gate.ts";
 import { expectedWaitShareMaximum } from "../gate/expected_wait_share_maximum.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { CallEventKind } from "./call_event_kind.ts";
+import type { CallPlan } from "./call_plan.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
 import { createCallRefusal } from "./create_call_refusal.ts";
@@ -11,14 +13,14 @@
 import { promiseRetryInstant } from "./promise_retry_instant.ts";
 
 /**
- * Gates that a call asks all by itself. The search among so few is short, and
- * each has a large part of the room that becomes free meanwhile.
+ * Services with at most so many open gates are not judged early: a call can be
+ * offered to all of them in a short time, and each has a large part of the room.
  */
-const fewGates = 4;
+const searchedGatesMaximum = 4;
 /** Refusals after which a call is no longer offered to a service known to be full. */
 const refusalsMaximum = 2;
 /** Share of the goal after which a call that only met full gates is refused. */
-const walkShareMaximum = 1 / 8;
+const searchShareMaximum = 1 / 8;
 
 /**
  * Refuses a call at once if its service is known to be full. A call for which
@@ -32,29 +34,94 @@
   node: MeshNode,
   progress: CallProgress,
 ): CallResult | undefined {
-  const { plan, fullRefusals } = progress;
-  const isExempt = plan.isNested || !plan.mayComeBack || progress.attempts > 0;
+  const { plan } = progress;
+  if (isExempt(progress)) return undefined;
   const capacity = getServiceCapacity(node, plan.service);
-  if (isExempt || capacity.fullGates.size === 0) return undefined;
-  const now = node.clock.now();
+  if (capacity.fullGates.size === 0) return undefined;
   const gates = listOpenGates(node, plan);
-  if (gates.length <= fewGates) return undefined;
+  if (gates.length <= searchedGatesMaximum) return undefined;
+  const now = node.clock.now();
   const outlook = getCapacityOutlook(capacity, {
     gates,
     priority: plan.priority,
     now,
   });
-  const walkUntil = plan.receivedAt +
-    plan.route.goalMilliseconds * walkShareMaximum;
-  if (!outlook.isFull) {
-    const isWalkOver = fullRefusals >= refusalsMaximum && now > walkUntil &&
-      !outlook.hasOpenZone;
-    return isWalkOver ? createCallRefusal(node, progress) : undefined;
+  if (outlook.isFull) {
+    const { waitMilliseconds } = outlook;
+    return tryRefuseAtFullService(node, progress, {
+      gates,
+      waitMilliseconds,
+      now,
+    });
   }
+  const isSearchOver = !outlook.hasOpenZone &&
+    progress.fullRefusals >= refusalsMaximum && now > getSearchEnd(plan);
+  return isSearchOver ? createCallRefusal(node, progress) : undefined;
+}
+
+/** What is known of a full service when a call is to be offered to it. */
+interface FullService {
+  readonly gates: readonly OpenGate[];
+  /** The shortest wait for a slot, in milliseconds. */
+  readonly waitMilliseconds: number;
+  readonly now: number;
+}
+
+function isExempt({ plan, attempts }: CallProgress): boolean {
+  return plan.isNested || !plan.mayComeBack || attempts > 0;
+}
+
+function tryRefuseAtFullService(
+  node: MeshNode,
+  progress: CallProgress,
+  service: FullService,
+): CallResult | undefined {
+  const { plan, fullRefusals } = progress;
   // The search for a free slot would fail; the call may wait for one.
   progress.isWaitingRound = true;
   if (fullRefusals >= refusalsMaximum) return createCallRefusal(node, progress);
-  if (fullRefusals > 0 || isAdmissible()) return undefined;
+  if (fullRefusals > 0) return undefined;
+  if (isRoomExpected(plan, service) || isReturning(plan)) return undefined;
+  if (tryPromiseRoom(node, plan, service)) return undefined;
+  return refuseWithoutOffer(node, progress, service);
+}
+
+/** Whether a slot is expected to be free early enough for the call. */
+function isRoomExpected(
+  plan: CallPlan,
+  { gates, waitMilliseconds, now }: FullService,
+): boolean {
+  const latestGoalStart = plan.goalDeadline -
+    Math.min(...gates.map((gate) => gate.answerMilliseconds));
+  // Gates queue a call that is expected to start by then.
+  const latestExpectedStart = now +
+    (latestGoalStart - now) * expectedWaitShareMaximum;
+  return now + waitMilliseconds <=
+    Math.max(getSearchEnd(plan), latestExpectedStart);
+}
+
+/** Whether the caller has spent a part of the goal on earlier attempts. */
+function isReturning(plan: CallPlan): boolean {
+  return plan.goalDeadline < plan.receivedAt + plan.route.goalMilliseconds;
+}
+
+/** Promises the next room to the call, unless it is promised to an earlier one. */
+function tryPromiseRoom(
+  node: MeshNode,
+  plan: CallPlan,
+  { now }: FullService,
+): boolean {
+  if (getServiceCapacity(node, plan.service).promisedUntil > now) return false;
+  promiseRetryInstant(node, plan, { earliest: now });
+  return true;
+}
+
+function refuseWithoutOffer(
+  node: MeshNode,
+  progress: CallProgress,
+  { gates, waitMilliseconds, now }: FullService,
+): CallResult {
+  const { plan } = progress;
   const isCold = gates.every(({ coldUntil }) => coldUntil > now);
   progress.lastReason = isCold ? RefusalReason.ColdStart : RefusalReason.Full;
   node.report.call({
@@ -63,26 +130,12 @@
     route: plan.route.name,
     service: plan.service,
     reason: progress.lastReason,
-    waitMilliseconds: Math.round(outlook.waitMilliseconds),
-  });
-  return createCallRefusal(node, progress, {
-    waitMilliseconds: outlook.waitMilliseconds,
+    waitMilliseconds: Math.round(waitMilliseconds),
   });
+  return createCallRefusal(node, progress, { waitMilliseconds });
+}
 
-  function isAdmissible(): boolean {
-    const waitMilliseconds = outlook.isFull ? outlook.waitMilliseconds : 0;
-    const latestGoalStart = plan.goalDeadline -
-      Math.min(...gates.map((gate) => gate.answerMilliseconds));
-    // Gates queue a call that is expected to start by then.
-    const latestExpectedStart = now +
-      (latestGoalStart - now) * expectedWaitShareMaximum;
-    const isRoomNear = now + waitMilliseconds <=
-      Math.max(walkUntil, latestExpectedStart);
-    const isReturning = plan.goalDeadline <
-      plan.receivedAt + plan.route.goalMilliseconds;
-    if (isRoomNear || isReturning) return true;
-    if (capacity.promisedUntil > now) return false;
-    promiseRetryInstant(node, plan, { earliest: now });
-    return true;
-  }
+/** Returns until when a call is offered to further gates whatever is known of them. */
+function getSearchEnd({ receivedAt, route }: CallPlan): number {
+  return receivedAt + route.goalMilliseconds * searchShareMaximum;
 }
