Name the fields of frames, milliseconds and counts in the choice and the gate

The offsets 4 and 5 of a frame's fields and the size of the head's length were written twice, by encoder and decoder; each now has one constant. Local names state milliseconds and counts, two constants called fewCandidatesMaximum with different values say what they bound, and the half-lives say what is halved. compareQueuedRequests is one chain of comparisons in the order that its comment gives.

--- a/src/balancing/get_slowness.ts
+++ b/src/balancing/get_slowness.ts
@@ -1,6 +1,9 @@
 import type { GateView } from "./gate_view.ts";
 
-/** A backend server that is avoided as slow gets few calls that could show its recovery. */
+/**
+ * Time in which half of the excess over 1 is forgotten. A backend server that is
+ * avoided as slow gets few calls that could show its recovery.
+ */
 const halfLifeMilliseconds = 2_000;
 
 /**
@@ -8,6 +11,7 @@
  * expected to take. Without answers it returns to 1.
  */
 export function getSlowness(view: GateView, now: number): number {
-  const age = Math.max(0, now - view.slownessAt);
-  return 1 + (view.slowness - 1) * 0.5 ** (age / halfLifeMilliseconds);
+  const ageMilliseconds = Math.max(0, now - view.slownessAt);
+  return 1 +
+    (view.slowness - 1) * 0.5 ** (ageMilliseconds / halfLifeMilliseconds);
 }
--- a/src/balancing/is_failing.ts
+++ b/src/balancing/is_failing.ts
@@ -1,7 +1,7 @@
 import type { GateView } from "./gate_view.ts";
 import { getObservationWeight } from "./get_observation_weight.ts";
 
-/** A failed call exceeds it until 2 s have passed or four calls have succeeded. */
+/** Share of failed calls, weighted by their age, above which it counts as failing. */
 const failureRateMaximum = 0.1;
 
 /** Whether the backend server has failed calls of this node of late. */
--- a/src/balancing/sample_candidates.ts
+++ b/src/balancing/sample_candidates.ts
@@ -3,8 +3,10 @@
 import type { GateCandidate } from "./gate_candidate.ts";
 import type { ServiceCandidates } from "./service_candidates.ts";
 
+/** Number of candidates drawn from the own availability zone. */
 const nearbyDraws = 2;
-const draws = 2;
+/** Number of candidates drawn from the whole service. */
+const serviceDraws = 2;
 
 /**
  * Returns a small random sample of the candidates: some of the own zone, and some
@@ -21,6 +23,6 @@
       { length: count },
       () => drawCandidate(from, { ...options, slotsMaximum }),
     );
-  return [...drawFrom(nearby, nearbyDraws), ...drawFrom(all, draws)]
+  return [...drawFrom(nearby, nearbyDraws), ...drawFrom(all, serviceDraws)]
     .filter((candidate) => candidate !== undefined);
 }
--- a/src/frames/create_frame_splitter.ts
+++ b/src/frames/create_frame_splitter.ts
@@ -1,6 +1,7 @@
 import { frameBytes } from "./frame_bytes.ts";
 import type { Frame } from "./frame.ts";
 import { FrameKind } from "./frame_kind.ts";
+import { frameOffsets } from "./frame_offsets.ts";
 
 const kinds: ReadonlySet<number> = new Set(
   Object.values(FrameKind).filter((kind) => typeof kind === "number"),
@@ -30,8 +31,10 @@
     needed = frameBytes.header;
     // A loop, since each frame begins where the one before ends.
     while (length - position >= frameBytes.header) {
-      const payloadBytes = received.readUInt32BE(position);
-      const kind = received.readUInt8(position + 4);
+      const payloadBytes = received.readUInt32BE(
+        position + frameOffsets.payloadBytes,
+      );
+      const kind = received.readUInt8(position + frameOffsets.kind);
       if (payloadBytes > frameBytes.payloadMaximum || !kinds.has(kind)) {
         isInvalid = true;
         parts = [];
@@ -46,7 +49,7 @@
       const payload = received.subarray(start, end);
       frames.push({
         kind,
-        offer: received.readUInt32BE(position + 5),
+        offer: received.readUInt32BE(position + frameOffsets.offer),
         payload,
       });
       position = end;
--- a/src/frames/encode_frame_header.ts
+++ b/src/frames/encode_frame_header.ts
@@ -1,4 +1,5 @@
 import { frameBytes } from "./frame_bytes.ts";
+import { frameOffsets } from "./frame_offsets.ts";
 import type { Frame } from "./frame.ts";
 
 /** Encodes what precedes the payload of a frame. */
@@ -7,8 +8,8 @@
   payloadBytes: number,
 ): Buffer {
   const header = Buffer.allocUnsafe(frameBytes.header);
-  header.writeUInt32BE(payloadBytes, 0);
-  header.writeUInt8(frame.kind, 4);
-  header.writeUInt32BE(frame.offer, 5);
+  header.writeUInt32BE(payloadBytes, frameOffsets.payloadBytes);
+  header.writeUInt8(frame.kind, frameOffsets.kind);
+  header.writeUInt32BE(frame.offer, frameOffsets.offer);
   return header;
 }
--- a/src/frames/frame_bytes.ts
+++ b/src/frames/frame_bytes.ts
@@ -1,6 +1,6 @@
 /** Sizes of frames, in bytes. */
 export const frameBytes = {
-  /** Length of the payload (4), kind (1) and number of the offer (4). */
+  /** Length of the payload, kind and number of the offer. */
   header: 9,
   payloadMaximum: 262_144,
   /** Longer requests and heads are sent as HTTP messages. */
--- a/src/gate/compare_queued_requests.ts
+++ b/src/gate/compare_queued_requests.ts
@@ -31,21 +31,22 @@
   const { state, keysBeyondShare, now } = options;
   const isLate = ({ goalDeadline, route }: SlotRequest) =>
     goalDeadline < now + getRouteServiceMilliseconds(state, route);
+  const isBeyondShare = ({ shareKey }: SlotRequest) =>
+    keysBeyondShare.has(shareKey);
   const getTurn = ({ request, queuedAt }: QueuedSlotRequest) =>
     queuedAt +
     getRouteServiceMilliseconds(state, request.route) * serviceTimeWeight;
-  const nestedOrder = Number(right.request.isNested) -
-    Number(left.request.isNested);
-  if (nestedOrder !== 0) return nestedOrder;
-  const priorityOrder = left.request.priority - right.request.priority;
-  if (priorityOrder !== 0) return priorityOrder;
-  const latenessOrder = Number(isLate(left.request)) -
-    Number(isLate(right.request));
-  if (latenessOrder !== 0) return latenessOrder;
-  const shareOrder = Number(keysBeyondShare.has(left.request.shareKey)) -
-    Number(keysBeyondShare.has(right.request.shareKey));
-  if (shareOrder !== 0) return shareOrder;
-  const retryOrder = Number(left.request.mayComeBack) -
-    Number(right.request.mayComeBack);
-  return retryOrder !== 0 ? retryOrder : getTurn(left) - getTurn(right);
+  const { request: first } = left;
+  const { request: second } = right;
+  return compareFlags(second.isNested, first.isNested) ||
+    first.priority - second.priority ||
+    compareFlags(isLate(first), isLate(second)) ||
+    compareFlags(isBeyondShare(first), isBeyondShare(second)) ||
+    compareFlags(first.mayComeBack, second.mayComeBack) ||
+    getTurn(left) - getTurn(right);
+}
+
+/** A negative result puts a false `left` before a true `right`. */
+function compareFlags(left: boolean, right: boolean): number {
+  return Number(left) - Number(right);
 }
--- a/src/gate/request_slot.ts
+++ b/src/gate/request_slot.ts
@@ -41,19 +41,22 @@
     return { kind: SlotDecisionKind.Granted };
   }
   const ahead = countQueuedAhead(state, request, { now });
-  const wait = Math.max(
+  const waitMilliseconds = Math.max(
     getExpectedWaitMilliseconds(state, { ahead, now }),
     isHeldBack(state, request, now) ? state.serviceMilliseconds : 0,
   );
   // Refused at once, not after a useless wait.
-  const slotWait = getExpectedSlotWaitMilliseconds(state, { ahead });
+  const slotWaitMilliseconds = getExpectedSlotWaitMilliseconds(state, {
+    ahead,
+  });
   if (
-    now + wait > getLatestStart(state, request) ||
-    now + slotWait > getLatestExpectedSlotStart(state, request, { now })
+    now + waitMilliseconds > getLatestStart(state, request) ||
+    now + slotWaitMilliseconds >
+      getLatestExpectedSlotStart(state, request, { now })
   ) {
     return refuse(
       getFullReason(state, now),
-      Math.max(wait, state.serviceMilliseconds / 2),
+      Math.max(waitMilliseconds, state.serviceMilliseconds / 2),
     );
   }
   state.queuedSince = Math.min(state.queuedSince, now);
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -22,8 +22,8 @@
 const firstRoundRefusalsMaximum = 6;
 /** Includes the refusals of the waiting round. */
 const allRefusalsMaximum = 9;
-/** So few candidates are all compared, as a sample would be as large. */
-const fewCandidatesMaximum = 5;
+/** Up to this number, all candidates are compared: a sample would be as large. */
+const comparedCandidatesMaximum = 5;
 
 interface Choice {
   readonly candidate: GateCandidate;
@@ -97,7 +97,7 @@
   const isUsableInSample = (candidate: GateCandidate) =>
     isUsable(candidate) &&
     (candidate !== own || canStartAtOnce(node.gate, context.now));
-  const sampled = all.length > fewCandidatesMaximum
+  const sampled = all.length > comparedCandidatesMaximum
     ? chooseFromSample(candidates, { ...context, isUsable: isUsableInSample })
     : undefined;
   if (sampled !== undefined) {
--- a/src/mesh/choose_waiting_candidate.ts
+++ b/src/mesh/choose_waiting_candidate.ts
@@ -7,9 +7,9 @@
 import type { CallProgress } from "./call_progress.ts";
 import { getWaitDeadline } from "./get_wait_deadline.ts";
 
-/** So few candidates are all compared. */
-const fewCandidatesMaximum = 12;
-const samples = 2;
+/** Up to this number, all candidates are compared. */
+const comparedCandidatesMaximum = 12;
+const sampleCount = 2;
 
 /**
  * Returns the candidate with the shortest expected wait among those where a call
@@ -27,12 +27,12 @@
 ): GateCandidate | undefined {
   const { candidates, context, isCandidate } = options;
   const { now } = context;
-  const getExpectedWait = ({ entry, view }: GateCandidate) =>
+  const getExpectedWaitMilliseconds = ({ entry, view }: GateCandidate) =>
     progress.reportedWaits.get(entry.identifier) ??
       (view.fullUntil > now ? view.waitMilliseconds : 0);
   const isEligible = (candidate: GateCandidate) =>
     isCandidate(candidate) &&
-    now + getExpectedWait(candidate) <=
+    now + getExpectedWaitMilliseconds(candidate) <=
       getWaitDeadline(progress, { candidate, now });
   const compared = listCompared(progress, { candidates, context });
   const eligible = compared.filter(isEligible);
@@ -41,7 +41,7 @@
     context,
   ).toSorted((left, right) =>
     getLossOrder(left) - getLossOrder(right) ||
-    getExpectedWait(left) - getExpectedWait(right)
+    getExpectedWaitMilliseconds(left) - getExpectedWaitMilliseconds(right)
   ).at(0);
 
   /** One that may be lost reported no wait, which does not make it free. */
@@ -63,12 +63,12 @@
   },
 ): readonly GateCandidate[] {
   const { candidates, context } = options;
-  if (candidates.all.length <= fewCandidatesMaximum) return candidates.all;
+  if (candidates.all.length <= comparedCandidatesMaximum) return candidates.all;
   const refusing = Array.from(progress.reportedWaits.keys())
     .map((identifier) => candidates.byIdentifier.get(identifier))
     .filter((candidate) => candidate !== undefined);
   const sampled = Array.from(
-    { length: samples },
+    { length: sampleCount },
     () => sampleCandidates(candidates, context),
   ).flat();
   return [...new Set([...refusing, ...sampled])];
