--- a/src/balancing/estimate_use_cost.ts
+++ b/src/balancing/estimate_use_cost.ts
@@ -3,7 +3,7 @@
 import { isFailing } from "./is_failing.ts";
 
 /** Cost of a backend server whose slots are all in use against one without calls. */
-const costOfUse = 0.5;
+const costOfFullUse = 0.5;
 
 /**
  * Estimates the cost of sending a call to a candidate that has more calls than
@@ -16,5 +16,5 @@
 ): number {
   const slots = Math.max(1, view.load?.slots ?? entry.slots);
   const share = estimateBusySlots(view, { slots, now }) / slots;
-  return costOfUse * (isFailing(view, now) ? Math.max(1, share) : share);
+  return costOfFullUse * (isFailing(view, now) ? Math.max(1, share) : share);
 }
--- a/src/mesh/grant_quota_tokens.ts
+++ b/src/mesh/grant_quota_tokens.ts
@@ -1,5 +1,6 @@
 import { getQuotaRole } from "../quotas/get_quota_role.ts";
 import { grantTokens } from "../quotas/grant_tokens.ts";
+import { noTokenGrant } from "../quotas/no_token_grant.ts";
 import { QuotaRole } from "../quotas/quota_role.ts";
 import type { TokenGrant } from "../quotas/token_grant.ts";
 import type { TokenRequest } from "../quotas/token_request.ts";
@@ -16,9 +17,7 @@
   const { organisation, host } = options;
   const { quotas, settings } = node;
   const granter = quotas.granters.get(organisation);
-  if (granter === undefined) {
-    return { role: QuotaRole.None, tokens: 0, retryMilliseconds: 0 };
-  }
+  if (granter === undefined) return noTokenGrant;
   const now = node.clock.now();
   const role = getQuotaRole(granter, {
     ownHost: settings.backendServer.host,
--- a/src/mesh/update_quotas.ts
+++ b/src/mesh/update_quotas.ts
@@ -30,18 +30,12 @@
   quotas.hosts = hosts;
   quotas.organisations = view.rules?.organisations;
   quotas.bounds = settings.quotaBounds;
-  const names = new Set(organisations.map(({ name }) => name));
-  const maps = [quotas.granters, quotas.holders, quotas.grantedTokens];
-  maps.forEach((map) =>
-    Array.from(map.keys())
-      .filter((name) => !names.has(name))
-      .forEach((name) => map.delete(name))
-  );
+  removeOtherQuotas(quotas, organisations);
   organisations.forEach((organisation) => updateGranter(node, organisation));
   reportOwnedQuotas(node);
 }
 
-/** The view of this node is current again. */
+/** Takes back what this node leased while its view was outdated: the view is current again. */
 function takeLeasedQuotasBack(node: MeshNode): void {
   node.quotas.granters.forEach((granter, organisation) => {
     if (granter.lessee === undefined) return;
@@ -49,6 +43,19 @@
   });
 }
 
+/** Removes what is kept for organisations that have no quota any more. */
+function removeOtherQuotas(
+  { granters, holders, grantedTokens }: MeshNode["quotas"],
+  organisations: readonly Organisation[],
+): void {
+  const names = new Set(organisations.map(({ name }) => name));
+  [granters, holders, grantedTokens].forEach((map) =>
+    Array.from(map.keys())
+      .filter((name) => !names.has(name))
+      .forEach((name) => map.delete(name))
+  );
+}
+
 function updateGranter(node: MeshNode, organisation: Organisation): void {
   const { quotas, settings } = node;
   const { name } = organisation;
--- a/src/testing/quotas/step_quota_fleet.ts
+++ b/src/testing/quotas/step_quota_fleet.ts
@@ -7,6 +7,7 @@
 import { grantTokens } from "../../quotas/grant_tokens.ts";
 import type { HandoverTimes } from "../../quotas/handover_times.ts";
 import type { QuotaBounds } from "../../quotas/quota_bounds.ts";
+import { noTokenGrant } from "../../quotas/no_token_grant.ts";
 import { QuotaRole } from "../../quotas/quota_role.ts";
 import { recordOwnerFailure } from "../../quotas/record_owner_failure.ts";
 import { recordTokenGrant } from "../../quotas/record_token_grant.ts";
@@ -28,11 +29,6 @@
 
 /** Time between the end of a process that stops and the next one. */
 const startMilliseconds = 500;
-const noGrant: TokenGrant = {
-  role: QuotaRole.None,
-  tokens: 0,
-  retryMilliseconds: 0,
-};
 
 /** Advances virtual time; `calls` has the new calls of each node. */
 export function stepQuotaFleet(
@@ -129,7 +125,7 @@
   );
   const second = isOwner && !isSufficient
     ? ask(fleet, node, { ...options, host: substitute })
-    : noGrant;
+    : noTokenGrant;
   const grant = second.role === QuotaRole.None
     ? first
     : { ...second, tokens: first.tokens + second.tokens };
@@ -155,7 +151,7 @@
     : findReachable(fleet, node, host);
   const isOwn = other === node;
   if (!isOwn) fleet.messages += 1;
-  if (other?.granter === undefined) return noGrant;
+  if (other?.granter === undefined) return noTokenGrant;
   const now = fleet.now - other.suspendedMilliseconds;
   const role = getQuotaRole(other.granter, {
     ownHost: other.host,
