--- a/src/mesh/authenticate_caller.ts
+++ b/src/mesh/authenticate_caller.ts
@@ -4,7 +4,7 @@
 import { isConfirmationStale } from "../organisations/is_confirmation_stale.ts";
 import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "../routing/call_route.ts";
-import { getRulesAge } from "./get_rules_age.ts";
+import { getRulesAgeMilliseconds } from "./get_rules_age_milliseconds.ts";
 import { hasOrganisations } from "./has_organisations.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
@@ -24,7 +24,7 @@
   const { isPublic } = options.route;
   // Without a key, a call to a public route needs no further check.
   if (isPublic && options.key === undefined) return Result.ok(undefined);
-  const ageMilliseconds = getRulesAge(node);
+  const ageMilliseconds = getRulesAgeMilliseconds(node);
   const isStale = isConfirmationStale(
     ageMilliseconds,
     node.settings.sourceBounds,
--- a/src/mesh/confirm_rules.ts
+++ b/src/mesh/confirm_rules.ts
@@ -1,7 +1,7 @@
 import { isConfirmationStale } from "../organisations/is_confirmation_stale.ts";
 import { recordConfirmation } from "../organisations/record_confirmation.ts";
 import type { ClockReading } from "../runtime/clock_reading.ts";
-import { getRulesAge } from "./get_rules_age.ts";
+import { getRulesAgeMilliseconds } from "./get_rules_age_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Records that the rules of a node were current at an instant. */
@@ -11,7 +11,7 @@
     heldUntil: view.heldZonesUntil,
   });
   if (!rulesConfirmation.isStaleReported) return;
-  const ageMilliseconds = getRulesAge(node);
+  const ageMilliseconds = getRulesAgeMilliseconds(node);
   if (isConfirmationStale(ageMilliseconds, settings.sourceBounds)) return;
   rulesConfirmation.isStaleReported = false;
   node.report.state("keys", { state: "confirmed", ageMilliseconds });
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -2,7 +2,7 @@
 import { getStatedCallsPerSecond } from "../gate/get_stated_calls_per_second.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
 import { getGateLoad } from "./get_gate_load.ts";
-import { getStatedRulesAge } from "./get_stated_rules_age.ts";
+import { getStatedRulesAgeMilliseconds } from "./get_stated_rules_age_milliseconds.ts";
 import { getSourceAvailableMilliseconds } from "./get_source_available_milliseconds.ts";
 import type { MeshGauges } from "./mesh_gauges.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -15,7 +15,7 @@
     rulesVersion: view.rules?.version ?? 0,
     sourceEra: view.sourceEra ?? 0,
     sourceSoundMilliseconds: getSourceAvailableMilliseconds(node),
-    rulesAgeMilliseconds: Math.round(getStatedRulesAge(node) ?? -1),
+    rulesAgeMilliseconds: Math.round(getStatedRulesAgeMilliseconds(node) ?? -1),
     organisations: view.rules?.organisations.size ?? 0,
     feedFollowers: node.feed.subscribers.size,
     offerConnections: node.offerConnections.open.size,
--- a/src/mesh/get_rules_age.ts
+++ b/src/mesh/get_rules_age_milliseconds.ts
@@ -6,7 +6,7 @@
  * Returns the milliseconds since the rules of a node were certainly current;
  * infinity if they never were.
  */
-export function getRulesAge(
+export function getRulesAgeMilliseconds(
   node: Pick<MeshNode, "clock" | "timeOfDay" | "rulesConfirmation">,
 ): number {
   return getConfirmationAge(node.rulesConfirmation, readClocks(node));
--- a/src/mesh/get_stated_rules_age.ts
+++ b/src/mesh/get_stated_rules_age_milliseconds.ts
@@ -1,4 +1,4 @@
-import { getRulesAge } from "./get_rules_age.ts";
+import { getRulesAgeMilliseconds } from "./get_rules_age_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /**
@@ -6,10 +6,12 @@
  * milliseconds; undefined if none depends on it or the rules were never
  * confirmed.
  */
-export function getStatedRulesAge(node: MeshNode): number | undefined {
+export function getStatedRulesAgeMilliseconds(
+  node: MeshNode,
+): number | undefined {
   if (node.settings.sourceBounds.withdrawalMilliseconds === undefined) {
     return undefined;
   }
-  const ageMilliseconds = getRulesAge(node);
+  const ageMilliseconds = getRulesAgeMilliseconds(node);
   return Number.isFinite(ageMilliseconds) ? ageMilliseconds : undefined;
 }
--- a/src/mesh/publish_reading.ts
+++ b/src/mesh/publish_reading.ts
@@ -1,6 +1,6 @@
 import type { SourceReading } from "../source/source_reading.ts";
 import { publishFeedReading } from "../source/publish_feed_reading.ts";
-import { getStatedRulesAge } from "./get_stated_rules_age.ts";
+import { getStatedRulesAgeMilliseconds } from "./get_stated_rules_age_milliseconds.ts";
 import { listReadingItems } from "./list_reading_items.ts";
 import { listZoneHosts } from "./list_zone_hosts.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -35,7 +35,7 @@
   publishFeedReading(feed, { ...reading, items }, {
     rules: view.rules,
     now: node.clock.now(),
-    rulesAgeMilliseconds: getStatedRulesAge(node),
+    rulesAgeMilliseconds: getStatedRulesAgeMilliseconds(node),
     bytesMaximum: linkBytesPerSecond * linkSeconds / otherNodeCount,
   });
 }
--- a/src/mesh/serve_feed.ts
+++ b/src/mesh/serve_feed.ts
@@ -2,7 +2,7 @@
 import { getFeedStaleMilliseconds } from "../source/get_feed_stale_milliseconds.ts";
 import type { SourcePosition } from "../source/source_position.ts";
 import { tryGetInitialFeedLines } from "../source/try_get_initial_feed_lines.ts";
-import { getStatedRulesAge } from "./get_stated_rules_age.ts";
+import { getStatedRulesAgeMilliseconds } from "./get_stated_rules_age_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 const okStatus = 200;
@@ -35,7 +35,7 @@
   const start = tryGetInitialFeedLines(node.feed, {
     after,
     now: node.clock.now(),
-    rulesAgeMilliseconds: getStatedRulesAge(node),
+    rulesAgeMilliseconds: getStatedRulesAgeMilliseconds(node),
     staleMilliseconds: getFeedStaleMilliseconds(node.settings.sourceBounds),
   });
   if (start === undefined || node.stopping) {
--- a/src/mesh/withdrawn_key_test.ts
+++ b/src/mesh/withdrawn_key_test.ts
@@ -12,7 +12,7 @@
 import { confirmRulesByLine } from "./confirm_rules_by_line.ts";
 import { createMeshNode } from "./create_mesh_node.ts";
 import { getEarlyRefusalReason } from "./get_early_refusal_reason.ts";
-import { getStatedRulesAge } from "./get_stated_rules_age.ts";
+import { getStatedRulesAgeMilliseconds } from "./get_stated_rules_age_milliseconds.ts";
 import { holdRulesConfirmation } from "./hold_rules_confirmation.ts";
 import { readClocks } from "./read_clocks.ts";
 
@@ -231,11 +231,11 @@
     await stage.pass(withdrawalMilliseconds);
     const feed = { requestedAt: readClocks(stage.node), firstSentAt: 77 };
     receiveLine(t, stage, { sentAt: 77, rulesAgeMilliseconds: 2_000 }, feed);
-    t.is(getStatedRulesAge(stage.node), 2_000);
+    t.is(getStatedRulesAgeMilliseconds(stage.node), 2_000);
     t.is(stage.identify(), "bakery");
     await stage.pass(1_500);
     receiveLine(t, stage, { sentAt: 1_577, rulesAgeMilliseconds: 500 }, feed);
-    t.is(getStatedRulesAge(stage.node), 500);
+    t.is(getStatedRulesAgeMilliseconds(stage.node), 500);
   }));
 
 test("a time of day that is set forward ends a feed, since its lines count from before that", (t) =>
