--- a/src/frames/frame_bytes.ts
+++ b/src/frames/frame_bytes.ts
@@ -2,6 +2,8 @@
 export const frameBytes = {
   /** Length of the payload, kind and number of the offer. */
   header: 9,
+  /** Payload of a credit: the number of bytes that were used. */
+  creditPayload: 4,
   payloadMaximum: 262_144,
   /** Longer requests and heads are sent as HTTP messages. */
   requestBodyMaximum: 65_536,
--- a/src/mesh/create_offer_connection.ts
+++ b/src/mesh/create_offer_connection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { createFrameSplitter } from "../frames/create_frame_splitter.ts";
 import { createFrameWriter } from "../frames/create_frame_writer.ts";
+import { frameBytes } from "../frames/frame_bytes.ts";
 import type { Frame } from "../frames/frame.ts";
 import { FrameKind } from "../frames/frame_kind.ts";
 import type { OfferConnection } from "./offer_connection.ts";
@@ -8,15 +9,14 @@
 
 /** Shorter than the timeout of the other side, so that this side closes first. */
 const idleMilliseconds = 20_000;
-/** Further offers are sent as HTTP messages. */
+/** Offers in progress; further ones are sent as HTTP messages. */
 const offersMaximum = 512;
 /** The largest number in a frame; none is used twice on a connection. */
 const numberMaximum = 0xffff_ffff;
 /** Bytes that wait until the other node reads. */
 const unsentBytesMaximum = 1_048_576;
-/** A node that is not slow confirms an offer sooner. */
+/** Time without a received byte after which no further offer is sent; a node that is not slow confirms an offer sooner. */
 const silenceMilliseconds = 400;
-const creditBytes = 4;
 
 /**
  * Creates an offer connection on an established socket. Bytes that are not
@@ -115,7 +115,7 @@
       return true;
     },
     addCredit: (offer, bytes) => {
-      const payload = Buffer.allocUnsafe(creditBytes);
+      const payload = Buffer.allocUnsafe(frameBytes.creditPayload);
       payload.writeUInt32BE(bytes);
       writer.write({ kind: FrameKind.Credit, offer }, [payload]);
     },
--- a/src/mesh/serve_offer_connection.ts
+++ b/src/mesh/serve_offer_connection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { createFrameSplitter } from "../frames/create_frame_splitter.ts";
 import { createFrameWriter } from "../frames/create_frame_writer.ts";
+import { frameBytes } from "../frames/frame_bytes.ts";
 import type { Frame } from "../frames/frame.ts";
 import { FrameKind } from "../frames/frame_kind.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -12,7 +13,6 @@
 const idleMilliseconds = 60_000;
 /** Another node sends fewer at a time. */
 const offersMaximum = 1_024;
-const creditBytes = 4;
 const acceptance = [
   "HTTP/1.1 101 Switching Protocols",
   "connection: upgrade",
@@ -65,7 +65,7 @@
       return;
     }
     const isCredit = frame.kind === FrameKind.Credit &&
-      frame.payload.byteLength === creditBytes;
+      frame.payload.byteLength === frameBytes.creditPayload;
     if (!isCredit) return void socket.destroy();
     offers.get(frame.offer)?.addCredit(frame.payload.readUInt32BE());
   }
