Split the recorded observation of slowness from the choice of its source

recordSlowness defined a function with three positional arguments to share the update between two sources, and the comments of its weights did not say what they weigh. The update is a function with named options now. Tests of src/balancing and choose_candidate_test pass, except the known red one of choose_from_sample_test.

--- a/src/balancing/record_slowness.ts
+++ b/src/balancing/record_slowness.ts
@@ -2,9 +2,9 @@
 import type { GateView } from "./gate_view.ts";
 import { getSlowness } from "./get_slowness.ts";
 
-/** A backend server may become slow for less than a second, in which a node gets few of its answers. */
+/** Weight of the newest time to an answer. It is high, since a node gets few answers of a backend server while it is slow. */
 const answerWeight = 0.3;
-/** The node beside the backend server reports an average already. */
+/** Weight of the newest reported time, which is an average already. */
 const reportWeight = 0.7;
 /** Weight of the newest report in the average of the service. */
 const newestServiceWeight = 0.02;
@@ -29,26 +29,48 @@
 ): void {
   const { route, elapsedMilliseconds, now } = options;
   const { serviceLoad } = view;
-  const previous = getSlowness(view, now);
-  const update = (milliseconds: number, mean: number, weight: number) => {
-    const observed = Math.min(
-      slownessMaximum,
-      milliseconds / Math.max(millisecondsMinimum, mean),
-    );
-    view.slowness = previous + (observed - previous) * weight;
-    view.slownessAt = now;
-  };
   const reported = view.load?.routeService;
-  if (reported === undefined || reported.route !== route) {
-    const mean = serviceLoad.answerMilliseconds.get(route);
-    if (mean !== undefined) update(elapsedMilliseconds, mean, answerWeight);
+  if (reported?.route === route) {
+    const { milliseconds } = reported;
+    updateAverage(serviceLoad.serviceMilliseconds, route, {
+      newest: milliseconds,
+      weight: newestServiceWeight,
+    });
+    updateSlowness(view, {
+      milliseconds,
+      meanMilliseconds: serviceLoad.serviceMilliseconds.get(route) ??
+        milliseconds,
+      weight: reportWeight,
+      now,
+    });
     return;
   }
-  updateAverage(serviceLoad.serviceMilliseconds, route, {
-    newest: reported.milliseconds,
-    weight: newestServiceWeight,
+  const meanMilliseconds = serviceLoad.answerMilliseconds.get(route);
+  if (meanMilliseconds === undefined) return;
+  updateSlowness(view, {
+    milliseconds: elapsedMilliseconds,
+    meanMilliseconds,
+    weight: answerWeight,
+    now,
   });
-  const mean = serviceLoad.serviceMilliseconds.get(route) ??
-    reported.milliseconds;
-  update(reported.milliseconds, mean, reportWeight);
+}
+
+function updateSlowness(
+  view: GateView,
+  options: {
+    readonly milliseconds: number;
+    readonly meanMilliseconds: number;
+    /** Weight of this call against those before it, 0 to 1. */
+    readonly weight: number;
+    readonly now: number;
+  },
+): void {
+  const { milliseconds, meanMilliseconds, weight, now } = options;
+  const previous = getSlowness(view, now);
+  const observed = Math.min(
+    slownessMaximum,
+    milliseconds / Math.max(millisecondsMinimum, meanMilliseconds),
+  );
+  view.slowness = previous + (observed - previous) * weight;
+  view.slownessAt = now;
 }
