State milliseconds in the figures of the choice model, and reword four comments

Two figures of the model had no unit in their names; the test's bound is the same. The comments on the own gate, on the grace after a deadline, and on two settings of the model needed a second reading.

--- a/src/balancing/choose_from_sample_test.ts
+++ b/src/balancing/choose_from_sample_test.ts
@@ -28,5 +28,8 @@
     { seed },
   );
   t.log({ random, known });
-  t.true(sampled.waitPercentile99 <= old.waitPercentile99 * targetShare);
+  t.true(
+    sampled.waitPercentile99Milliseconds <=
+      old.waitPercentile99Milliseconds * targetShare,
+  );
 });
--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -93,7 +93,7 @@
   const isOwnFirst = own !== undefined && isUsable(own) &&
     isOwnServerFirst(own, { ...context, gate: node.gate });
   if (isOwnFirst) return { candidate: own, way: ChoiceWay.Own };
-  // The own gate is known exactly, so nothing is offered to it in vain.
+  // The state of the own gate is known exactly: it is offered only what it can start.
   const isUsableInSample = (candidate: GateCandidate) =>
     isUsable(candidate) &&
     (candidate !== own || canStartAtOnce(node.gate, context.now));
--- a/src/mesh/offer_delays.ts
+++ b/src/mesh/offer_delays.ts
@@ -6,6 +6,6 @@
    * which the other node queries for the offer.
    */
   confirmationMilliseconds: 200,
-  /** The other node, which ends the call at its deadline, goes first. */
+  /** Time after the deadline of an offer until this node ends it: the other node, which ends the call at the deadline, does so first. */
   deadlineGraceMilliseconds: 250,
 } as const;
--- a/src/testing/balancing/choice_model_settings.ts
+++ b/src/testing/balancing/choice_model_settings.ts
@@ -10,9 +10,9 @@
   loadShare: 0.65,
   goalMilliseconds: 150,
   durationMilliseconds: 6_000,
-  /** Calls before do not count. */
+  /** Calls that arrive earlier do not count. */
   warmUpMilliseconds: 1_500,
-  /** Reports reach a node so old, and the next one comes after `reportGroups` times that. */
+  /** Age of a report when it reaches a node; the next one comes after `reportGroups` times that. */
   reportAgeMilliseconds: 50,
   reportGroups: 7,
   /** A gate refuses a call that would wait for longer. */
--- a/src/testing/balancing/run_choice_model.ts
+++ b/src/testing/balancing/run_choice_model.ts
@@ -184,8 +184,12 @@
   const getShare = (isCounted: (call: typeof counted[number]) => boolean) =>
     counted.filter(isCounted).length / counted.length;
   return {
-    waitPercentile99: getPercentile99(counted.map(({ wait }) => wait)),
-    answerPercentile99: getPercentile99(counted.map(({ answer }) => answer)),
+    waitPercentile99Milliseconds: getPercentile99(
+      counted.map(({ wait }) => wait),
+    ),
+    answerPercentile99Milliseconds: getPercentile99(
+      counted.map(({ answer }) => answer),
+    ),
     lateShare: getShare(({ answer }) => answer > goalMilliseconds),
     useDeviation: getStandardDeviation(
       servers.map(({ usedMilliseconds }) =>
