--- a/src/mesh/choose_candidate.ts
+++ b/src/mesh/choose_candidate.ts
@@ -22,8 +22,8 @@
 const firstRoundRefusalsMaximum = 6;
 /** Includes the refusals of the waiting round. */
 const allRefusalsMaximum = 9;
-/** So few candidates are all compared, as a sample would be as large. */
-const fewCandidatesMaximum = 5;
+/** Up to this number, all candidates are compared: a sample would be as large. */
+const comparedCandidatesMaximum = 5;
 
 interface Choice {
   readonly candidate: GateCandidate;
@@ -93,11 +93,11 @@
   const isOwnFirst = own !== undefined && isUsable(own) &&
     isOwnServerFirst(own, { ...context, gate: node.gate });
   if (isOwnFirst) return { candidate: own, way: ChoiceWay.Own };
-  // The own gate is known exactly, so nothing is offered to it in vain.
+  // The state of the own gate is known exactly: it is offered only what it can start.
   const isUsableInSample = (candidate: GateCandidate) =>
     isUsable(candidate) &&
     (candidate !== own || canStartAtOnce(node.gate, context.now));
-  const sampled = all.length > fewCandidatesMaximum
+  const sampled = all.length > comparedCandidatesMaximum
     ? chooseFromSample(candidates, { ...context, isUsable: isUsableInSample })
     : undefined;
   if (sampled !== undefined) {
