--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -15,6 +15,8 @@
 const stormMilliseconds = 5_000;
 const versionMilliseconds = 250;
 /** `release`: the backends leave one after the other. */
+/** Half of the VMs leave, each second one. */
+const vmCount = 12;
 const leaveMilliseconds = [600, 1_000, 1_400, 1_800, 2_200, 2_600];
 const requestMilliseconds = 40;
 const tickMilliseconds = 10;
@@ -80,9 +82,9 @@
 putConfiguration();
 const inbound = await freePort(setup.host(1));
 const vms = [];
-for (let index = 0; index <= leaveMilliseconds.length; index += 1) {
+for (let index = 0; index < vmCount; index += 1) {
   const host = setup.host(index + 1);
-  const zone = `sul-${"abc"[index % 3]}`;
+  const zone = `sul-${"abc"[Math.floor(index / 4)]}`;
   const backend = await startBackend(setup, { host, service: "vitrine", zone, store, slots: 8, workMilliseconds: () => 30, identifier: `i-vitrine-${index}` });
   vms.push({ host, zone, backend, linkPort: await startLink(setup.storeHost) });
 }
@@ -114,9 +116,10 @@
 const acknowledged = new Map();
 const events = [
   ...leaveMilliseconds.map((at, index) => ({ at, run: () => {
-    vms[index].backend.put("draining");
-    acknowledged.set(vms[index].backend.identifier, Date.now());
-    setup.record(`the store acknowledges that ${vms[index].backend.identifier} is draining`);
+    const { backend } = vms[2 * index];
+    backend.put("draining");
+    acknowledged.set(backend.identifier, Date.now());
+    setup.record(`the store acknowledges that ${backend.identifier} is draining`);
   } })),
   ...(trouble ? Array.from({ length: Math.floor(stormMilliseconds / versionMilliseconds) }, (_, index) => ({ at: index * versionMilliseconds, run: () => {
     putConfiguration();
