--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -8,18 +8,17 @@
 
 const graceMilliseconds = 6_000;
 const lossSlackMilliseconds = 200;
-/**
- * The platform asks for readiness once per second, and its clients get no new
- * work after two misses. Requests are sent so long after SIGTERM, before the
- * second miss.
- */
-const sentAfterMilliseconds = 1_700;
+/** The platform asks for readiness once per second; clients leave after two misses. */
 const pollMilliseconds = 1_000;
 /** Deadline of the client and timeout of the route, as of `extrato`. */
 const deadlineMilliseconds = 8_000;
 const workMilliseconds = 480;
-const slots = 2;
-const requestCount = 24;
+const slots = 6;
+/** A steady load from the start to the second miss, beyond the 12.5 a second of the slots. */
+const requestMilliseconds = 50;
+const loadMilliseconds = 14_000;
+/** As long as it takes until the second miss, where nothing is stopped. */
+const calmMilliseconds = 2_000;
 
 const setup = new Setup(dirname(fileURLToPath(import.meta.url)));
 const store = await setup.startStore();
@@ -93,25 +92,27 @@
   });
 };
 
-// Warm up: the clients open their connections, and keep them.
-await Promise.all([1, 2, 3, 4].map(() => request("w")));
-await delay(500);
-
 let misses = 0;
 const poll = async () => {
   const status = await getStatus(hostOf.vitrine, nodes.vitrine.ports.ready);
   misses = status === 200 ? 0 : misses + 1;
   setup.record(`platform asks /readyz: ${status ?? "no answer"}, misses in a row ${misses}`);
 };
-await poll();
 setInterval(poll, pollMilliseconds);
+const results = [];
+async function sendUntil(isOver) {
+  while (!isOver()) {
+    results.push(request("r"));
+    await delay(requestMilliseconds);
+  }
+}
+const loadUntil = Date.now() + loadMilliseconds;
+await sendUntil(() => Date.now() >= loadUntil);
 const stoppedAt = Date.now();
 if (trouble) nodes.vitrine.signal("SIGTERM");
-await delay(sentAfterMilliseconds);
-if (misses >= 2) setup.finish(2, "the platform has taken the machine's clients away already");
-const ended = await Promise.all(
-  Array.from({ length: requestCount }, () => request("r")),
-);
+await sendUntil(() => misses >= 2 || Date.now() >= stoppedAt + calmMilliseconds);
+setup.record("the clients of the machine send nothing more");
+const ended = await Promise.all(results);
 
 const lost = ended.filter(({ id, sentAt, endedAt, answer }) => {
   if (answer.status !== undefined && answer.error === undefined) return false;
@@ -124,6 +125,6 @@
 });
 const answered = ended.filter(({ answer }) => answer.status === 200).length;
 const refused = ended.filter(({ answer }) => answer.status === 503 || answer.status === 429).length;
-const summary = `${requestCount} requests: ${answered} answered, ${refused} refused, ` +
+const summary = `${ended.length} requests: ${answered} answered, ${refused} refused, ` +
   `${lost.length} read, at no backend, and closed without an answer`;
 setup.finish(lost.length > 0 ? 1 : 0, summary);
