Key slots and waiters of a gate by offer, not by call

What callers saw: a call that was offered again to the same gate while its first offer still waited there never got its slot, and was refused or ended at its deadline.

Cause: the gate's queue, its running calls and the waiters were kept under the identifier of the call, which a later offer of the same call shares. The second offer replaced the waiter of the first, and the cancellation of the first took both out of the queue.

Ruled out: a fence of the first offer; fences are kept by offer already.

--- a/src/gate/cancel_slot_request.ts
+++ b/src/gate/cancel_slot_request.ts
@@ -3,10 +3,10 @@
 /** Removes a call from the queue of a gate, if it is queued. */
 export function cancelSlotRequest(
   state: GateState,
-  callIdentifier: string,
+  offerIdentifier: string,
 ): void {
   state.queue = state.queue.filter(({ request }) =>
-    request.callIdentifier !== callIdentifier
+    request.offerIdentifier !== offerIdentifier
   );
   if (state.queue.length === 0) state.queuedSince = Number.POSITIVE_INFINITY;
 }
--- a/src/gate/gate_state.ts
+++ b/src/gate/gate_state.ts
@@ -25,7 +25,7 @@
   departure: ServerDeparture | undefined;
   /** Start of the incarnation in the register, in milliseconds since the Unix epoch; 0 if unknown. */
   bornAt: number;
-  /** Calls that occupy a slot, by call identifier. */
+  /** Calls that occupy a slot, by offer identifier. */
   readonly running: Map<string, RunningCall>;
   /** Calls that wait for a slot, sorted when the queue is processed; new calls are appended. */
   queue: QueuedSlotRequest[];
--- a/src/gate/is_kept_for_nested_calls_test.ts
+++ b/src/gate/is_kept_for_nested_calls_test.ts
@@ -19,7 +19,7 @@
   options: { readonly name: string; readonly isNested: boolean },
 ): boolean {
   const decision = requestSlot(gate, {
-    callIdentifier: options.name,
+    offerIdentifier: options.name,
     route: "vagas",
     getFingerprint: () => options.name,
     priority: 2,
--- a/src/gate/list_keys_beyond_share_test.ts
+++ b/src/gate/list_keys_beyond_share_test.ts
@@ -28,7 +28,7 @@
 
 function request(gate: GateState, name: string, shareKey: string): void {
   requestSlot(gate, {
-    callIdentifier: name,
+    offerIdentifier: name,
     route: "catalogo",
     getFingerprint: () => name,
     priority: 2,
--- a/src/gate/occupy_slot.ts
+++ b/src/gate/occupy_slot.ts
@@ -7,9 +7,9 @@
   state: GateState,
   options: { readonly request: SlotRequest; readonly now: number },
 ): void {
-  const { callIdentifier, route, getFingerprint, isNested, shareKey } =
+  const { offerIdentifier, route, getFingerprint, isNested, shareKey } =
     options.request;
-  state.running.set(callIdentifier, {
+  state.running.set(offerIdentifier, {
     route,
     getFingerprint,
     isNested,
--- a/src/gate/release_slot.ts
+++ b/src/gate/release_slot.ts
@@ -11,14 +11,14 @@
 export function releaseSlot(
   state: GateState,
   options: {
-    readonly callIdentifier: string;
+    readonly offerIdentifier: string;
     readonly answered: boolean;
     readonly now: number;
   },
 ): void {
-  const call = state.running.get(options.callIdentifier);
+  const call = state.running.get(options.offerIdentifier);
   if (call === undefined) return;
-  state.running.delete(options.callIdentifier);
+  state.running.delete(options.offerIdentifier);
   if (!options.answered) return;
   const elapsed = Math.max(1, options.now - call.startedAt);
   state.serviceMilliseconds += (elapsed - state.serviceMilliseconds) *
--- a/src/gate/request_slot_test.ts
+++ b/src/gate/request_slot_test.ts
@@ -29,13 +29,13 @@
 }
 
 function createRequest(
-  callIdentifier: string,
+  offerIdentifier: string,
   change: Partial<SlotRequest> = {},
 ): SlotRequest {
   return {
-    callIdentifier,
+    offerIdentifier,
     route: "catalogo",
-    getFingerprint: () => callIdentifier,
+    getFingerprint: () => offerIdentifier,
     priority: 2,
     goalDeadline: start + 400,
     deadline: start + 1_200,
@@ -57,9 +57,9 @@
     SlotDecisionKind.Granted,
     SlotDecisionKind.Queued,
   ]);
-  releaseSlot(gate, { callIdentifier: "a", answered: true, now: start + 50 });
+  releaseSlot(gate, { offerIdentifier: "a", answered: true, now: start + 50 });
   const { granted } = processGateQueue(gate, start + 50);
-  t.deepEqual(granted.map(({ request }) => request.callIdentifier), ["c"]);
+  t.deepEqual(granted.map(({ request }) => request.offerIdentifier), ["c"]);
 });
 
 test("a call that may not wait is refused at once with a retry delay", (t) => {
@@ -99,10 +99,10 @@
   );
   requestSlot(gate, createRequest("usual"), { now: start });
   requestSlot(gate, createRequest("urgent", { priority: 1 }), { now: start });
-  const order = ["a", "urgent", "usual"].flatMap((callIdentifier) => {
-    releaseSlot(gate, { callIdentifier, answered: true, now: start });
+  const order = ["a", "urgent", "usual"].flatMap((offerIdentifier) => {
+    releaseSlot(gate, { offerIdentifier, answered: true, now: start });
     return processGateQueue(gate, start).granted
-      .map(({ request }) => request.callIdentifier);
+      .map(({ request }) => request.offerIdentifier);
   });
   t.deepEqual(order, ["urgent", "usual", "late"]);
 });
@@ -114,7 +114,7 @@
   const instant = getNextQueueInstant(gate, start);
   t.true(instant < start + 1_200);
   const { refused } = processGateQueue(gate, instant);
-  t.deepEqual(refused.map(({ request }) => request.callIdentifier), ["b"]);
+  t.deepEqual(refused.map(({ request }) => request.offerIdentifier), ["b"]);
 });
 
 test("cold start: in any one second, a backend server gets no more calls than the allowance permits", (t) => {
@@ -127,13 +127,13 @@
   gate.coldBucket.refilledAt = start;
   const grants = Array.from({ length: 5_000 }, (_, millisecond) => {
     const now = start + millisecond;
-    const callIdentifier = `call-${millisecond}`;
+    const offerIdentifier = `call-${millisecond}`;
     const decision = requestSlot(
       gate,
-      createRequest(callIdentifier, { waitDeadline: now }),
+      createRequest(offerIdentifier, { waitDeadline: now }),
       { now },
     );
-    releaseSlot(gate, { callIdentifier, answered: true, now });
+    releaseSlot(gate, { offerIdentifier, answered: true, now });
     return decision.kind === SlotDecisionKind.Granted ? now : 0;
   }).filter((now) => now > 0);
   const busiest = Math.max(
@@ -153,10 +153,10 @@
 ): readonly number[] {
   return Array.from({ length: options.milliseconds }, (_, millisecond) => {
     const now = options.from + millisecond;
-    const callIdentifier = `call-${now}`;
-    const request = createRequest(callIdentifier, { waitDeadline: now });
+    const offerIdentifier = `call-${now}`;
+    const request = createRequest(offerIdentifier, { waitDeadline: now });
     const decision = requestSlot(gate, request, { now });
-    releaseSlot(gate, { callIdentifier, answered: true, now });
+    releaseSlot(gate, { offerIdentifier, answered: true, now });
     return decision.kind === SlotDecisionKind.Granted ? now : 0;
   }).filter((now) => now > 0);
 }
@@ -244,12 +244,12 @@
     SlotDecisionKind.Queued,
   );
   releaseSlot(gate, {
-    callIdentifier: "running",
+    offerIdentifier: "running",
     answered: true,
     now: start + 100,
   });
   const { granted } = processGateQueue(gate, start + 100);
-  t.deepEqual(granted.map(({ request }) => request.callIdentifier), [
+  t.deepEqual(granted.map(({ request }) => request.offerIdentifier), [
     "in-time",
   ]);
 });
@@ -269,7 +269,7 @@
     SlotDecisionKind.Queued,
   );
   const { refused } = processGateQueue(gate, start + 10);
-  t.deepEqual(refused.map(({ request }) => request.callIdentifier), ["older"]);
+  t.deepEqual(refused.map(({ request }) => request.offerIdentifier), ["older"]);
 });
 
 test("short calls of backend servers among longer ones: lateness is computed from the service time of the call's own route", (t) => {
@@ -287,12 +287,14 @@
   );
   requestSlot(gate, createRequest("newer"), { now: start + 10 });
   releaseSlot(gate, {
-    callIdentifier: "running",
+    offerIdentifier: "running",
     answered: true,
     now: start + 50,
   });
   const { granted } = processGateQueue(gate, start + 50);
-  t.deepEqual(granted.map(({ request }) => request.callIdentifier), ["called"]);
+  t.deepEqual(granted.map(({ request }) => request.offerIdentifier), [
+    "called",
+  ]);
 });
 
 test("a burst of less urgent calls beside nested calls: a nested call gets the next slot whatever its priority, also if it is late", (t) => {
@@ -311,12 +313,14 @@
     SlotDecisionKind.Queued,
   );
   releaseSlot(gate, {
-    callIdentifier: "running",
+    offerIdentifier: "running",
     answered: true,
     now: start + 20,
   });
   const { granted } = processGateQueue(gate, start + 20);
-  t.deepEqual(granted.map(({ request }) => request.callIdentifier), ["nested"]);
+  t.deepEqual(granted.map(({ request }) => request.offerIdentifier), [
+    "nested",
+  ]);
 });
 
 test("overload: the next slot goes to a short call before a long one of the same time, and to a long one before much newer short ones", (t) => {
@@ -343,12 +347,12 @@
       { now: shortAt },
     );
     releaseSlot(gate, {
-      callIdentifier: "running",
+      offerIdentifier: "running",
       answered: true,
       now: shortAt + 1,
     });
     return processGateQueue(gate, shortAt + 1).granted
-      .map(({ request }) => request.callIdentifier);
+      .map(({ request }) => request.offerIdentifier);
   };
   t.deepEqual(grantNext(start), ["short"]);
   t.deepEqual(grantNext(start + 1_200), ["long"]);
@@ -385,11 +389,11 @@
   );
   requestSlot(gate, createShare("b1", "modest"), { now: start + 5 });
   requestSlot(gate, createShare("b2", "modest"), { now: start + 5 });
-  const order = ["a1", "a2", "a3"].flatMap((callIdentifier) => {
+  const order = ["a1", "a2", "a3"].flatMap((offerIdentifier) => {
     const now = start + 10;
-    releaseSlot(gate, { callIdentifier, answered: true, now });
+    releaseSlot(gate, { offerIdentifier, answered: true, now });
     return processGateQueue(gate, now).granted
-      .map(({ request }) => request.callIdentifier);
+      .map(({ request }) => request.offerIdentifier);
   });
   t.deepEqual(order.slice(0, 2), ["b1", "a5"]);
 });
--- a/src/gate/slot_request.ts
+++ b/src/gate/slot_request.ts
@@ -1,6 +1,7 @@
 /** A request for a slot of the backend server for one call. */
 export interface SlotRequest {
-  readonly callIdentifier: string;
+  /** Identifies the offer among all offers of all calls; a later offer of the same call may arrive before this one has ended. */
+  readonly offerIdentifier: string;
   /** Name of the call's route. */
   readonly route: string;
   /** Returns what identifies the request when it comes again; computed at the first use. */
--- a/src/mesh/gate_offer.ts
+++ b/src/mesh/gate_offer.ts
@@ -5,8 +5,7 @@
  * a slot, and the data that forwarding needs.
  */
 export interface GateOffer extends Omit<SlotRequest, "getFingerprint"> {
-  /** Identifies this offer among all offers of all calls. */
-  readonly offerIdentifier: string;
+  readonly callIdentifier: string;
   readonly service: string;
   /** Identifier of the intended incarnation. */
   readonly identifier: string;
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -53,7 +53,7 @@
   /** The feed that neighbours may follow. */
   readonly feed: SourceFeed;
   readonly gate: GateState;
-  /** Calls that wait for a slot, by call identifier. */
+  /** Calls that wait for a slot, by offer identifier. */
   readonly slotWaiters: Map<string, SlotWaiter>;
   /** Triggers the next processing of the gate's queue. */
   gateTimer: TimerHandle | undefined;
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -58,8 +58,8 @@
     )
     .with({ kind: SlotDecisionKind.Queued }, async () => {
       reportQueued(node, offer);
-      const { callIdentifier } = offer;
-      return await waitForSlot(node, { callIdentifier, signal }) ??
+      const { offerIdentifier } = offer;
+      return await waitForSlot(node, { offerIdentifier, signal }) ??
         await runOffer();
     })
     .exhaustive();
--- a/src/mesh/process_waiting_calls.ts
+++ b/src/mesh/process_waiting_calls.ts
@@ -9,11 +9,11 @@
 export function processWaitingCalls(node: MeshNode): void {
   const queueUpdate = processGateQueue(node.gate, node.clock.now());
   queueUpdate.refused.forEach(({ request }) => {
-    const waiter = removeWaiter(node, request.callIdentifier);
+    const waiter = removeWaiter(node, request.offerIdentifier);
     waiter?.onRefused(queueUpdate.reason, queueUpdate.retryMilliseconds);
   });
   queueUpdate.granted.forEach(({ request }) =>
-    removeWaiter(node, request.callIdentifier)?.onGranted()
+    removeWaiter(node, request.offerIdentifier)?.onGranted()
   );
   node.gateTimer?.cancel();
   node.gateTimer = undefined;
@@ -22,8 +22,8 @@
   node.gateTimer = node.timers.at(instant, () => processWaitingCalls(node));
 }
 
-function removeWaiter(node: MeshNode, callIdentifier: string) {
-  const waiter = node.slotWaiters.get(callIdentifier);
-  node.slotWaiters.delete(callIdentifier);
+function removeWaiter(node: MeshNode, offerIdentifier: string) {
+  const waiter = node.slotWaiters.get(offerIdentifier);
+  node.slotWaiters.delete(offerIdentifier);
   return waiter;
 }
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -44,12 +44,12 @@
   },
 ): Promise<OfferOutcome> {
   const { offer, getFingerprint, signal } = options;
-  const { callIdentifier, idempotent } = offer;
+  const { callIdentifier, offerIdentifier, idempotent } = offer;
   const startedAt = node.clock.now();
   // The request may have been quarantined while it waited for its slot.
   const retryMilliseconds = getQuarantineMilliseconds(node, getFingerprint);
   if (retryMilliseconds > 0) {
-    release(node, { callIdentifier, answered: false });
+    release(node, { offerIdentifier, answered: false });
     return createQuarantineOfferRefusal(node, { retryMilliseconds });
   }
   const forwarded = selectBackendHeaders(node, {
@@ -67,7 +67,7 @@
     idempotent,
     signal,
   }).catch((error: unknown) => {
-    release(node, { callIdentifier, answered: false });
+    release(node, { offerIdentifier, answered: false });
     throw error;
   });
   // The result of an exchange that the caller cancelled does not show the state
@@ -85,13 +85,13 @@
     const hasCrashed = !signal.aborted &&
       exchange.kind === BackendExchangeKind.Broken &&
       await checkServerCrash(node);
-    release(node, { callIdentifier, answered: false });
+    release(node, { offerIdentifier, answered: false });
     return hasCrashed
       ? createCrashOutcome(node)
       : createFailedOutcome(node, exchange.kind);
   }
   const { answer } = exchange;
-  releaseAtClose(node, { callIdentifier, getFingerprint, answer, signal });
+  releaseAtClose(node, { offerIdentifier, getFingerprint, answer, signal });
   return {
     kind: OfferOutcomeKind.Answered,
     status: answer.statusCode ?? 0,
@@ -105,7 +105,7 @@
 
 function release(
   node: MeshNode,
-  options: { readonly callIdentifier: string; readonly answered: boolean },
+  options: { readonly offerIdentifier: string; readonly answered: boolean },
 ): void {
   releaseSlot(node.gate, { ...options, now: node.clock.now() });
   processWaitingCalls(node);
@@ -114,13 +114,13 @@
 function releaseAtClose(
   node: MeshNode,
   options: {
-    readonly callIdentifier: string;
+    readonly offerIdentifier: string;
     readonly getFingerprint: () => string;
     readonly answer: IncomingMessage;
     readonly signal: CallSignal;
   },
 ): void {
-  const { callIdentifier, getFingerprint, answer, signal } = options;
+  const { offerIdentifier, getFingerprint, answer, signal } = options;
   function onClose(): void {
     if (answer.complete) {
       const now = node.clock.now();
@@ -131,7 +131,7 @@
     } else if (!signal.aborted) {
       void checkServerCrash(node);
     }
-    release(node, { callIdentifier, answered: answer.complete });
+    release(node, { offerIdentifier, answered: answer.complete });
   }
   if (answer.closed) {
     onClose();
--- a/src/mesh/wait_for_slot.ts
+++ b/src/mesh/wait_for_slot.ts
@@ -12,18 +12,18 @@
  */
 export function waitForSlot(
   node: MeshNode,
-  options: { readonly callIdentifier: string; readonly signal: CallSignal },
+  options: { readonly offerIdentifier: string; readonly signal: CallSignal },
 ): Promise<OfferOutcome | undefined> {
-  const { callIdentifier, signal } = options;
+  const { offerIdentifier, signal } = options;
   const waiting = new Promise<OfferOutcome | undefined>((resolve) => {
     function onAbort(): void {
-      node.slotWaiters.delete(callIdentifier);
-      cancelSlotRequest(node.gate, callIdentifier);
+      node.slotWaiters.delete(offerIdentifier);
+      cancelSlotRequest(node.gate, offerIdentifier);
       const reason = RefusalReason.CallerLeft;
       resolve(createOfferRefusal(node, { reason, retryMilliseconds: 0 }));
     }
     signal.addEventListener("abort", onAbort, { once: true });
-    node.slotWaiters.set(callIdentifier, {
+    node.slotWaiters.set(offerIdentifier, {
       onGranted: () => {
         signal.removeEventListener("abort", onAbort);
         resolve(undefined);
--- a/src/testing/balancing/run_modelled_call.ts
+++ b/src/testing/balancing/run_modelled_call.ts
@@ -39,7 +39,11 @@
   });
   schedule(endsAt, () => {
     view.inFlight -= 1;
-    releaseSlot(gate, { callIdentifier, answered: true, now: endsAt });
+    releaseSlot(gate, {
+      offerIdentifier: callIdentifier,
+      answered: true,
+      now: endsAt,
+    });
     const milliseconds = getRouteServiceMilliseconds(gate, route);
     if (view.load !== undefined) {
       view.load = { ...view.load, routeService: { route, milliseconds } };
--- a/src/testing/gate/simulate_overload.ts
+++ b/src/testing/gate/simulate_overload.ts
@@ -116,7 +116,7 @@
     requestedAt.set(caller.identifier, now);
     const goalDeadline = caller.startedAt + goalMilliseconds;
     const decision = admission.request(gate, {
-      callIdentifier: caller.identifier,
+      offerIdentifier: caller.identifier,
       getFingerprint: () => caller.identifier,
       route: "catalogo",
       priority: 2,
@@ -138,7 +138,7 @@
 
   function completeCall(caller: Caller, now: number): void {
     releaseSlot(gate, {
-      callIdentifier: caller.identifier,
+      offerIdentifier: caller.identifier,
       answered: true,
       now,
     });
@@ -167,10 +167,10 @@
       now,
     );
     granted.forEach(({ request }) =>
-      startCall(callers.get(request.callIdentifier)!, now)
+      startCall(callers.get(request.offerIdentifier)!, now)
     );
     refused.forEach(({ request }) =>
-      refuse(callers.get(request.callIdentifier)!, now, retryMilliseconds)
+      refuse(callers.get(request.offerIdentifier)!, now, retryMilliseconds)
     );
   }
   return {
