Answer calls that wait for a slot when their node stops

Cause: the calls waited at the gate of another node, with a wait deadline past the end of the stop. The stopping node destroyed its connections at the latest end of its stop, and had no means to learn whether they had started.

Ruled out: the node's own gate, which closes 1 s after the signal and refuses its queue; backend servers, which had begun none of the calls; a late second miss of readiness, which only changes how many calls wait.

Change: in the last fifth of its stop a node makes no further offer and withdraws the open ones. The other node refuses a withdrawn offer that has no slot yet, fences one that has not arrived, and lets a running one go on. At the latest end the calls that still run are answered with 502, outcome unknown.

--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -36,6 +36,8 @@
   RetryBudgetSpent = "retry-budget-spent",
   /** The outcome was queried before the call arrived, so the call was fenced. */
   Fenced = "fenced",
+  /** The node that offered the call took it back before it had a slot. */
+  OfferWithdrawn = "offer-withdrawn",
   /**
    * The connection was lost after the call was forwarded, and the outcome could
    * not be determined.
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -120,6 +120,12 @@
     detail: "The request was refused and the nodes make no more tries for now",
     retryMilliseconds: 1000,
   },
+  [RefusalReason.OfferWithdrawn]: {
+    status: 503,
+    title: "Offer withdrawn",
+    detail: "The node that received the call stops; the call will not run",
+    retryMilliseconds: 0,
+  },
   [RefusalReason.Fenced]: {
     status: 503,
     title: "Call fenced",
--- a/src/command_line/describe_refusal_reason.ts
+++ b/src/command_line/describe_refusal_reason.ts
@@ -30,6 +30,8 @@
   [RefusalReason.NoBackendServer]:
     "no backend server of the service might receive calls",
   [RefusalReason.RetryBudgetSpent]: "the retry budget was spent",
+  [RefusalReason.OfferWithdrawn]:
+    "the node that offered it was stopping and withdrew it",
   [RefusalReason.Fenced]: "its outcome was queried before it arrived",
   [RefusalReason.ContactLost]: "contact was lost after the call had been sent",
   [RefusalReason.AnswerBroken]:
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -90,10 +90,12 @@
     retryCounts: new Map(),
     answerBytes: new Map(),
     longestRemainingMilliseconds: new Map(),
-    callerCalls: 0,
+    callerCalls: new Set(),
+    outgoingOffers: new Map(),
     isLearningWithdrawals: false,
     stopping: false,
     refusesCallersAt: Number.POSITIVE_INFINITY,
+    offersEndAt: Number.POSITIVE_INFINITY,
     gateClosesAt: Number.POSITIVE_INFINITY,
   };
 }
--- a/src/mesh/get_mesh_gauges.ts
+++ b/src/mesh/get_mesh_gauges.ts
@@ -30,7 +30,7 @@
     leaving: gate.departure !== undefined,
     open: gate.closedReason === undefined &&
       gate.condition !== ServerCondition.Down,
-    callerCalls: node.callerCalls,
+    callerCalls: node.callerCalls.size,
     quotasOwned: Array.from(node.quotas.granters.values())
       .filter(({ establishedAt }) => establishedAt <= node.clock.now()).length,
     quotaOwnersUnreachable: Array.from(node.quotas.holders.values())
--- a/src/mesh/join_caller_pipeline.ts
+++ b/src/mesh/join_caller_pipeline.ts
@@ -30,7 +30,7 @@
   if (!tryJoinPipeline(pipeline, pipelined)) refuse();
 
   function beginRequest(): void {
-    node.callerCalls += 1;
+    node.callerCalls.add(cancellation);
     response.once("close", handleClose);
     begin({
       cancellation,
@@ -45,13 +45,13 @@
   function handleClose(): void {
     if (!pipeline.begun.has(pipelined)) return;
     if (!response.writableFinished) cancellation.abort();
-    node.callerCalls -= 1;
+    node.callerCalls.delete(cancellation);
     leavePipeline(pipeline, pipelined);
   }
 
   /** The response of a request behind others does not report the end of the connection. */
   function cancel(): void {
-    node.callerCalls -= 1;
+    node.callerCalls.delete(cancellation);
     cancellation.abort();
   }
 }
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -103,8 +103,10 @@
    * milliseconds, by route.
    */
   readonly longestRemainingMilliseconds: Map<string, number>;
-  /** Number of callers' calls that have no response yet. */
-  callerCalls: number;
+  /** Cancellations of the callers' calls that have no response yet. */
+  readonly callerCalls: Set<AbortController>;
+  /** Hosts of the offers to other nodes that have no outcome yet, by offer identifier. */
+  readonly outgoingOffers: Map<string, string>;
   /** Whether this node waits for what its neighbours know as withdrawn. */
   isLearningWithdrawals: boolean;
   stopping: boolean;
@@ -113,6 +115,11 @@
    * the Unix epoch; infinity before a stop.
    */
   refusesCallersAt: number;
+  /**
+   * When a stopping node ends the waits of its calls and makes no further offer,
+   * in milliseconds since the Unix epoch; infinity before a stop.
+   */
+  offersEndAt: number;
   /**
    * When a stopping node closes its gate, in milliseconds since the Unix epoch;
    * infinity before a stop.
--- a/src/mesh/offer_header.ts
+++ b/src/mesh/offer_header.ts
@@ -19,6 +19,8 @@
    * milliseconds.
    */
   Recorded = "catkinquay-offers-recorded",
+  /** On a request: the identifiers of offers that the sender withdraws. */
+  Withdraw = "catkinquay-withdraw-offers",
   /**
    * On a request: the position, as `ERA.REVISION`, after which the sender
    * follows the changes of the source.
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -38,6 +38,10 @@
       retryMilliseconds: unavailableRetryMilliseconds,
     });
   }
+  if (node.offers.withdrawn.has(offer.offerIdentifier)) {
+    const reason = RefusalReason.OfferWithdrawn;
+    return createOfferRefusal(node, { reason, retryMilliseconds: 0 });
+  }
   adoptStatedLimit(node, offer);
   const offeredAt = node.clock.now();
   const getFingerprint = createFingerprintGetter(request, offer);
--- a/src/mesh/process_call.ts
+++ b/src/mesh/process_call.ts
@@ -22,6 +22,7 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { sendOffer } from "./send_offer.ts";
+import { tryRefuseAtStop } from "./try_refuse_at_stop.ts";
 import { tryRefuseQuarantinedCall } from "./try_refuse_quarantined_call.ts";
 import { tryRefuseWithoutRoom } from "./try_refuse_without_room.ts";
 
@@ -41,6 +42,8 @@
   const progress = createCallProgress(plan);
   // Sequential, since the next candidate depends on the last outcome.
   while (!plan.signal.aborted) {
+    const stopped = tryRefuseAtStop(node, progress);
+    if (stopped !== undefined) return stopped;
     const quarantined = tryRefuseQuarantinedCall(node, progress);
     if (quarantined !== undefined) return quarantined;
     const refused = tryRefuseWithoutRoom(node, progress);
@@ -68,7 +71,10 @@
 ): Promise<CallResult | undefined> {
   const { entry, view } = candidate;
   const offeredAt = node.clock.now();
-  const waitDeadline = getWaitDeadline(progress, { candidate, now: offeredAt });
+  const waitDeadline = Math.min(
+    getWaitDeadline(progress, { candidate, now: offeredAt }),
+    node.offersEndAt,
+  );
   progress.excluded.add(entry.identifier);
   view.inFlight += 1;
   try {
--- a/src/mesh/send_offer.ts
+++ b/src/mesh/send_offer.ts
@@ -42,13 +42,16 @@
     callsPerSecondLimit: view.callsPerSecondLimit,
   };
   const { signal, request } = plan;
-  const { listeners } = node.settings;
-  return isOwnAddress(node.settings, entry.address)
-    ? offerToOwnServer(node, request, { offer, signal })
-    : offerToNode(node, request, {
-      offer,
-      signal,
-      canRetry: options.canRetry,
-      address: { host: entry.address.host, port: listeners.nodes.port },
-    });
+  if (isOwnAddress(node.settings, entry.address)) {
+    return offerToOwnServer(node, request, { offer, signal });
+  }
+  const { host } = entry.address;
+  const { offerIdentifier } = offer;
+  node.outgoingOffers.set(offerIdentifier, host);
+  return offerToNode(node, request, {
+    offer,
+    signal,
+    canRetry: options.canRetry,
+    address: { host, port: node.settings.listeners.nodes.port },
+  }).finally(() => node.outgoingOffers.delete(offerIdentifier));
 }
--- a/src/mesh/serve_peer.ts
+++ b/src/mesh/serve_peer.ts
@@ -7,13 +7,14 @@
 import { serveFeed } from "./serve_feed.ts";
 import { serveOffer } from "./serve_offer.ts";
 import { serveOfferStatus } from "./serve_offer_status.ts";
+import { serveOfferWithdrawal } from "./serve_offer_withdrawal.ts";
 import { serveQuotaMessage } from "./serve_quota_message.ts";
 
 const okStatus = 200;
 
 /**
  * Serves a request of another node: the offer of a call, a query for the status
- * of one, evidence of crashes, what was withdrawn, a message about a quota, or a
+ * of one, the withdrawal of some, evidence of crashes, what was withdrawn, a message about a quota, or a
  * subscription to the feed.
  */
 export function servePeer(
@@ -29,6 +30,14 @@
     });
     return;
   }
+  const withdrawn = request.headers[OfferHeader.Withdraw];
+  if (withdrawn !== undefined) {
+    serveOfferWithdrawal(node, request, {
+      offers: String(withdrawn),
+      response,
+    });
+    return;
+  }
   const purpose = request.headers[OfferHeader.CrashEvidence];
   if (purpose !== undefined) {
     serveCrashEvidence(node, request, { purpose: String(purpose), response });
--- a/src/offers/create_offer_records.ts
+++ b/src/offers/create_offer_records.ts
@@ -5,6 +5,7 @@
 export function createOfferRecords(): OfferRecords {
   return {
     held: new Set(),
+    withdrawn: new Set(),
     // A status has no body, so nothing is ever stripped.
     recent: createExpiringMap({
       maximumBytes: 0,
--- a/src/offers/offer_records.ts
+++ b/src/offers/offer_records.ts
@@ -5,6 +5,8 @@
 export interface OfferRecords {
   /** Identifiers of the offers that have no reply yet. */
   readonly held: Set<string>;
+  /** Identifiers of held offers that must not start any more. */
+  readonly withdrawn: Set<string>;
   /** Offers that had a reply, and those queried before they arrived. */
   readonly recent: ExpiringMap<OfferStatus.Ended | OfferStatus.NotReceived>;
 }
--- a/src/offers/release_offer.ts
+++ b/src/offers/release_offer.ts
@@ -12,6 +12,7 @@
 ): void {
   const { offerIdentifier, now } = options;
   records.held.delete(offerIdentifier);
+  records.withdrawn.delete(offerIdentifier);
   records.recent.set(
     offerIdentifier,
     OfferStatus.Ended,
