Send each attempt of a call on a connection without earlier ones

Cause: a second copy of the rejection of a first attempt arrives where the answer to the second attempt is expected. Both have the identifier of the call, and the second attempt used the same kept connection, so the copy was taken for its answer.

Ruled out: the check of the identifier, which recognises copies for other calls; answers without an identifier, which end their connection.

Change: the node beside the backend server records the calls that it has sent until their deadlines. A further attempt of such a call gets a new connection.

--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -7,6 +7,7 @@
 import { createMeshMetrics } from "./create_mesh_metrics.ts";
 import { createMeshView } from "./create_mesh_view.ts";
 import { createQuotaState } from "./create_quota_state.ts";
+import { createSentCalls } from "./create_sent_calls.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { MeshReporter } from "./mesh_reporter.ts";
 import type { MeshSettings } from "./mesh_settings.ts";
@@ -75,6 +76,7 @@
     backendAgent: createConnectionAgent(backendIdleMilliseconds),
     probeAgent: createConnectionAgent(backendIdleMilliseconds),
     recentBackendAgent: createConnectionAgent(recentIdleMilliseconds),
+    sentCalls: createSentCalls(),
     nodesAgent: createConnectionAgent(nodeIdleMilliseconds),
     offerConnections: { open: new Map(), nextAttemptAt: new Map() },
     servedConnections: new Set(),
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { ServiceLoad } from "../balancing/service_load.ts";
+import type { ExpiringMap } from "../calls/expiring_map.ts";
 import type { ServiceCapacity } from "../capacity/service_capacity.ts";
 import type { GateState } from "../gate/gate_state.ts";
 import type { RulesConfirmation } from "../organisations/rules_confirmation.ts";
@@ -71,6 +72,8 @@
    * probe names no call, so a second copy of it must not meet a call.
    */
   readonly probeAgent: Agent;
+  /** Calls that were sent to the backend server of this VM and may have a further attempt. */
+  readonly sentCalls: ExpiringMap<true>;
   /** Connections to other nodes. */
   readonly nodesAgent: Agent;
   /** Connections to other nodes that carry many offers at a time. */
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -65,6 +65,7 @@
   const exchange = await sendToBackendServer(node, { ...request, headers }, {
     callIdentifier,
     idempotent,
+    deadline: offer.deadline,
     signal,
   }).catch((error: unknown) => {
     release(node, { offerIdentifier, answered: false });
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -2,6 +2,7 @@
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
+import { chooseBackendAgent } from "./choose_backend_agent.ts";
 import type { CallRequest } from "./call_request.ts";
 import type { CallSignal } from "./call_signal.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
@@ -19,7 +20,8 @@
  * Sends a request to the backend server of this VM.
  *
  * An answer that names another call is rejected: a backend server may send a
- * second answer, or a late one to an earlier request. A success must also name
+ * second answer, or a late one to an earlier request. One to an earlier attempt of
+ * this call names the same call, so each attempt has a connection of its own. A success must also name
  * this call, be signed and have no content encoding. Aborting `signal` closes
  * the connection, which signals the backend server to stop.
  */
@@ -29,6 +31,8 @@
   options: {
     readonly callIdentifier: string;
     readonly idempotent: boolean;
+    /** Instant after which the call has no further attempt, in milliseconds since the Unix epoch. */
+    readonly deadline: number;
     readonly signal: CallSignal;
   },
 ): Promise<BackendExchange> {
@@ -36,7 +40,7 @@
   return new Promise((resolve) => {
     let received: IncomingMessage | undefined;
     const outgoing = sendRequest({
-      agent: options.idempotent ? node.backendAgent : node.recentBackendAgent,
+      agent: chooseBackendAgent(node, options),
       host: backendServer.host,
       port: backendServer.port,
       method: request.method,
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -52,6 +52,7 @@
       now,
     });
     node.offers.recent.sweep(now);
+    node.sentCalls.sweep(now);
     deleteExpiredSuspects(node.quarantine, now);
     probeBackendServer(node);
     updateGate(node);
