Read small changes of the source beside a slow response

Zones that are taken out wait in the same way.

Ruled out: the interval between reads alone, and the feed between nodes (the case holds without the versions, and the links between nodes are not limited).

--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -1,6 +1,7 @@
 import type { Listener } from "../daemon/listener.ts";
 import { endFeed } from "../source/end_feed.ts";
 import { followSource } from "../source/follow_source.ts";
+import { publishFeedPart } from "../source/publish_feed_part.ts";
 import type { SourceClient } from "../source/source_client.ts";
 import type { SourceFollower } from "../source/source_follower.ts";
 import { applyCallerLimits } from "./apply_caller_limits.ts";
@@ -61,6 +62,17 @@
         // Before the first return of the source nothing can have been lost.
         if (reading.era > 0) void queryWithdrawals(node);
       },
+      onPartReading: (reading) => {
+        const now = node.clock.now();
+        if (reading.era !== node.view.sourceEra) return;
+        publishFeedPart(node.feed, reading, { now });
+        applySourceReading(node.view, reading, { complete: false, now })
+          .forEach(node.report.viewChange);
+        removeUnregisteredGateViews(node);
+        updateGate(node);
+      },
+      onPartFailure: (part, failure) =>
+        node.report.state("source", { state: "part-lost", part, ...failure }),
       onLost: (failure) => {
         setSourceAvailableSince(node.view, {
           sourceAvailableSince: Number.POSITIVE_INFINITY,
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -49,12 +49,15 @@
         respond(
           waitMilliseconds > 0 ? `after ${revision}` : `at once ${revision}`,
         ),
+      readPart: () => Promise.resolve(ok([], 0)),
       close: () => undefined,
     },
     handler: {
       onReadStart: () => undefined,
       onReading: ({ items }, { complete }) =>
         events.push(`${complete ? "complete" : "changes"} ${items.length}`),
+      onPartReading: () => undefined,
+      onPartFailure: () => undefined,
       onLost: ({ kind }) => events.push(`lost ${kind}`),
       onRegained: () => events.push("regained"),
     },
--- a/src/source/source_handler.ts
+++ b/src/source/source_handler.ts
@@ -1,4 +1,5 @@
 import type { SourceFailure } from "./source_failure.ts";
+import type { SourcePart } from "./source_part.ts";
 import type { SourceReading } from "./source_reading.ts";
 
 /** Handles the readings and failures of the source. */
@@ -15,6 +16,10 @@
       readonly direct: boolean;
     },
   ): void;
+  /** Called for each reading of a part while a read of the whole source is slow. */
+  onPartReading(reading: SourceReading): void;
+  /** Called if such a read fails. */
+  onPartFailure(part: SourcePart, failure: SourceFailure): void;
   /** Called for the first failure at the start and after a successful read. */
   onLost(failure: SourceFailure): void;
   /** Called before the first reading at the start and after a failure. */
--- a/src/testing/mesh/create_source_fake.ts
+++ b/src/testing/mesh/create_source_fake.ts
@@ -90,6 +90,8 @@
           ? Result.err(historyLostFailure)
           : respond(() => ({ items: getChanges(), era, revision }));
       },
+      readPart: () =>
+        Promise.resolve(respond(() => ({ items: [], era, revision }))),
       close: () => {
         closed = true;
       },
--- a/src/testing/mesh/start_key_stage.ts
+++ b/src/testing/mesh/start_key_stage.ts
@@ -106,6 +106,7 @@
       watches.push(waitMilliseconds);
       return respond(waitMilliseconds);
     },
+    readPart: () => respond(0),
     close: () => undefined,
   };
   const follower = followMeshSource(node, { client, callers: undefined });
