Answer a rejection without the statement "not run" with an unknown outcome

Cause, reproduced here: a backend server answers a non-idempotent call with 503, 429 or 408 and without its statement that the call has not run. The node passed the answer on as it was, and its status promises the caller that the call has not run and never will.

Ruled out by reading each path that ends with a refusal: offers that were not sent, connections rejected before the request was written, fences, the queue of a gate, the quarantine, the raw refusals of a listener.

Change: such an answer to a non-idempotent call counts as a loss; the caller gets 502 with the outcome "unknown". Idempotent calls get it unchanged. The decision on a complete answer is a synchronous function of its own now, and so is the classification of an answer.

--- a/src/calls/refusal_reason.ts
+++ b/src/calls/refusal_reason.ts
@@ -45,6 +45,8 @@
   ContactLost = "contact-lost",
   /** The answer of the backend server was truncated or malformed. */
   AnswerBroken = "answer-broken",
+  /** The backend server rejected the call, but did not state that it has not run. */
+  RejectionUnconfirmed = "rejection-unconfirmed",
   /** An unexpected error ended the call at the node. */
   InternalError = "internal-error",
   /** The route requires an API key, and the request has none. */
--- a/src/calls/refusal_table.ts
+++ b/src/calls/refusal_table.ts
@@ -146,6 +146,13 @@
     detail: "The answer of the backend server was cut or malformed",
     retryMilliseconds: 1000,
   },
+  [RefusalReason.RejectionUnconfirmed]: {
+    status: 502,
+    title: "Rejection not confirmed",
+    detail:
+      "The backend server rejected the request and did not state that it has not run",
+    retryMilliseconds: 1000,
+  },
   [RefusalReason.InternalError]: {
     status: 502,
     title: "Internal error",
--- a/src/command_line/describe_refusal_reason.ts
+++ b/src/command_line/describe_refusal_reason.ts
@@ -30,6 +30,8 @@
   [RefusalReason.NoBackendServer]:
     "no backend server of the service might receive calls",
   [RefusalReason.RetryBudgetSpent]: "the retry budget was spent",
+  [RefusalReason.RejectionUnconfirmed]:
+    "the backend server rejected it without stating that it had not run",
   [RefusalReason.OfferWithdrawn]:
     "the node that offered it was stopping and withdrew it",
   [RefusalReason.Fenced]: "its outcome was queried before it arrived",
--- a/src/mesh/handle_offer_answer.ts
+++ b/src/mesh/handle_offer_answer.ts
@@ -1,22 +1,16 @@
 import type { GateCandidate } from "../balancing/gate_candidate.ts";
-import { recordAnswer } from "../balancing/record_answer.ts";
 import type { CallProgress } from "./call_progress.ts";
 import type { CallResult } from "./call_result.ts";
-import { CallResultKind } from "./call_result_kind.ts";
 import { collectAnswerBody } from "./collect_answer_body.ts";
+import { handleCompleteAnswer } from "./handle_complete_answer.ts";
 import { handleOfferLoss } from "./handle_offer_loss.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import type { OfferOutcomeKind } from "./offer_outcome_kind.ts";
-import { recordAnswerBytes } from "./record_answer_bytes.ts";
-import { tryStartRetry } from "./try_start_retry.ts";
-
-const failureStatusMinimum = 500;
 
 /**
- * Handles the answer of a backend server. A failed answer is kept as the
- * fallback and the call is retried if that is safe; returns undefined in that
- * case.
+ * Reads the answer of a backend server and handles it. Returns undefined if the
+ * call is retried or was cancelled.
  */
 export async function handleOfferAnswer(
   node: MeshNode,
@@ -36,28 +30,12 @@
     const reason = body.error;
     return handleOfferLoss(node, progress, { candidate, reason, offeredAt });
   }
-  progress.attempts += 1;
-  // Without a length, the end of an answer may be its regular end or a break.
-  const failed = answered.status >= failureStatusMinimum || !answered.framed;
-  const route = progress.plan.route.name;
-  recordAnswer(candidate.view, {
-    route,
-    elapsedMilliseconds: node.clock.now() - offeredAt,
-    failed,
-    now: node.clock.now(),
-  });
-  recordAnswerBytes(node, { route, bytes: body.value.held.byteLength });
-  const result: CallResult = {
-    kind: CallResultKind.Answered,
-    status: answered.status,
-    headers: answered.headers,
+  const { status, headers } = answered;
+  return handleCompleteAnswer(node, progress, {
+    candidate,
+    status,
+    headers,
     body: body.value,
-    backendServer: candidate.entry.identifier,
-  };
-  if (!failed) return result;
-  // A backend server that returns a failure has begun to run the request.
-  progress.mayHaveRun = true;
-  if (!tryStartRetry(node, progress)) return result;
-  progress.fallback = result;
-  return undefined;
+    offeredAt,
+  });
 }
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -1,8 +1,8 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
-import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import { chooseBackendAgent } from "./choose_backend_agent.ts";
+import { classifyBackendAnswer } from "./classify_backend_answer.ts";
 import type { CallRequest } from "./call_request.ts";
 import type { CallSignal } from "./call_signal.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
@@ -11,11 +11,6 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { sendWhenConnected } from "./send_when_connected.ts";
 
-/** Lower status codes are interim, or not defined. */
-const finalStatusMinimum = 200;
-const successStatusMinimum = 200;
-const successStatusMaximum = 299;
-
 /**
  * Sends a request to the backend server of this VM.
  *
@@ -55,7 +50,7 @@
     outgoing.once("response", (answer) => {
       received = answer;
       const head = node.dialect.readBackendAnswerHead(answer);
-      const kind = classifyAnswer(answer, {
+      const kind = classifyBackendAnswer(answer.statusCode ?? 0, {
         head,
         callIdentifier: options.callIdentifier,
       });
@@ -117,27 +112,3 @@
     (request.method === "GET" || request.method === "HEAD");
   return bodyless ? [] : ["content-length", String(request.body.length)];
 }
-
-function classifyAnswer(
-  answer: IncomingMessage,
-  options: {
-    readonly head: BackendAnswerHead;
-    readonly callIdentifier: string;
-  },
-) {
-  const { head, callIdentifier } = options;
-  const isForOtherCall = head.callIdentifier !== undefined &&
-    head.callIdentifier !== callIdentifier;
-  if (isForOtherCall) return BackendExchangeKind.Broken;
-  if (head.misdirected) return BackendExchangeKind.Misdirected;
-  if (head.notRun) return BackendExchangeKind.NotRun;
-  const status = answer.statusCode ?? 0;
-  if (status < finalStatusMinimum) return BackendExchangeKind.Broken;
-  const isSuccess = status >= successStatusMinimum &&
-    status <= successStatusMaximum;
-  const isTrusted = head.signed && head.callIdentifier === callIdentifier &&
-    !head.encoded;
-  return isSuccess && !isTrusted
-    ? BackendExchangeKind.Broken
-    : BackendExchangeKind.Answered;
-}
