Count the credits of a split in calls, not in weights

A target of weight 0 could be chosen by an old credit when it came first.

Ruled out: a version that is not in force; the new weights were used.

Change: each call adds a target's share of the weights to its credit, which stays below one call. Targets of weight 0 take no part.

--- a/src/routing/choose_target.ts
+++ b/src/routing/choose_target.ts
@@ -5,27 +5,27 @@
  * Chooses the service of the next call by smooth weighted round robin: any
  * sequence of calls is divided nearly in proportion to the weights. Updates the
  * credits in `state`. Returns an empty string for a route without targets.
+ *
+ * A credit counts calls, not weights, so that it stays below one call when the
+ * rules state weights of another scale.
  */
 export function chooseTarget(route: CallRoute, state: SplitState): string {
   const [first] = route.targets;
   if (first === undefined) return "";
   if (route.targets.length === 1) return first.service;
-  const totalWeight = route.targets.reduce(
-    (sum, target) => sum + target.weight,
-    0,
+  const weighted = route.targets.filter(({ weight }) => weight > 0);
+  const [firstWeighted] = weighted;
+  if (firstWeighted === undefined) return first.service;
+  const totalWeight = weighted.reduce((sum, { weight }) => sum + weight, 0);
+  const getCredit = ({ service }: { readonly service: string }) =>
+    state.get(service) ?? 0;
+  weighted.forEach((target) =>
+    state.set(target.service, getCredit(target) + target.weight / totalWeight)
   );
-  route.targets.forEach(({ service, weight }) =>
-    state.set(service, (state.get(service) ?? 0) + weight)
+  const chosen = weighted.reduce(
+    (best, target) => getCredit(target) > getCredit(best) ? target : best,
+    firstWeighted,
   );
-  const chosen = route.targets
-    .filter(({ weight }) => weight > 0)
-    .reduce(
-      (best, target) =>
-        (state.get(target.service) ?? 0) > (state.get(best.service) ?? 0)
-          ? target
-          : best,
-      first,
-    ).service;
-  state.set(chosen, (state.get(chosen) ?? 0) - totalWeight);
-  return chosen;
+  state.set(chosen.service, getCredit(chosen) - 1);
+  return chosen.service;
 }
