Pass on long answers without a length in chunks

Cause: the answer was passed on without chunks, and the kernel ends the connections of a killed process in order, which completes it.

Ruled out: the backend server, which ended its answers; the break that the node sees itself, after which it resets the connection.

Change: an answer that is passed on while it arrives is sent in chunks. Shorter ones are collected and written at once as before.

--- a/src/mesh/write_call_result.ts
+++ b/src/mesh/write_call_result.ts
@@ -51,9 +51,13 @@
   options: { readonly status: number; readonly headers: readonly string[] },
 ): void {
   const { held, rest, framed } = body;
-  // Sent without a length or chunks: an answer that may have been broken off
-  // must not look complete.
-  if (!framed) response.useChunkedEncodingByDefault = false;
+  // A complete answer that the backend server sent without a length keeps that
+  // form, since it may have been broken off by the backend server. One that is
+  // passed on as it arrives is sent in chunks: the end of this process would
+  // otherwise look like its regular end.
+  if (!framed && rest === undefined) {
+    response.useChunkedEncodingByDefault = false;
+  }
   response.writeHead(options.status, [
     ...options.headers,
     ...getFramingHeaders(body),
