--- a/src/mesh/serve_offer.ts
+++ b/src/mesh/serve_offer.ts
@@ -1,30 +1,25 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { match } from "ts-pattern";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { selectForwardedHeaders } from "../calls/select_forwarded_headers.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import type { CallSignal } from "./call_signal.ts";
 import { createDisconnectController } from "./create_disconnect_controller.ts";
 import { createOfferRefusal } from "./create_offer_refusal.ts";
-import { createReplyHeaders } from "./create_reply_headers.ts";
 import { decodeOffer } from "./decode_offer.ts";
 import { detectClosedConnections } from "./detect_closed_connections.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getBodyBytesMaximum } from "./get_body_bytes_maximum.ts";
-import { getGateLoad } from "./get_gate_load.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { offerDelays } from "./offer_delays.ts";
-import { offerProtocol } from "./offer_protocol.ts";
 import { offerStatuses } from "./offer_statuses.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
-import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToOwnServer } from "./offer_to_own_server.ts";
 import { releaseOffer } from "../offers/release_offer.ts";
 import { readRequestBody } from "./read_request_body.ts";
-import type { ReplyMessage } from "./reply_message.ts";
 import { reportInternalError } from "./report_internal_error.ts";
 import { tryHoldOffer } from "../offers/try_hold_offer.ts";
+import { writeOfferOutcome } from "./write_offer_outcome.ts";
 
 /** Serves a call that another node offers to the backend server of this VM. */
 export function serveOffer(
@@ -59,7 +54,7 @@
   );
   response.once("close", () => deadlineTimer.cancel());
   processOffer(node, request, { offer, signal: cancellation.signal })
-    .then((outcome) => writeOutcome(node, response, outcome))
+    .then((outcome) => writeOfferOutcome(node, response, outcome))
     .catch((error: unknown) => {
       reportInternalError(node, { callIdentifier, error });
       // Without a reply, the other node assumes that the call may have run.
@@ -70,7 +65,7 @@
 
 function refuseFenced(node: MeshNode, response: ServerResponse): void {
   const reason = RefusalReason.Fenced;
-  writeOutcome(
+  writeOfferOutcome(
     node,
     response,
     createOfferRefusal(node, { reason, retryMilliseconds: 0 }),
@@ -135,69 +130,3 @@
     body: body.value,
   }, options);
 }
-
-function writeOutcome(
-  node: MeshNode,
-  response: ServerResponse,
-  outcome: OfferOutcome,
-): void {
-  const load = getGateLoad(node);
-  match(outcome)
-    .with({ kind: OfferOutcomeKind.Answered }, (answered) => {
-      const { kind, status, headers, framed, body } = answered;
-      response.writeHead(status, [
-        ...headers,
-        ...getLengthHeaders(answered),
-        ...createReplyHeadersOfNode(node, {
-          kind,
-          framed,
-          load: answered.load ?? load,
-        }),
-      ]);
-      // A broken answer must not look complete to the other node.
-      body.once("error", () => response.destroy());
-      body.once("aborted", () => response.destroy());
-      if (body.destroyed && !body.readableEnded) response.destroy();
-      body.pipe(response);
-    })
-    .with({ kind: OfferOutcomeKind.Refused }, (refused) => {
-      const { kind, reason, retryMilliseconds, reachedBackendServer } = refused;
-      response.writeHead(
-        offerStatuses.refused,
-        createReplyHeadersOfNode(node, {
-          kind,
-          reason,
-          retryMilliseconds,
-          reachedBackendServer,
-          load,
-        }),
-      ).end();
-    })
-    .with({ kind: OfferOutcomeKind.Lost }, ({ kind, reason }) => {
-      response.writeHead(
-        offerStatuses.lost,
-        createReplyHeadersOfNode(node, { kind, reason, load }),
-      ).end();
-    })
-    .exhaustive();
-}
-
-/** A body without a stated length is sent in chunks, which costs a further message. */
-function getLengthHeaders(
-  { bodyBytes }: { readonly bodyBytes?: number | undefined },
-): readonly string[] {
-  return bodyBytes === undefined ? [] : ["content-length", String(bodyBytes)];
-}
-
-function createReplyHeadersOfNode(
-  node: MeshNode,
-  message: ReplyMessage,
-): string[] {
-  return [
-    ...createReplyHeaders(message),
-    // A connection that is about to end must not carry another request.
-    ...(node.stopping
-      ? ["connection", "close"]
-      : [OfferHeader.Protocol, offerProtocol]),
-  ];
-}
--- a/src/source/follow_source.ts
+++ b/src/source/follow_source.ts
@@ -1,11 +1,9 @@
-import type { Result } from "true-myth";
 import type { RandomSource } from "../runtime/random_source.ts";
 import { FeedEndKind } from "./feed_end_kind.ts";
-import { followParts } from "./follow_parts.ts";
 import { getSourceReadTiming } from "./get_source_read_timing.ts";
 import type { SourceBounds } from "./source_bounds.ts";
 import type { NeighbourFeeds } from "./neighbour_feeds.ts";
-import type { SourceFailure } from "./source_failure.ts";
+import { readSource } from "./read_source.ts";
 import { SourceFailureKind } from "./source_failure_kind.ts";
 import type { SourceClient } from "./source_client.ts";
 import type { SourceFollower } from "./source_follower.ts";
@@ -74,7 +72,15 @@
     const readsAll = remainingFullReads > 0 || remainingEraReads > 0;
     const after = readsAll ? undefined : position;
     handler.onReadStart();
-    const result = await readWhole(after, timing);
+    const result = await readSource({
+      client,
+      handler,
+      wait,
+      after,
+      position,
+      waitMilliseconds: getWatchMilliseconds(timing),
+      isStopped: () => stopped,
+    });
     if (stopped) return 0;
     neighbours?.recordOwnRead({ succeeded: result.isOk });
     if (result.isErr) return handleError(result.error.kind, result.error.found);
@@ -106,34 +112,6 @@
     return mayFollowNow ? 0 : timing.intervalMilliseconds;
   }
 
-  /** Reads all items, or the changes after a position. Changes of small values are read beside it while it is slow. */
-  async function readWhole(
-    after: SourcePosition | undefined,
-    timing: SourceReadTiming,
-  ): Promise<Result<SourceReading, SourceFailure>> {
-    let parts: { readonly stop: () => void } | undefined;
-    function onSlow(): void {
-      if (position === undefined || stopped) return;
-      parts ??= followParts({
-        client,
-        wait,
-        after: position,
-        onReading: (reading) => {
-          if (!stopped) handler.onPartReading(reading);
-        },
-        onFailure: handler.onPartFailure,
-      });
-    }
-    const result = after === undefined
-      ? await client.readAll({ onSlow })
-      : await client.readChanges(after, {
-        onSlow,
-        waitMilliseconds: getWatchMilliseconds(timing),
-      });
-    parts?.stop();
-    return result;
-  }
-
   /** Switches to full reads while large values change often: all current items are smaller than all changes. */
   function scheduleFullReads({ supersededBytes = 0 }: SourceReading): void {
     remainingFullReads = supersededBytes > supersededBytesMaximum
