--- a/src/source/follow_parts.ts
+++ b/src/source/follow_parts.ts
@@ -6,7 +6,7 @@
 import type { SourceReading } from "./source_reading.ts";
 
 /** How long one read waits for a change. */
-const watchMilliseconds = 500;
+const watchMilliseconds = 1_000;
 /** Bounds the reads of a part that changes all the time. */
 const intervalMilliseconds = 100;
 const failureIntervalMilliseconds = 500;
