--- a/src/mesh/promises_not_run.ts
+++ b/src/mesh/promises_not_run.ts
@@ -1,4 +1,4 @@
-/** A caller takes each of these for the promise that its request has not run and never will. */
+/** Statuses that promise a caller that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Whether a status tells the caller that its request has not run and never will. */
--- a/src/source/follow_parts.ts
+++ b/src/source/follow_parts.ts
@@ -9,11 +9,12 @@
 const watchMilliseconds = 1_000;
 /** Bounds the reads of a part that changes all the time. */
 const intervalMilliseconds = 100;
+/** Delay of the next read of a part after one that failed. */
 const failureIntervalMilliseconds = 500;
 /**
- * Time from the start after which a part is read first. Zones may be taken out
- * later than calls may reach a draining backend server, so most slow responses
- * have arrived by then.
+ * Time from the start after which a part is read first. The operators' bound for
+ * a zone that is taken out is longer than that for a draining backend server, and
+ * most slow responses arrive within this time.
  */
 const delayMilliseconds: Readonly<Record<SourcePart, number>> = {
   [SourcePart.BackendServers]: 0,
@@ -22,9 +23,9 @@
 
 /**
  * Reads the changes of backend servers and availability zones apart from the
- * rules until it is stopped, the history is lost, or a later era begins. Used while a
- * large response is on its way: a change of a few hundred bytes would arrive only
- * after every version of the rules that was written before it.
+ * rules until it is stopped, the history is lost, or a later era begins. Used
+ * while a large response is on its way: a change of a few hundred bytes would
+ * arrive only after every version of the rules that was written before it.
  */
 export function followParts(
   options: {
