--- a/src/mesh/choose_backend_agent.ts
+++ b/src/mesh/choose_backend_agent.ts
@@ -11,7 +11,8 @@
  * A backend server may send a second copy of an answer, late, where the answer to
  * the next request on the connection is expected. All attempts of a call share
  * its identifier, so an attempt after the first gets a new connection (`false`),
- * on which no answer to an earlier attempt can arrive.
+ * on which no answer to an earlier attempt can arrive. A node that restarted knows
+ * no earlier attempts, and has none of their connections either.
  */
 export function chooseBackendAgent(
   node: MeshNode,
--- a/src/mesh/follow_mesh_source.ts
+++ b/src/mesh/follow_mesh_source.ts
@@ -62,6 +62,7 @@
         // Before the first return of the source nothing can have been lost.
         if (reading.era > 0) void queryWithdrawals(node);
       },
+      // Confirms neither the rules nor the quotas: both need a complete reading.
       onPartReading: (reading) => {
         const now = node.clock.now();
         if (reading.era !== node.view.sourceEra) return;
