--- a/review/common-2/lib.mjs
+++ b/review/common-2/lib.mjs
@@ -221,7 +221,6 @@
       items.set(key, item);
       change(item);
     },
-    /** A heartbeat changes the item only, and wakes no watch, if nothing but the number changed. */
     remove(key) {
       if (!items.delete(key)) return;
       revision += 1;
@@ -386,7 +385,7 @@
   server.keepAliveTimeout = 10_000;
   server.headersTimeout = 60_000;
 
-  /** Writes to the store what changes; a heartbeat that only counts leaves the entry as it is. */
+  /** A heartbeat. One with which nothing but its number has changed leaves the entry as it is. */
   let written;
   backend.beat = () => {
     sequence += 1;
