Break off an answer without a length when its connection was reset

Callers saw a part of an answer as the whole: a backend server answered with a 200 without a length, sent part of its body and reset the connection, also while the upload was still being written. The caller got 200, the signature, the part and a regular end.

Cause: where a reset arrives together with the last bytes, the runtime reads less than it asked for, sees the hang-up of the poll and reports the end of the connection without asking for the error. The parser takes any end of the connection for the end of such a body. The remote address of a socket that was reset cannot be read any more, that of one whose other side has ended it can, so the answer is destroyed if its address is gone at the socket's end, before the parser sees the end. A destroyed answer is not whole, whatever the parser says, so it counts neither as answered for the quarantine nor for the gate.

Ruled out: a write after the answer, which would put bytes into a connection that is in order; errors of the upload, which are not reported either.

Evidence: of reset_answer_test, the 8 tests with a reset failed before the change (40 of 40 answers of 2,500 bytes were taken for whole) and pass now; the 8 with a regular end passed before and pass now.

Not changed: a reset that follows a regular end before the node has read either cannot be told from one in the middle of the body; the caller gets 502.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -34,6 +34,7 @@
   "dist/src/mesh/late_answer_copies_test.js",
   "dist/src/mesh/pipelined_requests_test.js",
   "dist/src/mesh/repeated_offer_test.js",
+  "dist/src/mesh/reset_answer_test.js",
   "dist/src/mesh/endless_*_test.js",
   "dist/src/mesh/api_keys_fleet_test.js",
   "dist/src/mesh/query_withdrawals_test.js",
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -18,6 +18,7 @@
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import { hasOrganisations } from "./has_organisations.ts";
 import { isFramedAnswer } from "./is_framed_answer.ts";
+import { isWholeAnswer } from "./is_whole_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
@@ -123,7 +124,8 @@
 ): void {
   const { offerIdentifier, getFingerprint, answer, signal } = options;
   function onClose(): void {
-    if (answer.complete) {
+    const answered = isWholeAnswer(answer);
+    if (answered) {
       const now = node.clock.now();
       recordAnsweredRequest(node.quarantine, {
         fingerprint: getFingerprint(),
@@ -132,7 +134,7 @@
     } else if (!signal.aborted) {
       void checkServerCrash(node);
     }
-    release(node, { offerIdentifier, answered: answer.complete });
+    release(node, { offerIdentifier, answered });
   }
   if (answer.closed) {
     onClose();
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -6,6 +6,7 @@
 import type { CallRequest } from "./call_request.ts";
 import type { CallSignal } from "./call_signal.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
+import { destroyOnReset } from "./destroy_on_reset.ts";
 import { discardBody } from "./discard_body.ts";
 import { isFramedAnswer } from "./is_framed_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -61,6 +62,7 @@
         // After an early answer, the rest of this request must not share the
         // connection with the next request.
         if (!outgoing.writableFinished) outgoing.shouldKeepAlive = false;
+        destroyOnReset(answer);
         resolve({ kind, answer, head });
         return;
       }
@@ -73,7 +75,7 @@
       resolve({ kind, head });
     });
     outgoing.on("error", (error) => {
-      if (received !== undefined && !isWholeAnswer(received)) {
+      if (received !== undefined && !hasArrivedBefore(received)) {
         received.destroy(error);
       }
       resolve({ kind: classifyError(connection), found: error.message });
@@ -91,7 +93,7 @@
  * belong to no request. The parser treats any end of an answer without a length,
  * including a reset, as the end of its body.
  */
-function isWholeAnswer(answer: IncomingMessage): boolean {
+function hasArrivedBefore(answer: IncomingMessage): boolean {
   return answer.complete && isFramedAnswer(answer);
 }
 
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -56,9 +56,10 @@
   const entries = backends.map((backend, index) =>
     createEntry(backend, { index, slots: options.slots ?? defaultSlots })
   );
+  const rules = createFleetRules(service, options.route ?? {});
   source.put("rules", {
     kind: SourceValueKind.Rules,
-    rules: createFleetRules(service, options.route ?? {}),
+    rules: { ...rules, limits: { ...rules.limits, ...options.limits } },
   });
   entries.forEach(publish);
   const daemons = await Promise.all(
