Treat an answer whose status HTTP does not define as broken, whatever it states

Callers got 600 and 999 as the status of an answer. An answer with the status 000 or 099 was not passed on, but its statement that the call had not run was believed: the caller of a non-idempotent call got 503, which promises that it never runs, after a backend server in trouble had taken the request.

Cause: the parser accepts any three digits, and the status was compared with the lowest final one only after the statements of the head had been read. The status is checked first now: below 200 and above 599 the answer is broken, which ends as 502 with an unknown outcome, or as a retry where the call is idempotent.

Evidence: improper_answer_test sends such answers from a plain socket, to calls through the node of this VM and of another one, without and with the statement. After: 502 with the outcome "unknown" for all 16 calls.

Already handled: an answer with the status 000 and without a promise; its test stays.

--- a/src/mesh/classify_backend_answer.ts
+++ b/src/mesh/classify_backend_answer.ts
@@ -1,15 +1,15 @@
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
+import { isFinalStatus } from "./is_final_status.ts";
 
-/** Lower status codes are interim, or not defined. */
-const finalStatusMinimum = 200;
 const successStatusMinimum = 200;
 const successStatusMaximum = 299;
 
 /**
  * Classifies the answer of a backend server to one attempt of a call. An answer
- * that names another call is broken, and so is a success that does not name this
- * call, is not signed or has a content encoding.
+ * that names another call is broken, and so is one whose status is not defined,
+ * whatever it states, and a success that does not name this call, is not signed or
+ * has a content encoding.
  */
 export function classifyBackendAnswer(
   status: number,
@@ -19,12 +19,12 @@
   },
 ) {
   const { head, callIdentifier } = options;
+  if (!isFinalStatus(status)) return BackendExchangeKind.Broken;
   const isForOtherCall = head.callIdentifier !== undefined &&
     head.callIdentifier !== callIdentifier;
   if (isForOtherCall) return BackendExchangeKind.Broken;
   if (head.misdirected) return BackendExchangeKind.Misdirected;
   if (head.notRun) return BackendExchangeKind.NotRun;
-  if (status < finalStatusMinimum) return BackendExchangeKind.Broken;
   const isSuccess = status >= successStatusMinimum &&
     status <= successStatusMaximum;
   const isTrusted = head.signed && head.callIdentifier === callIdentifier &&
--- /dev/null
+++ b/src/mesh/improper_answer_test.ts
@@ -0,0 +1,73 @@
+import test from "ava";
+import { CallKind } from "../routing/call_kind.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { replaceBackend } from "../testing/mesh/replace_backend.ts";
+import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
+
+// Fleets share the hosts of the loopback interface, so the tests run one at a
+// time.
+const serialTest = test.serial;
+
+/** The parts of an answer; each replaces the one of a proper answer. */
+interface AnswerParts {
+  readonly name: string;
+  readonly version?: string;
+  readonly status?: string;
+  /** Header lines beside the identifier of the call and the signature. */
+  readonly lines?: string;
+  readonly body?: string;
+}
+
+const properAnswer = {
+  version: "HTTP/1.1",
+  status: "200",
+  lines: "content-length: 4\r\n",
+  body: "cake",
+};
+/** With it, a backend server promises that it has not run a call. */
+const promiseLine = `${MeshHeader.NotRun}: 1\r\n`;
+
+const statuses: readonly AnswerParts[] = ["000", "099", "600", "999"].map(
+  (status) => ({ name: `the status ${status}`, status }),
+);
+
+function createAnswer(call: string, answer: AnswerParts): Buffer {
+  const { version, status, lines, body } = { ...properAnswer, ...answer };
+  return Buffer.from(
+    `${version} ${status} X\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\n${lines}\r\n${body}`,
+    "latin1",
+  );
+}
+
+function testRefusal(answer: AnswerParts): void {
+  serialTest(
+    `an answer with ${answer.name} is not passed on, and its call is not reported as not run`,
+    async (t) => {
+      const route = { kind: CallKind.NonIdempotent };
+      await withMeshFleet({ vms: 2, route }, async (fleet) => {
+        await fleet.backends[1]!.crash();
+        const runs: string[] = [];
+        let promise = "";
+        const close = await replaceBackend(fleet, (call, { socket }) => {
+          runs.push(call);
+          const lines = promise + (answer.lines ?? properAnswer.lines);
+          socket.end(createAnswer(call, { ...answer, lines }));
+        });
+        t.teardown(close);
+        const responses = [await fleet.call(0), await fleet.call(1)];
+        promise = promiseLine;
+        responses.push(await fleet.call(0), await fleet.call(1));
+        t.deepEqual(
+          responses.map(({ status }) => status),
+          [502, 502, 502, 502],
+        );
+        responses.forEach(({ body }) =>
+          t.is(JSON.parse(body).outcome, "unknown")
+        );
+        t.is(runs.length, responses.length);
+      });
+    },
+  );
+}
+
+statuses.forEach(testRefusal);
