--- a/src/mesh/improper_answer_test.ts
+++ b/src/mesh/improper_answer_test.ts
@@ -31,6 +31,34 @@
   (status) => ({ name: `the status ${status}`, status }),
 );
 
+const fieldLines: readonly AnswerParts[] = [
+  ["a blank in the name of a field", "x other: 1\r\n"],
+  ["a blank after the name of a field", "x-other : 1\r\n"],
+  ["a tab in the name of a field", "x\tother: 1\r\n"],
+  ["a control byte in the name of a field", "x\x01other: 1\r\n"],
+  ["a null byte in the name of a field", "x\0other: 1\r\n"],
+  ["a delete byte in the name of a field", "x\x7fother: 1\r\n"],
+  ["a carriage return in the name of a field", "x\rother: 1\r\n"],
+  ["a byte above 127 in the name of a field", "x\xe9other: 1\r\n"],
+  ["an empty name of a field", ": 1\r\n"],
+  ["a line without a colon", "x-other\r\n"],
+  ["a folded line", " x-other: 1\r\n"],
+  ["a null byte in the value of a field", "x-other: a\0b\r\n"],
+  ["a carriage return in the value of a field", "x-other: a\rb: 1\r\n"],
+].map(([name, line]) => ({
+  name: name!,
+  lines: properAnswer.lines + line,
+}));
+
+/** A reader that takes the name for the one it resembles cuts the body. */
+const framingLines: readonly AnswerParts[] = [
+  ["a blank after the name of the length", "content-length : 2\r\n"],
+  ["a blank in the name of the length", "content length: 2\r\n"],
+  ["a control byte in the name of the length", "content\x01-length: 2\r\n"],
+  ["a blank before the name of the length", " content-length: 2\r\n"],
+  ["a blank after the name of the coding", "transfer-encoding : chunked\r\n"],
+].map(([name, lines]) => ({ name: name!, lines: lines! }));
+
 function createAnswer(call: string, answer: AnswerParts): Buffer {
   const { version, status, lines, body } = { ...properAnswer, ...answer };
   return Buffer.from(
@@ -70,4 +98,4 @@
   );
 }
 
-statuses.forEach(testRefusal);
+[...statuses, ...fieldLines, ...framingLines].forEach(testRefusal);
