Treat an answer in another protocol or version as broken

Callers got answers that are none of HTTP/1: with the versions HTTP/0.9 and HTTP/2.0, in the protocols RTSP and ICE, and after an empty line. A statement in them that the call had not run was believed.

Cause: the runtime's parser accepts these start lines, and reports neither the name of the protocol nor what it skipped. The exchange now reads the first bytes of the answer itself, before the parser, and checks the version that the parser reports. An interim answer may come first; the parser reads what follows it.

Ruled out: to accept version 1.1 only. An answer in version 1.0, also one without a length, is a regular one (RFC 9112, section 2.3).

--- a/src/mesh/improper_answer_test.ts
+++ b/src/mesh/improper_answer_test.ts
@@ -8,6 +8,10 @@
 // time.
 const serialTest = test.serial;
 
+const route = { kind: CallKind.NonIdempotent };
+/** Between two parts of an answer, so that they arrive one by one. */
+const partMilliseconds = 20;
+
 /** The parts of an answer; each replaces the one of a proper answer. */
 interface AnswerParts {
   readonly name: string;
@@ -31,6 +35,18 @@
   (status) => ({ name: `the status ${status}`, status }),
 );
 
+const versions: readonly AnswerParts[] = [
+  "HTTP/0.9",
+  "HTTP/2.0",
+  "RTSP/1.0",
+  "RTSP/1.1",
+  "ICE/1.1",
+  "\r\nHTTP/1.1",
+].map((version) => ({
+  name: `the version ${JSON.stringify(version)}`,
+  version,
+}));
+
 const fieldLines: readonly AnswerParts[] = [
   ["a blank in the name of a field", "x other: 1\r\n"],
   ["a blank after the name of a field", "x-other : 1\r\n"],
@@ -71,7 +87,6 @@
   serialTest(
     `an answer with ${answer.name} is not passed on, and its call is not reported as not run`,
     async (t) => {
-      const route = { kind: CallKind.NonIdempotent };
       await withMeshFleet({ vms: 2, route }, async (fleet) => {
         await fleet.backends[1]!.crash();
         const runs: string[] = [];
@@ -98,4 +113,45 @@
   );
 }
 
-[...statuses, ...fieldLines, ...framingLines].forEach(testRefusal);
+[...statuses, ...versions, ...fieldLines, ...framingLines].forEach(testRefusal);
+
+const properAnswers: readonly AnswerParts[] = [
+  { name: "version 1.0 and a length", version: "HTTP/1.0" },
+  { name: "version 1.0 and no length", version: "HTTP/1.0", lines: "" },
+  { name: "no length", lines: "" },
+  {
+    name: "chunks",
+    lines: "Transfer-Encoding: Chunked\r\n",
+    body: "4\r\ncake\r\n0\r\n\r\n",
+  },
+  {
+    name: "a blank and bytes above 127 in the value of a field",
+    lines: `${properAnswer.lines}x-other: a \xe9\r\n`,
+  },
+  {
+    name: "an interim answer before it",
+    version: "HTTP/1.1 102 X\r\n\r\nHTTP/1.1",
+  },
+  { name: "the status 599", status: "599" },
+];
+
+properAnswers.forEach((answer) =>
+  serialTest(`an answer with ${answer.name} is passed on`, async (t) => {
+    await withMeshFleet({ vms: 2, route }, async (fleet) => {
+      await fleet.backends[1]!.crash();
+      const close = await replaceBackend(fleet, (call, { socket }) => {
+        // In parts, since a head may arrive in more than one.
+        const bytes = createAnswer(call, answer);
+        socket.write(bytes.subarray(0, 3));
+        setTimeout(() => socket.end(bytes.subarray(3)), partMilliseconds);
+      });
+      t.teardown(close);
+      const responses = [await fleet.call(0), await fleet.call(1)];
+      responses.forEach(({ status, body, whole }) => {
+        t.is(status, Number(answer.status ?? properAnswer.status));
+        t.is(body, properAnswer.body);
+        t.true(whole);
+      });
+    });
+  })
+);
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -5,6 +5,7 @@
 import { classifyBackendAnswer } from "./classify_backend_answer.ts";
 import type { CallRequest } from "./call_request.ts";
 import type { CallSignal } from "./call_signal.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
 import { destroyOnReset } from "./destroy_on_reset.ts";
 import { discardBody } from "./discard_body.ts";
@@ -47,14 +48,17 @@
       ] as unknown as string[],
     });
     destroyOnAbort(outgoing, options.signal);
+    const isProperAnswer = createAnswerCheck(outgoing);
     const connection = sendWhenConnected(node, outgoing, request);
     outgoing.once("response", (answer) => {
       received = answer;
       const head = node.dialect.readBackendAnswerHead(answer);
-      const kind = classifyBackendAnswer(answer.statusCode ?? 0, {
-        head,
-        callIdentifier: options.callIdentifier,
-      });
+      const kind = isProperAnswer(answer)
+        ? classifyBackendAnswer(answer.statusCode ?? 0, {
+          head,
+          callIdentifier: options.callIdentifier,
+        })
+        : BackendExchangeKind.Broken;
       // A second copy of an answer that names no call would look like the answer
       // to the next request on this connection.
       if (head.callIdentifier === undefined) outgoing.shouldKeepAlive = false;
