Treat an answer whose framing HTTP does not define as broken

Callers got answers with a transfer coding other than chunks: with the codings "gzip", "identity", "xchunked", "chunked, gzip" or none in the header, the body as it came until the end of the connection, chunk sizes included where there were any; with "gzip, chunked" the encoded body without the header that says so. The node took each for an answer with a known end, so one that broke off looked complete. "chunked" twice, and chunks in version 1.0, were accepted as well. A statement in them that the call had not run was believed.

Cause: the parser reads a response to the end of the connection where chunks are not the last coding, and the node asked only whether the header is there. A node requests no coding, so chunks alone, in version 1.1, are what may arrive (RFC 9112, sections 6.1 and 7).

Evidence: nine such heads from a plain socket in improper_answer_test fail before the change and end as 502 with the outcome "unknown" after it. Already handled by the parser, their tests stay: a length beside chunks, more than one length, and lengths that are no number.

--- a/src/mesh/create_answer_check.ts
+++ b/src/mesh/create_answer_check.ts
@@ -4,12 +4,16 @@
 
 const protocolName = Buffer.from("HTTP/", "latin1");
 const versions: readonly string[] = ["1.0", "1.1"];
+/** The only version and the only transfer coding that frame a body in chunks. */
+const chunksVersion = "1.1";
+const chunksCoding = "chunked";
 
 /**
  * Returns the function that tells whether the head of the final answer to a
- * request is one that HTTP/1 defines (RFC 9112, sections 2.3 and 4). The parser
- * accepts further versions, and answers of protocols of the same form (RTSP)
- * without telling them apart. To be called before the request has its connection.
+ * request is one that HTTP/1 defines (RFC 9112, sections 2.3, 4 and 6.1). The
+ * parser accepts further versions and framings, and answers of protocols of the
+ * same form (RTSP) without telling them apart. To be called before the request has
+ * its connection.
  */
 export function createAnswerCheck(
   request: ClientRequest,
@@ -29,7 +33,17 @@
     request.once("close", () => socket.off("data", readStart));
   });
 
-  return ({ httpVersion, statusCode = 0 }) =>
-    start.equals(protocolName) && versions.includes(httpVersion) &&
-    isFinalStatus(statusCode);
+  return (answer) =>
+    start.equals(protocolName) && versions.includes(answer.httpVersion) &&
+    isFinalStatus(answer.statusCode ?? 0) && hasDefinedFraming(answer);
+}
+
+/**
+ * Other codings than chunks were not requested. Where chunks are not the only and
+ * last one, the body ends with the connection or arrives encoded.
+ */
+function hasDefinedFraming({ httpVersion, headers }: IncomingMessage): boolean {
+  const coding = headers["transfer-encoding"];
+  if (coding === undefined) return true;
+  return coding.toLowerCase() === chunksCoding && httpVersion === chunksVersion;
 }
--- a/src/mesh/improper_answer_test.ts
+++ b/src/mesh/improper_answer_test.ts
@@ -75,6 +75,52 @@
   ["a blank after the name of the coding", "transfer-encoding : chunked\r\n"],
 ].map(([name, lines]) => ({ name: name!, lines: lines! }));
 
+const chunkedBody = "4\r\ncake\r\n0\r\n\r\n";
+const framings: readonly AnswerParts[] = [
+  ...["gzip", "identity", "", "chunked, gzip", "xchunked"].map((coding) => ({
+    name: `the transfer coding "${coding}"`,
+    lines: `transfer-encoding: ${coding}\r\n`,
+  })),
+  ...["gzip, chunked", "chunked, chunked"].map((codings) => ({
+    name: `the transfer codings "${codings}"`,
+    lines: `transfer-encoding: ${codings}\r\n`,
+    body: chunkedBody,
+  })),
+  {
+    name: "two headers with the transfer coding chunked",
+    lines: "transfer-encoding: chunked\r\n".repeat(2),
+    body: chunkedBody,
+  },
+  {
+    name: "chunks in version 1.0",
+    version: "HTTP/1.0",
+    lines: "transfer-encoding: chunked\r\n",
+    body: chunkedBody,
+  },
+  {
+    name: "a length and chunks",
+    lines: "content-length: 4\r\ntransfer-encoding: chunked\r\n",
+    body: chunkedBody,
+  },
+  {
+    name: "chunks and a length",
+    lines: "transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+    body: chunkedBody,
+  },
+  {
+    name: "the same length twice",
+    lines: "content-length: 4\r\n".repeat(2),
+  },
+  {
+    name: "two lengths",
+    lines: "content-length: 4\r\ncontent-length: 3\r\n",
+  },
+  ...["4, 4", "+4", "0x4", "4 4", ""].map((length) => ({
+    name: `the length "${length}"`,
+    lines: `content-length: ${length}\r\n`,
+  })),
+];
+
 function createAnswer(call: string, answer: AnswerParts): Buffer {
   const { version, status, lines, body } = { ...properAnswer, ...answer };
   return Buffer.from(
@@ -113,7 +159,13 @@
   );
 }
 
-[...statuses, ...versions, ...fieldLines, ...framingLines].forEach(testRefusal);
+[
+  ...statuses,
+  ...versions,
+  ...fieldLines,
+  ...framingLines,
+  ...framings,
+].forEach(testRefusal);
 
 const properAnswers: readonly AnswerParts[] = [
   { name: "version 1.0 and a length", version: "HTTP/1.0" },
@@ -122,7 +174,7 @@
   {
     name: "chunks",
     lines: "Transfer-Encoding: Chunked\r\n",
-    body: "4\r\ncake\r\n0\r\n\r\n",
+    body: chunkedBody,
   },
   {
     name: "a blank and bytes above 127 in the value of a field",
