Believe a statement that a call has not run only in a whole answer

The caller of a non-idempotent call got 503, which promises that it never runs, after its backend server had begun an answer with that statement and broken it off: fewer bytes than its length, a missing, cut or malformed chunk, a malformed trailer, or a reset of an answer without a length.

Cause: the statement was used as soon as the head had arrived, and the body was read only to use the connection again. The exchange now waits for the end of the body, for 500 ms and 64 KiB at most as before; an answer that breaks off is broken. The same holds for the answer of another incarnation (421).

Evidence: in improper_answer_test six answers that break off end as 503 with the statement before the change, as 502 with the outcome "unknown" after it; without the statement they were 502 before. In reset_answer_test ten of ten reset rejections without a length were believed before and none after; ten of ten that end regularly are believed, and so is one that other bytes follow.

--- a/src/mesh/discard_body.ts
+++ b/src/mesh/discard_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { isWholeAnswer } from "./is_whole_answer.ts";
 import type { MeshNode } from "./mesh_node.ts";
 
 /** Size up to which a body that nobody needs is read to its end. */
@@ -8,9 +9,13 @@
 
 /**
  * Reads a body that nobody needs, so that its connection can be used again. A
- * body that is too long or does not end in time closes the connection.
+ * body that is too long or does not end in time closes the connection. Resolves
+ * with whether it has arrived completely.
  */
-export function discardBody(node: MeshNode, body: IncomingMessage): void {
+export function discardBody(
+  node: MeshNode,
+  body: IncomingMessage,
+): Promise<boolean> {
   let bytes = 0;
   const timer = node.timers.at(
     node.clock.now() + discardMilliseconds,
@@ -22,5 +27,12 @@
   });
   // The close that follows ends the reading.
   body.on("error", () => undefined);
-  body.once("close", () => timer.cancel());
+  return new Promise((resolve) => {
+    body.once("end", () => resolve(isWholeAnswer(body)));
+    body.once("close", () => {
+      timer.cancel();
+      // Has no effect after the end.
+      resolve(false);
+    });
+  });
 }
--- a/src/mesh/improper_answer_test.ts
+++ b/src/mesh/improper_answer_test.ts
@@ -121,6 +121,21 @@
   })),
 ];
 
+const ends: readonly AnswerParts[] = [
+  { name: "fewer bytes than its length", lines: "content-length: 5\r\n" },
+  ...[
+    ["no last chunk", "4\r\ncake\r\n"],
+    ["a cut last chunk", "4\r\ncake\r\n0\r\n"],
+    ["a wrong size of a chunk", "z\r\ncake\r\n0\r\n\r\n"],
+    ["a wrong end of a chunk", "4\r\ncake0\r\n\r\n"],
+    ["a blank in the name of a trailer", "4\r\ncake\r\n0\r\nx y: 1\r\n\r\n"],
+  ].map(([name, body]) => ({
+    name: name!,
+    lines: "transfer-encoding: chunked\r\n",
+    body: body!,
+  })),
+];
+
 function createAnswer(call: string, answer: AnswerParts): Buffer {
   const { version, status, lines, body } = { ...properAnswer, ...answer };
   return Buffer.from(
@@ -165,6 +180,7 @@
   ...fieldLines,
   ...framingLines,
   ...framings,
+  ...ends,
 ].forEach(testRefusal);
 
 const properAnswers: readonly AnswerParts[] = [
@@ -207,3 +223,18 @@
     });
   })
 );
+
+serialTest(
+  "a statement that a call has not run is believed although other bytes follow its answer",
+  async (t) => {
+    await withMeshFleet({ vms: 1, route }, async (fleet) => {
+      const close = await replaceBackend(fleet, (call, { socket }) => {
+        const lines = promiseLine + properAnswer.lines;
+        const bytes = createAnswer(call, { name: "", status: "503", lines });
+        socket.end(Buffer.concat([bytes, Buffer.from("more")]));
+      });
+      t.teardown(close);
+      t.is((await fleet.call(0)).status, 503);
+    });
+  },
+);
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -120,7 +120,9 @@
     response.destroy();
     return createContactLoss(ContactLossCause.ConnectionEnded);
   }
-  if (reply.kind !== OfferOutcomeKind.Answered) discardBody(node, response);
+  if (reply.kind !== OfferOutcomeKind.Answered) {
+    void discardBody(node, response);
+  }
   return createReplyOutcome(reply, () => ({
     status: response.statusCode ?? 0,
     headers: selectForwardedHeaders(response.rawHeaders),
--- a/src/mesh/reset_answer_test.ts
+++ b/src/mesh/reset_answer_test.ts
@@ -43,20 +43,21 @@
   { name: "another VM", index: 1 },
 ];
 
+const success = `HTTP/1.1 200 OK\r\n${MeshHeader.Signature}: x\r\n`;
+const rejection = `HTTP/1.1 503 X\r\n${MeshHeader.NotRun}: 1\r\n`;
+
 /** Sends an answer whose body ends with its connection, then calls `end`. */
 function sendAnswer(
   { socket }: RawRequest,
   answer: {
+    readonly head: string;
     readonly call: string;
     readonly body: string;
     readonly end: () => void;
   },
 ): void {
-  const { call, body, end } = answer;
-  socket.write(
-    `HTTP/1.1 200 OK\r\n${MeshHeader.Call}: ${call}\r\n${MeshHeader.Signature}: x\r\n\r\n${body}`,
-    end,
-  );
+  const { head, call, body, end } = answer;
+  socket.write(`${head}${MeshHeader.Call}: ${call}\r\n\r\n${body}`, end);
 }
 
 async function callInTurn(
@@ -87,7 +88,7 @@
               const { socket } = request;
               socket.pause();
               const end = () => void socket.resetAndDestroy();
-              sendAnswer(request, { call, body, end });
+              sendAnswer(request, { head: success, call, body, end });
             });
             t.teardown(close);
             const responses = await callInTurn(fleet, { index, call, count });
@@ -108,7 +109,7 @@
             const close = await replaceBackend(fleet, (call, request) => {
               // The rest of the request is read after the answer.
               const end = () => void request.socket.end();
-              sendAnswer(request, { call, body, end });
+              sendAnswer(request, { head: success, call, body, end });
             });
             t.teardown(close);
             const responses = await callInTurn(fleet, { index, call, count });
@@ -123,3 +124,34 @@
     })
   )
 );
+
+[
+  { name: "is reset is not believed", isReset: true, status: 502 },
+  { name: "ends regularly is believed", isReset: false, status: 503 },
+].forEach(({ name, isReset, status }) =>
+  serialTest(
+    `a statement that a call has not run in an answer without a length that ${name}`,
+    async (t) => {
+      await withMeshFleet(fleetOptions, async (fleet) => {
+        await fleet.backends[1]!.crash();
+        const close = await replaceBackend(fleet, (call, request) => {
+          const { socket } = request;
+          const end = () =>
+            void (isReset ? socket.resetAndDestroy() : socket.end());
+          sendAnswer(request, { head: rejection, call, body: "full", end });
+        });
+        t.teardown(close);
+        const [call] = requests;
+        const responses = await callInTurn(fleet, {
+          index: 0,
+          call: call!,
+          count: 10,
+        });
+        t.deepEqual(
+          responses.map((response) => response.status),
+          responses.map(() => status),
+        );
+      });
+    },
+  )
+);
--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -52,6 +52,7 @@
     const connection = sendWhenConnected(node, outgoing, request);
     outgoing.once("response", (answer) => {
       received = answer;
+      destroyOnReset(answer);
       const head = node.dialect.readBackendAnswerHead(answer);
       const kind = isProperAnswer(answer)
         ? classifyBackendAnswer(answer.statusCode ?? 0, {
@@ -66,29 +67,35 @@
         // After an early answer, the rest of this request must not share the
         // connection with the next request.
         if (!outgoing.writableFinished) outgoing.shouldKeepAlive = false;
-        destroyOnReset(answer);
         resolve({ kind, answer, head });
         return;
       }
+      const broken = {
+        kind: BackendExchangeKind.Broken,
+        found: `answer with status ${answer.statusCode}`,
+      } as const;
       if (kind === BackendExchangeKind.Broken) {
         answer.destroy();
-        resolve({ kind, found: `answer with status ${answer.statusCode}` });
+        resolve(broken);
         return;
       }
-      discardBody(node, answer);
-      resolve({ kind, head });
+      // What an answer states holds only if all of it arrives.
+      void discardBody(node, answer).then((isWhole) =>
+        resolve(isWhole ? { kind, head } : broken)
+      );
     });
     outgoing.on("error", (error) => {
-      if (received !== undefined && !hasArrivedBefore(received)) {
-        received.destroy(error);
+      if (received === undefined) {
+        resolve({ kind: classifyError(connection), found: error.message });
+        return;
       }
-      resolve({ kind: classifyError(connection), found: error.message });
+      if (!hasArrivedBefore(received)) received.destroy(error);
     });
     // A switch of protocols ends the connection without an error.
-    outgoing.once(
-      "close",
-      () => resolve({ kind: classifyError(connection), found: "no answer" }),
-    );
+    outgoing.once("close", () => {
+      if (received !== undefined) return;
+      resolve({ kind: classifyError(connection), found: "no answer" });
+    });
   });
 }
 
