Check the replies of other nodes like the answers of backend servers

A node believed what an answer of another node states although it was none: a refusal that the call has not run, that an offer was not received, the answer to an offer, a line of a feed, a message. It did so with a status that HTTP does not define, another version or protocol, and a transfer coding that was not requested. It believed refusals and the status of an offer in replies that broke off, and took a reply without a length that was reset for whole. No node sends such replies; one in trouble, or another program at its address, may.

Cause: each place read the head as the parser had it, and statements before the end of their reply. All of them use the check of the backend exchange now, and statements wait for the end of their reply. A line of a feed is used once it has arrived completely, wherever the feed ends after it, as before.

Evidence: improper_reply_test sends one proper reply and eight faulty ones from a plain socket to each of five places.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -32,6 +32,7 @@
   "dist/src/mesh/offer_connection*_test.js",
   "dist/src/mesh/offer_to_node_test.js",
   "dist/src/mesh/improper_answer_test.js",
+  "dist/src/mesh/improper_reply_test.js",
   "dist/src/mesh/late_answer_copies_test.js",
   "dist/src/mesh/pipelined_requests_test.js",
   "dist/src/mesh/repeated_offer_test.js",
--- a/src/mesh/check_offer.ts
+++ b/src/mesh/check_offer.ts
@@ -3,6 +3,9 @@
 import type { MeshNode } from "./mesh_node.ts";
 import type { OfferCheck } from "../offers/offer_check.ts";
 import { OfferCheckKind } from "../offers/offer_check_kind.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
+import { destroyOnReset } from "./destroy_on_reset.ts";
+import { discardBody } from "./discard_body.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { OfferStatus } from "../offers/offer_status.ts";
 import { trackConnection } from "./track_connection.ts";
@@ -15,7 +18,8 @@
 
 /**
  * Queries the node that a call was offered to for the status of the offer, on a
- * connection of its own: that of the offer may be dead.
+ * connection of its own: that of the offer may be dead. A reply that breaks off
+ * or is none counts as no reply.
  */
 export function checkOffer(
   node: MeshNode,
@@ -40,9 +44,18 @@
       node.clock.now() + replyTimeoutMilliseconds,
       () => request.destroy(),
     );
+    const isProperAnswer = createAnswerCheck(request);
+    let hasReply = false;
     request.once("response", (response) => {
-      response.resume();
-      resolve(readCheck(response));
+      if (!isProperAnswer(response)) {
+        request.destroy();
+        return;
+      }
+      hasReply = true;
+      destroyOnReset(response);
+      void discardBody(node, response).then((isWhole) =>
+        resolve(isWhole ? readCheck(response) : failure)
+      );
     });
     request.on("error", (error: NodeJS.ErrnoException) => {
       if (error.code !== rejectedCode) return;
@@ -50,7 +63,8 @@
     });
     request.once("close", () => {
       timer.cancel();
-      resolve(failure);
+      // The end of a reply is read after the request has closed.
+      if (!hasReply) resolve(failure);
     });
   });
 }
--- a/src/mesh/follow_feed.ts
+++ b/src/mesh/follow_feed.ts
@@ -12,6 +12,7 @@
 import type { TimerHandle } from "../runtime/timer_handle.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
 import { trackConnection } from "./track_connection.ts";
 
 const okStatus = 200;
@@ -53,6 +54,7 @@
       signal: options.signal,
     });
     trackConnection(request);
+    const isProperAnswer = createAnswerCheck(request);
     let ended = false;
     let staleTimer = scheduleStaleTimer(
       node.clock.now() + firstLineTimeoutMilliseconds,
@@ -76,6 +78,7 @@
 
     function handleResponse(response: IncomingMessage): void {
       response.on("error", () => end(FeedEndKind.Lost));
+      if (!isProperAnswer(response)) return end(FeedEndKind.Lost);
       if (response.statusCode !== okStatus) return end(FeedEndKind.Refused);
       const splitLines = createLineSplitter({
         bytesMaximum: lineBytesMaximum,
--- a/src/mesh/offer_to_node.ts
+++ b/src/mesh/offer_to_node.ts
@@ -5,11 +5,13 @@
 import type { CallRequest } from "./call_request.ts";
 import { ContactLossCause } from "../offers/contact_loss_cause.ts";
 import type { CallSignal } from "./call_signal.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
 import { createContactLoss } from "./create_contact_loss.ts";
 import { createReplyOutcome } from "./create_reply_outcome.ts";
 import { createUnreachableRefusal } from "./create_unreachable_refusal.ts";
 import { decodeReply } from "./decode_reply.ts";
 import { destroyOnAbort } from "./destroy_on_abort.ts";
+import { destroyOnReset } from "./destroy_on_reset.ts";
 import { discardBody } from "./discard_body.ts";
 import { encodeOffer } from "./encode_offer.ts";
 import type { GateOffer } from "./gate_offer.ts";
@@ -58,6 +60,7 @@
   return new Promise((resolve) => {
     let cause = ContactLossCause.ConnectionEnded;
     let isNotRun = false;
+    let hasReply = false;
     const outgoing = sendRequest({
       agent: node.nodesAgent,
       host: address.host,
@@ -74,6 +77,7 @@
       ] as unknown as string[],
     });
     destroyOnAbort(outgoing, signal);
+    const isProperAnswer = createAnswerCheck(outgoing);
     const sending = sendWhenConnected(node, outgoing, request);
     const supervision = offer.idempotent
       ? superviseOffer(node, { offer, address, canRetry, onLost: giveUp })
@@ -81,10 +85,16 @@
     outgoing.once("information", () => supervision?.stop());
     outgoing.once("response", (response) => {
       supervision?.stop();
+      if (!isProperAnswer(response)) {
+        outgoing.destroy();
+        return;
+      }
+      hasReply = true;
+      destroyOnReset(response);
       if (response.headers[OfferHeader.Protocol] === offerProtocol) {
         openOfferConnection(node, address);
       }
-      resolve(createOutcome(node, response));
+      void readOutcome(node, response).then(resolve);
     });
     outgoing.on("error", handleEnd);
     // A switch of protocols ends the connection without an error.
@@ -99,9 +109,10 @@
       outgoing.destroy();
     }
 
-    /** Has no effect after a response. */
     function handleEnd(): void {
       supervision?.stop();
+      // The end of a reply is read after the request has closed.
+      if (hasReply) return;
       resolve(
         sending.isSent() && !isNotRun
           ? createContactLoss(cause)
@@ -111,18 +122,19 @@
   });
 }
 
-function createOutcome(
+/** A refusal or a loss holds only if all of its reply arrives. */
+async function readOutcome(
   node: MeshNode,
   response: IncomingMessage,
-): OfferOutcome {
+): Promise<OfferOutcome> {
   const reply = decodeReply(response.headers[OfferHeader.Reply]);
   if (reply === undefined) {
     response.destroy();
     return createContactLoss(ContactLossCause.ConnectionEnded);
   }
-  if (reply.kind !== OfferOutcomeKind.Answered) {
-    void discardBody(node, response);
-  }
+  const isWhole = reply.kind === OfferOutcomeKind.Answered ||
+    await discardBody(node, response);
+  if (!isWhole) return createContactLoss(ContactLossCause.ConnectionEnded);
   return createReplyOutcome(reply, () => ({
     status: response.statusCode ?? 0,
     headers: selectForwardedHeaders(response.rawHeaders),
--- a/src/mesh/request_node.ts
+++ b/src/mesh/request_node.ts
@@ -1,5 +1,7 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import { text } from "node:stream/consumers";
+import { createAnswerCheck } from "./create_answer_check.ts";
+import { destroyOnReset } from "./destroy_on_reset.ts";
 import { limitReceivedBytes } from "./limit_received_bytes.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { trackConnection } from "./track_connection.ts";
@@ -36,9 +38,15 @@
     const timer = node.timers.at(deadline, () => outgoing.destroy());
     limitReceivedBytes(outgoing, { bytesMaximum: replyBytesMaximum });
     trackConnection(outgoing);
+    const isProperAnswer = createAnswerCheck(outgoing);
     let hasReply = false;
     outgoing.once("response", (reply) => {
+      if (!isProperAnswer(reply)) {
+        outgoing.destroy();
+        return;
+      }
       hasReply = true;
+      destroyOnReset(reply);
       readReply(reply).then(resolve, () => resolve(undefined));
     });
     outgoing.on("error", () => resolve(undefined));
