Use what the answer to a probe states only if it is a whole and proper one

A node believed the identifier, the cold start and the leaving that the answer to a probe stated, and took the backend server for one that is up, although the answer was none: a status that HTTP does not define, another version or protocol, a transfer coding that was not requested, fewer bytes than its length, a reset.

Cause: the head was read as the parser had it. An answer that is none changes nothing. The next probe is scheduled once the answer has been handled, so that its interval still depends on the new condition.

--- a/src/mesh/improper_reply_test.ts
+++ b/src/mesh/improper_reply_test.ts
@@ -5,11 +5,13 @@
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import { encodeFeedLine } from "../source/encode_feed_line.ts";
 import { FeedEndKind } from "../source/feed_end_kind.ts";
+import { waitUntil } from "../testing/calls/wait_until.ts";
 import { createLoneNode } from "../testing/mesh/create_lone_node.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { createSampleOffer } from "../testing/mesh/create_sample_offer.ts";
 import type { ImproperAnswer } from "../testing/mesh/improper_answer.ts";
 import { improperAnswers } from "../testing/mesh/improper_answers.ts";
+import { MeshHeader } from "../testing/mesh/mesh_header.ts";
 import { startRawServer } from "../testing/mesh/start_raw_server.ts";
 import { checkOffer } from "./check_offer.ts";
 import { collectAnswerBody } from "./collect_answer_body.ts";
@@ -18,6 +20,7 @@
 import { OfferHeader } from "./offer_header.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerToNode } from "./offer_to_node.ts";
+import { probeBackendServer } from "./probe_backend_server.ts";
 import { requestNode } from "./request_node.ts";
 
 const host = "127.0.0.11";
@@ -132,6 +135,17 @@
     // A line that has arrived completely is used, wherever the feed ends then.
     t.is(lines, isProper || hasProperHead ? 1 : 0);
   });
+
+  test(`the answer to a probe with ${name}: believed ${isProper}`, async (t) => {
+    const lines = `${MeshHeader.Identifier}: server-9\r\n`;
+    const proper = { status: "200 OK", lines, body: "x" };
+    const address = await startServer(t, { answer, proper });
+    const node = createLoneNode(address);
+    probeBackendServer(node);
+    await waitUntil(() => !node.serverProbe.probing);
+    const { probedIdentifier } = node.serverProbe;
+    t.is(probedIdentifier, isProper ? "server-9" : undefined);
+  });
 });
 
 async function offer(address: NetworkAddress) {
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -1,6 +1,8 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import { ServerCondition } from "../gate/server_condition.ts";
-import type { BackendAnswerHead } from "./backend_answer_head.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
+import { destroyOnReset } from "./destroy_on_reset.ts";
+import { discardBody } from "./discard_body.ts";
 import { limitReceivedBytes } from "./limit_received_bytes.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { recordProbedIdentifier } from "./record_probed_identifier.ts";
@@ -41,9 +43,14 @@
   );
   limitReceivedBytes(outgoing, { bytesMaximum: answerBytesMaximum });
   const connection = trackConnection(outgoing);
+  const isProperAnswer = createAnswerCheck(outgoing);
+  let whenHandled = Promise.resolve();
   outgoing.once("response", (answer: IncomingMessage) => {
-    answer.resume();
-    handleProbeAnswer(node, node.dialect.readBackendAnswerHead(answer));
+    if (isProperAnswer(answer)) {
+      whenHandled = handleProbeAnswer(node, answer);
+    } else {
+      outgoing.destroy();
+    }
   });
   outgoing.on("error", () => {
     // A backend server that accepts a connection but does not answer may be
@@ -54,17 +61,28 @@
   });
   outgoing.once("close", () => {
     timer.cancel();
-    serverProbe.probing = false;
-    const interval = node.gate.condition === ServerCondition.Down
-      ? downIntervalMilliseconds
-      : upIntervalMilliseconds;
-    serverProbe.nextProbeAt = node.clock.now() + interval;
+    void whenHandled.then(() => scheduleNextProbe(node));
   });
   outgoing.end();
 }
 
-function handleProbeAnswer(node: MeshNode, head: BackendAnswerHead): void {
+function scheduleNextProbe({ serverProbe, gate, clock }: MeshNode): void {
+  serverProbe.probing = false;
+  const interval = gate.condition === ServerCondition.Down
+    ? downIntervalMilliseconds
+    : upIntervalMilliseconds;
+  serverProbe.nextProbeAt = clock.now() + interval;
+}
+
+/** An answer that breaks off shows nothing. */
+async function handleProbeAnswer(
+  node: MeshNode,
+  answer: IncomingMessage,
+): Promise<void> {
   const { gate } = node;
+  const head = node.dialect.readBackendAnswerHead(answer);
+  destroyOnReset(answer);
+  if (!await discardBody(node, answer)) return;
   setServerCondition(node, ServerCondition.Up);
   if (head.identifier !== undefined) {
     recordProbedIdentifier(node, head.identifier);
