Earlier path: refuse statuses and transfer codings that HTTP does not define

The calls of the earlier path (src/daemon) passed on answers with the status 600, and with the transfer codings "gzip, chunked", "chunked, chunked" and "x-chunked".

Cause: the collector of answers compared the status with the lowest final one only, and took every coding that ends in "chunked" for chunks. It compares with both bounds now, with the function that the mesh uses, and accepts chunks alone.

Evidence: improper_answer_test of that folder sends 12 answers from a plain socket. Before the change six were complete; the collector already refused the status 000, malformed field names, other codings, answers that are cut, and every answer without a length, reset or not.

Not mended: another version or protocol in the first line. The HTTP client of that path reports neither, and its sockets are its own.

--- a/src/daemon/calls/create_answer_collector.ts
+++ b/src/daemon/calls/create_answer_collector.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import type { AnswerHead } from "../../calls/answer_head.ts";
+import { isFinalStatus } from "../../calls/is_final_status.ts";
 import { selectForwardedHeaders } from "../../calls/select_forwarded_headers.ts";
 import type { AnswerCollectorEvents } from "./answer_collector_events.ts";
 import type { Exchange } from "./exchange.ts";
@@ -62,7 +63,9 @@
     const received = createHead(status, headers, rawHeaders);
     const isFramed = received.declaredLength !== undefined ||
       isChunked(headers) || !isBodyExpected(method, status);
-    if (!isFramed || !events.onHead(received, headers)) {
+    if (
+      !isFinalStatus(status) || !isFramed || !events.onHead(received, headers)
+    ) {
       failExchange();
       return;
     }
@@ -176,8 +179,9 @@
   };
 }
 
+/** Whether chunks are the only transfer coding; no other was requested. */
 function isChunked(headers: IncomingHttpHeaders): boolean {
-  return /\bchunked\s*$/i.test(String(headers["transfer-encoding"] ?? ""));
+  return /^chunked\s*$/i.test(String(headers["transfer-encoding"] ?? ""));
 }
 
 function decodeHeaders(
--- a/src/mesh/classify_backend_answer.ts
+++ b/src/mesh/classify_backend_answer.ts
@@ -1,6 +1,6 @@
 import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
-import { isFinalStatus } from "./is_final_status.ts";
+import { isFinalStatus } from "../calls/is_final_status.ts";
 
 const successStatusMinimum = 200;
 const successStatusMaximum = 299;
--- a/src/mesh/create_answer_check.ts
+++ b/src/mesh/create_answer_check.ts
@@ -1,6 +1,6 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { isFinalStatus } from "./is_final_status.ts";
+import { isFinalStatus } from "../calls/is_final_status.ts";
 
 const protocolName = Buffer.from("HTTP/", "latin1");
 const versions: readonly string[] = ["1.0", "1.1"];
