Open an offer connection only after an upgrade that HTTP defines

A node opened an offer connection, on which it sends calls, after an answer to its upgrade in another version or protocol, or with a transfer coding. No node sends such an answer; another program at its address may.

Cause: only the name of the protocol in the header was compared. The upgrade uses the check of all other answers now, with the status 101 in place of a final one.

Evidence: of the seven tests of an upgrade in improper_reply_test three fail before the change and none after it. offer_connection_test passes.

--- a/src/mesh/create_answer_check.ts
+++ b/src/mesh/create_answer_check.ts
@@ -9,14 +9,15 @@
 const chunksCoding = "chunked";
 
 /**
- * Returns the function that tells whether the head of the final answer to a
- * request is one that HTTP/1 defines (RFC 9112, sections 2.3, 4 and 6.1). The
- * parser accepts further versions and framings, and answers of protocols of the
- * same form (RTSP) without telling them apart. To be called before the request has
- * its connection.
+ * Returns the function that tells whether the head of the answer to a request is
+ * one that HTTP/1 defines (RFC 9112, sections 2.3, 4 and 6.1), with an expected
+ * status: that of a final answer if omitted. The parser accepts further versions
+ * and framings, and answers of protocols of the same form (RTSP) without telling
+ * them apart. To be called before the request has its connection.
  */
 export function createAnswerCheck(
   request: ClientRequest,
+  isExpectedStatus: (status: number) => boolean = isFinalStatus,
 ): (answer: IncomingMessage) => boolean {
   let start = Buffer.alloc(0);
 
@@ -35,7 +36,7 @@
 
   return (answer) =>
     start.equals(protocolName) && versions.includes(answer.httpVersion) &&
-    isFinalStatus(answer.statusCode ?? 0) && hasDefinedFraming(answer);
+    isExpectedStatus(answer.statusCode ?? 0) && hasDefinedFraming(answer);
 }
 
 /**
--- a/src/mesh/improper_reply_test.ts
+++ b/src/mesh/improper_reply_test.ts
@@ -19,7 +19,9 @@
 import { followFeed } from "./follow_feed.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
+import { offerProtocol } from "./offer_protocol.ts";
 import { offerToNode } from "./offer_to_node.ts";
+import { openOfferConnection } from "./open_offer_connection.ts";
 import { probeBackendServer } from "./probe_backend_server.ts";
 import { requestNode } from "./request_node.ts";
 
@@ -146,6 +148,31 @@
     const { probedIdentifier } = node.serverProbe;
     t.is(probedIdentifier, isProper ? "server-9" : undefined);
   });
+
+  // An upgrade has no body, so only its head can have a fault.
+  if (isProper || !hasProperHead) {
+    test(`an upgrade to an offer connection in an answer with ${name}: accepted ${isProper}`, async (t) => {
+      const lines = `connection: upgrade\r\nupgrade: ${offerProtocol}\r\n`;
+      const proper = { status: "101 X", lines, body: "" };
+      let isClosed = false;
+      const { port, close } = await startRawServer(
+        { host, port: 0 },
+        ({ socket }) => {
+          socket.once("close", () => {
+            isClosed = true;
+          });
+          socket.write(answer.create(proper), "latin1");
+        },
+      );
+      t.teardown(close);
+      const node = createLoneNode({ host, port });
+      openOfferConnection(node, { host, port });
+      const { open } = node.offerConnections;
+      t.true(await waitUntil(() => open.size > 0 || isClosed));
+      t.is(open.size, isProper ? 1 : 0);
+      open.forEach((connection) => connection.close());
+    });
+  }
 });
 
 async function offer(address: NetworkAddress) {
--- a/src/mesh/open_offer_connection.ts
+++ b/src/mesh/open_offer_connection.ts
@@ -1,10 +1,12 @@
 import { request as sendRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { NetworkAddress } from "../runtime/network_address.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
 import { createOfferConnection } from "./create_offer_connection.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { offerProtocol } from "./offer_protocol.ts";
 
+const switchingProtocolsStatus = 101;
 const attemptTimeoutMilliseconds = 1_000;
 const attemptIntervalMilliseconds = 5_000;
 
@@ -38,9 +40,15 @@
     now + attemptTimeoutMilliseconds,
     () => outgoing.destroy(),
   );
+  const isProperAnswer = createAnswerCheck(
+    outgoing,
+    (status) => status === switchingProtocolsStatus,
+  );
   outgoing.once("upgrade", (response, socket: Socket, head: Buffer) => {
     timer.cancel();
-    if (response.headers.upgrade !== offerProtocol || node.stopping) {
+    const isAccepted = isProperAnswer(response) &&
+      response.headers.upgrade === offerProtocol;
+    if (!isAccepted || node.stopping) {
       socket.destroy();
       return;
     }
