Split the reading of an answer from the exchange that it belongs to

The exchange with the backend server decided in one function of 50 lines on the head, the statement and the end of an answer. No change of behaviour: the tests of improper, reset and late answers and of the node pass (129).

--- a/src/mesh/send_to_backend_server.ts
+++ b/src/mesh/send_to_backend_server.ts
@@ -1,4 +1,9 @@
-import { type IncomingMessage, request as sendRequest } from "node:http";
+import {
+  type ClientRequest,
+  type IncomingMessage,
+  request as sendRequest,
+} from "node:http";
+import type { BackendAnswerHead } from "./backend_answer_head.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import { chooseBackendAgent } from "./choose_backend_agent.ts";
@@ -63,26 +68,7 @@
       // A second copy of an answer that names no call would look like the answer
       // to the next request on this connection.
       if (head.callIdentifier === undefined) outgoing.shouldKeepAlive = false;
-      if (kind === BackendExchangeKind.Answered) {
-        // After an early answer, the rest of this request must not share the
-        // connection with the next request.
-        if (!outgoing.writableFinished) outgoing.shouldKeepAlive = false;
-        resolve({ kind, answer, head });
-        return;
-      }
-      const broken = {
-        kind: BackendExchangeKind.Broken,
-        found: `answer with status ${answer.statusCode}`,
-      } as const;
-      if (kind === BackendExchangeKind.Broken) {
-        answer.destroy();
-        resolve(broken);
-        return;
-      }
-      // What an answer states holds only if all of it arrives.
-      void discardBody(node, answer).then((isWhole) =>
-        resolve(isWhole ? { kind, head } : broken)
-      );
+      resolve(readAnswer(node, answer, { outgoing, head, kind }));
     });
     outgoing.on("error", (error) => {
       if (received === undefined) {
@@ -99,6 +85,37 @@
   });
 }
 
+/** Reads what follows the head of an answer; of one to pass on, nothing. */
+async function readAnswer(
+  node: MeshNode,
+  answer: IncomingMessage,
+  options: {
+    readonly outgoing: ClientRequest;
+    readonly head: BackendAnswerHead;
+    readonly kind: ReturnType<typeof classifyBackendAnswer>;
+  },
+): Promise<BackendExchange> {
+  const { outgoing, head, kind } = options;
+  if (kind === BackendExchangeKind.Answered) {
+    // After an early answer, the rest of this request must not share the
+    // connection with the next request.
+    if (!outgoing.writableFinished) outgoing.shouldKeepAlive = false;
+    return { kind, answer, head };
+  }
+  if (kind === BackendExchangeKind.Broken) {
+    answer.destroy();
+    return createBrokenExchange(answer);
+  }
+  // What an answer states holds only if all of it arrives.
+  const isWhole = await discardBody(node, answer);
+  return isWhole ? { kind, head } : createBrokenExchange(answer);
+}
+
+function createBrokenExchange({ statusCode }: IncomingMessage) {
+  const found = `answer with status ${statusCode}`;
+  return { kind: BackendExchangeKind.Broken, found } as const;
+}
+
 /**
  * Whether an answer had arrived completely before an error; bytes after it
  * belong to no request. The parser treats any end of an answer without a length,
