--- a/src/daemon/calls/improper_answer_test.ts
+++ b/src/daemon/calls/improper_answer_test.ts
@@ -1,8 +1,9 @@
 import test from "ava";
 import { Client } from "undici";
+import { formatAddress } from "../../runtime/format_address.ts";
 import type { ImproperAnswer } from "../../testing/mesh/improper_answer.ts";
 import { improperAnswers } from "../../testing/mesh/improper_answers.ts";
-import { startRawServer } from "../../testing/mesh/start_raw_server.ts";
+import { startImproperServer } from "../../testing/mesh/start_improper_server.ts";
 import { createAnswerCollector } from "./create_answer_collector.ts";
 
 const host = "127.0.0.1";
@@ -10,15 +11,11 @@
 
 /** Sends a call to a server that gives one answer; resolves with how the exchange ends. */
 async function exchange(answer: ImproperAnswer): Promise<string> {
-  const { port, close } = await startRawServer(
-    { host, port: 0 },
-    ({ socket }) =>
-      void socket.write(
-        Buffer.from(answer.create(proper), "latin1"),
-        () => answer.isReset ? socket.resetAndDestroy() : socket.end(),
-      ),
-  );
-  const client = new Client(`http://${host}:${port}`);
+  const { address, close } = await startImproperServer(host, {
+    answer,
+    proper,
+  });
+  const client = new Client(`http://${formatAddress(address)}`);
   const end = await new Promise<string>((resolve) => {
     const { handler } = createAnswerCollector({
       method: "POST",
--- a/src/mesh/api_keys_fleet_test.ts
+++ b/src/mesh/api_keys_fleet_test.ts
@@ -6,23 +6,19 @@
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import type { Organisation } from "../organisations/organisation.ts";
 import type { CallRoute } from "../routing/call_route.ts";
-import { createMonotonicClock } from "../runtime/create_monotonic_clock.ts";
-import { createRandomSource } from "../runtime/create_random_source.ts";
-import { createSystemTimers } from "../runtime/create_system_timers.ts";
 import { encodeFeedLine } from "../source/encode_feed_line.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
 import { waitUntil } from "../testing/calls/wait_until.ts";
 import { createFleetRules } from "../testing/mesh/create_fleet_rules.ts";
+import { createLoneNode } from "../testing/mesh/create_lone_node.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { createSampleOrganisation } from "../testing/mesh/create_sample_organisation.ts";
 import { createSampleSettings } from "../testing/mesh/create_sample_settings.ts";
 import type { MeshCall } from "../testing/mesh/mesh_call.ts";
 import type { MeshFleet } from "../testing/mesh/mesh_fleet.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
-import { testDialect } from "../testing/mesh/test_dialect.ts";
 import { withMeshFleet } from "../testing/mesh/with_mesh_fleet.ts";
 import { CallEventKind } from "./call_event_kind.ts";
-import { createMeshNode } from "./create_mesh_node.ts";
 import { createNeighbourFeeds } from "./create_neighbour_feeds.ts";
 import { OfferHeader } from "./offer_header.ts";
 
@@ -352,24 +348,13 @@
       });
       const nodes = neighbour.address() as AddressInfo;
       const sample = createSampleSettings();
-      const clock = createMonotonicClock();
-      const node = createMeshNode({
+      const node = createLoneNode({
         ...sample,
         sourceBounds: { ...sample.sourceBounds, withdrawalMilliseconds: 5_000 },
         listeners: {
           ...sample.listeners,
           nodes: { host: "127.0.0.9", port: nodes.port },
         },
-      }, {
-        dialect: testDialect,
-        clock,
-        timers: createSystemTimers(clock),
-        random: createRandomSource(1),
-        report: {
-          call: () => undefined,
-          viewChange: () => undefined,
-          state: () => undefined,
-        },
       });
       const feeds = createNeighbourFeeds(node);
       await feeds.follow("127.0.0.9", {
--- a/src/mesh/endless_feeds_test.ts
+++ b/src/mesh/endless_feeds_test.ts
@@ -3,16 +3,12 @@
 import { createServer } from "node:http";
 import { type AddressInfo, type Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
-import { createMonotonicClock } from "../runtime/create_monotonic_clock.ts";
-import { createRandomSource } from "../runtime/create_random_source.ts";
-import { createSystemTimers } from "../runtime/create_system_timers.ts";
 import { encodeFeedLine } from "../source/encode_feed_line.ts";
+import { createLoneNode } from "../testing/mesh/create_lone_node.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { measureRetainedBytes } from "../testing/mesh/measure_retained_bytes.ts";
 import { sendEndlessBytes } from "../testing/mesh/send_endless_bytes.ts";
 import { startMeshFleet } from "../testing/mesh/start_mesh_fleet.ts";
-import { testDialect } from "../testing/mesh/test_dialect.ts";
-import { createMeshNode } from "./create_mesh_node.ts";
 import { followFeed } from "./follow_feed.ts";
 import type { EndlessBytes } from "../testing/mesh/endless_bytes.ts";
 import { fillPart } from "../testing/mesh/fill_part.ts";
@@ -95,18 +91,7 @@
         server.closeAllConnections();
         server.close();
       });
-      const clock = createMonotonicClock();
-      const node = createMeshNode(fleet.settings[0]!, {
-        dialect: testDialect,
-        clock,
-        timers: createSystemTimers(clock),
-        random: createRandomSource(1),
-        report: {
-          call: () => undefined,
-          viewChange: () => undefined,
-          state: () => undefined,
-        },
-      });
+      const node = createLoneNode(fleet.settings[0]!);
       const { value: elapsed, retainedBytes } = await measureRetainedBytes(
         async () => {
           const startedAt = performance.now();
@@ -116,7 +101,10 @@
               port: (server.address() as AddressInfo).port,
             }, {
               after: { era: 0, revision: 0 },
-              age: { confirmedAt: clock.now(), minimumClockOffset: Infinity },
+              age: {
+                confirmedAt: node.clock.now(),
+                minimumClockOffset: Infinity,
+              },
               onLine: () => undefined,
               signal: new AbortController().signal,
             }),
--- a/src/mesh/improper_reply_test.ts
+++ b/src/mesh/improper_reply_test.ts
@@ -9,14 +9,17 @@
 import { createLoneNode } from "../testing/mesh/create_lone_node.ts";
 import { createSampleLine } from "../testing/mesh/create_sample_line.ts";
 import { createSampleOffer } from "../testing/mesh/create_sample_offer.ts";
+import { createSampleSettings } from "../testing/mesh/create_sample_settings.ts";
 import type { ImproperAnswer } from "../testing/mesh/improper_answer.ts";
 import { improperAnswers } from "../testing/mesh/improper_answers.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
+import { startImproperServer } from "../testing/mesh/start_improper_server.ts";
 import { startRawServer } from "../testing/mesh/start_raw_server.ts";
 import { checkOffer } from "./check_offer.ts";
 import { collectAnswerBody } from "./collect_answer_body.ts";
 import { createCallController } from "./create_call_controller.ts";
 import { followFeed } from "./follow_feed.ts";
+import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { offerProtocol } from "./offer_protocol.ts";
@@ -29,8 +32,6 @@
 const deadlineMilliseconds = 2_000;
 const load = { running: 1, queued: 0, slots: 4, cold: false };
 
-type Proper = Parameters<ImproperAnswer["create"]>[0];
-
 /** The proper answer, then the same with each fault. */
 const answers: readonly (ImproperAnswer & { readonly isProper: boolean })[] = [
   {
@@ -46,22 +47,22 @@
   ...improperAnswers.map((answer) => ({ ...answer, isProper: false })),
 ];
 
-/** Starts a server on plain sockets that gives one answer to every request. */
+/** A node whose backend server and neighbours are at one address. */
+function createNode(address: NetworkAddress): MeshNode {
+  const sample = createSampleSettings({ backendServer: address });
+  return createLoneNode({
+    ...sample,
+    listeners: { ...sample.listeners, nodes: address },
+  });
+}
+
 async function startServer(
   t: ExecutionContext,
-  options: { readonly answer: ImproperAnswer; readonly proper: Proper },
+  options: Parameters<typeof startImproperServer>[1],
 ): Promise<NetworkAddress> {
-  const { answer, proper } = options;
-  const { port, close } = await startRawServer(
-    { host, port: 0 },
-    ({ socket }) =>
-      void socket.write(
-        Buffer.from(answer.create(proper), "latin1"),
-        () => answer.isReset ? socket.resetAndDestroy() : socket.end(),
-      ),
-  );
+  const { address, close } = await startImproperServer(host, options);
   t.teardown(close);
-  return { host, port };
+  return address;
 }
 
 answers.forEach((answer) => {
@@ -70,7 +71,7 @@
   test(`the reply of a node with ${name}: used ${isProper}`, async (t) => {
     const proper = { status: "200 OK", lines: "", body: "{}" };
     const address = await startServer(t, { answer, proper });
-    const node = createLoneNode(address);
+    const node = createNode(address);
     const reply = await requestNode(node, {
       host,
       headers: {},
@@ -85,7 +86,7 @@
       `${OfferHeader.Status}: ${OfferStatus.NotReceived}\r\n${OfferHeader.Recorded}: 9999\r\n`;
     const proper = { status: "200 OK", lines, body: "x" };
     const address = await startServer(t, { answer, proper });
-    const check = await checkOffer(createLoneNode(address), {
+    const check = await checkOffer(createNode(address), {
       address,
       offerIdentifier: "offer",
     });
@@ -122,7 +123,7 @@
     const line = encodeFeedLine(createSampleLine({ revision: 1 }));
     const proper = { status: "200 OK", lines: "", body: line };
     const address = await startServer(t, { answer, proper });
-    const node = createLoneNode(address);
+    const node = createNode(address);
     let lines = 0;
     const end = await followFeed(node, address, {
       after: { era: 0, revision: 0 },
@@ -142,7 +143,7 @@
     const lines = `${MeshHeader.Identifier}: server-9\r\n`;
     const proper = { status: "200 OK", lines, body: "x" };
     const address = await startServer(t, { answer, proper });
-    const node = createLoneNode(address);
+    const node = createNode(address);
     probeBackendServer(node);
     await waitUntil(() => !node.serverProbe.probing);
     const { probedIdentifier } = node.serverProbe;
@@ -165,7 +166,7 @@
         },
       );
       t.teardown(close);
-      const node = createLoneNode({ host, port });
+      const node = createNode({ host, port });
       openOfferConnection(node, { host, port });
       const { open } = node.offerConnections;
       t.true(await waitUntil(() => open.size > 0 || isClosed));
@@ -176,7 +177,7 @@
 });
 
 async function offer(address: NetworkAddress) {
-  const node = createLoneNode(address);
+  const node = createNode(address);
   const controller = createCallController();
   return await offerToNode(node, {
     method: "GET",
--- a/src/mesh/query_withdrawals_test.ts
+++ b/src/mesh/query_withdrawals_test.ts
@@ -2,16 +2,12 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { createMonotonicClock } from "../runtime/create_monotonic_clock.ts";
-import { createRandomSource } from "../runtime/create_random_source.ts";
-import { createSystemTimers } from "../runtime/create_system_timers.ts";
 import { SourceValueKind } from "../source/source_value_kind.ts";
+import { createLoneNode } from "../testing/mesh/create_lone_node.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
 import { createSampleSettings } from "../testing/mesh/create_sample_settings.ts";
-import { testDialect } from "../testing/mesh/test_dialect.ts";
 import { applySourceReading } from "./apply_source_reading.ts";
 import { confirmRules } from "./confirm_rules.ts";
-import { createMeshNode } from "./create_mesh_node.ts";
 import { listWithdrawals } from "./list_withdrawals.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { queryWithdrawals } from "./query_withdrawals.ts";
@@ -22,20 +18,9 @@
 /** Creates a node that has read the source in `era`, with one neighbour. */
 function createNode(era: number, port: number): MeshNode {
   const sample = createSampleSettings();
-  const clock = createMonotonicClock();
-  const node = createMeshNode({
+  const node = createLoneNode({
     ...sample,
     listeners: { ...sample.listeners, nodes: { host, port } },
-  }, {
-    dialect: testDialect,
-    clock,
-    timers: createSystemTimers(clock),
-    random: createRandomSource(1),
-    report: {
-      call: () => undefined,
-      viewChange: () => undefined,
-      state: () => undefined,
-    },
   });
   const entry = createSampleEntry({
     address: { host, port: 1 },
@@ -46,7 +31,7 @@
     items: [{ key: "server", revision: 1, fact }],
     era,
     revision: 1,
-  }, { complete: true, now: clock.now() });
+  }, { complete: true, now: node.clock.now() });
   confirmRules(node, readClocks(node));
   return node;
 }
--- a/src/testing/mesh/improper_answers.ts
+++ b/src/testing/mesh/improper_answers.ts
@@ -1,69 +1,77 @@
 import type { ImproperAnswer } from "./improper_answer.ts";
 
+type ProperParts = Parameters<ImproperAnswer["create"]>[0];
+
 /** One answer for each kind of fault, for every place that reads answers. */
 export const improperAnswers: readonly ImproperAnswer[] = [
   {
     name: "a status that is not defined",
-    create: ({ lines, body }) =>
-      `HTTP/1.1 000 X\r\n${lines}${getLengthLine(body)}\r\n${body}`,
+    create: (proper) => formatAnswer({ ...proper, status: "000 X" }),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "another version",
-    create: ({ status, lines, body }) =>
-      `HTTP/2.0 ${status}\r\n${lines}${getLengthLine(body)}\r\n${body}`,
+    create: (proper) => formatAnswer({ ...proper, version: "HTTP/2.0" }),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "another protocol",
-    create: ({ status, lines, body }) =>
-      `RTSP/1.0 ${status}\r\n${lines}${getLengthLine(body)}\r\n${body}`,
+    create: (proper) => formatAnswer({ ...proper, version: "RTSP/1.0" }),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "a blank in the name of a field",
-    create: ({ status, lines, body }) =>
-      `HTTP/1.1 ${status}\r\n${lines}x y: 1\r\n${
-        getLengthLine(body)
-      }\r\n${body}`,
+    create: (proper) => addLine(proper, "x y: 1\r\n"),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "a control byte in the name of a field",
-    create: ({ status, lines, body }) =>
-      `HTTP/1.1 ${status}\r\n${lines}x\x01y: 1\r\n${
-        getLengthLine(body)
-      }\r\n${body}`,
+    create: (proper) => addLine(proper, "x\x01y: 1\r\n"),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "a transfer coding that was not requested",
-    create: ({ status, lines, body }) =>
-      `HTTP/1.1 ${status}\r\n${lines}transfer-encoding: gzip\r\n\r\n${body}`,
+    create: (proper) =>
+      formatAnswer({ ...proper, framing: "transfer-encoding: gzip\r\n" }),
     hasProperHead: false,
     isReset: false,
   },
   {
     name: "fewer bytes than its length",
-    create: ({ status, lines, body }) =>
-      `HTTP/1.1 ${status}\r\n${lines}${getLengthLine(`${body}x`)}\r\n${body}`,
+    create: (proper) =>
+      formatAnswer({ ...proper, framing: getLengthLine(`${proper.body}x`) }),
     hasProperHead: true,
     isReset: false,
   },
   {
     name: "a reset in place of its end",
-    create: ({ status, lines, body }) =>
-      `HTTP/1.1 ${status}\r\n${lines}\r\n${body}`,
+    create: (proper) => formatAnswer({ ...proper, framing: "" }),
     hasProperHead: true,
     isReset: true,
   },
 ];
 
+function addLine(proper: ProperParts, line: string): string {
+  return formatAnswer({ ...proper, lines: proper.lines + line });
+}
+
+function formatAnswer(
+  parts: ProperParts & {
+    readonly version?: string;
+    /** The line that states where the body ends; that of its length if omitted. */
+    readonly framing?: string;
+  },
+): string {
+  const { version = "HTTP/1.1", status, lines, body } = parts;
+  const framing = parts.framing ?? getLengthLine(body);
+  return `${version} ${status}\r\n${lines}${framing}\r\n${body}`;
+}
+
 function getLengthLine(body: string): string {
   return `content-length: ${Buffer.byteLength(body)}\r\n`;
 }
