Test improper answers on a used connection and to idempotent calls

An answer in another protocol on a connection whose earlier answer was in order is refused, and an idempotent call whose answer has an undefined status is answered by another backend server. Both held before; the tests keep them.

--- a/src/mesh/follow_feed.ts
+++ b/src/mesh/follow_feed.ts
@@ -10,9 +10,9 @@
 import type { SourcePosition } from "../source/source_position.ts";
 import type { NetworkAddress } from "../runtime/network_address.ts";
 import type { TimerHandle } from "../runtime/timer_handle.ts";
+import { createAnswerCheck } from "./create_answer_check.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { OfferHeader } from "./offer_header.ts";
-import { createAnswerCheck } from "./create_answer_check.ts";
 import { trackConnection } from "./track_connection.ts";
 
 const okStatus = 200;
--- a/src/mesh/improper_answer_test.ts
+++ b/src/mesh/improper_answer_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { Socket } from "node:net";
 import { CallKind } from "../routing/call_kind.ts";
 import { MeshHeader } from "../testing/mesh/mesh_header.ts";
 import { replaceBackend } from "../testing/mesh/replace_backend.ts";
@@ -238,3 +239,40 @@
     });
   },
 );
+
+serialTest(
+  "an answer in another protocol is not passed on where an earlier one on its connection was",
+  async (t) => {
+    await withMeshFleet({ vms: 1, route }, async (fleet) => {
+      const connections = new Set<Socket>();
+      let version = properAnswer.version;
+      const close = await replaceBackend(fleet, (call, { socket }) => {
+        connections.add(socket);
+        socket.write(createAnswer(call, { name: "", version }));
+      });
+      t.teardown(close);
+      t.is((await fleet.call(0)).status, 200);
+      version = "RTSP/1.0";
+      t.is((await fleet.call(0)).status, 502);
+      t.is(connections.size, 1);
+    });
+  },
+);
+
+serialTest(
+  "an idempotent call whose answer has a status that is not defined is answered by another backend server",
+  async (t) => {
+    await withMeshFleet({ vms: 2 }, async (fleet) => {
+      const runs: string[] = [];
+      const close = await replaceBackend(fleet, (call, { socket }) => {
+        runs.push(call);
+        socket.end(createAnswer(call, { name: "", status: "000" }));
+      });
+      t.teardown(close);
+      const { status, body } = await fleet.call(0, { identifier: "look" });
+      t.is(status, 200);
+      t.is(body, "answer to look");
+      t.deepEqual(runs, ["look"]);
+    });
+  },
+);
