--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -50,7 +50,7 @@
     }, 1_000);
     return () => { clearInterval(timer); clearInterval(check); };
   }
-  const ends = machines.map((machine) => load(machine, 25));
+  const ends = machines.map((machine) => load(machine, 40));
   await delay(6_000);
   const [victim] = machines;
   if (trouble) {
