Review case 12: nodes that start beside cold backend servers

A node that has started opens its gate before its first probe: after a short loss of power a cold backend server gets its slots filled at once and the cold rate on top.

--- a/review/stand-ins-3/backend.mjs
+++ b/review/stand-ins-3/backend.mjs
@@ -10,7 +10,7 @@
 let coldUntil = Date.now() + (options.coldMs ?? 0);
 let running = 0;
 const queue = [];
-const report = (message) => process.send?.({ identifier, service, at: Date.now(), ...message });
+const report = (message) => process.send?.({ identifier, incarnation: process.pid, service, at: Date.now(), ...message });
 
 function finish() {
   running -= 1;
--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -13,7 +13,6 @@
 const here = dirname(fileURLToPath(import.meta.url));
 export const delay = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 export const trouble = process.env["TROUBLE"] !== "0";
-export const heartbeatMs = 1_500;
 
 export const bounds = {
   seedLag: "3s", reuseAfter: "2s", contact: "3000ms", ack: "4000ms", catchup: "4s",
@@ -43,7 +42,7 @@
   throw new Error("no free loopback addresses");
 }
 
-export async function startDeployment({ caseFolder, config }) {
+export async function startDeployment({ caseFolder, config, heartbeatMs = 1_500 }) {
   const { startStoreServer } = await import(join(root, "target/review-3/start_store_server.mjs"));
   const recordPath = join(caseFolder, "record.txt");
   writeFileSync(recordPath, "");
@@ -63,6 +62,8 @@
   const machines = [];
   const backendEvents = [];
   const timers = new Set();
+  /** When entries of silent backend servers go, by identifier. */
+  const expiries = new Map();
 
   function put(key, value) {
     store.put(key, value);
@@ -84,13 +85,15 @@
     const child = track(fork(join(here, "backend.mjs"), [
       JSON.stringify({ host, port, identifier, service, slots, ...rest }),
     ], { stdio: ["ignore", "inherit", "inherit", "ipc"] }));
-    const backend = { child, identifier, service, host, port, alive: true, state: "ready", coldUntil: Date.now() + (rest.coldMs ?? 0), events: [] };
+    const backend = { child, identifier, service, host, port, alive: true, state: "ready", coldUntil: Date.now() + (rest.coldMs ?? 0), lastBeatAt: Date.now(), events: [] };
     let last = "";
     let sequence = 0;
     const born = Date.now();
     backend.beat = () => {
       if (!backend.alive) return;
       sequence += 1;
+      backend.lastBeatAt = Date.now();
+      clearTimeout(expiries.get(identifier));
       const coldLeft = `${Math.max(0, backend.coldUntil - Date.now())}ms`;
       // The entry changes when more than the sequence number does.
       const text = JSON.stringify([backend.state, coldLeft]);
@@ -104,13 +107,19 @@
       });
       record("entry", { identifier, state: backend.state, coldLeft, seq: sequence });
     };
+    function startBeats(firstBeatMs) {
+      const first = setTimeout(() => {
+        backend.beat();
+        const timer = setInterval(backend.beat, heartbeatMs);
+        timers.add(timer);
+        child.once("exit", () => clearInterval(timer));
+      }, firstBeatMs);
+      timers.add(first);
+    }
     backend.listening = new Promise((resolve) => {
       child.on("message", (message) => {
         if (message.kind === "listening") {
-          backend.beat();
-          const timer = setInterval(backend.beat, heartbeatMs);
-          timers.add(timer);
-          child.once("exit", () => clearInterval(timer));
+          startBeats(rest.firstBeatMs ?? 0);
           resolve();
         }
         backend.events.push(message);
@@ -130,9 +139,10 @@
     backend.crash = () => {
       backend.alive = false;
       child.kill("SIGKILL");
-      const timer = setTimeout(() => remove(`servers/${identifier}`), 3 * heartbeatMs);
+      const expiresAt = backend.lastBeatAt + 3 * heartbeatMs;
+      const timer = setTimeout(() => remove(`servers/${identifier}`), expiresAt - Date.now());
+      expiries.set(identifier, timer);
       timers.add(timer);
-      return timer;
     };
     return backend;
   }
@@ -256,6 +266,7 @@
       response.on("end", () =>
         settle({
           status: response.complete ? response.statusCode : 0,
+          retryAfterMs: Number(response.headers["retry-after"] ?? 0.15) * 1_000,
           seal: response.headers["x-server-seal"],
           body: Buffer.concat(parts).toString(),
         }));
@@ -272,12 +283,12 @@
 
 export const createClientAgent = () => new Agent({ keepAlive: true, maxSockets: Infinity, timeout: 12_000 });
 
-export function createConfig({ version = 3, services, routes }) {
+export function createConfig({ version = 3, services, routes, coldPerS = 9.4 }) {
   return {
     version,
     routes,
     services: Object.fromEntries(services.map((name) => [name, {
-      healthPath: "/healthz", maxConns: 120, proto: "h1", tls: false, cold: "3s", coldPerS: 9.4,
+      healthPath: "/healthz", maxConns: 120, proto: "h1", tls: false, cold: "3s", coldPerS,
     }])),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 67_108_864, headerTimeout: "3000ms", idleTimeout: "15000ms" },
   };
