--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -20,18 +20,20 @@
   const machines = [
     await deployment.startMachine(1, { zone: "sul-a", service: "catalogue" }),
     await deployment.startMachine(2, { zone: "sul-b", service: "catalogue" }),
-    await deployment.startMachine(3, { zone: "sul-a", service: "statements" }),
-    await deployment.startMachine(4, { zone: "sul-b", service: "statements" }),
+    await deployment.startMachine(3, { zone: "sul-c", service: "catalogue" }),
+    await deployment.startMachine(4, { zone: "sul-a", service: "statements" }),
+    await deployment.startMachine(5, { zone: "sul-b", service: "statements" }),
+    await deployment.startMachine(6, { zone: "sul-c", service: "statements" }),
   ];
   await deployment.awaitReady();
+  const mayUse = deployment.watchReadiness();
   const serviceOf = new Map();
   const agent = createClientAgent();
   let stopped = false;
   const pending = new Set();
   function load(machine, perSecond) {
-    let isUsed = true;
     const timer = setInterval(() => {
-      if (stopped || !isUsed) return;
+      if (stopped || !mayUse(machine)) return;
       const isCatalogue = Math.random() < 0.6;
       const attempt = `${machine.index}-${Math.random().toString(16).slice(2)}`;
       serviceOf.set(attempt, isCatalogue ? "catalogue" : "statements");
@@ -42,13 +44,7 @@
       pending.add(sending);
       void sending.then(() => pending.delete(sending));
     }, 1_000 / perSecond);
-    // Two misses of the readiness take the machine's clients away.
-    let misses = 0;
-    const check = setInterval(async () => {
-      misses = await deployment.isReady(machine.node) ? 0 : misses + 1;
-      isUsed = misses < 2;
-    }, 1_000);
-    return () => { clearInterval(timer); clearInterval(check); };
+    return () => clearInterval(timer);
   }
   const ends = machines.map((machine) => load(machine, 40));
   await delay(6_000);
@@ -58,7 +54,7 @@
     victim.backend.crash();
     await delay(reuseAfterMs + 50);
     const heir = deployment.startBackend({
-      host: victim.host, port: 8301, identifier: "i-heir", service: "statements", zone: victim.zone, coldMs: 3_000,
+      host: victim.host, identifier: "i-heir", service: "statements", zone: victim.zone, coldMs: 3_000,
     });
     await heir.listening;
     victim.node.signal("SIGTERM");
--- a/review/stand-ins-3/backend.mjs
+++ b/review/stand-ins-3/backend.mjs
@@ -1,13 +1,14 @@
 // A backend server as PROTOCOL.md describes it, as a process of its own. It is
 // started by `fork` with its options as JSON, and reports what it receives and
 // runs to its parent. Options: host, port, identifier, service, slots, workMs,
-// coldMs (cold at the start), unframedShare (share of the answers without a length).
+// coldMs (cold at the start), coldFactor (how much slower it is while it is cold).
 import { createServer } from "node:http";
 
 const options = JSON.parse(process.argv[2]);
 const { host, port, identifier, service, slots = 6, workMs = 90 } = options;
+const { coldFactor = 2 } = options;
 const queueMaximum = 24;
-let coldUntil = Date.now() + (options.coldMs ?? 0);
+const coldUntil = Date.now() + (options.coldMs ?? 0);
 let running = 0;
 const queue = [];
 const report = (message) => process.send?.({ identifier, incarnation: process.pid, service, at: Date.now(), ...message });
@@ -25,14 +26,8 @@
     "x-attempt-id": attempt,
     "x-server-seal": `seal.${identifier}`,
   };
-  const unframed = Math.random() < (options.unframedShare ?? 0);
-  report({ kind: "answered", attempt, unframed });
-  if (unframed) {
-    response.useChunkedEncodingByDefault = false;
-    response.writeHead(200, { ...headers, connection: "close" });
-  } else {
-    response.writeHead(200, { ...headers, "content-length": String(text.length) });
-  }
+  report({ kind: "answered", attempt });
+  response.writeHead(200, { ...headers, "content-length": String(text.length) });
   response.end(text);
 }
 
@@ -66,7 +61,7 @@
   const timer = setTimeout(() => {
     if (!response.destroyed) answer(request, response, body);
     end();
-  }, workMs * (0.7 + 0.6 * Math.random()));
+  }, workMs * (0.7 + 0.6 * Math.random()) * (coldUntil > Date.now() ? coldFactor : 1));
   response.once("close", () => {
     if (!ended) report({ kind: "dropped", attempt });
     clearTimeout(timer);
@@ -108,10 +103,4 @@
 server.keepAliveTimeout = 10_000;
 server.requestTimeout = 0;
 server.listen(port, host, () => report({ kind: "listening" }));
-process.on("message", (message) => {
-  if (message.coldMs !== undefined) {
-    coldUntil = Date.now() + message.coldMs;
-    report({ kind: "cold", ms: message.coldMs });
-  }
-});
 process.on("disconnect", () => process.exit(0));
