Log which incarnation answers at the address of the backend server

The log of a node showed that the condition of its backend server changed, but neither which incarnation answered nor whether the register listed it under the node's service. Two explanations could not be told apart: the node sends calls under the identifier of the other service's backend server, or that one runs calls that name another identifier.

Change: a line with the identifier, the one before and the service under which the register lists it, each time another one answers.

--- a/src/mesh/record_probed_identifier.ts
+++ b/src/mesh/record_probed_identifier.ts
@@ -13,6 +13,26 @@
   const { gate, serverProbe } = node;
   const previous = serverProbe.probedIdentifier;
   serverProbe.probedIdentifier = identifier;
-  if (previous === undefined || previous === identifier) return;
+  if (previous === identifier) return;
+  reportIdentifier(node, { identifier, previous });
+  if (previous === undefined) return;
   reportStatementChange(node, () => forgetIncarnation(gate));
 }
+
+function reportIdentifier(
+  node: MeshNode,
+  change: {
+    readonly identifier: string | undefined;
+    readonly previous: string | undefined;
+  },
+): void {
+  const { identifier, previous } = change;
+  const record = identifier === undefined
+    ? undefined
+    : node.view.register.get(identifier);
+  node.report.state("backend-server", {
+    identifier: identifier ?? null,
+    previousIdentifier: previous ?? null,
+    listedService: record?.entry.service ?? null,
+  });
+}
