Send calls only to an address whose holder belongs to the node's service

What callers saw: a backend server crashed and its address went to one of another service.

Cause: a node took over whichever identifier answered its probe or rejected a call (421), preferred it to the register, opened its gate to it, also without an entry, and named it as the target of the next calls. So the check of the target, which exists for this case, always passed.

Ruled out: that the stranger runs calls that name another one (in the log its own identifier is the target), and that the register came too late (it listed the stranger under the other service 275 ms before the answer to the probe).

Change: src/address_holder keeps who answers at the address and which service it belongs to. The register takes precedence. Until then the gate is closed with backend-server-unknown, calls name nobody else, and the answer to the probe (up, cold start, limit, departure) is kept and used only once its sender is confirmed. A rejection that names nobody closes the gate for the identifier that it rejected.

Why this works: each call names an incarnation that belongs to the node's service, whoever is at the address by then, and any other one rejects it.

A test of the gate expected that an unregistered backend server gets calls once a probe has returned its identifier, which was the fault; it now expects that for an own one only, and a new one covers registered entries. Two other tests read the identifier from its new place.

--- a/checks/run_checks.ts
+++ b/checks/run_checks.ts
@@ -28,6 +28,7 @@
 const realTimeTests = [
   "dist/scenarios/processes_test.js",
   "dist/src/daemon/**/*_test.js",
+  "dist/src/mesh/address_holder_test.js",
   "dist/src/mesh/create_offer_connection_test.js",
   "dist/src/mesh/offer_connection*_test.js",
   "dist/src/mesh/offer_to_node_test.js",
@@ -37,6 +38,7 @@
   "dist/src/mesh/pipelined_requests_test.js",
   "dist/src/mesh/repeated_offer_test.js",
   "dist/src/mesh/reset_answer_test.js",
+  "dist/src/mesh/reused_address_test.js",
   "dist/src/mesh/endless_*_test.js",
   "dist/src/mesh/api_keys_fleet_test.js",
   "dist/src/mesh/query_withdrawals_test.js",
--- a/src/gate/get_gate_closed_reason_test.ts
+++ b/src/gate/get_gate_closed_reason_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { HolderKind } from "../address_holder/holder_kind.ts";
 import { RefusalReason } from "../calls/refusal_reason.ts";
 import { BackendServerAvailability } from "../register/backend_server_availability.ts";
 import type { RegisterRecord } from "../register/register_record.ts";
@@ -28,7 +29,7 @@
     departure: undefined,
     isLearningWithdrawals: false,
     stopping: false,
-    probedIdentifier: undefined,
+    holder: HolderKind.Own,
     ...change,
   }, now);
 }
@@ -64,7 +65,22 @@
   t.is(getReason({ record: doubtful }), undefined);
 });
 
-test("an unregistered backend server gets calls only after a probe returned its identifier", (t) => {
-  t.is(getReason({ record: undefined }), RefusalReason.BackendServerUnknown);
-  t.is(getReason({ record: undefined, probedIdentifier: "i-1" }), undefined);
+test("an unregistered backend server gets calls only if it is known to belong to the service", (t) => {
+  const { Own, Unseen, Foreign, Unlisted } = HolderKind;
+  const getUnregisteredReason = (holder: HolderKind) =>
+    getReason({ record: undefined, holder });
+  t.is(getUnregisteredReason(Own), undefined);
+  [Unseen, Foreign, Unlisted].forEach((holder) =>
+    t.is(getUnregisteredReason(holder), RefusalReason.BackendServerUnknown)
+  );
+});
+
+// Guards against calls for the backend server of another service that has the
+// address of a registered one.
+test("a registered backend server gets no calls while another one that may be of another service is at its address", (t) => {
+  const { Own, Unseen, Foreign, Unlisted } = HolderKind;
+  [Own, Unseen].forEach((holder) => t.is(getReason({ holder }), undefined));
+  [Foreign, Unlisted].forEach((holder) =>
+    t.is(getReason({ holder }), RefusalReason.BackendServerUnknown)
+  );
 });
--- a/src/gate/own_server_status.ts
+++ b/src/gate/own_server_status.ts
@@ -1,3 +1,4 @@
+import type { HolderKind } from "../address_holder/holder_kind.ts";
 import type { ServerDeparture } from "../register/server_departure.ts";
 import type { RegisterRecord } from "../register/register_record.ts";
 
@@ -13,6 +14,6 @@
   readonly isLearningWithdrawals: boolean;
   /** Whether the node is stopping and admits no new calls. */
   readonly stopping: boolean;
-  /** The identifier of the incarnation that the last probe returned; undefined if no probe has returned one. */
-  readonly probedIdentifier: string | undefined;
+  /** What is known of the backend server that answers at the address. */
+  readonly holder: HolderKind;
 }
--- a/src/mesh/create_mesh_node.ts
+++ b/src/mesh/create_mesh_node.ts
@@ -1,3 +1,4 @@
+import { createAddressHolder } from "../address_holder/create_address_holder.ts";
 import { createGateState } from "../gate/create_gate_state.ts";
 import { createOfferRecords } from "../offers/create_offer_records.ts";
 import { createQuarantineState } from "../quarantine/create_quarantine_state.ts";
@@ -66,8 +67,9 @@
     gate: createGateState(clock.now(), quarantine.suspects),
     slotWaiters: new Map(),
     gateTimer: undefined,
+    addressHolder: createAddressHolder(),
     serverProbe: {
-      probedIdentifier: undefined,
+      unconfirmedAnswer: undefined,
       probedAt: 0,
       nextProbeAt: 0,
       probing: false,
--- a/src/mesh/find_own_server_record.ts
+++ b/src/mesh/find_own_server_record.ts
@@ -11,7 +11,7 @@
  * which may have stepped back since an earlier incarnation started.
  */
 export function findOwnServerRecord(
-  node: Pick<MeshNode, "view" | "settings" | "serverProbe">,
+  node: Pick<MeshNode, "view" | "settings" | "addressHolder">,
 ): RegisterRecord | undefined {
   const { backendServer, service } = node.settings;
   const records = getRecordsOfService(node.view, service)
@@ -20,11 +20,11 @@
       entry.address.port === backendServer.port
     );
   const present = records.filter(({ removedAt }) => removedAt === 0);
-  const { probedIdentifier } = node.serverProbe;
-  const probed = present.find(({ entry }) =>
-    entry.identifier === probedIdentifier
+  const holderIdentifier = node.addressHolder.latest?.identifier;
+  const holder = present.find(({ entry }) =>
+    entry.identifier === holderIdentifier
   );
-  if (probed !== undefined) return probed;
+  if (holder !== undefined) return holder;
   const [newest] = (present.length > 0 ? present : records)
     .sort((left, right) => right.entry.bornAt - left.entry.bornAt);
   return newest;
--- a/src/mesh/find_own_server_record_test.ts
+++ b/src/mesh/find_own_server_record_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createAddressHolder } from "../address_holder/create_address_holder.ts";
 import { putEntry } from "../register/put_entry.ts";
 import type { RegisterEntry } from "../register/register_entry.ts";
 import { createSampleEntry } from "../testing/mesh/create_sample_entry.ts";
@@ -12,7 +13,7 @@
 
 function findIdentifier(
   entries: readonly Partial<RegisterEntry>[],
-  probedIdentifier: string | undefined,
+  seenIdentifier: string | undefined,
 ): string | undefined {
   const view = createMeshView();
   entries.forEach((entry) =>
@@ -21,13 +22,13 @@
       createSampleEntry({ service, address, ...entry }),
     )
   );
-  const serverProbe = {
-    probedIdentifier,
-    probedAt: 0,
-    nextProbeAt: 0,
-    probing: false,
-  };
-  return findOwnServerRecord({ view, settings, serverProbe })?.entry.identifier;
+  const addressHolder = createAddressHolder();
+  if (seenIdentifier !== undefined) {
+    const seenAt = { monotonic: 0, timeOfDay: 0 };
+    addressHolder.latest = { identifier: seenIdentifier, seenAt };
+  }
+  return findOwnServerRecord({ view, settings, addressHolder })?.entry
+    .identifier;
 }
 
 // Guards against a gate that counts a backend server as ended, since the time of
--- a/src/mesh/improper_reply_test.ts
+++ b/src/mesh/improper_reply_test.ts
@@ -146,8 +146,8 @@
     const node = createNode(address);
     probeBackendServer(node);
     await waitUntil(() => !node.serverProbe.probing);
-    const { probedIdentifier } = node.serverProbe;
-    t.is(probedIdentifier, isProper ? "server-9" : undefined);
+    const { latest } = node.addressHolder;
+    t.is(latest?.identifier, isProper ? "server-9" : undefined);
   });
 
   // An upgrade has no body, so only its head can have a fault.
--- a/src/mesh/mesh_node.ts
+++ b/src/mesh/mesh_node.ts
@@ -1,5 +1,6 @@
 import type { Agent } from "node:http";
 import type { Socket } from "node:net";
+import type { AddressHolder } from "../address_holder/address_holder.ts";
 import type { GateView } from "../balancing/gate_view.ts";
 import type { ServiceLoad } from "../balancing/service_load.ts";
 import type { ExpiringMap } from "../calls/expiring_map.ts";
@@ -58,6 +59,8 @@
   readonly slotWaiters: Map<string, SlotWaiter>;
   /** Triggers the next processing of the gate's queue. */
   gateTimer: TimerHandle | undefined;
+  /** What is known of the backend server at the address of this VM's one. */
+  readonly addressHolder: AddressHolder;
   readonly serverProbe: ServerProbeState;
   readonly serverCrash: ServerCrashState;
   /** Connections to the backend server of this VM. */
--- a/src/mesh/mesh_settings.ts
+++ b/src/mesh/mesh_settings.ts
@@ -13,6 +13,11 @@
   /** The service of the backend server on this VM. */
   readonly service: string;
   readonly backendServer: NetworkAddress;
+  /**
+   * Shortest time between the end of a backend server and the use of its address
+   * by one of another service; 0 if it may be used at once.
+   */
+  readonly addressReuseMilliseconds: number;
   readonly listeners: {
     /** For callers on this VM and its backend server. */
     readonly callers: NetworkAddress;
--- a/src/mesh/offer_to_own_server.ts
+++ b/src/mesh/offer_to_own_server.ts
@@ -10,6 +10,7 @@
 import { createQuarantineOfferRefusal } from "./create_quarantine_offer_refusal.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import { getGateLoad } from "./get_gate_load.ts";
+import { confirmOfferedIdentifier } from "./confirm_offered_identifier.ts";
 import { createFingerprintGetter } from "./create_fingerprint_getter.ts";
 import { getQuarantineMilliseconds } from "./get_quarantine_milliseconds.ts";
 import type { MeshNode } from "./mesh_node.ts";
@@ -42,6 +43,7 @@
     const reason = RefusalReason.OfferWithdrawn;
     return createOfferRefusal(node, { reason, retryMilliseconds: 0 });
   }
+  confirmOfferedIdentifier(node, offer);
   adoptStatedLimit(node, offer);
   const offeredAt = node.clock.now();
   const getFingerprint = createFingerprintGetter(request, offer);
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -1,12 +1,17 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
+import { match } from "ts-pattern";
+import { HolderKind } from "../address_holder/holder_kind.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
+import type { ClockReading } from "../runtime/clock_reading.ts";
+import { applyProbeAnswer } from "./apply_probe_answer.ts";
 import { createAnswerCheck } from "./create_answer_check.ts";
 import { destroyOnReset } from "./destroy_on_reset.ts";
 import { discardBody } from "./discard_body.ts";
 import { limitReceivedBytes } from "./limit_received_bytes.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import { recordProbedIdentifier } from "./record_probed_identifier.ts";
-import { recordServerStatement } from "./record_server_statement.ts";
+import type { ProbeAnswer } from "./probe_answer.ts";
+import { readClocks } from "./read_clocks.ts";
+import { recordAddressHolder } from "./record_address_holder.ts";
 import { setServerCondition } from "./set_server_condition.ts";
 import { trackConnection } from "./track_connection.ts";
 import { updateGate } from "./update_gate.ts";
@@ -29,6 +34,7 @@
   if (serverProbe.probing || now < serverProbe.nextProbeAt) return;
   serverProbe.probing = true;
   serverProbe.probedAt = now;
+  const requestedAt = readClocks(node);
   const path = node.view.rules?.services.get(settings.service)?.healthPath ??
     defaultHealthPath;
   const outgoing = sendRequest({
@@ -47,7 +53,7 @@
   let whenHandled = Promise.resolve();
   outgoing.once("response", (answer: IncomingMessage) => {
     if (isProperAnswer(answer)) {
-      whenHandled = handleProbeAnswer(node, answer);
+      whenHandled = handleProbeAnswer(node, { answer, requestedAt });
     } else {
       outgoing.destroy();
     }
@@ -55,9 +61,9 @@
   outgoing.on("error", () => {
     // A backend server that accepts a connection but does not answer may be
     // busy.
-    if (!connection.isConnected()) {
-      setServerCondition(node, ServerCondition.Down);
-    }
+    if (connection.isConnected()) return;
+    serverProbe.unconfirmedAnswer = undefined;
+    setServerCondition(node, ServerCondition.Down);
   });
   outgoing.once("close", () => {
     timer.cancel();
@@ -68,28 +74,49 @@
 
 function scheduleNextProbe({ serverProbe, gate, clock }: MeshNode): void {
   serverProbe.probing = false;
-  const interval = gate.condition === ServerCondition.Down
-    ? downIntervalMilliseconds
-    : upIntervalMilliseconds;
+  const isDown = gate.condition === ServerCondition.Down &&
+    serverProbe.unconfirmedAnswer === undefined;
+  const interval = isDown ? downIntervalMilliseconds : upIntervalMilliseconds;
   serverProbe.nextProbeAt = clock.now() + interval;
 }
 
 /** An answer that breaks off shows nothing. */
 async function handleProbeAnswer(
   node: MeshNode,
-  answer: IncomingMessage,
+  options: {
+    readonly answer: IncomingMessage;
+    readonly requestedAt: ClockReading;
+  },
 ): Promise<void> {
-  const { gate } = node;
+  const { answer, requestedAt } = options;
   const head = node.dialect.readBackendAnswerHead(answer);
   destroyOnReset(answer);
   if (!await discardBody(node, answer)) return;
-  setServerCondition(node, ServerCondition.Up);
-  if (head.identifier !== undefined) {
-    recordProbedIdentifier(node, head.identifier);
-  }
-  recordServerStatement(node, head, { ranSince: undefined });
-  if (head.coldMilliseconds !== undefined) {
-    gate.coldUntil = node.clock.now() + head.coldMilliseconds;
+  const { identifier } = head;
+  if (identifier === undefined) {
+    node.addressHolder.rejectedIdentifier = undefined;
+  } else {
+    recordAddressHolder(node, { identifier, requestedAt });
   }
+  useProbeAnswer(node, { head, answeredAt: node.clock.now() });
   updateGate(node);
 }
+
+/**
+ * Uses an answer only if the backend server that gave it belongs to the node's
+ * service, or has not named itself and no other one is known to be there.
+ */
+function useProbeAnswer(node: MeshNode, answer: ProbeAnswer): void {
+  const { addressHolder, serverProbe } = node;
+  serverProbe.unconfirmedAnswer = undefined;
+  match(addressHolder.kind)
+    .with(
+      HolderKind.Own,
+      HolderKind.Unseen,
+      () => applyProbeAnswer(node, answer),
+    )
+    .with(HolderKind.Foreign, HolderKind.Unlisted, () => {
+      serverProbe.unconfirmedAnswer = answer;
+    })
+    .exhaustive();
+}
--- a/src/mesh/record_backend_exchange.ts
+++ b/src/mesh/record_backend_exchange.ts
@@ -1,9 +1,11 @@
 import { match } from "ts-pattern";
+import { recordOwnAnswer } from "../address_holder/record_own_answer.ts";
 import { ServerCondition } from "../gate/server_condition.ts";
+import type { ClockReading } from "../runtime/clock_reading.ts";
 import type { BackendExchange } from "./backend_exchange.ts";
 import { BackendExchangeKind } from "./backend_exchange_kind.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import { recordProbedIdentifier } from "./record_probed_identifier.ts";
+import { recordMisdirection } from "./record_misdirection.ts";
 import { recordServerStatement } from "./record_server_statement.ts";
 import { scheduleEarlyProbe } from "./schedule_early_probe.ts";
 import { setServerCondition } from "./set_server_condition.ts";
@@ -13,14 +15,18 @@
   node: MeshNode,
   exchange: BackendExchange,
   options: {
-    /** When the request was sent, in milliseconds since the Unix epoch. */
-    readonly sentAt: number;
+    readonly sentAt: ClockReading;
+    /** Identifier of the incarnation that the request named. */
+    readonly target: string;
   },
 ): void {
+  const { sentAt, target } = options;
   // Most exchanges end with an answer.
   if (exchange.kind === BackendExchangeKind.Answered) {
+    recordOwnAnswer(node.addressHolder, { identifier: target, seenAt: sentAt });
     setServerCondition(node, ServerCondition.Up);
-    recordServerStatement(node, exchange.head, { ranSince: options.sentAt });
+    const ranSince = sentAt.monotonic;
+    recordServerStatement(node, exchange.head, { ranSince });
     return;
   }
   match(exchange)
@@ -33,8 +39,7 @@
       () => setServerCondition(node, ServerCondition.Up),
     )
     .with({ kind: BackendExchangeKind.Misdirected }, ({ head }) => {
-      recordProbedIdentifier(node, head.identifier);
-      scheduleEarlyProbe(node);
+      recordMisdirection(node, { head, sentAt, target });
     })
     .with(
       { kind: BackendExchangeKind.NotConnected },
--- /dev/null
+++ b/src/mesh/record_misdirection.ts
@@ -0,0 +1,33 @@
+import { recordRejectedIdentifier } from "../address_holder/record_rejected_identifier.ts";
+import type { ClockReading } from "../runtime/clock_reading.ts";
+import type { BackendAnswerHead } from "./backend_answer_head.ts";
+import type { MeshNode } from "./mesh_node.ts";
+import { recordAddressHolder } from "./record_address_holder.ts";
+import { scheduleEarlyProbe } from "./schedule_early_probe.ts";
+import { updateAddressHolder } from "./update_address_holder.ts";
+import { updateGate } from "./update_gate.ts";
+
+/**
+ * Records that another incarnation is at the address than the one that a request
+ * named. The gate closes unless that one belongs to the node's service.
+ */
+export function recordMisdirection(
+  node: MeshNode,
+  options: {
+    readonly head: BackendAnswerHead;
+    readonly sentAt: ClockReading;
+    /** Identifier of the incarnation that the request named. */
+    readonly target: string;
+  },
+): void {
+  const { head: { identifier }, sentAt, target } = options;
+  const previousIdentifier = node.addressHolder.latest?.identifier;
+  if (identifier === undefined) {
+    recordRejectedIdentifier(node.addressHolder, target);
+    updateAddressHolder(node, { previousIdentifier });
+  } else {
+    recordAddressHolder(node, { identifier, requestedAt: sentAt });
+  }
+  scheduleEarlyProbe(node);
+  updateGate(node);
+}
--- a/src/mesh/reload_settings.ts
+++ b/src/mesh/reload_settings.ts
@@ -12,6 +12,7 @@
     retryAllowance,
     quotaBounds,
     coldAllowance,
+    addressReuseMilliseconds,
     stopMilliseconds,
   } = changed;
   const inForce = {
@@ -19,6 +20,7 @@
     retryAllowance,
     quotaBounds,
     coldAllowance,
+    addressReuseMilliseconds,
     stopMilliseconds,
   };
   node.settings = { ...node.settings, ...inForce };
--- a/src/mesh/run_admitted_offer.ts
+++ b/src/mesh/run_admitted_offer.ts
@@ -23,6 +23,7 @@
 import type { OfferOutcome } from "./offer_outcome.ts";
 import { OfferOutcomeKind } from "./offer_outcome_kind.ts";
 import { processWaitingCalls } from "./process_waiting_calls.ts";
+import { readClocks } from "./read_clocks.ts";
 import { recordBackendExchange } from "./record_backend_exchange.ts";
 import { reportExchange } from "./report_exchange.ts";
 import { selectBackendHeaders } from "./select_backend_headers.ts";
@@ -46,7 +47,8 @@
 ): Promise<OfferOutcome> {
   const { offer, getFingerprint, signal } = options;
   const { callIdentifier, offerIdentifier, idempotent } = offer;
-  const startedAt = node.clock.now();
+  const started = readClocks(node);
+  const startedAt = started.monotonic;
   // The request may have been quarantined while it waited for its slot.
   const retryMilliseconds = getQuarantineMilliseconds(node, getFingerprint);
   if (retryMilliseconds > 0) {
@@ -57,8 +59,10 @@
     headers: request.headers,
     isKeyRequired: offer.organisation !== undefined || hasOrganisations(node),
   });
+  // Any other backend server at the address rejects the call.
+  const target = getOwnServerIdentifier(node) ?? offer.identifier;
   const headers = node.dialect.addBackendRequestHeaders(forwarded, {
-    identifier: getOwnServerIdentifier(node) ?? offer.identifier,
+    identifier: target,
     callerService: offer.callerService,
     organisation: offer.organisation,
     remainingMilliseconds: Math.max(1, Math.floor(offer.deadline - startedAt)),
@@ -75,7 +79,7 @@
   // The result of an exchange that the caller cancelled does not show the state
   // of the backend server, so it is not recorded.
   if (!signal.aborted) {
-    recordBackendExchange(node, exchange, { sentAt: startedAt });
+    recordBackendExchange(node, exchange, { sentAt: started, target });
   }
   reportExchange(node, offer, {
     exchange,
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -1,10 +1,12 @@
 import { forgetIncarnation } from "../gate/forget_incarnation.ts";
 import { getGateClosedReason } from "../gate/get_gate_closed_reason.ts";
 import { setColdRate } from "../gate/set_cold_rate.ts";
+import { applyConfirmedAnswer } from "./apply_confirmed_answer.ts";
 import { findOwnServerRecord } from "./find_own_server_record.ts";
 import type { MeshNode } from "./mesh_node.ts";
 import { processWaitingCalls } from "./process_waiting_calls.ts";
 import { reportStatementChange } from "./report_statement_change.ts";
+import { updateAddressHolder } from "./update_address_holder.ts";
 
 /**
  * Updates the gate from the view: slots, cold start, and whether it is open.
@@ -12,12 +14,17 @@
 export function updateGate(node: MeshNode): void {
   const { gate, settings, view } = node;
   const now = node.clock.now();
+  updateAddressHolder(node, {
+    previousIdentifier: node.addressHolder.latest?.identifier,
+  });
   const record = findOwnServerRecord(node);
   if (record !== undefined) {
     gate.slots = Math.max(1, record.entry.slots);
     gate.coldUntil = Math.max(gate.coldUntil, record.entry.coldUntil);
     recordBirth(node, record.entry.bornAt);
   }
+  // After the birth, which makes the node forget what was stated before.
+  applyConfirmedAnswer(node);
   const service = view.rules?.services.get(settings.service);
   if (service !== undefined) {
     setColdRate(gate, {
@@ -31,7 +38,7 @@
     departure: gate.departure,
     isLearningWithdrawals: node.isLearningWithdrawals,
     stopping: node.gateClosesAt <= now,
-    probedIdentifier: node.serverProbe.probedIdentifier,
+    holder: node.addressHolder.kind,
   }, now);
   processWaitingCalls(node);
 }
--- a/src/testing/mesh/create_sample_settings.ts
+++ b/src/testing/mesh/create_sample_settings.ts
@@ -12,6 +12,7 @@
     zone: "sul-a",
     service: "vitrine",
     backendServer: address,
+    addressReuseMilliseconds: 2_000,
     listeners: {
       callers: address,
       nodes: address,
--- a/src/testing/mesh/mesh_fleet_options.ts
+++ b/src/testing/mesh/mesh_fleet_options.ts
@@ -14,6 +14,8 @@
   readonly slots?: number;
   /** How long a node may take to stop; 1,000 if omitted. */
   readonly stopMilliseconds?: number;
+  /** Shortest time until an address may be used by another service; 2,000 if omitted. */
+  readonly addressReuseMilliseconds?: number;
   /** By how many milliseconds the timers of the nodes of these indexes fire late. */
   readonly timerDelays?: ReadonlyMap<number, number>;
 }
--- a/src/testing/mesh/start_mesh_fleet.ts
+++ b/src/testing/mesh/start_mesh_fleet.ts
@@ -49,6 +49,7 @@
       ports,
       stopMilliseconds: options.stopMilliseconds ?? 1_000,
       withdrawalMilliseconds: options.withdrawalMilliseconds,
+      addressReuseMilliseconds: options.addressReuseMilliseconds ?? 2_000,
     })
   );
   const events: CallEvent[] = [];
@@ -164,6 +165,7 @@
     readonly ports: readonly number[];
     readonly stopMilliseconds: number;
     readonly withdrawalMilliseconds: number | undefined;
+    readonly addressReuseMilliseconds: number;
   },
 ): MeshSettings {
   const host = getHost(options.index);
@@ -174,6 +176,7 @@
     zone: zones[options.index % zones.length]!,
     service,
     backendServer: backend.address,
+    addressReuseMilliseconds: options.addressReuseMilliseconds,
     listeners: {
       callers: { host, port: callers },
       nodes: { host, port: nodes },
