Ignore what a full backend server states under another identifier

What a caller could meet: a backend server of another service that is full at a reused address rejects a call with "not run" before it compares the target. The node took its limit and its departure for those of its own backend server, and offered it further calls until a probe.

Cause: a rejection with "not run" was always taken for one by the named incarnation.

Change: a rejection that names another identifier counts like a 421. One that names nobody is still taken for the named one's; its statements end with that incarnation, since another identifier or a recovery makes the node forget them.

The new test in address_holder_test failed on the code before.

--- a/src/mesh/address_holder_test.ts
+++ b/src/mesh/address_holder_test.ts
@@ -137,6 +137,23 @@
   )
 );
 
+// Guards against statements in a rejection of another service's backend server
+// that is full, which does not say that it is another one than the call names.
+test.serial("what a full backend server states about itself under another identifier is not used, and no further call is sent there", async (t) => {
+  const stage = await createStageAfterEnd(t);
+  await delay(addressReuseMilliseconds);
+  const stranger = await stage.start({
+    identifier: successor,
+    rejectsAsFull: true,
+  });
+  const { gate } = stage.node;
+  t.is((await stage.offer()).kind, OfferOutcomeKind.Refused);
+  t.is(gate.departure, undefined);
+  t.not(gate.statedLimit.kind, StatedLimitKind.Limited);
+  t.true(isUnknownServer(await stage.offer()));
+  t.is(stranger.rejected.length, 1);
+});
+
 // Guards against a gate that opens without an entry of the register for whoever
 // answers the probe.
 test.serial("without an entry of the register, a backend server that answers the probe runs no call", async (t) => {
--- a/src/mesh/record_backend_exchange.ts
+++ b/src/mesh/record_backend_exchange.ts
@@ -31,6 +31,12 @@
   }
   match(exchange)
     .with({ kind: BackendExchangeKind.NotRun }, ({ head }) => {
+      const { identifier = target } = head;
+      // A full backend server may reject before it checks whom the call names.
+      if (identifier !== target) {
+        recordMisdirection(node, { head, sentAt, target });
+        return;
+      }
       setServerCondition(node, ServerCondition.Up);
       recordServerStatement(node, head, { ranSince: undefined });
     })
--- a/src/testing/mesh/start_incarnation.ts
+++ b/src/testing/mesh/start_incarnation.ts
@@ -6,6 +6,12 @@
 import { sendCompleteAnswer } from "./send_complete_answer.ts";
 
 const misdirectedStatus = 421;
+const fullStatus = 503;
+const fullHeaders = {
+  [MeshHeader.NotRun]: "1",
+  [MeshHeader.Limit]: "0",
+  [MeshHeader.Leaving]: "1",
+};
 
 /**
  * Starts a backend server at an address that another one has used before. It
@@ -17,6 +23,8 @@
     readonly identifier: string;
     /** Whether it names itself where it rejects a call. */
     readonly namesItselfInRejections?: boolean;
+    /** Whether it rejects calls that name another one as a full backend server does, with a limit and a departure. */
+    readonly rejectsAsFull?: boolean;
     /** Whether it answers health probes; they wait for ever otherwise. */
     readonly answersProbes?: boolean;
     /** Headers that it adds to its answers to health probes. */
@@ -39,6 +47,10 @@
     if (target !== undefined && target !== identifier) {
       incarnation.rejected.push(call);
       const headers = namesItselfInRejections ? nameHeaders : {};
+      if (options.rejectsAsFull === true) {
+        response.writeHead(fullStatus, { ...headers, ...fullHeaders }).end();
+        return;
+      }
       response.writeHead(misdirectedStatus, headers).end();
       return;
     }
