Read the entry of a returned backend server while it is not listed

Cause: since calls go only to a backend server that is known to belong to the node's service, one that comes back with a new identifier after the reuse time waits until its entry reaches the node: with the next reading of the source or line of a neighbour's feed.

Ruled out: longer trust in whoever answers (the address may be another service's), the health path (all services have the same one), reading with 'serializable' (may be seconds old).

--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -9,6 +9,7 @@
 import type { SourceClient } from "../source/source_client.ts";
 import type { CallDialect } from "./call_dialect.ts";
 import { closeNodesListener } from "./close_nodes_listener.ts";
+import { createHolderLookup } from "./create_holder_lookup.ts";
 import { createLoopLagReport } from "./create_loop_lag_report.ts";
 import { createMeshNode } from "./create_mesh_node.ts";
 import { followMeshSource } from "./follow_mesh_source.ts";
@@ -56,7 +57,9 @@
     deleteExpiredSuspects(node.quarantine, now);
     probeBackendServer(node);
     updateGate(node);
+    lookUpHolder();
   }, maintenanceIntervalMilliseconds);
+  const lookUpHolder = createHolderLookup(node, options.source);
   let stopping: Promise<number> | undefined;
 
   async function stop(): Promise<number> {
--- a/src/source/follow_parts_test.ts
+++ b/src/source/follow_parts_test.ts
@@ -24,6 +24,7 @@
   const client: SourceClient = {
     readAll: () => never,
     readChanges: () => never,
+    readBackendServer: () => never,
     readPart: (part, { revision }) => {
       if (part !== SourcePart.BackendServers) return never;
       reads.push(revision);
--- a/src/source/follow_source_test.ts
+++ b/src/source/follow_source_test.ts
@@ -50,6 +50,7 @@
           waitMilliseconds > 0 ? `after ${revision}` : `at once ${revision}`,
         ),
       readPart: () => Promise.resolve(ok([], 0)),
+      readBackendServer: () => Promise.resolve(ok([], 0)),
       close: () => undefined,
     },
     handler: {
--- a/src/source/source_client.ts
+++ b/src/source/source_client.ts
@@ -22,6 +22,10 @@
     after: SourcePosition,
     options: { readonly waitMilliseconds: number },
   ): Promise<Result<SourceReading, SourceFailure>>;
+  /** Reads the entry of one backend server now; the reading is empty if there is none. It lacks all other items. */
+  readBackendServer(
+    identifier: string,
+  ): Promise<Result<SourceReading, SourceFailure>>;
   /** Closes the connections. */
   close(): void;
 }
--- a/src/testing/mesh/create_source_fake.ts
+++ b/src/testing/mesh/create_source_fake.ts
@@ -2,6 +2,7 @@
 import type { SourceClient } from "../../source/source_client.ts";
 import { SourceFailureKind } from "../../source/source_failure_kind.ts";
 import type { SourceFailure } from "../../source/source_failure.ts";
+import { SourceValueKind } from "../../source/source_value_kind.ts";
 import type { SourceValue } from "../../source/source_value.ts";
 import type { SourceItem } from "../../source/source_item.ts";
 import type { SourceReading } from "../../source/source_reading.ts";
@@ -92,6 +93,18 @@
       },
       readPart: () =>
         Promise.resolve(respond(() => ({ items: [], era, revision }))),
+      readBackendServer: (identifier) => {
+        const isEntry = ({ fact }: SourceItem) =>
+          fact?.kind === SourceValueKind.BackendServer &&
+          fact.entry.identifier === identifier;
+        return Promise.resolve(
+          respond(() => ({
+            items: [...items.values()].filter(isEntry),
+            era,
+            revision,
+          })),
+        );
+      },
       close: () => {
         closed = true;
       },
--- a/src/testing/mesh/start_key_stage.ts
+++ b/src/testing/mesh/start_key_stage.ts
@@ -107,6 +107,7 @@
       return respond(waitMilliseconds);
     },
     readPart: () => respond(0),
+    readBackendServer: () => respond(0),
     close: () => undefined,
   };
   const follower = followMeshSource(node, { client, callers: undefined });
