Keep the identifier that the kind of the address holder is about

Callers of updateAddressHolder passed the identifier before, which only some of them had; the state has it now. No change of behaviour: the tests of the address holder pass (18 of 18).

--- a/src/address_holder/address_holder.ts
+++ b/src/address_holder/address_holder.ts
@@ -7,6 +7,8 @@
  */
 export interface AddressHolder {
   kind: HolderKind;
+  /** Identifier of the holder that `kind` is about; undefined if it has not named itself. */
+  classifiedIdentifier: string | undefined;
   /** The last one that named itself; undefined if none did. */
   latest: HolderSighting | undefined;
   /** The last one that is known to belong to the node's service; undefined if none is. */
--- a/src/address_holder/create_address_holder.ts
+++ b/src/address_holder/create_address_holder.ts
@@ -5,6 +5,7 @@
 export function createAddressHolder(): AddressHolder {
   return {
     kind: HolderKind.Unseen,
+    classifiedIdentifier: undefined,
     latest: undefined,
     own: undefined,
     rejectedIdentifier: undefined,
--- a/src/mesh/confirm_offered_identifier.ts
+++ b/src/mesh/confirm_offered_identifier.ts
@@ -1,7 +1,6 @@
 import { HolderKind } from "../address_holder/holder_kind.ts";
 import type { GateOffer } from "./gate_offer.ts";
 import type { MeshNode } from "./mesh_node.ts";
-import { updateAddressHolder } from "./update_address_holder.ts";
 import { updateGate } from "./update_gate.ts";
 
 /**
@@ -19,6 +18,5 @@
   if (latest?.identifier !== offer.identifier) return;
   if (offer.service !== settings.service) return;
   holder.own = latest;
-  updateAddressHolder(node, { previousIdentifier: latest.identifier });
   updateGate(node);
 }
--- a/src/mesh/record_address_holder.ts
+++ b/src/mesh/record_address_holder.ts
@@ -18,11 +18,10 @@
 ): void {
   const { addressHolder: holder, settings } = node;
   const { identifier, requestedAt } = options;
-  const previousIdentifier = holder.latest?.identifier;
   recordSighting(holder, {
     sighting: { identifier, seenAt: requestedAt },
     answeredAt: readClocks(node),
     reuseMilliseconds: settings.addressReuseMilliseconds,
   });
-  updateAddressHolder(node, { previousIdentifier });
+  updateAddressHolder(node);
 }
--- a/src/mesh/record_misdirection.ts
+++ b/src/mesh/record_misdirection.ts
@@ -4,7 +4,6 @@
 import type { MeshNode } from "./mesh_node.ts";
 import { recordAddressHolder } from "./record_address_holder.ts";
 import { scheduleEarlyProbe } from "./schedule_early_probe.ts";
-import { updateAddressHolder } from "./update_address_holder.ts";
 import { updateGate } from "./update_gate.ts";
 
 /**
@@ -21,10 +20,8 @@
   },
 ): void {
   const { head: { identifier }, sentAt, target } = options;
-  const previousIdentifier = node.addressHolder.latest?.identifier;
   if (identifier === undefined) {
     recordRejectedIdentifier(node.addressHolder, target);
-    updateAddressHolder(node, { previousIdentifier });
   } else {
     recordAddressHolder(node, { identifier, requestedAt: sentAt });
   }
--- a/src/mesh/update_address_holder.ts
+++ b/src/mesh/update_address_holder.ts
@@ -7,21 +7,18 @@
 
 /**
  * Determines again which service the holder of the address belongs to, after a
- * sighting or a change of the register, and reports a change.
- *
- * `previousIdentifier` is the holder before the sighting.
+ * sighting or a change of the register, and reports a change. What an earlier
+ * incarnation stated is forgotten when another one is known to be the node's own.
  */
-export function updateAddressHolder(
-  node: MeshNode,
-  options: { readonly previousIdentifier: string | undefined },
-): void {
+export function updateAddressHolder(node: MeshNode): void {
   const { addressHolder: holder, gate, settings, view } = node;
-  const { previousIdentifier } = options;
+  const { classifiedIdentifier: previousIdentifier, kind: previousKind } =
+    holder;
   const identifier = holder.latest?.identifier;
   const listedService = identifier === undefined
     ? undefined
     : view.register.get(identifier)?.entry.service;
-  const previousKind = holder.kind;
+  holder.classifiedIdentifier = identifier;
   holder.kind = classifyHolder(holder, {
     service: settings.service,
     listedService,
--- a/src/mesh/update_gate.ts
+++ b/src/mesh/update_gate.ts
@@ -14,9 +14,7 @@
 export function updateGate(node: MeshNode): void {
   const { gate, settings, view } = node;
   const now = node.clock.now();
-  updateAddressHolder(node, {
-    previousIdentifier: node.addressHolder.latest?.identifier,
-  });
+  updateAddressHolder(node);
   const record = findOwnServerRecord(node);
   if (record !== undefined) {
     gate.slots = Math.max(1, record.entry.slots);
