Soak: addresses that go to a backend server of the other service

A backend server ends, one of the other service has its address as soon as the settings allow it, and the own one comes back; the check reports runs by a service that the route does not name.

--- a/stand_ins/soak/apply_soak_fault.ts
+++ b/stand_ins/soak/apply_soak_fault.ts
@@ -8,6 +8,7 @@
 import { SoakFaultKind } from "./soak_fault_kind.ts";
 import type { SoakVm } from "./soak_vm.ts";
 
+const services = ["vitrine", "encomendas"];
 const delayMilliseconds = 120;
 const limitedCallsPerSecond = 5;
 /** Age of the copy from which the store comes back. */
@@ -81,6 +82,15 @@
       const crashed = backend.crash();
       return () => crashed.then(() => backend.start());
     })
+    .with(SoakFaultKind.ReuseAddress, () => {
+      const borrower = services.find((name) => name !== vm.service);
+      const lent = backend.lendAddress(borrower ?? vm.service);
+      return async () => {
+        await lent;
+        await backend.crash();
+        await backend.start();
+      };
+    })
     .with(SoakFaultKind.GarbleServer, () => {
       backend.setGarbling(true);
       return () => backend.setGarbling(false);
--- a/stand_ins/soak/create_soak_plan.ts
+++ b/stand_ins/soak/create_soak_plan.ts
@@ -5,6 +5,7 @@
 
 const millisecondsPerSecond = 1_000;
 const faultsPerSecond = 1.2;
+const reusesPerSecond = 0.3;
 const minimumFaultMilliseconds = 200;
 const maximumFaultMilliseconds = 3_000;
 /** Traffic without faults at the end, so that every component recovers. */
@@ -13,12 +14,14 @@
 /** Draws the faults of a soak, which may overlap, in the order of their start; the same seed yields the same faults. */
 export function createSoakPlan(options: SoakOptions): readonly SoakFault[] {
   const random = createSeededRandom(options.seed);
-  const kinds = Object.values(SoakFaultKind);
+  // Seeds of earlier soaks keep their faults.
+  const kinds = Object.values(SoakFaultKind)
+    .filter((kind) => kind !== SoakFaultKind.ReuseAddress);
   const faultPeriodMilliseconds = options.seconds * millisecondsPerSecond -
     recoveryMilliseconds;
   const count = Math.floor(options.seconds * faultsPerSecond);
   const drawInteger = (limit: number) => Math.floor(random.next() * limit);
-  return Array.from({ length: count }, () => {
+  const faults = Array.from({ length: count }, () => {
     const startsAt = drawInteger(faultPeriodMilliseconds);
     const durationMilliseconds = minimumFaultMilliseconds +
       drawInteger(maximumFaultMilliseconds - minimumFaultMilliseconds);
@@ -31,5 +34,22 @@
       ),
       vm: drawInteger(options.vms),
     };
-  }).sort((left, right) => left.startsAt - right.startsAt);
+  });
+  const reuseCount = options.reusesAddresses === true
+    ? Math.ceil(options.seconds * reusesPerSecond)
+    : 0;
+  const reuses = Array.from({ length: reuseCount }, () => {
+    const startsAt = drawInteger(
+      faultPeriodMilliseconds - maximumFaultMilliseconds,
+    );
+    return {
+      kind: SoakFaultKind.ReuseAddress,
+      startsAt,
+      endsAt: startsAt + maximumFaultMilliseconds,
+      vm: drawInteger(options.vms),
+    };
+  });
+  return [...faults, ...reuses].sort((left, right) =>
+    left.startsAt - right.startsAt
+  );
 }
--- a/stand_ins/soak/find_soak_violations.ts
+++ b/stand_ins/soak/find_soak_violations.ts
@@ -11,6 +11,7 @@
 /** Statuses that state that a request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const notFoundStatus = 404;
+const addedRoutePattern = /^v\d+$/;
 
 /** Returns the promises that were broken according to what callers and backend servers observed. */
 export function findSoakViolations(
@@ -70,6 +71,7 @@
   record: SoakRecord,
 ): readonly SoakViolation[] {
   const call = record.calls.get(run.callIdentifier);
+  const routeService = getRouteService(run.url);
   const found = `${run.callIdentifier} ${run.url} at ${run.service}`;
   if (call === undefined || call.url !== run.url) {
     return [{
@@ -78,10 +80,25 @@
       found,
     }];
   }
-  return call.callerService === run.callerService ? [] : [{
-    promise: "A backend server receives the service of the original caller",
-    found: `${found}: ${run.callerService} instead of ${call.callerService}`,
-  }];
+  return [
+    ...(call.callerService === run.callerService ? [] : [{
+      promise: "A backend server receives the service of the original caller",
+      found: `${found}: ${run.callerService} instead of ${call.callerService}`,
+    }]),
+    ...(routeService === undefined || routeService === run.service ? [] : [{
+      promise: "A backend server runs only requests of routes to its service",
+      found: `${found} (${run.server}) instead of ${routeService}`,
+    }]),
+  ];
+}
+
+/** Returns the one service of a route of the soak's rules; undefined if it has several. */
+function getRouteService(url: string): string | undefined {
+  const [, route = ""] = url.split("/");
+  if (route === "order") return "encomendas";
+  return route === "keyed" || addedRoutePattern.test(route)
+    ? "vitrine"
+    : undefined;
 }
 
 /** Finds routes for which a node's process returned status 200 and later 404, as if it had reverted to an older version. */
--- a/stand_ins/soak/find_soak_violations_test.ts
+++ b/stand_ins/soak/find_soak_violations_test.ts
@@ -61,6 +61,14 @@
   t.is(findBrokenPromises([call, later], [run]).length, 1);
 });
 
+test("a call that a backend server of another service runs is reported", (t) => {
+  const urls = ["/order/a", "/keyed/a", "/v3/a", "/look/a"];
+  const countBroken = (url: string, service: string) =>
+    findBrokenPromises([{ ...call, url }], [{ ...run, url, service }]).length;
+  t.deepEqual(urls.map((url) => countBroken(url, "encomendas")), [0, 1, 1, 0]);
+  t.deepEqual(urls.map((url) => countBroken(url, "vitrine")), [1, 0, 0, 0]);
+});
+
 test("a call that receives status 404 from settledAt on is reported", (t) => {
   const unknown = { ...call, status: 404, whole: false };
   t.deepEqual(findBrokenPromises([{ ...unknown, sentAt: 4_999 }], []), []);
--- a/stand_ins/soak/main.ts
+++ b/stand_ins/soak/main.ts
@@ -47,6 +47,7 @@
       seed,
       vms: Number(values.vms),
       seconds: Number(values.seconds),
+      reusesAddresses: true,
       program: "dist/platform/main.js",
       basePort: Number(values["base-port"]),
     });
--- a/stand_ins/soak/run_soak.ts
+++ b/stand_ins/soak/run_soak.ts
@@ -177,7 +177,7 @@
     const call: SoakCall = {
       identifier,
       idempotent,
-      callerService: vm.backend.service,
+      callerService: vm.service,
       ...(key === undefined ? {} : { key }),
       url: crashingUrl ?? `/${route}/${identifier}`,
       sentAt: Date.now(),
--- a/stand_ins/soak/run_soak_test.ts
+++ b/stand_ins/soak/run_soak_test.ts
@@ -19,14 +19,20 @@
     seconds: 15,
     cause: "a backend server of the run before was started again",
   },
+  {
+    seed: 52,
+    vms: 6,
+    seconds: 15,
+    reusesAddresses: true,
+    cause:
+      "an address went to the other service, whose backend server ran calls",
+  },
 ] as const;
 
-seeds.forEach(({ seed, vms, seconds, cause }) =>
-  test.serial(`soak with seed ${seed} (${cause}) breaks no promise`, async (t) => {
+seeds.forEach(({ cause, ...options }) =>
+  test.serial(`soak with seed ${options.seed} (${cause}) breaks no promise`, async (t) => {
     const report = await runSoak({
-      seed,
-      vms,
-      seconds,
+      ...options,
       program: "dist/platform/main.js",
       basePort: 18_900,
     });
--- a/stand_ins/soak/soak_backend.ts
+++ b/stand_ins/soak/soak_backend.ts
@@ -3,7 +3,8 @@
 /** A backend server of a soak. */
 export interface SoakBackend {
   readonly address: NetworkAddress;
-  readonly service: string;
+  /** Returns the service of the current incarnation. */
+  getService(): string;
   /** Returns the identifier of the current incarnation. */
   getIdentifier(): string;
   /** Sets whether it truncates some of its answers and sends a further response after others. */
@@ -16,6 +17,8 @@
   crash(): Promise<void>;
   /** Accepts connections again, as a new incarnation that is cold. */
   start(): Promise<void>;
+  /** Ends the backend server; one of another service has its address as soon as that is allowed, unless the own one is back by then. */
+  lendAddress(service: string): Promise<void>;
   /** Closes every connection, and is not started again. */
   close(): Promise<void>;
 }
--- a/stand_ins/soak/soak_fault_kind.ts
+++ b/stand_ins/soak/soak_fault_kind.ts
@@ -26,6 +26,8 @@
   LimitServer = "limit-server",
   /** A backend server states in its answers alone that it is about to leave, and is started again as a new incarnation. */
   LeaveServer = "leave-server",
+  /** A backend server crashes, and its address goes to one of the other service for a time. */
+  ReuseAddress = "reuse-address",
   /** A request that crashes the backend server that runs it is sent again and again, at all nodes. */
   CrashingRequest = "crashing-request",
   /** The store fails for all nodes. */
--- a/stand_ins/soak/soak_vm.ts
+++ b/stand_ins/soak/soak_vm.ts
@@ -6,6 +6,8 @@
 /** A VM of a soak: a backend server stand-in and the real node program beside it. */
 export interface SoakVm {
   readonly zone: string;
+  /** The service of its node. */
+  readonly service: string;
   readonly backend: SoakBackend;
   readonly node: SoakNode;
   /** The address to which callers on this VM send their requests. */
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -5,8 +5,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 import type { NetworkAddress } from "../../src/runtime/network_address.ts";
 import type { RandomSource } from "../../src/runtime/random_source.ts";
+import { addressReuseMilliseconds } from "./address_reuse_milliseconds.ts";
 import { crashingPath } from "./crashing_path.ts";
 import type { SoakBackend } from "./soak_backend.ts";
 import type { SoakLimit } from "./soak_limit.ts";
@@ -30,6 +32,8 @@
 ): Promise<SoakBackend> {
   const { address, service, record, random } = options;
   let incarnation = 0;
+  let currentService = service;
+  let endedAt = Number.NEGATIVE_INFINITY;
   let coldUntil = 0;
   let garbling = false;
   let limit: SoakLimit | undefined;
@@ -63,7 +67,7 @@
     record.runs.push({
       callIdentifier,
       url: request.url ?? "",
-      service,
+      service: currentService,
       callerService: String(request.headers["x-caller-service"]),
       ...(request.headers["x-tenant"] === undefined
         ? {}
@@ -113,6 +117,7 @@
     server.closeAllConnections();
     setLimit(undefined);
     await closed;
+    endedAt = Date.now();
   }
 
   /** Faults overlap, so a start may be requested while another one runs. */
@@ -124,6 +129,17 @@
     await starting;
   }
 
+  async function lendAddress(borrower: string): Promise<void> {
+    await crash();
+    await delay(addressReuseMilliseconds);
+    const mayBeUsed = Date.now() - endedAt >= addressReuseMilliseconds;
+    if (server.listening || closed || !mayBeUsed) return;
+    starting ??= start(borrower).finally(() => {
+      starting = undefined;
+    });
+    await starting;
+  }
+
   function crashForAWhile(): void {
     crash().then(() => setTimeout(startAgain, recoveryMilliseconds));
   }
@@ -154,8 +170,9 @@
     setTimeout(() => socket?.write(extraResponse), random.next() * 60);
   }
 
-  async function start(): Promise<void> {
+  async function start(runningService = service): Promise<void> {
     incarnation += 1;
+    currentService = runningService;
     isLeaving = false;
     coldUntil = Date.now() + (incarnation > 1 ? coldMilliseconds : 0);
     server = createServer(handleRequest);
@@ -166,7 +183,7 @@
   await start();
   return {
     address,
-    service,
+    getService: () => currentService,
     getIdentifier,
     setGarbling: (isGarbling) => {
       garbling = isGarbling;
@@ -177,6 +194,7 @@
     },
     crash,
     start: startAgain,
+    lendAddress,
     close: async () => {
       closed = true;
       await crash();
--- a/stand_ins/soak/start_soak_vm.ts
+++ b/stand_ins/soak/start_soak_vm.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from "../../src/runtime/random_source.ts";
 import { createRelay } from "../relay/create_relay.ts";
 import type { StoreServer } from "../store/store_server.ts";
+import { addressReuseMilliseconds } from "./address_reuse_milliseconds.ts";
 import { createSoakNode } from "./create_soak_node.ts";
 import type { SoakRecord } from "./soak_record.ts";
 import type { SoakVm } from "./soak_vm.ts";
@@ -55,6 +56,7 @@
       `listen.ready=${host}:${basePort + 3}`,
       `provider.addr=${advertisedHost}:${basePort + 4}`,
       "bounds.grace=6s",
+      `bounds.reuseAfter=${addressReuseMilliseconds}ms`,
       "bounds.retryRatio=0.2",
       "bounds.retryWindow=10s",
       "bounds.retrySlack=60",
@@ -77,7 +79,7 @@
     sequence += 1;
     store.put(`servers/${identifier}`, {
       addr: `${advertisedHost}:${basePort + 1}`,
-      info: { service, version: "v1", zone, slots: 8 },
+      info: { service: backend.getService(), version: "v1", zone, slots: 8 },
       status: { state, seq: sequence, coldLeft: "0ms" },
     });
   }
@@ -86,6 +88,7 @@
   node.start();
   return {
     zone,
+    service,
     backend,
     node,
     callers: { host, port: basePort + 2 },
