--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -28,7 +28,13 @@
  * Probes the backend server if a probe is due: whether it accepts connections,
  * which incarnation it is, and how long its cold start lasts.
  */
-export function probeBackendServer(node: MeshNode): void {
+export function probeBackendServer(
+  node: MeshNode,
+  options: {
+    /** Called when the answer has been recorded, or there was none. */
+    readonly onEnd?: () => void;
+  } = {},
+): void {
   const { serverProbe, settings } = node;
   const now = node.clock.now();
   if (serverProbe.probing || now < serverProbe.nextProbeAt) return;
@@ -67,7 +73,10 @@
   });
   outgoing.once("close", () => {
     timer.cancel();
-    void whenHandled.then(() => scheduleNextProbe(node));
+    void whenHandled.then(() => {
+      scheduleNextProbe(node);
+      options.onEnd?.();
+    });
   });
   outgoing.end();
 }
--- a/src/mesh/start_mesh_node.ts
+++ b/src/mesh/start_mesh_node.ts
@@ -55,7 +55,8 @@
     node.offers.recent.sweep(now);
     node.sentCalls.sweep(now);
     deleteExpiredSuspects(node.quarantine, now);
-    probeBackendServer(node);
+    // A backend server that comes back does not wait for the next round.
+    probeBackendServer(node, { onEnd: lookUpHolder });
     updateGate(node);
     lookUpHolder();
   }, maintenanceIntervalMilliseconds);
