--- a/src/address_holder/address_holder_property_test.ts
+++ b/src/address_holder/address_holder_property_test.ts
@@ -14,7 +14,7 @@
 const reuseMilliseconds = 2_000;
 
 /** One incarnation at the address, in the order of their starts. */
-interface Tenancy {
+interface AddressUse {
   readonly isOwn: boolean;
   readonly startsAt: number;
   readonly endsAt: number;
@@ -31,7 +31,7 @@
   readonly isNamed: boolean;
 }
 
-const tenancies = fc.array(
+const addressUses = fc.array(
   fc.record({
     isOwn: fc.boolean(),
     gapMilliseconds: fc.oneof(fc.constant(0), fc.nat(4_000)),
@@ -40,7 +40,7 @@
   }),
   { minLength: 1, maxLength: 6 },
 ).map((steps) =>
-  steps.reduce<readonly Tenancy[]>((earlier, step) => {
+  steps.reduce<readonly AddressUse[]>((earlier, step) => {
     const previous = earlier.at(-1);
     const isSameService = previous === undefined ||
       previous.isOwn === step.isOwn;
@@ -93,18 +93,21 @@
 
 function classify(
   holder: AddressHolder,
-  options: { readonly tenancies: readonly Tenancy[]; readonly now: number },
+  options: {
+    readonly addressUses: readonly AddressUse[];
+    readonly now: number;
+  },
 ): HolderKind {
   const { now } = options;
-  const tenancy = options.tenancies[Number(holder.latest?.identifier)];
-  const isListed = tenancy !== undefined && tenancy.listedAt <= now;
-  const listedOwn = options.tenancies.findLastIndex((candidate) =>
+  const use = options.addressUses[Number(holder.latest?.identifier)];
+  const isListed = use !== undefined && use.listedAt <= now;
+  const listedOwn = options.addressUses.findLastIndex((candidate) =>
     candidate.isOwn && candidate.listedAt <= now
   );
   return classifyHolder(holder, {
     service: ownService,
     listedService: isListed
-      ? (tenancy.isOwn ? ownService : otherService)
+      ? (use.isOwn ? ownService : otherService)
       : undefined,
     registeredIdentifier: listedOwn < 0 ? undefined : String(listedOwn),
   });
@@ -115,7 +118,7 @@
 test("no holder of the address is ever taken for one of the node's service that is not", (t) => {
   fc.assert(
     fc.property(
-      tenancies,
+      addressUses,
       exchanges,
       suspensions,
       (plan, requests, suspension) => {
@@ -129,7 +132,10 @@
           const index = plan.findIndex(({ startsAt, endsAt }) =>
             startsAt <= answeredAt && endsAt >= sentAt
           );
-          const before = classify(holder, { tenancies: plan, now: answeredAt });
+          const before = classify(holder, {
+            addressUses: plan,
+            now: answeredAt,
+          });
           if (index < 0) return isSound(holder, before);
           const identifier = String(index);
           const seenAt = readClocks(sentAt, suspension);
@@ -153,7 +159,7 @@
           }
           return isSound(
             holder,
-            classify(holder, { tenancies: plan, now: answeredAt }),
+            classify(holder, { addressUses: plan, now: answeredAt }),
           );
         });
 
--- a/src/mesh/address_holder_test.ts
+++ b/src/mesh/address_holder_test.ts
@@ -120,7 +120,7 @@
     async (t) => {
       const stage = await createStageAfterEnd(t);
       await delay(addressReuseMilliseconds);
-      const stranger = await stage.start({
+      const foreignServer = await stage.start({
         identifier: successor,
         namesItselfInRejections,
       });
@@ -128,11 +128,11 @@
       t.true(isUnknownServer(await stage.offer()));
       await stage.probe();
       t.true(isUnknownServer(await stage.offer()));
-      t.deepEqual(stranger.runs, []);
-      t.is(stranger.rejected.length, 1);
+      t.deepEqual(foreignServer.runs, []);
+      t.is(foreignServer.rejected.length, 1);
       stage.list({ identifier: successor, bornAt: 9 });
       t.is((await stage.offer()).kind, OfferOutcomeKind.Answered);
-      t.is(stranger.runs.length, 1);
+      t.is(foreignServer.runs.length, 1);
     },
   )
 );
@@ -142,7 +142,7 @@
 test.serial("what a full backend server states about itself under another identifier is not used, and no further call is sent there", async (t) => {
   const stage = await createStageAfterEnd(t);
   await delay(addressReuseMilliseconds);
-  const stranger = await stage.start({
+  const foreignServer = await stage.start({
     identifier: successor,
     rejectsAsFull: true,
   });
@@ -151,19 +151,19 @@
   t.is(gate.departure, undefined);
   t.not(gate.statedLimit.kind, StatedLimitKind.Limited);
   t.true(isUnknownServer(await stage.offer()));
-  t.is(stranger.rejected.length, 1);
+  t.is(foreignServer.rejected.length, 1);
 });
 
 // Guards against a gate that opens without an entry of the register for whoever
 // answers the probe.
 test.serial("without an entry of the register, a backend server that answers the probe runs no call", async (t) => {
   const stage = await createStage(t);
-  const stranger = await stage.start({ identifier: successor });
+  const foreignServer = await stage.start({ identifier: successor });
   await stage.probe();
   t.true(isUnknownServer(await stage.offer()));
   stage.list({ identifier: successor, service: otherService });
   t.true(isUnknownServer(await stage.offer()));
-  t.deepEqual([...stranger.runs, ...stranger.rejected], []);
+  t.deepEqual([...foreignServer.runs, ...foreignServer.rejected], []);
 });
 
 // Guards against a node that has to wait for its own reading although an offer
--- a/src/mesh/reused_address_test.ts
+++ b/src/mesh/reused_address_test.ts
@@ -84,7 +84,7 @@
       await withMeshFleet(
         { vms: 2, addressReuseMilliseconds },
         async (fleet) => {
-          const stranger = await replaceAfter(
+          const foreignServer = await replaceAfter(
             fleet,
             addressReuseMilliseconds + 50,
             { identifier },
@@ -93,8 +93,8 @@
             publishSuccessor(fleet, { identifier, service: otherService });
           }
           await callForAWhile(fleet, observedMilliseconds);
-          t.deepEqual(stranger.runs, []);
-          await stranger.close();
+          t.deepEqual(foreignServer.runs, []);
+          await foreignServer.close();
         },
       );
     },
@@ -107,17 +107,17 @@
   "a node that starts beside a backend server of another service sends it no call, while the register still lists the one that ended",
   async (t) => {
     await withMeshFleet({ vms: 1, addressReuseMilliseconds }, async (fleet) => {
-      const stranger = await replaceAfter(
+      const foreignServer = await replaceAfter(
         fleet,
         addressReuseMilliseconds + 50,
         { identifier },
       );
       await fleet.restart(0);
       await callForAWhile(fleet, observedMilliseconds);
-      t.deepEqual(stranger.runs, []);
+      t.deepEqual(foreignServer.runs, []);
       // Each of these rejections would cost a call one of its attempts.
-      t.true(stranger.rejected.length <= 4);
-      await stranger.close();
+      t.true(foreignServer.rejected.length <= 4);
+      await foreignServer.close();
     });
   },
 );
@@ -171,7 +171,7 @@
   "what a backend server of another service states does not hold for the one that comes back",
   async (t) => {
     await withMeshFleet({ vms: 1, addressReuseMilliseconds }, async (fleet) => {
-      const stranger = await replaceAfter(
+      const foreignServer = await replaceAfter(
         fleet,
         addressReuseMilliseconds + 50,
         {
@@ -184,8 +184,8 @@
         },
       );
       await callForAWhile(fleet, observedMilliseconds);
-      t.deepEqual(stranger.runs, []);
-      await stranger.close();
+      t.deepEqual(foreignServer.runs, []);
+      await foreignServer.close();
       t.false(fleet.reports.some((line) => line.includes('"leaving":true')));
       t.false(
         fleet.reports.some((line) => line.includes('"callsPerSecondLimit":0')),
--- a/stand_ins/soak/apply_soak_fault.ts
+++ b/stand_ins/soak/apply_soak_fault.ts
@@ -83,10 +83,10 @@
       return () => crashed.then(() => backend.start());
     })
     .with(SoakFaultKind.ReuseAddress, () => {
-      const borrower = services.find((name) => name !== vm.service);
-      const lent = backend.lendAddress(borrower ?? vm.service);
+      const otherService = services.find((name) => name !== vm.service);
+      const given = backend.giveAddressTo(otherService ?? vm.service);
       return async () => {
-        await lent;
+        await given;
         await backend.crash();
         await backend.start();
       };
--- a/stand_ins/soak/soak_backend.ts
+++ b/stand_ins/soak/soak_backend.ts
@@ -18,7 +18,7 @@
   /** Accepts connections again, as a new incarnation that is cold. */
   start(): Promise<void>;
   /** Ends the backend server; one of another service has its address as soon as that is allowed, unless the own one is back by then. */
-  lendAddress(service: string): Promise<void>;
+  giveAddressTo(service: string): Promise<void>;
   /** Closes every connection, and is not started again. */
   close(): Promise<void>;
 }
--- a/stand_ins/soak/start_soak_backend.ts
+++ b/stand_ins/soak/start_soak_backend.ts
@@ -129,12 +129,12 @@
     await starting;
   }
 
-  async function lendAddress(borrower: string): Promise<void> {
+  async function giveAddressTo(otherService: string): Promise<void> {
     await crash();
     await delay(addressReuseMilliseconds);
     const mayBeUsed = Date.now() - endedAt >= addressReuseMilliseconds;
     if (server.listening || closed || !mayBeUsed) return;
-    starting ??= start(borrower).finally(() => {
+    starting ??= start(otherService).finally(() => {
       starting = undefined;
     });
     await starting;
@@ -194,7 +194,7 @@
     },
     crash,
     start: startAgain,
-    lendAddress,
+    giveAddressTo,
     close: async () => {
       closed = true;
       await crash();
