Use a held probe answer only for the incarnation that gave it

If a rejection then named another incarnation of the node's service, the held answer of the first one would have been used for it. And after a rejection that named nobody, the answer to a probe that names nobody either was held as well, until the next probe.

Change: a held answer is used only if its sender is still the holder; the kind of the holder is determined again after an answer without a name. The new test shows that a gate closed by a rejection without a name opens again; it passed before the change too, the delay is not measured.

--- a/src/mesh/address_holder_test.ts
+++ b/src/mesh/address_holder_test.ts
@@ -154,6 +154,24 @@
   t.is(foreignServer.rejected.length, 1);
 });
 
+// Guards against a gate that stays closed beside a backend server whose probes do
+// not name it.
+test.serial("after a rejection that names nobody, a probe that names nobody opens the gate again", async (t) => {
+  const stage = await createStageAfterEnd(t);
+  await delay(addressReuseMilliseconds);
+  const server = await stage.start({
+    identifier: successor,
+    namesItselfInRejections: false,
+    namesItselfInProbes: false,
+  });
+  t.true(isUnknownServer(await stage.offer()));
+  t.true(isUnknownServer(await stage.offer()));
+  t.is(server.rejected.length, 1);
+  await stage.probe();
+  stage.list({ identifier: successor, bornAt: 9 });
+  t.is((await stage.offer()).kind, OfferOutcomeKind.Answered);
+});
+
 // Guards against a gate that opens without an entry of the register for whoever
 // answers the probe.
 test.serial("without an entry of the register, a backend server that answers the probe runs no call", async (t) => {
--- a/src/mesh/apply_confirmed_answer.ts
+++ b/src/mesh/apply_confirmed_answer.ts
@@ -7,9 +7,11 @@
  * which gave it belongs to the node's service.
  */
 export function applyConfirmedAnswer(node: MeshNode): void {
-  const { addressHolder, serverProbe } = node;
+  const { addressHolder: { kind, latest }, serverProbe } = node;
   const answer = serverProbe.unconfirmedAnswer;
-  if (answer === undefined || addressHolder.kind !== HolderKind.Own) return;
+  if (answer === undefined || kind !== HolderKind.Own) return;
   serverProbe.unconfirmedAnswer = undefined;
+  // A rejection may have named another one since.
+  if (answer.head.identifier !== latest?.identifier) return;
   applyProbeAnswer(node, answer);
 }
--- a/src/mesh/probe_backend_server.ts
+++ b/src/mesh/probe_backend_server.ts
@@ -14,6 +14,7 @@
 import { recordAddressHolder } from "./record_address_holder.ts";
 import { setServerCondition } from "./set_server_condition.ts";
 import { trackConnection } from "./track_connection.ts";
+import { updateAddressHolder } from "./update_address_holder.ts";
 import { updateGate } from "./update_gate.ts";
 
 /** A probe may wait for a slot of the backend server like any other request. */
@@ -104,6 +105,7 @@
   const { identifier } = head;
   if (identifier === undefined) {
     node.addressHolder.rejectedIdentifier = undefined;
+    updateAddressHolder(node);
   } else {
     recordAddressHolder(node, { identifier, requestedAt });
   }
--- a/src/testing/mesh/start_incarnation.ts
+++ b/src/testing/mesh/start_incarnation.ts
@@ -23,6 +23,8 @@
     readonly identifier: string;
     /** Whether it names itself where it rejects a call. */
     readonly namesItselfInRejections?: boolean;
+    /** Whether it names itself in its answers to health probes. */
+    readonly namesItselfInProbes?: boolean;
     /** Whether it rejects calls that name another one as a full backend server does, with a limit and a departure. */
     readonly rejectsAsFull?: boolean;
     /** Whether it answers health probes; they wait for ever otherwise. */
@@ -39,8 +41,8 @@
     // Only a health probe names no call.
     if (call === undefined) {
       if (options.answersProbes === false) return;
-      response.writeHead(200, { ...nameHeaders, ...options.healthHeaders })
-        .end();
+      const headers = options.namesItselfInProbes === false ? {} : nameHeaders;
+      response.writeHead(200, { ...headers, ...options.healthHeaders }).end();
       return;
     }
     const target = request.headers[MeshHeader.Target];
